End a customer's debt with the window whose count it came from

Traced by request id, most refusals after 15 s came from the quota's gate (`admit`, `known && left < units`), not from the backends' side. Customer (large-site, burst 37, rate 7.4) had 155 requests from 15 to 20 s and none was sent on: its three gateways held its store to be -162, -143 and -84. At that rate such a debt takes 20 s to fill. From 5 to 11 s the counter answers in 37 to 90 ms against a patience of 50: calls end without an answer, yet their blocks were added (late answers in the trace show totals that contain them). Every retry adds a further block that nobody holds, and the next total that does arrive takes all of them off the store.

At fault: `Customer::roll` in src/logic.rs. A window's count ends with its window, and the blocks in hand with it, but what the count had passed the quota by was carried on. A customer's real store is never below nothing, so a debt can only be blocks whose answers were lost or that are on their way back. It now ends at the window's edge.

Ruled out: resets of the counter's connections alone. Room at the backends: under 15 requests in any 5 s were refused for it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -211,13 +211,14 @@
         (number as u64, number * length - shift)
     }
 
-    /// Fills the store and moves to the present window: blocks end with theirs, unused.
+    /// Fills the store and moves to the present window: blocks end with theirs, unused, and so does a debt. A
+    /// quota is never below nothing: what a count holds beyond it are blocks that nobody got or that go back.
     fn roll(&mut self, now: Millis, plan: &Plan) {
         self.store = (self.store + plan.rate * (now - self.store_at) / 1000.0).min(plan.burst);
         self.store_at = now;
         let (window, _) = self.window_at(now, plan);
         if window != self.window {
-            self.store = (self.store + self.lease).min(plan.burst);
+            self.store = (self.store + self.lease).clamp(0.0, plan.burst);
             (self.window, self.lease, self.added, self.seen) = (window, 0.0, 0.0, 0.0);
         }
     }
@@ -802,21 +803,20 @@
 
     /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
     fn granted(&mut self, name: &Name, total: f64, out: &mut Vec<Action>) {
-        let now = self.now;
         let Some(customer) = self.customers.get_mut(name) else { return };
         let Some((window, block, owed)) = customer.call.take() else { return };
         let plan = &self.settings.plans[customer.plan];
         if customer.thin(plan) {
             return self.granted_thin(name, total - block - owed, block, out);
         }
-        customer.roll(now, plan);
+        customer.roll(self.now, plan);
         let slice = customer.slice.take();
         if plan.ceiling_rate > 0.0 && customer.known && customer.heard < self.back_at {
             // Guards against a counter that comes back empty: what others spent in the silence is told
             // nowhere. Only the own slice (or an unknown customer's start) is sure to be left.
             customer.store = customer.store.min(slice.map_or(Customer::start_of(plan), |(held, _)| held));
         }
-        customer.heard = now;
+        customer.heard = self.now;
         if window == customer.window {
             customer.added += block + owed;
             if !customer.known {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -57,6 +57,20 @@
     assert!(count(&did).is_some_and(|(next, _)| next != name));
 }
 
+#[test]
+fn a_debt_ends_with_the_window_whose_count_it_came_from() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    // Twenty quotas' worth of blocks were counted whose answers never came.
+    let (_, back) = count(&door.total(name, amount + 200.0)).expect("what does not fit goes back");
+    door.total(name, amount + 200.0 + back);
+    assert!(refused(&door.ask(2, "c", "plain", "safe"), 2), "the window's count is far beyond the quota");
+    door.pass(2001.0, &[]);
+    door.now += 300.0;
+    let did = door.ask(3, "c", "plain", "safe");
+    assert!(count(&did).is_some_and(|(next, _)| next != name), "a new window, a new count: {did:?}");
+}
+
 #[test]
 fn an_unsent_request_puts_its_units_back() {
     let mut door = Door::new(settings(), &["a1"]);
