Tell late answers of the counter to the decisions, which spend the block they counted

The trace of the lanes shows that nearly all of those were answered after all: of some 870 late answers most came 50 to 95 ms after the call, each with a total that contains the block. At 16% of the calls unanswered, the blocks lost came to about half of what the customer's rate gives.

At fault: `Lane::answer` in gateway/src/counter.rs read a late answer off the line and told nobody, and `Gateway::silent` in src/logic.rs let a block go that may have counted, with no way to hear that it did. Now the lane reports `CountOutcome::Late` with total and amount, and `counted_late` takes the block in hand if the window is still the same (what does not fit goes back, as with any total), and takes back what was owed a second time. The patience of 50 ms and the silence rule stay as they are.

Ruled out: answers held up behind others on the two shared lanes.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -28,12 +28,13 @@
 const MOST_CALLS: usize = 1024;
 const MOST_BYTES: usize = 4096;
 
-/// What is told of each call, once: its name, how it ended, how long it took.
+/// What is told of each call: its name, how it ended, how long it took. Once, but for a late answer.
 pub type Report = dyn Fn(u64, CountOutcome, Millis);
 
 struct Call {
     /// None for a ping.
     name: Option<u64>,
+    amount: f64,
     made: Instant,
     /// Where its last byte stands in all that was ever written on this connection.
     end: u64,
@@ -78,9 +79,9 @@
     pub fn add(&self, name: u64, amount: f64, keep: Millis) {
         let lane = &self.lanes[name as usize % self.lanes.len()];
         let name_text = name.to_string();
-        let amount = format!("{}", (amount * 1e6).round() / 1e6);
+        let amount_text = format!("{}", (amount * 1e6).round() / 1e6);
         let keep = (keep.ceil().max(1.0) as u64).to_string();
-        if !lane.push(Some(name), &["ADDGET", &name_text, &amount, &keep]) {
+        if !lane.push(Some(name), amount, &["ADDGET", &name_text, &amount_text, &keep]) {
             (lane.report)(name, CountOutcome::NotAdded, 0.0);
         }
     }
@@ -88,7 +89,7 @@
 
 impl Lane {
     /// Puts a call in line, if there is a line.
-    fn push(&self, name: Option<u64>, words: &[&str]) -> bool {
+    fn push(&self, name: Option<u64>, amount: f64, words: &[&str]) -> bool {
         let mut pipeline = self.pipeline.borrow_mut();
         if !pipeline.up || pipeline.calls.len() >= MOST_CALLS {
             return false;
@@ -98,7 +99,7 @@
             pipeline.out.extend(format!("${}\r\n{word}\r\n", word.len()).bytes());
         }
         let end = pipeline.written + pipeline.out.len() as u64;
-        pipeline.calls.push_back(Call { name, made: Instant::now(), end, told: name.is_none() });
+        pipeline.calls.push_back(Call { name, amount, made: Instant::now(), end, told: name.is_none() });
         self.wake.notify_one();
         true
     }
@@ -168,7 +169,7 @@
             self.give_up_late();
             if heard.elapsed() >= PING && self.is_idle() {
                 heard = Instant::now();
-                self.push(None, &["PING"]);
+                self.push(None, 0.0, &["PING"]);
             }
             let oldest = self.pipeline.borrow().calls.front().map(|c| c.made.max(heard));
             if oldest.is_some_and(|at| at.elapsed() >= SILENT) {
@@ -217,7 +218,8 @@
         }
     }
 
-    /// Answers come in the order of the calls; one that comes late is taken off the line and told to nobody.
+    /// Answers come in the order of the calls. One that comes late is told as that: the amount was added, and
+    /// whoever took it for lost would leave it lying in the count.
     fn answer(&self, frame: OwnedFrame) -> io::Result<()> {
         let call = self.pipeline.borrow_mut().calls.pop_front();
         let Some(call) = call else { return Err(bad("an answer to no call".into())) };
@@ -230,7 +232,13 @@
             OwnedFrame::SimpleString(_) if call.name.is_none() => return Ok(()),
             _ => None,
         };
-        self.tell(&call, outcome.unwrap_or(CountOutcome::Unknown));
+        match (call.name, outcome) {
+            (Some(name), Some(CountOutcome::Total(total))) if call.told => {
+                let late = CountOutcome::Late { total, amount: call.amount };
+                (self.report)(name, late, millis(call.made.elapsed()));
+            }
+            _ => self.tell(&call, outcome.unwrap_or(CountOutcome::Unknown)),
+        }
         outcome.map(|_| ()).ok_or_else(|| bad("an answer that is no total".into()))
     }
 
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -2,8 +2,15 @@
 
 mod helper;
 
-use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row};
+use doorcourse::CountOutcome;
+use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row, soon};
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
 
 async fn statuses(gateway: &Gateway, count: usize) -> Vec<u16> {
     let (mut client, mut statuses) = (gateway.client().await, Vec::new());
@@ -85,3 +92,60 @@
     })
     .await;
 }
+
+/// The gateway's own side of the counter, and all that it tells.
+fn lanes(
+    at: std::net::SocketAddr, patience: Duration,
+) -> (fennelscale::counter::Counter, mpsc::UnboundedReceiver<(u64, CountOutcome)>) {
+    let (tell, told) = mpsc::unbounded_channel();
+    let report = move |name, outcome, _| tell.send((name, outcome)).expect("a listener");
+    (fennelscale::counter::Counter::start(at, patience, Rc::new(report)), told)
+}
+
+/// Waits for a whole call on one of these connections.
+async fn heard(streams: &mut [TcpStream]) -> &mut TcpStream {
+    let (mut text, mut bytes) = (vec![Vec::new(); streams.len()], [0; 1024]);
+    loop {
+        for (at, stream) in streams.iter_mut().enumerate() {
+            if let Ok(Ok(read)) =
+                tokio::time::timeout(Duration::from_millis(1), stream.read(&mut bytes)).await
+            {
+                text[at].extend_from_slice(&bytes[..read]);
+            }
+        }
+        // Four words, each with its length, after their number.
+        let whole = |text: &Vec<u8>| text.iter().filter(|b| **b == b'\n').count() == 9;
+        if let Some(at) = text.iter().position(whole) {
+            return &mut streams[at];
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_after_the_patience_is_told_as_late_with_what_it_added() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (counter, mut told) =
+                lanes(listener.local_addr().expect("an address"), Duration::from_millis(20));
+            let mut streams = Vec::new();
+            for _ in 0..fennelscale::counter::LANES {
+                streams.push(soon("a lane", listener.accept()).await.expect("a connection").0);
+            }
+            // A lane may not have noticed yet that it is up: such a call is told as not added.
+            loop {
+                counter.add(7, 5.0, 1000.0);
+                match soon("word of the call", told.recv()).await {
+                    Some((7, CountOutcome::NotAdded)) => tokio::task::yield_now().await,
+                    word => break assert_eq!(word, Some((7, CountOutcome::Unknown))),
+                }
+            }
+            // Only now, long after the patience is over, does the counter answer.
+            let stream = soon("the call", heard(&mut streams)).await;
+            stream.write_all(b"$2\r\n12\r\n").await.expect("written");
+            let late = CountOutcome::Late { total: 12.0, amount: 5.0 };
+            assert_eq!(soon("the late word", told.recv()).await, Some((7, late)));
+        })
+        .await;
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -226,6 +226,13 @@
     NotAdded,
     /// No answer in time; the amount may have been added.
     Unknown,
+    /// The answer came after all, to a call that was told as unknown: its amount was added.
+    Late {
+        /// The total after the add.
+        total: f64,
+        /// What the call added.
+        amount: f64,
+    },
 }
 
 /// A request that came in.
@@ -311,7 +318,7 @@
         /// The token given when it was set.
         token: u64,
     },
-    /// A counter call ended.
+    /// A counter call ended, or one that had ended without an answer got it late.
     Counted {
         /// The count's name.
         name: u64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -178,6 +178,8 @@
     owed: f64,
     /// The call out: its window, block, and what was owed.
     call: Option<(u64, f64, f64)>,
+    /// Calls on the window's count that got no answer: block and what was owed.
+    doubts: Vec<(f64, f64)>,
     waiting: VecDeque<RequestId>,
     demand: f64,
     demand_at: Millis,
@@ -220,6 +222,7 @@
         if window != self.window {
             self.store = (self.store + self.lease).clamp(0.0, plan.burst);
             (self.window, self.lease, self.added, self.seen) = (window, 0.0, 0.0, 0.0);
+            self.doubts.clear();
         }
     }
 
@@ -238,6 +241,30 @@
         need.max(want.floor()).max(0.0)
     }
 
+    /// Learns the store from a total of the window's count: keeps what fits of the block added, owes the rest.
+    fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan) {
+        self.added += block + owed;
+        if !self.known {
+            self.store = Self::start_of(plan) - total;
+            self.known = true;
+        } else if total + 1e-6 < self.added {
+            // Guards against an emptied count: what this gateway holds is told again, so that new blocks do
+            // not stack on those still held.
+            self.owed += self.added - total;
+            self.store -= block;
+        } else {
+            self.store = (self.store - (total - self.seen - owed)).min(plan.burst);
+        }
+        self.seen = total;
+        self.lease += block;
+        if self.store < 0.0 {
+            let back = self.lease.min((-self.store).ceil()).min(block);
+            self.lease -= back;
+            self.owed -= back;
+            self.store += back;
+        }
+    }
+
     /// Spends from the even slice, which starts from the store as last known: the silence rule.
     fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan) -> bool {
         let (held, at) = self.slice.unwrap_or((self.store.max(0.0) / self.spread, now));
@@ -288,6 +315,8 @@
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
     calls: BTreeMap<u64, Name>,
+    /// Counts on which calls got no answer, and whose they are.
+    unanswered: BTreeMap<u64, Name>,
     /// The share of the calls wanted that the counter can bear, by how fast it answers.
     ease: f64,
     /// The share of first totals with room left, for each plan: of first tries, and of clients' repeats.
@@ -785,13 +814,16 @@
     }
 
     fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
+        if let CountOutcome::Late { total, amount } = outcome {
+            return self.counted_late(count, total, amount);
+        }
         let Some(name) = self.calls.remove(&count) else { return };
         let quick = self.settings.counter_timeout * EASE_SHARE;
         let slow = if matches!(outcome, CountOutcome::Total(_)) { latency / quick } else { f64::INFINITY };
         let step = EASE_STEP * (1.0 - slow).max(-2.0);
         self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, EASE_MOST);
         let CountOutcome::Total(total) = outcome else {
-            return self.silent(&name, outcome == CountOutcome::Unknown, out);
+            return self.silent(count, name, outcome == CountOutcome::Unknown, out);
         };
         if std::mem::take(&mut self.told_silent) {
             self.back_at = self.now;
@@ -818,26 +850,7 @@
         }
         customer.heard = self.now;
         if window == customer.window {
-            customer.added += block + owed;
-            if !customer.known {
-                customer.store = Customer::start_of(plan) - total;
-                customer.known = true;
-            } else if total + 1e-6 < customer.added {
-                // Guards against an emptied count: what this gateway holds is told again, so that new blocks
-                // do not stack on those still held.
-                customer.owed += customer.added - total;
-                customer.store -= block;
-            } else {
-                customer.store = (customer.store - (total - customer.seen - owed)).min(plan.burst);
-            }
-            customer.seen = total;
-            customer.lease += block;
-            if customer.store < 0.0 {
-                let back = customer.lease.min((-customer.store).ceil()).min(block);
-                customer.lease -= back;
-                customer.owed -= back;
-                customer.store += back;
-            }
+            customer.learn(total, block, owed, plan);
         }
         let waiting = std::mem::take(&mut customer.waiting);
         let give_back = customer.owed <= -1.0;
@@ -847,16 +860,39 @@
         }
     }
 
+    /// A call taken for lost has counted: its block is in hand after all, and what was owed is told. Else the
+    /// count holds units that nobody can spend, and a slow counter eats up the quotas.
+    fn counted_late(&mut self, count: u64, total: f64, amount: f64) {
+        let Some(name) = self.unanswered.get(&count) else { return };
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        customer.roll(self.now, plan);
+        let same = |(block, owed): &(f64, f64)| (block + owed - amount).abs() < 1e-6;
+        if let Some(at) = customer.doubts.iter().position(same) {
+            let (block, owed) = customer.doubts.remove(at);
+            customer.owed -= owed.max(0.0);
+            customer.learn(total, block, owed, plan);
+        }
+    }
+
     /// No answer: the silence rule decides for who waits, and a block that may have counted is let go.
-    fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
+    fn silent(&mut self, count: u64, name: Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
-        let Some(customer) = self.customers.get_mut(name) else { return };
-        let (_, _, owed) = customer.call.take().unwrap_or_default();
+        let Some(customer) = self.customers.get_mut(&name) else { return };
+        let (window, block, owed) = customer.call.take().unwrap_or_default();
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
-        for id in std::mem::take(&mut customer.waiting) {
+        let waiting = std::mem::take(&mut customer.waiting);
+        if may_have_counted
+            && window == customer.window
+            && !customer.thin(&self.settings.plans[customer.plan])
+        {
+            customer.doubts.push((block, owed));
+            self.unanswered.insert(count, name);
+        }
+        for id in waiting {
             self.by_slice(id, out);
         }
     }
@@ -887,6 +923,8 @@
         let mut asking = Vec::new();
         let plans = &self.settings.plans;
         self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
+        let customers = &self.customers;
+        self.unanswered.retain(|_, name| customers.get(name).is_some_and(|c| !c.doubts.is_empty()));
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
             let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
--- a/tests/counter_silence.rs
+++ b/tests/counter_silence.rs
@@ -112,6 +112,38 @@
     assert!(f64::from(calls) <= 0.15 * id as f64, "{calls} calls for {id} requests");
 }
 
+fn late(door: &mut Door, name: u64, total: f64, amount: f64) -> Vec<Action> {
+    door.now += 20.0;
+    door.tell(Event::Counted { name, outcome: CountOutcome::Late { total, amount }, latency: 70.0 })
+}
+
+#[test]
+fn a_block_whose_answer_comes_late_is_spent_after_all_and_only_once() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3", "a4", "a5", "a6"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    assert_eq!(amount, 5.0);
+    silence(&mut door, name);
+    // The block is in the count, which nobody else has added to.
+    late(&mut door, name, 5.0, amount);
+    for id in 2..=6 {
+        let did = door.ask(id, "c", "plain", "safe");
+        assert_eq!(sends(&did), 1, "request {id} is paid from the late block: {did:?}");
+    }
+    late(&mut door, name, 5.0, amount);
+    assert_eq!(sends(&door.ask(7, "c", "plain", "safe")), 0, "the same word twice is no second block");
+}
+
+#[test]
+fn a_late_block_that_does_not_fit_goes_back() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    silence(&mut door, name);
+    // Others hold the whole burst and more. What the silence let in is owed, the late block goes back.
+    late(&mut door, name, amount + 40.0, amount);
+    let (_, told) = count(&door.pass(60.0, &[])).expect("what does not fit goes back");
+    assert_eq!(told, 1.0 - amount);
+}
+
 #[test]
 fn a_late_total_of_an_ended_window_grants_nothing() {
     let mut door = Door::new(settings(), &["a1"]);
