--- a/src/logic.rs
+++ b/src/logic.rs
@@ -241,7 +241,7 @@
         need.max(want.floor()).max(0.0)
     }
 
-    /// Learns the store from a total of the window's count: keeps what fits of the block added, owes the rest.
+    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest.
     fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan) {
         self.added += block + owed;
         if !self.known {
