Reload at SIGHUP: discovery and the counter move to the addresses of the replaced file

Evidence: 129 is the exit by signal 1. At fault: `run` in gateway/src/main.rs waits for SIGTERM and SIGINT and never took SIGHUP, whose usual action ends the process.

Mend: `reload` rereads the file; its `discovery` goes before NODE_DISCOVERY, which is that of the start. The watch leaves its old call at once and asks the new address for what came after the version it has. Each counter lane moves once its calls out are answered, so no block is left in doubt. A file that cannot be used is logged and changes nothing.

Ruled out: the decisions; the process ended in the signal's default action, with no panic and no log line.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -102,9 +102,20 @@
     /// # Errors
     /// When either cannot be used.
     pub fn from_environment() -> Result<Self, ConfigError> {
+        Self::parse(&Self::text()?, |key| std::env::var(key).ok())
+    }
+
+    /// Reads the file again after it has been replaced: what it says of discovery is newer than the environment.
+    ///
+    /// # Errors
+    /// When it cannot be used.
+    pub fn reread() -> Result<Self, ConfigError> {
+        Self::parse(&Self::text()?, |key| std::env::var(key).ok().filter(|_| key != "NODE_DISCOVERY"))
+    }
+
+    fn text() -> Result<String, ConfigError> {
         let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoFile)?;
-        let text = std::fs::read_to_string(path).map_err(ConfigError::Unreadable)?;
-        Self::parse(&text, |key| std::env::var(key).ok())
+        std::fs::read_to_string(path).map_err(ConfigError::Unreadable)
     }
 
     /// Reads the text of a file; what the environment says goes first.
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Connections; a name goes by the same one while that one answers, so its calls keep their order.
@@ -52,7 +52,6 @@
 }
 
 struct Lane {
-    address: SocketAddr,
     patience: Duration,
     report: Rc<Report>,
     pipeline: RefCell<Pipeline>,
@@ -63,18 +62,25 @@
 /// The gateway's side of the counter.
 pub struct Counter {
     lanes: Vec<Rc<Lane>>,
+    address: watch::Sender<SocketAddr>,
 }
 
 impl Counter {
     /// Connects and stays connected from now on. A call without an answer for `patience` is reported unknown.
     pub fn start(address: SocketAddr, patience: Duration, report: Rc<Report>) -> Self {
+        let (address, at) = watch::channel(address);
         let lane = |_| {
             let (pipeline, wake, told_bad) = (RefCell::default(), Notify::new(), Cell::new(false));
-            let lane = Rc::new(Lane { address, patience, report: report.clone(), pipeline, wake, told_bad });
-            tokio::task::spawn_local(lane.clone().run());
+            let lane = Rc::new(Lane { patience, report: report.clone(), pipeline, wake, told_bad });
+            tokio::task::spawn_local(lane.clone().run(at.clone()));
             lane
         };
-        Self { lanes: (0..LANES).map(lane).collect() }
+        Self { lanes: (0..LANES).map(lane).collect(), address }
+    }
+
+    /// Moves to another address; calls that are out are still heard at the old one.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.address.send_replace(address);
     }
 
     /// Adds an amount to a name; the end is reported later or, with no connection, at once.
@@ -117,15 +123,15 @@
         true
     }
 
-    async fn run(self: Rc<Self>) {
+    async fn run(self: Rc<Self>, mut address: watch::Receiver<SocketAddr>) {
         let mut back_off = BACK_OFF[0];
         loop {
-            let begun = Instant::now();
-            if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await
+            let (begun, at) = (Instant::now(), *address.borrow_and_update());
+            if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await
                 && stream.set_nodelay(true).is_ok()
             {
                 *self.pipeline.borrow_mut() = Pipeline { up: true, ..Pipeline::default() };
-                let end = self.session(&stream).await;
+                let end = self.session(&stream, &mut address).await;
                 drop(stream);
                 self.fail_all();
                 if let Err(error) = end
@@ -139,6 +145,10 @@
                     back_off = BACK_OFF[0];
                 }
             }
+            if *address.borrow() != at {
+                back_off = BACK_OFF[0];
+                continue;
+            }
             sleep(back_off).await;
             back_off = (back_off * 2).min(BACK_OFF[1]);
         }
@@ -159,9 +169,12 @@
         }
     }
 
-    async fn session(&self, stream: &TcpStream) -> io::Result<()> {
-        let (mut heard, mut input) = (Instant::now(), Vec::new());
+    async fn session(&self, stream: &TcpStream, address: &mut watch::Receiver<SocketAddr>) -> io::Result<()> {
+        let (mut heard, mut input, mut moved) = (Instant::now(), Vec::new(), false);
         loop {
+            if moved && self.is_idle() {
+                return Ok(());
+            }
             let (waiting, due) = {
                 let pipeline = self.pipeline.borrow();
                 let due = pipeline.calls.iter().find(|c| !c.told).map(|c| c.made + self.patience);
@@ -170,6 +183,7 @@
             let silence = heard + if self.is_idle() { PING } else { SILENT };
             tokio::select! {
                 () = self.wake.notified() => {}
+                Ok(()) = address.changed(), if !moved => moved = true,
                 ready = stream.readable() => ready?,
                 ready = stream.writable(), if waiting => ready?,
                 () = sleep_until(due.map_or(silence, |d| d.min(silence))) => {}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch::Receiver;
 
 /// How long one call of the watch may wait for news.
 const WAIT: Duration = Duration::from_secs(10);
@@ -133,13 +134,23 @@
     engine.post(if list.whole { Event::BackendList(entries) } else { Event::BackendChanges(entries) });
 }
 
-/// Keeps a watch going for ever; while discovery is silent the last list stays.
-pub async fn watch(address: SocketAddr, mut seq: u64, backends: Rc<Backends>, engine: Rc<Engine>) {
+/// Keeps a watch going for ever, at the newest address; while discovery is silent the last list stays.
+pub async fn watch(
+    mut address: Receiver<SocketAddr>, mut seq: u64, backends: Rc<Backends>, engine: Rc<Engine>,
+) {
     let mut told = false;
     loop {
-        let fault = match Link::connect(address, CONNECT_TIMEOUT).await {
-            Ok(mut link) => calls(&mut link, address, &mut seq, &backends, &engine).await,
-            Err(error) => format!("no connection: {error}"),
+        let at = *address.borrow_and_update();
+        let watching = async {
+            match Link::connect(at, CONNECT_TIMEOUT).await {
+                Ok(mut link) => calls(&mut link, at, &mut seq, &backends, &engine).await,
+                Err(error) => format!("no connection: {error}"),
+            }
+        };
+        let fault = tokio::select! {
+            fault = watching => fault,
+            // A call that waits at the old address would hear no news any more.
+            Ok(()) = address.changed() => continue,
         };
         if !std::mem::replace(&mut told, true) {
             eprintln!("discovery: {fault} (told once)");
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// The counter is found at another address from now on.
+    pub fn move_counter(&self, address: SocketAddr) {
+        if let Some(counter) = &self.counter {
+            counter.move_to(address);
+        }
+    }
+
     /// How many requests wait for their final answer.
     pub fn waiting(&self) -> usize {
         self.state.borrow().open.len()
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -8,9 +8,12 @@
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 /// Descriptors for all but clients and backends: standard streams, the event loop, listener, counter, discovery.
@@ -36,14 +39,15 @@
 }
 
 async fn run(config: Config) -> ExitCode {
-    let (listener, mut terminate, mut interrupt) = match (
+    let (listener, mut terminate, mut interrupt, hangup) = match (
         TcpListener::bind(config.listen).await,
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
     ) {
-        (Ok(listener), Ok(terminate), Ok(interrupt)) => (listener, terminate, interrupt),
+        (Ok(listener), Ok(terminate), Ok(interrupt), Ok(hangup)) => (listener, terminate, interrupt, hangup),
         (Err(error), ..) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
-        (_, Err(error), _) | (_, _, Err(error)) => return unusable(&error),
+        (_, Err(error), ..) | (_, _, Err(error), _) | (.., Err(error)) => return unusable(&error),
     };
     let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
     let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
@@ -62,7 +66,9 @@
     let seq = config.known.seq;
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
-    spawn(discovery::watch(config.discovery, seq, backends, engine));
+    let (discovery, at) = watch::channel(config.discovery);
+    spawn(discovery::watch(at, seq, backends, engine.clone()));
+    spawn(reload(hangup, discovery, engine));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
     }
@@ -75,3 +81,17 @@
     front.serve(listener, end).await;
     ExitCode::SUCCESS
 }
+
+/// At SIGHUP discovery and the counter move to where the replaced file says; all else goes on as it is, and so does
+/// everything if the file cannot be used.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>) {
+    while hangup.recv().await.is_some() {
+        match Config::reread() {
+            Ok(config) => {
+                discovery.send_replace(config.discovery);
+                config.counter.into_iter().for_each(|address| engine.move_counter(address));
+            }
+            Err(error) => eprintln!("fennelscale: not reloaded: {error}"),
+        }
+    }
+}
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -310,9 +310,9 @@
 }
 
 impl Gateway {
-    pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
+    fn text(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> String {
         let Setup { rate, burst, gateways, number, known, sockets } = setup;
-        let text = format!(
+        format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
             "seed":"{number}7f","limits":{{"sockets":{sockets}}},"known":{known},"settings":{{
             "fleet-size":{gateways},"my-number":{number},"period-ms":4,"locality":"z","classes":[
@@ -323,14 +323,18 @@
             "extra":{{"has-counter":true,"count-limit-ms":50,"units-top":1}},
             "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000}},
             "rules":{{"cold-from":0.2,"cold-ms":1000}}}}}}"#
-        );
+        )
+    }
+
+    pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
+        let text = Self::text(discovery, counter, setup);
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
         std::fs::write(&config, text).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
             .env("NODE_CONFIG", &config)
             .env_remove("NODE_LISTEN")
-            .env_remove("NODE_DISCOVERY")
+            .env("NODE_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -346,9 +350,23 @@
         Client(BufReader::new(TcpStream::connect(self.at).await.expect("a connection")))
     }
 
+    /// Replaces the configuration file and tells the gateway so.
+    pub fn reload(&self, discovery: SocketAddr, counter: SocketAddr, setup: &Setup) {
+        self.reload_text(&Self::text(discovery, counter, setup));
+    }
+
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a file");
+        self.signal("-HUP");
+    }
+
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, which: &str) {
         let id = self.child.id().expect("a process").to_string();
-        let sent = std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill");
+        let sent = std::process::Command::new("kill").args([which, &id]).status().expect("kill");
         assert!(sent.success());
     }
 
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -2,8 +2,9 @@
 
 mod helper;
 
-use helper::{Backend, Do, Setup, World, ok, request, row};
+use helper::{Backend, Counter, Discovery, Do, Mood, Setup, World, list, ok, request, row};
 use std::process::Command;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 
@@ -41,6 +42,39 @@
     assert_eq!(backend.attempts(), 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn at_sighup_discovery_and_counter_are_found_at_the_new_addresses_and_nobody_is_dropped() {
+    let (old, new) = (Backend::start(&[Do::Hang]).await, Backend::start(&[Do::Say(ok("new"))]).await);
+    let setup = Setup { rate: 1.0, burst: 1.0, ..Setup::knowing(&[row("old", old.at, "in_service")]) };
+    let mut world = World::set(&setup, Mood::Adds).await;
+    let mut early = world.gateway.client().await;
+    early.write(&request("order", 5000, "", "b")).await;
+    helper::until("the attempt", || old.attempts() == 1).await;
+    let (discovery, counter) = (Discovery::start().await, Counter::start(Mood::Adds).await);
+    world.gateway.reload(discovery.at, counter.at, &setup);
+    discovery.tell(list(2, true, &[row("new", new.at, "in_service")]));
+    discovery.asked_again(1).await;
+    // Other customers, whose blocks must come from somewhere.
+    helper::soon("a call at the new counter", async {
+        for customer in 100..1000 {
+            let text = request("look", 900, "", "").replace("b4d65521", &format!("b4d65{customer}"));
+            let reply = world.gateway.client().await.ask(&text).await;
+            assert_eq!((reply.status(), reply.body.as_slice()), (200, b"new".as_slice()));
+            if counter.calls.load(Ordering::SeqCst) > 0 {
+                return;
+            }
+        }
+        panic!("the counter was never called at its new address");
+    })
+    .await;
+    // A file that cannot be used changes nothing.
+    world.gateway.reload_text("{");
+    assert_eq!(early.read().await.status(), 504, "what was taken before is answered still");
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    world.gateway.terminate();
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn at_sigterm_idle_connections_close_while_new_ones_are_still_taken() {
     let backend = Backend::start(&[Do::Say(ok("x"))]).await;
