Close on peers that send no proper request within three seconds

At fault: `IDLE` and `BODY` in gateway/src/clients.rs gave headers 60 s and a body 10 s. A connection now has 2.3 s for its first request and between requests (TERMS allows the close of an idle one after 2 s; a request that crosses it is sent once more). A body has what its connection has left of that, at least 0.4 s.

A peer that sends nothing waited for 60 s before (the new test waits in vain).

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -29,9 +29,11 @@
 const BACKSTOP: Duration = Duration::from_millis(10);
 /// No client waits longer than this; who claims so is not believed.
 const LONGEST_PATIENCE: u64 = 600_000;
-/// A connection may stand idle, or be in the middle of its headers, for this long, and of a body for this.
-const IDLE: Duration = Duration::from_secs(60);
-const BODY: Duration = Duration::from_secs(10);
+/// A connection may stand idle, or be in the middle of its first request, for this long: a peer that sends nothing
+/// proper is owed an error or the close within 3 s, and no idle connection may be closed within 2.
+const IDLE: Duration = Duration::from_millis(2300);
+/// A body whose headers came late in that time has this long all the same.
+const BODY: Duration = Duration::from_millis(400);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
@@ -179,7 +181,7 @@
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
                     guest.busy.set(true);
-                    let response = front.answer(request).await;
+                    let response = front.answer(request, guest.since.get() + IDLE).await;
                     guest.busy.set(false);
                     guest.since.set(Instant::now());
                     Ok::<_, Infallible>(response)
@@ -216,11 +218,11 @@
     }
 
     /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, whole_by: Instant) -> Response<Full<Bytes>> {
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            match self.take(request).await {
+            match self.take(request, whole_by).await {
                 Ok(ticket) => self.decide(ticket).await,
                 Err(fault) => refuse(fault),
             }
@@ -244,7 +246,7 @@
     }
 
     /// Reads a request whole.
-    async fn take(&self, request: Request<Incoming>) -> Result<Ticket, Fault> {
+    async fn take(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Ticket, Fault> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
         let mut ticket = self.read(head.method, target, &head.headers)?;
@@ -257,7 +259,8 @@
         if body.size_hint().lower() > LARGEST_BODY as u64 {
             return Err(Fault::TooLarge);
         }
-        match timeout(BODY, Limited::new(body, LARGEST_BODY).collect()).await {
+        let whole_by = whole_by.max(Instant::now() + BODY);
+        match timeout_at(whole_by, Limited::new(body, LARGEST_BODY).collect()).await {
             Ok(Ok(body)) => ticket.message.body = body.to_bytes(),
             Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
             Ok(Err(_)) => return Err(Fault::Bad("body")),
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -103,6 +103,29 @@
     assert_eq!(end.expect("an end").code(), Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_that_sends_no_proper_request_soon_hears_an_error_or_the_close() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    let whole = request("order", 900, "", "body");
+    let cases = ["", "GET /up HTTP/1.1\r\nHo", whole.strip_suffix("dy").expect("a body")];
+    let mut peers = Vec::new();
+    for text in cases {
+        let mut peer = world.gateway.client().await;
+        peer.write(text).await;
+        peers.push(peer);
+    }
+    // The terms give three seconds; the rest is for a busy machine.
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(6);
+    for (text, mut peer) in cases.iter().zip(peers) {
+        let mut rest = String::new();
+        let end = tokio::time::timeout_at(deadline, peer.0.read_to_string(&mut rest)).await;
+        assert!(end.is_ok(), "neither error nor close after {text:?}: {rest:?}");
+        assert!(rest.is_empty() || rest.starts_with("HTTP/1.1 4"), "{rest:?}");
+    }
+    assert_eq!(backend.attempts(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_clients_beyond_the_budget_make_room_for_new_ones() {
     let backend = Backend::start(&[Do::SayLater(1500, ok("x"))]).await;
