Eject a backend that answers with errors, as one that is dead or stalled

The backend with the fewest requests out is chosen, and one that fails at once has the fewest.

At fault: `Gateway::on_backend` in src/logic.rs left on `Outcome::Error` before it counted the failure, so `ejected` never held for such a backend. An error now counts as any other failure: left alone for 2% of the cold time, longer with each in a row, back with its first answer.

Ruled out: the network code (`judge` tells 500 as `Error`, as PROTOCOL has it).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -145,9 +145,10 @@
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
 
-    /// Guards against dead and stalled backends, which show in outcomes long before the list does: nothing
-    /// is sent for as long again as the failure took, where calling off stops no work what was given
-    /// up still has to be worked through, and longer with each failure in a row.
+    /// Guards against dead, stalled and failing backends, which show in outcomes long before the list does; one
+    /// that fails at once looks free and would draw the more. Nothing is sent for as long again as the failure
+    /// took (where calling off stops no work what was given up still has to be worked through), and longer with
+    /// each failure in a row.
     fn failed(&mut self, now: Millis, latency: Millis, settings: &Settings) -> bool {
         self.failures += 1;
         let share = EJECT_SHARE * f64::from(self.failures);
@@ -741,7 +742,7 @@
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
-            Outcome::Error | Outcome::NeverSent | Outcome::CalledOff => return,
+            Outcome::NeverSent | Outcome::CalledOff => return,
             Outcome::Full => true,
             // A client with little time left proves nothing of the fleet, one that left nothing at all.
             _ => latency > *usual * LATE_LATENCIES,
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -90,3 +90,20 @@
     assert_eq!(sends(&door.ask(2, "c", "capped", "safe")), 0, "two at once for two gateways: one each");
     assert_eq!(sent(&door.end(1, 0, &at, Outcome::Served)).map(|(id, _)| id), Some(2));
 }
+
+#[test]
+fn a_backend_that_fails_at_once_draws_no_further_requests_for_a_while() {
+    for seed in 1..=8 {
+        let mut door = Door::seeded(settings(), seed, &["a1", "a2"]);
+        let failing = door.served(1, "c", "plain", "unsafe");
+        door.end_after(5.0, 1, 0, &failing, Outcome::Error);
+        // It holds nothing, the other one holds one more each time.
+        for id in 2..=3 {
+            let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+            assert_ne!(at, failing, "seed {seed}, request {id}");
+        }
+        // After a while it is tried again.
+        door.now += 400.0;
+        assert_eq!(door.served(4, "c4", "plain", "unsafe"), failing, "seed {seed}");
+    }
+}
