--- a/src/logic.rs
+++ b/src/logic.rs
@@ -145,10 +145,10 @@
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
 
-    /// Guards against dead, stalled and failing backends, which show in outcomes long before the list does; one
-    /// that fails at once looks free and would draw the more. Nothing is sent for as long again as the failure
-    /// took (where calling off stops no work what was given up still has to be worked through), and longer with
-    /// each failure in a row.
+    /// Guards against dead, stalled and failing backends, which show in outcomes long before the list does:
+    /// one that fails at once looks free and would draw the more. Nothing is sent for as long again as the
+    /// failure took, where calling off stops no work what was given up still has to be worked through, and
+    /// longer with each failure in a row.
     fn failed(&mut self, now: Millis, latency: Millis, settings: &Settings) -> bool {
         self.failures += 1;
         let share = EJECT_SHARE * f64::from(self.failures);
