Answer operators on a console: PING, INFO, DETACH, ATTACH, LAMEDUCK, REJOIN

SIGTERM and LAMEDUCK share see_off. Without `console` and $NODE_CONSOLE nothing is opened and no file is touched.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::millis;
 use crate::discovery::List;
+use crate::figures::Figures;
 use crate::link::{Link, Progress};
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
@@ -100,12 +101,14 @@
     reports: Reports,
     most_open: usize,
     busy: Rc<Cell<usize>>,
+    figures: Rc<Figures>,
 }
 
 impl Backends {
     /// No backends yet; at most `most_open` connections to all of them together.
     pub fn new(
         connect_timeout: Duration, backend_idle: Duration, reports: Reports, most_open: usize,
+        figures: Rc<Figures>,
     ) -> Rc<Self> {
         Rc::new(Self {
             known: RefCell::default(),
@@ -114,9 +117,22 @@
             reports,
             most_open,
             busy: Rc::default(),
+            figures,
         })
     }
 
+    /// Whether the list names a backend.
+    pub fn has(&self, name: &str) -> bool {
+        self.known.borrow().contains_key(name)
+    }
+
+    /// Drops the free connections to a backend that operators take out.
+    pub fn let_go(&self, name: &str) {
+        if let Some(backend) = self.known.borrow_mut().get_mut(name) {
+            backend.idle.clear();
+        }
+    }
+
     /// Takes in a list. Free connections to what drains, is gone or listens elsewhere now are dropped.
     pub fn update(&self, list: &List) {
         let mut known = self.known.borrow_mut();
@@ -176,7 +192,7 @@
         // Each arm ends the exchange, which closes its connection, before the end is told.
         let end = tokio::select! {
             biased;
-            answer = self.exchange(name, build) => answer.map_or_else(End::from, |a| self.judge(a)),
+            answer = self.exchange(name, build, Some(&self.figures)) => answer.map_or_else(End::from, |a| self.judge(a)),
             _ = called_off => Outcome::CalledOff.into(),
             () = sleep_until(until) => Outcome::TimedOut.into(),
         };
@@ -200,7 +216,7 @@
     pub async fn probe(&self, name: &Name) -> End {
         let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
         let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
-        match tokio::time::timeout(self.connect_timeout, self.exchange(name, build)).await {
+        match tokio::time::timeout(self.connect_timeout, self.exchange(name, build, None)).await {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => {
                 let load = std::str::from_utf8(&body).ok().and_then(load);
                 End { outcome: Outcome::Served, answer: None, load }
@@ -212,7 +228,7 @@
     }
 
     async fn exchange(
-        &self, name: &Name, build: impl Fn(SocketAddr) -> (Builder, Bytes),
+        &self, name: &Name, build: impl Fn(SocketAddr) -> (Builder, Bytes), tally: Option<&Rc<Figures>>,
     ) -> Result<(response::Parts, Bytes), Outcome> {
         loop {
             let (dial, pooled) = self.free_link(name).ok_or(Outcome::NeverSent)?;
@@ -230,7 +246,7 @@
             }
             let (builder, body) = build(dial);
             let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
-            match link.exchange(request, LARGEST_BODY).await {
+            match link.exchange(request, LARGEST_BODY, tally.cloned()).await {
                 Ok(answer) => {
                     let link = link.is_free().await.then_some(link);
                     self.answered(name, dial, link);
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::backends::{LARGEST_BODY, Message};
 use crate::clock::millis;
 use crate::engine::{Engine, Reply};
+use crate::figures::{Ending, Figures};
 use bytes::Bytes;
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -36,8 +37,11 @@
 const BODY: Duration = Duration::from_millis(400);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
+/// After the signal to end new connections are taken for this long. Halfway idle ones are closed, and so are those
+/// idle for half of it while clients are sent away ...
 const LINGER: Duration = Duration::from_millis(500);
+/// ... which is looked after this often ...
+const SEE_OFF: Duration = Duration::from_millis(50);
 /// ... and those that came last have this long for their first request.
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// After the last final answer connections have this long to be done with.
@@ -80,7 +84,10 @@
     most_clients: usize,
     guests: RefCell<Vec<Rc<Guest>>>,
     left: Notify,
-    draining: Cell<bool>,
+    figures: Rc<Figures>,
+    /// Operators send clients away; the process is about to end.
+    lame_duck: watch::Sender<bool>,
+    ending: Cell<bool>,
 }
 
 /// One client's connection.
@@ -93,7 +100,9 @@
 
 impl Front {
     /// A front side that takes at most `most_clients` connections at once.
-    pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
+    pub fn new(
+        engine: Rc<Engine>, settings: &Settings, most_clients: usize, figures: Rc<Figures>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             engine,
             classes: settings.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
@@ -102,42 +111,66 @@
             most_clients,
             guests: RefCell::default(),
             left: Notify::new(),
-            draining: Cell::new(false),
+            figures,
+            lame_duck: watch::Sender::new(false),
+            ending: Cell::new(false),
         })
     }
 
+    /// Sends clients away or takes them again: the process keeps running either way.
+    pub fn set_lame_duck(&self, on: bool) {
+        self.lame_duck.send_replace(on);
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    fn draining(&self) -> bool {
+        *self.lame_duck.borrow() || self.ending.get()
+    }
+
+    /// While operators send clients away, closes on those that keep a connection and ask nothing, for ever.
+    async fn tend(self: Rc<Self>) {
+        let mut lame_duck = self.lame_duck.subscribe();
+        while lame_duck.wait_for(|on| *on).await.map(drop).is_ok() {
+            self.see_off(LINGER / 2);
+            sleep(SEE_OFF).await;
+        }
+    }
+
     /// Serves clients until `end` resolves, then lets those finish that are there. Returns when the last one
     /// has gone.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, end: impl Future<Output = ()>) {
-        let (close, closing) = watch::channel(0);
+        crate::backends::spawn(self.clone().tend());
         let ended = async {
             end.await;
-            self.draining.set(true);
+            self.ending.set(true);
             sleep(LINGER / 2).await;
             // Guards requests that cross the close of an idle connection: these are sent once more on a new
             // one, so new ones must still be taken.
-            close.send_modify(|round| *round += 1);
+            self.see_off(Duration::ZERO);
             sleep(LINGER / 2).await;
         };
         let mut ended = pin!(ended);
         loop {
             tokio::select! {
                 () = ended.as_mut() => break,
-                stream = self.accept(&listener) => self.clone().welcome(stream, closing.clone()),
+                stream = self.accept(&listener) => self.clone().welcome(stream),
             }
         }
         // What the machine has accepted for us already is ours to answer.
         while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().welcome(stream, closing.clone());
+            self.clone().welcome(stream);
         }
         drop(listener);
-        sleep(LAST_CALL).await;
-        close.send_modify(|round| *round += 1);
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
         let mut quiet = Instant::now();
         while !self.guests.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
-            let _ = timeout(LAST_WORDS / 10, self.left.notified()).await;
+            let _ = timeout(SEE_OFF, self.left.notified()).await;
+            self.see_off(LAST_CALL);
             if self.engine.waiting() > 0 {
                 quiet = Instant::now();
             }
@@ -148,7 +181,14 @@
         self.guests.borrow().len() >= self.most_clients
     }
 
-    fn ask_idle_to_leave(&self) {
+    /// Closes the connections that have stood idle for this long.
+    fn see_off(&self, idle: Duration) {
+        let guests = self.guests.borrow();
+        let idle = guests.iter().filter(|g| !g.busy.get() && g.since.get().elapsed() >= idle);
+        idle.for_each(|guest| guest.leave.notify_one());
+    }
+
+    fn make_room(&self) {
         let guests = self.guests.borrow();
         if let Some(guest) = guests.iter().filter(|g| !g.busy.get()).min_by_key(|g| g.since.get()) {
             guest.leave.notify_one();
@@ -160,7 +200,7 @@
             // Guards the descriptors: who finds no room waits in the machine's line, and guards those who wait
             // there against clients that keep a connection and say nothing.
             while self.is_full() {
-                self.ask_idle_to_leave();
+                self.make_room();
                 self.left.notified().await;
             }
             match listener.accept().await {
@@ -170,11 +210,10 @@
         }
     }
 
-    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
+    fn welcome(self: Rc<Self>, stream: TcpStream) {
         let (busy, since, leave) = (Cell::new(false), Cell::new(Instant::now()), Notify::new());
         let guest = Rc::new(Guest { busy, since, leave });
         self.guests.borrow_mut().push(guest.clone());
-        let round = *closing.borrow();
         crate::backends::spawn(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
@@ -193,16 +232,9 @@
                 .max_buf_size(BUFFER)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = pin!(connection);
-            // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
-            // it on this one thread for ever.
-            let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                () = closing.as_mut() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
                 () = guest.leave.notified() => {
                     connection.as_mut().graceful_shutdown();
                     // A request that came just now is answered still.
@@ -228,7 +260,7 @@
             }
         };
         // So that clients find another gateway, or make room for others here.
-        if self.draining.get() || self.is_full() {
+        if self.draining() || self.is_full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -237,8 +269,8 @@
     /// Whether new clients should come here.
     fn up(&self, method: &Method) -> Response<Full<Bytes>> {
         match *method {
-            Method::GET | Method::HEAD if self.draining.get() => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n")
+            Method::GET | Method::HEAD if self.draining() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "sending clients away\n")
             }
             Method::GET | Method::HEAD => plain(StatusCode::OK, "up\n"),
             _ => refuse(Fault::Bad("method")),
@@ -329,17 +361,22 @@
     async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
         let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
         let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
-        let (patience, now) = (patience - margin, Instant::now());
+        let (patience, now, class_name) = (patience - margin, Instant::now(), class.clone());
         let patience_ms = millis(patience);
         let (id, reply) = self.engine.open(
             |id| Arrival { id, customer, plan, class, units, repeat, patience: patience_ms, first, spread },
             message,
             now + patience,
         );
-        let waiting = Waiting { engine: &self.engine, id };
+        let (waiting, taken) = (Waiting { engine: &self.engine, id }, self.figures.taken(&class_name));
         // Guards the one final answer: should the decisions forget a request, it still gets one in time.
         let reply = timeout_at(now + patience + BACKSTOP.min(margin / 2), reply).await;
         drop(waiting);
+        taken.ended(match reply {
+            Ok(Ok(Reply::Served(_))) => Ending::Served,
+            Ok(Ok(Reply::Refused(_))) => Ending::Refused,
+            _ => Ending::Failed,
+        });
         match reply {
             Ok(Ok(Reply::Served(answer))) => {
                 let mut response = Response::new(Full::new(answer.body));
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -58,6 +58,7 @@
     listen: Option<String>,
     discovery: Option<String>,
     counter: Option<String>,
+    console: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -82,6 +83,8 @@
     pub discovery: SocketAddr,
     /// Where the counter is, if there is one.
     pub counter: Option<SocketAddr>,
+    /// Where operators connect, if they may.
+    pub console: Option<SocketAddr>,
     /// The seed of all chance.
     pub seed: u64,
     /// The most descriptors that the process may hold.
@@ -135,11 +138,14 @@
             value => List::from_value(value).map_err(ConfigError::Known)?,
         };
         let counter = settings.counter.then(|| address(file.counter, "counter")).transpose()?;
+        let console = variable("NODE_CONSOLE").or(file.console);
+        let console = console.map(|text| address(Some(text), "NODE_CONSOLE")).transpose()?;
         Ok(Self {
             name: variable("NODE_NAME").unwrap_or(file.name),
             listen: address(variable("NODE_LISTEN").or(file.listen), "NODE_LISTEN")?,
             discovery: address(variable("NODE_DISCOVERY").or(file.discovery), "NODE_DISCOVERY")?,
             counter,
+            console,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             known,
--- /dev/null
+++ b/gateway/src/console.rs
@@ -0,0 +1,142 @@
+//! The operators' side: a further address, at which each connection carries one call and its reply. Line, time
+//! and callers are bounded, so that nobody who connects can hold it up.
+
+use crate::backends::spawn;
+use crate::clients::Front;
+use crate::detached::Detached;
+use crate::engine::Engine;
+use crate::figures::Figures;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+/// The longest call.
+const LONGEST_LINE: usize = 256;
+/// A caller has this long for its call ...
+const PATIENCE: Duration = Duration::from_secs(10);
+/// ... and for taking the reply.
+const REPLY: Duration = Duration::from_secs(2);
+/// Callers at once: of more, the one that came first gives way.
+const MOST_CALLERS: usize = 8;
+/// What came after the call is read for this long, up to so many bytes: closing on it unread would reset the
+/// connection, and the reply with it.
+const REST: (Duration, u64) = (Duration::from_millis(200), 64 * 1024);
+/// A failed accept is tried again after this.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What the operators' calls act on.
+pub struct Console {
+    /// The clients' side, which can send clients away.
+    pub front: Rc<Front>,
+    /// Where the decisions are asked.
+    pub engine: Rc<Engine>,
+    /// What `INFO` shows.
+    pub figures: Rc<Figures>,
+    /// The backends that are out by hand.
+    pub detached: Rc<Detached>,
+}
+
+impl Console {
+    /// Answers calls for ever.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        // Each caller holds the other half of its entry: dropping an entry sends the caller away.
+        let callers: Rc<RefCell<VecDeque<oneshot::Sender<()>>>> = Rc::default();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let (stay, mut gives_way) = oneshot::channel();
+            {
+                let mut callers = callers.borrow_mut();
+                callers.retain(|caller| !caller.is_closed());
+                if callers.len() >= MOST_CALLERS {
+                    callers.pop_front();
+                }
+                callers.push_back(stay);
+            }
+            let console = self.clone();
+            spawn(async move {
+                tokio::select! {
+                    // Who breaks off has no reply coming.
+                    _ = console.hear(stream) => {}
+                    _ = &mut gives_way => {}
+                }
+            });
+        }
+    }
+
+    async fn hear(&self, mut stream: TcpStream) -> io::Result<()> {
+        let reply = match timeout(PATIENCE, line(&mut stream)).await {
+            Ok(line) => line?.map_or_else(|fault| format!("NO {fault}\n"), |line| self.answer(&line)),
+            Err(_) => "NO call came in time\n".into(),
+        };
+        timeout(REPLY, async {
+            stream.write_all(reply.as_bytes()).await?;
+            stream.shutdown().await
+        })
+        .await??;
+        let mut rest = stream.take(REST.1);
+        let _ = timeout(REST.0, tokio::io::copy(&mut rest, &mut tokio::io::sink())).await;
+        Ok(())
+    }
+
+    /// The reply to a call.
+    fn answer(&self, line: &str) -> String {
+        let mut words = line.split_ascii_whitespace();
+        let reply = match (words.next(), words.next(), words.next()) {
+            (Some("PING"), None, _) if self.front.is_ending() => "NO this process is ending".into(),
+            (Some("PING"), None, _) => "YES ready to serve".into(),
+            (Some("INFO"), None, _) => format!("{}\nEND", self.figures.line(self.engine.pool())),
+            (Some("LAMEDUCK"), None, _) => {
+                self.front.set_lame_duck(true);
+                "YES clients are sent away".into()
+            }
+            (Some("REJOIN"), None, _) => {
+                self.front.set_lame_duck(false);
+                "YES clients are taken".into()
+            }
+            (Some(call @ ("DETACH" | "ATTACH")), Some(id), None) => self.set(id, call == "DETACH"),
+            (Some("DETACH" | "ATTACH"), None, _) => "NO the backend's ID is missing".into(),
+            (Some("PING" | "INFO" | "LAMEDUCK" | "REJOIN" | "DETACH" | "ATTACH"), ..) => {
+                "NO too many words for this call".into()
+            }
+            (Some(_), ..) => "NO such call: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK or REJOIN".into(),
+            (None, ..) => "NO call came".into(),
+        };
+        reply + "\n"
+    }
+
+    fn set(&self, id: &str, out: bool) -> String {
+        let done = if out { "left out" } else { "in use" };
+        match self.detached.set(id, out) {
+            Ok(true) => format!("YES {id} is {done}"),
+            Ok(false) => "NO backend has this ID".into(),
+            // It is done, and that is what was asked; a new version would not know of it.
+            Err(error) => format!("YES {id} is {done}, but until this process ends only: {error}"),
+        }
+    }
+}
+
+/// Reads a call up to the end of its line, or up to the end of what the caller sends.
+async fn line(stream: &mut TcpStream) -> io::Result<Result<String, &'static str>> {
+    let (mut bytes, mut filled) = ([0; LONGEST_LINE], 0);
+    loop {
+        let end = bytes[..filled].iter().position(|b| *b == b'\n');
+        if end.is_none() && filled == bytes.len() {
+            return Ok(Err("the line is too long"));
+        }
+        let read = if end.is_none() { stream.read(&mut bytes[filled..]).await? } else { 0 };
+        if read == 0 {
+            let text = std::str::from_utf8(&bytes[..end.unwrap_or(filled)]);
+            return Ok(text.map(str::to_owned).map_err(|_| "the line is not text"));
+        }
+        filled += read;
+    }
+}
--- /dev/null
+++ b/gateway/src/detached.rs
@@ -0,0 +1,86 @@
+//! The backends that operators have taken out: told to the decisions, and kept in a file of `$TMPDIR`, so that they
+//! stay out when a new version takes over.
+
+use crate::backends::Backends;
+use crate::engine::Engine;
+use doorcourse::{Event, Name};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// A file longer than this was not written here.
+const LONGEST: u64 = 1 << 20;
+
+/// Where the processes of one gateway find what they share.
+pub fn place(gateway: &str, what: &str) -> PathBuf {
+    let safe = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    let name: String = gateway.chars().take(40).map(safe).collect();
+    std::env::temp_dir().join(format!("fennelscale-{name}.{what}"))
+}
+
+/// The backends that are out of use by hand.
+pub struct Detached {
+    path: PathBuf,
+    names: RefCell<BTreeSet<Name>>,
+    engine: Rc<Engine>,
+    backends: Rc<Backends>,
+}
+
+impl Detached {
+    /// Starts with those in the file that a process of this gateway left; one that cannot be read holds none.
+    pub fn new(gateway: &str, engine: Rc<Engine>, backends: Rc<Backends>) -> Rc<Self> {
+        let path = place(gateway, "detached");
+        let this = Rc::new(Self { path, names: RefCell::default(), engine, backends });
+        this.refresh();
+        this
+    }
+
+    /// Takes a backend out, or gives it back; false if nobody has such a backend.
+    ///
+    /// # Errors
+    /// When it is done but could not be written down.
+    pub fn set(&self, id: &str, out: bool) -> io::Result<bool> {
+        if !self.backends.has(id) && !self.names.borrow().contains(id) {
+            return Ok(false);
+        }
+        let mut names = self.names.borrow().clone();
+        if if out { names.insert(id.into()) } else { names.remove(id) } {
+            self.become_set(names);
+            self.save()?;
+        }
+        Ok(true)
+    }
+
+    /// Reads the file again: while two processes of this gateway run, either may be told.
+    pub fn refresh(&self) {
+        let names = fs::metadata(&self.path).ok().filter(|m| m.len() <= LONGEST);
+        let names = names.and_then(|_| fs::read(&self.path).ok());
+        match names.map(|text| serde_json::from_slice::<Vec<String>>(&text)) {
+            Some(Ok(names)) => self.become_set(names.iter().map(|n| Name::from(n.as_str())).collect()),
+            Some(Err(error)) => eprintln!("detached: {} is damaged: {error}", self.path.display()),
+            None => {}
+        }
+    }
+
+    fn become_set(&self, names: BTreeSet<Name>) {
+        let old = self.names.replace(names.clone());
+        for backend in names.difference(&old).cloned() {
+            self.backends.let_go(&backend);
+            self.engine.post(Event::Detach { backend });
+        }
+        for backend in old.difference(&names).cloned() {
+            self.engine.post(Event::Attach { backend });
+        }
+    }
+
+    /// Replaces the file by one that is whole: whoever reads it finds the old names or the new ones.
+    fn save(&self) -> io::Result<()> {
+        let fresh = self.path.with_extension("new");
+        let names: Vec<String> = self.names.borrow().iter().map(|name| name.to_string()).collect();
+        fs::write(&fresh, serde_json::to_vec(&names)?)?;
+        fs::rename(&fresh, &self.path)
+    }
+}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -167,7 +167,7 @@
         let uri = format!("/discovery/hosts?after={seq}&wait_ms={}", WAIT.as_millis());
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
         let Ok(request) = request else { return "the call cannot be written".into() };
-        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST)).await;
+        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST, None)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
             Ok(Ok((head, _))) => return format!("answered {}", head.status),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -5,7 +5,8 @@
 use crate::clock::{Clock, millis, span};
 use crate::counter::Counter;
 use doorcourse::{
-    Action, Arrival, AttemptEnd, Event, Gateway, Millis, Name, Outcome, RequestId, Settings, SettingsError,
+    Action, Arrival, AttemptEnd, Event, Gateway, Millis, Name, Outcome, Pool, RequestId, Settings,
+    SettingsError,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -128,6 +129,11 @@
         }
     }
 
+    /// What operators are shown of the backends.
+    pub fn pool(&self) -> Pool {
+        self.state.borrow().gateway.pool(self.clock.now())
+    }
+
     /// How many requests wait for their final answer.
     pub fn waiting(&self) -> usize {
         self.state.borrow().open.len()
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -1,13 +1,14 @@
 //! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
 //! twice, and is closed for certain the moment it is dropped.
 
+use crate::figures::Figures;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
@@ -30,10 +31,16 @@
     Whole,
 }
 
+/// How far the present request has been written, and who counts it once it is whole.
+struct Sent {
+    progress: Cell<Progress>,
+    tally: RefCell<Option<Rc<Figures>>>,
+}
+
 /// The socket as the HTTP library sees it; it notes how far the present request has been written.
 struct Wire {
     stream: Rc<TcpStream>,
-    progress: Rc<Cell<Progress>>,
+    sent: Rc<Sent>,
 }
 
 impl AsyncRead for Wire {
@@ -65,7 +72,7 @@
             match self.stream.try_write_vectored(bufs) {
                 Ok(written) => {
                     if written > 0 {
-                        self.progress.set(Progress::Partly);
+                        self.sent.progress.set(Progress::Partly);
                     }
                     return Poll::Ready(Ok(written));
                 }
@@ -82,8 +89,11 @@
     /// The HTTP library flushes once all that it holds has been written, and it holds whole requests: their
     /// bodies are in memory.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.get() == Progress::Partly {
-            self.progress.set(Progress::Whole);
+        if self.sent.progress.get() == Progress::Partly {
+            self.sent.progress.set(Progress::Whole);
+            if let Some(figures) = self.sent.tally.take() {
+                figures.tried();
+            }
         }
         Poll::Ready(Ok(()))
     }
@@ -99,7 +109,7 @@
     /// Gone once it has ended.
     driver: Driver,
     stream: Rc<TcpStream>,
-    progress: Rc<Cell<Progress>>,
+    sent: Rc<Sent>,
 }
 
 impl Link {
@@ -110,10 +120,11 @@
     pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        let (stream, progress) = (Rc::new(stream), Rc::new(Cell::new(Progress::Unsent)));
-        let wire = Wire { stream: stream.clone(), progress: progress.clone() };
+        let sent = Sent { progress: Cell::new(Progress::Unsent), tally: RefCell::default() };
+        let (stream, sent) = (Rc::new(stream), Rc::new(sent));
+        let wire = Wire { stream: stream.clone(), sent: sent.clone() };
         let (sender, driver) = http1::handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, progress })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent })
     }
 
     /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
@@ -123,22 +134,24 @@
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the whole answer, its body no larger than `most`.
+    /// Sends a request and waits for the whole answer, its body no larger than `most`. Once the request is
+    /// written whole it is counted by `tally`.
     ///
     /// # Errors
     /// When the connection fails first or the answer cannot be read; says how far the request got.
     pub async fn exchange(
-        &mut self, request: Request<Full<Bytes>>, most: usize,
+        &mut self, request: Request<Full<Bytes>>, most: usize, tally: Option<Rc<Figures>>,
     ) -> Result<(response::Parts, Bytes), Progress> {
-        self.progress.set(Progress::Unsent);
-        let (driver, progress) = (&mut self.driver, &self.progress);
-        let sent = self.sender.send_request(request);
+        self.sent.progress.set(Progress::Unsent);
+        self.sent.tally.replace(tally);
+        let driver = &mut self.driver;
+        let answer = self.sender.send_request(request);
         let answer = drive(driver, async {
-            let (head, body) = sent.await.map_err(|_| ())?.into_parts();
+            let (head, body) = answer.await.map_err(|_| ())?.into_parts();
             let body = Limited::new(body, most).collect().await.map_err(|_| ())?;
             Ok((head, body.to_bytes()))
         });
-        answer.await.map_err(|()| progress.get())
+        answer.await.map_err(|()| self.sent.progress.get())
     }
 
     /// Whether the connection can carry another request now.
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -5,8 +5,11 @@
 use fennelscale::backends::{Backends, spawn};
 use fennelscale::clients::Front;
 use fennelscale::config::Config;
+use fennelscale::console::Console;
+use fennelscale::detached::Detached;
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
+use fennelscale::figures::Figures;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -49,26 +52,44 @@
         (Err(error), ..) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
         (_, Err(error), ..) | (_, _, Err(error), _) | (.., Err(error)) => return unusable(&error),
     };
+    let operators = match config.console {
+        None => None,
+        Some(address) => match TcpListener::bind(address).await {
+            Ok(operators) => Some(operators),
+            Err(error) => return unusable(&format!("cannot listen at {address}: {error}")),
+        },
+    };
     let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
     let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
     let settings = config.settings;
+    let figures = Figures::new(&settings);
     let backends = Backends::new(
         config.connect_timeout,
         config.backend_idle,
         settings.reports,
         sockets.saturating_sub(most_clients).max(1),
+        figures.clone(),
     );
     let engine = match Engine::start(settings.clone(), config.seed, backends.clone(), config.counter) {
         Ok(engine) => engine,
         Err(error) => return unusable(&error),
     };
-    let front = Front::new(engine.clone(), &settings, most_clients);
+    let front = Front::new(engine.clone(), &settings, most_clients, figures.clone());
     let seq = config.known.seq;
+    if let Some(operators) = operators {
+        let detached = Detached::new(&config.name, engine.clone(), backends.clone());
+        if let Ok(address) = operators.local_addr() {
+            eprintln!("fennelscale {}: console at {address}", config.name);
+        }
+        let console =
+            Console { front: front.clone(), engine: engine.clone(), figures: figures.clone(), detached };
+        spawn(Rc::new(console).serve(operators));
+    }
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
     let (discovery, at) = watch::channel(config.discovery);
     spawn(discovery::watch(at, seq, backends, engine.clone()));
-    spawn(reload(hangup, discovery, engine));
+    spawn(reload(hangup, discovery, engine, figures));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
     }
@@ -84,14 +105,20 @@
 
 /// At SIGHUP discovery and the counter move to where the replaced file says; all else goes on as it is, and so does
 /// everything if the file cannot be used.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>) {
+async fn reload(
+    mut hangup: Signal, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>, figures: Rc<Figures>,
+) {
     while hangup.recv().await.is_some() {
         match Config::reread() {
             Ok(config) => {
+                figures.reloaded(true);
                 discovery.send_replace(config.discovery);
                 config.counter.into_iter().for_each(|address| engine.move_counter(address));
             }
-            Err(error) => eprintln!("fennelscale: not reloaded: {error}"),
+            Err(error) => {
+                figures.reloaded(false);
+                eprintln!("fennelscale: not reloaded: {error}");
+            }
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,13 +160,14 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list of backends says of one of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BackendState {
     /// It runs.
     Ready,
     /// It finishes its work and must be sent nothing new.
     Draining,
     /// It is gone.
+    #[default]
     Gone,
 }
 
@@ -185,6 +186,15 @@
     pub started: Option<Millis>,
 }
 
+/// What the operators are shown of the backends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// How many are on the list.
+    pub size: usize,
+    /// How many of these are avoided now: taken out by operators, or ejected.
+    pub ejected: usize,
+}
+
 /// A backend's report of its own load; each value only where the site has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
@@ -327,6 +337,16 @@
         /// How long it took.
         latency: Millis,
     },
+    /// Operators take a backend out of use, whatever the list says of it, until they give it back.
+    Detach {
+        /// Which one.
+        backend: Name,
+    },
+    /// Operators give a backend back. It may have been restarted meanwhile.
+    Attach {
+        /// Which one.
+        backend: Name,
+    },
     /// A message from another gateway.
     PeerMessage {
         /// The sender's number.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -96,6 +96,8 @@
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
 /// more than they can do, so all gateways together stay under the multiple that fells it.
 const COLD_MULTIPLE: f64 = 0.8;
+/// A backend that operators gave back gets its first request after this many ms at the latest.
+const UNUSED_MOST: Millis = 2500.0;
 /// Time between housekeeping rounds, in ms: short beside any aim.
 const SWEEP: Millis = 25.0;
 const SWEEP_TOKEN: u64 = 1;
@@ -118,8 +120,13 @@
 struct Backend {
     zone: Name,
     cell: u64,
-    ready: bool,
+    state: BackendState,
+    /// Taken out by operators, and when they last gave it back: a restart may lie in between.
+    detached: bool,
+    returned: Option<Millis>,
     started: Option<Millis>,
+    /// When it was last sent something.
+    sent: Millis,
     out: u32,
     /// How many this gateway keeps out here at most.
     room: f64,
@@ -138,9 +145,14 @@
         }
     }
 
+    fn ready(&self) -> bool {
+        self.state == BackendState::Ready && !self.detached
+    }
+
     /// The share of its capacity that a backend surely has by now: it rises at least evenly.
     fn warmth(&self, now: Millis, settings: &Settings) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
+        let starts = [self.started, self.returned].into_iter().flatten();
+        let Some(started) = starts.reduce(f64::max) else { return 1.0 };
         let age = ((now - started) / settings.cold_time.max(1.0)).clamp(0.0, 1.0);
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
@@ -364,6 +376,8 @@
                 self.on_attempt(end, out);
                 self.drain_queue(out);
             }
+            Event::Detach { backend } => self.on_detach(backend, true, out),
+            Event::Attach { backend } => self.on_detach(backend, false, out),
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
@@ -403,23 +417,39 @@
 
     fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
         if full {
-            self.backends.values_mut().for_each(|b| b.ready = false);
-        }
-        for entry in list {
-            let (ready, known) = (entry.state == BackendState::Ready, self.backends.get_mut(&entry.name));
-            let out = known.as_ref().map_or(0, |b| b.out);
-            if let Some(known) = known.filter(|b| b.started == entry.started) {
-                known.ready = ready;
-                continue;
+            self.backends.values_mut().for_each(|b| b.state = BackendState::Gone);
+        }
+        let room = ROOM_FIRST / f64::from(self.settings.gateways);
+        for BackendEntry { name, zone, cell, state, started } in list {
+            let backend = self.backends.entry(name).or_default();
+            if backend.room == 0.0 || backend.started != started {
+                let Backend { detached, returned, sent, out, .. } = *backend;
+                let rest = Backend::default();
+                *backend = Backend { zone, cell, started, room, detached, returned, sent, out, ..rest };
             }
-            let room = ROOM_FIRST / f64::from(self.settings.gateways);
-            let BackendEntry { name, zone, cell, started, .. } = entry;
-            self.backends
-                .insert(name, Backend { zone, cell, ready, started, out, room, ..Default::default() });
+            backend.state = state;
+        }
+        self.drain_queue(out);
+    }
+
+    /// The operators' word goes before the list's, and may come before the list has named the backend. One
+    /// that comes back counts as started just now: nobody tells whether it was restarted meanwhile.
+    fn on_detach(&mut self, name: Name, detached: bool, out: &mut Vec<Action>) {
+        let backend = self.backends.entry(name).or_default();
+        if std::mem::replace(&mut backend.detached, detached) && !detached {
+            backend.room = backend.room.min(ROOM_FIRST / f64::from(self.settings.gateways));
+            (backend.returned, backend.failures, backend.eject_until) = (Some(self.now), 0, self.now);
         }
         self.drain_queue(out);
     }
 
+    /// What the operators are shown of the backends at this time.
+    pub fn pool(&self, now: Millis) -> Pool {
+        let listed = self.backends.values().filter(|b| b.state != BackendState::Gone);
+        let ejected = listed.clone().filter(|b| b.detached || now < b.eject_until).count();
+        Pool { size: listed.count(), ejected }
+    }
+
     // ---- Requests ----
 
     fn on_request(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -662,7 +692,7 @@
         let Some(name) = chosen else { return false };
         let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
         let (Some(request), Some(backend)) = (request, backend) else { return false };
-        backend.out += 1;
+        (backend.out, backend.sent) = (backend.out + 1, self.now);
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.open += 1;
         }
@@ -681,7 +711,7 @@
     }
 
     fn room(&self) -> f64 {
-        self.backends.values().filter(|b| b.ready).map(|b| b.room).sum()
+        self.backends.values().filter(|b| b.ready()).map(|b| b.room).sum()
     }
 
     /// The backend that should answer first: the one with the fewest requests of this gateway, near if equal.
@@ -694,7 +724,7 @@
         if out >= self.room().max(1.0) {
             return None;
         }
-        let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
+        let ready = self.backends.values().filter(|b| b.ready()).count().max(1) as f64;
         let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
@@ -709,7 +739,10 @@
             // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
             // with no agreement and no warm backend.
             let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
-            if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
+            // One request is no load, and who was given back is to be seen in use again.
+            let unused = backend.returned.filter(|at| backend.sent <= *at);
+            let cold = cold && unused.is_none_or(|at| self.now < at + UNUSED_MOST);
+            if !backend.ready() || !in_group || full || cold || self.now < backend.eject_until {
                 continue;
             }
             // Among many, a draw by weight: no two gateways follow the same order.
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -107,3 +107,48 @@
         assert_eq!(door.served(4, "c4", "plain", "unsafe"), failing, "seed {seed}");
     }
 }
+
+#[test]
+fn a_detached_backend_gets_nothing_whatever_the_list_says_and_comes_back_cold() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    door.tell(Event::Detach { backend: "a1".into() });
+    assert_eq!(door.gateway.pool(door.now), Pool { size: 2, ejected: 1 });
+    let mut id = 0;
+    let mut next = |door: &mut Door| {
+        id += 1;
+        door.now += 20.0;
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        door.end(id, 0, &at, Outcome::Served);
+        at
+    };
+    for started in [None, Some(3000.0)] {
+        let list = [("a1", started), ("a2", None)].map(|(name, s)| backend(name, BackendState::Ready, s));
+        door.tell(Event::BackendList(list.to_vec()));
+        for _ in 0..20 {
+            assert_eq!(&*next(&mut door), "a2");
+        }
+    }
+    door.tell(Event::Attach { backend: "a1".into() });
+    assert_eq!(door.gateway.pool(door.now), Pool { size: 2, ejected: 0 });
+    // The list tells of the start only now: that is no reason to take it for warm.
+    let list = [backend("a1", BackendState::Ready, None), backend("a2", BackendState::Ready, None)];
+    door.tell(Event::BackendList(list.to_vec()));
+    let to_it = (0..50).filter(|_| &*next(&mut door) == "a1").count();
+    assert!((1..=15).contains(&to_it), "a cold one's part of 50: {to_it}");
+}
+
+#[test]
+fn a_backend_that_was_given_back_is_used_again_soon_however_cold() {
+    let settings = Settings { cold_share: 0.0, cold_time: 1e9, ..settings() };
+    let mut door = Door::new(settings, &["a1", "a2"]);
+    door.tell(Event::Detach { backend: "a1".into() });
+    door.tell(Event::Attach { backend: "a1".into() });
+    let mut used = Vec::new();
+    for id in 1..=50 {
+        door.now += 100.0;
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        door.end(id, 0, &at, Outcome::Served);
+        used.extend((&*at == "a1").then_some(id));
+    }
+    assert_eq!(used, [25], "one request, 2.5 s after it came back");
+}
