Stream long bodies both ways with back-pressure; time goes by progress

Bodies of up to 64 KiB are held as before. A longer answer is its client's from its first bytes on: no deadline and no further attempt; its attempt's latency is that of those bytes. A long request draws on its client while it is sent; an attempt that has drawn says so, and the module gives no further one. What ends without the word that it was all is cut, so a client can tell. The 2.3 s against silent peers stand: for an idle connection and a first head; a later head and a body have time of their own, by what they bring. `active` and the end of the process count streams too.

Trailers are read and dropped.

--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -115,6 +115,7 @@
                         latency,
                         true_units: None,
                         finished,
+                        spent: false,
                         load: None,
                     };
                     plan(&mut agenda, now + latency, Event::AttemptEnded(end));
--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -1,13 +1,14 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
+use crate::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
 use crate::clock::millis;
 use crate::discovery::{Host, List};
 use crate::figures::Figures;
 use crate::link::{Link, Progress};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
-use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::http::request::Builder;
 use hyper::http::response;
@@ -18,11 +19,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// The largest body that is taken, either way.
-pub const LARGEST_BODY: usize = 64 * 1024;
+/// An answer of unknown length is passed on as it comes once it has lasted this long, however short it is so far.
+const HOLD_BACK: Duration = Duration::from_millis(400);
+/// In the middle of a long answer a backend may be silent for this long, and a client may stop reading.
+const SILENT: Duration = Duration::from_secs(8);
+const STALLED: Duration = Duration::from_secs(20);
 /// Idle connections are looked after this often.
 const ROUND: Duration = Duration::from_secs(1);
 /// A connection is kept idle for this share of the time after which backends close it: well before.
@@ -33,7 +37,7 @@
 const LOAD: &str = "srv-load";
 
 /// What a client asked, as far as it goes on to a backend.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Message {
     /// The method.
     pub method: Method,
@@ -45,8 +49,59 @@
     pub key: Option<HeaderValue>,
     /// `Content-Type`.
     pub kind: Option<HeaderValue>,
-    /// The body.
+    /// The body, or the start of a long one.
     pub body: Bytes,
+    /// The rest of a long one.
+    pub rest: Option<Rc<Upload>>,
+    /// Whether an attempt with it counts as one.
+    pub counts: bool,
+}
+
+impl Message {
+    fn probe() -> Self {
+        Self {
+            method: Method::GET,
+            target: hyper::http::uri::PathAndQuery::from_static("/"),
+            id: HeaderValue::from_static(""),
+            key: None,
+            kind: None,
+            body: Bytes::new(),
+            rest: None,
+            counts: false,
+        }
+    }
+
+    /// Whether some of its body is gone.
+    pub fn is_spent(&self) -> bool {
+        self.rest.as_ref().is_some_and(|rest| rest.is_drawn())
+    }
+
+    /// How long an answer has been waited for that was asked for at this time or, if the request was whole only
+    /// later, since then.
+    pub fn waited(&self, begun: Instant) -> Duration {
+        let whole = self.rest.as_ref().map_or(Some(begun), |rest| rest.over_at());
+        whole.map_or(Duration::ZERO, |at| at.max(begun).elapsed())
+    }
+
+    /// Waits until its client's patience is over, which begins with the last byte of the request.
+    pub async fn expires(&self, until: Instant, patience: Duration) {
+        match &self.rest {
+            Some(rest) => tokio::select! {
+                at = rest.ended() => sleep_until(at + patience).await,
+                () = rest.stalls() => {}
+            },
+            None => sleep_until(until).await,
+        }
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Payload {
+    /// It is here.
+    Whole(Bytes),
+    /// It is still coming.
+    Stream(Download),
 }
 
 /// A backend's 200 answer.
@@ -55,7 +110,14 @@
     /// Its headers, without those that belong to the connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
+}
+
+/// An answer whose head and first bytes have come, and what is needed for the rest if there is one.
+struct Opened {
+    head: response::Parts,
+    start: Bytes,
+    rest: Option<(Link, Incoming, Slot, SocketAddr)>,
 }
 
 /// How an attempt or a probe ended.
@@ -193,10 +255,12 @@
         }
     }
 
-    /// Sends a request to a backend and tells how that ended, once its connection is closed or free again.
-    /// It ends at `until` at the latest, or when `called_off` resolves.
+    /// Sends a request to a backend and tells how that ended, once its connection is closed or free again. It has
+    /// to answer before `expired` resolves, or `called_off`. A long answer is given to `begin` with its first bytes;
+    /// it is the client's from then on, and ends by itself.
     pub async fn attempt(
-        &self, name: &Name, message: Message, until: Instant, called_off: oneshot::Receiver<()>,
+        &self, name: &Name, message: &Message, until: Instant, expired: impl Future<Output = ()>,
+        called_off: oneshot::Receiver<()>, begin: impl FnOnce(Answer),
     ) -> End {
         let build = |dial: SocketAddr| {
             let left = until.saturating_duration_since(Instant::now());
@@ -211,20 +275,73 @@
                     builder = builder.header(key, value.clone());
                 }
             }
-            (builder, message.body.clone())
+            builder
         };
         let begun = Instant::now();
         // Each arm ends the exchange, which closes its connection, before the end is told.
-        let end = tokio::select! {
+        let opened = tokio::select! {
             biased;
-            answer = self.exchange(name, build, Some(&self.figures)) => answer.map_or_else(End::from, |a| self.judge(a)),
-            _ = called_off => Outcome::CalledOff.into(),
-            () = sleep_until(until) => Outcome::TimedOut.into(),
+            opened = self.exchange(name, message, build) => opened,
+            _ = called_off => Err(Outcome::CalledOff),
+            () = expired => Err(Outcome::TimedOut),
         };
-        if end.outcome == Outcome::TimedOut {
-            self.doubt(name, begun);
+        match opened {
+            Ok(Opened { head, start, rest: None }) => self.judge(head, Payload::Whole(start)),
+            Ok(Opened { head, start, rest: Some((link, body, _slot, dial)) }) => {
+                let length = body.size_hint().exact().map(|rest| rest + start.len() as u64);
+                let (sender, stream) = download(length);
+                let End { outcome, answer, load } = self.judge(head, Payload::Stream(stream));
+                // What else was said at length can wait for nobody: its connection closes.
+                let Some(answer) = answer else { return outcome.into() };
+                begin(answer);
+                let outcome = self.pass_on(name, dial, link, body, start, sender).await;
+                End { outcome, answer: None, load }
+            }
+            Err(_) if message.rest.as_ref().is_some_and(|rest| rest.cut().is_some()) => {
+                // The backend is not to blame for what its client did not send.
+                Outcome::CalledOff.into()
+            }
+            Err(outcome) => {
+                if outcome == Outcome::TimedOut {
+                    self.doubt(name, begun);
+                }
+                outcome.into()
+            }
+        }
+    }
+
+    /// Passes on a long answer as fast as its client reads, and tells how that ended.
+    async fn pass_on(
+        &self, name: &Name, dial: SocketAddr, mut link: Link, mut body: Incoming, start: Bytes,
+        sender: mpsc::Sender<Piece>,
+    ) -> Outcome {
+        let mut next = Ok(Some(start));
+        loop {
+            let last = !matches!(next, Ok(Some(_)));
+            let broken = next.is_err();
+            match timeout(STALLED, sender.send(next)).await {
+                Ok(_) if broken => return Outcome::Broken,
+                // By its length its client knows already that it has it all.
+                Ok(_) if last => break,
+                Ok(Ok(())) => {}
+                // Its client has left, or reads no more.
+                Ok(Err(_)) | Err(_) => return Outcome::CalledOff,
+            }
+            next = tokio::select! {
+                // The end goes first: a client that has it all by its length has let go already.
+                biased;
+                next = timeout(SILENT, link.bytes(&mut body)) => match next {
+                    Ok(Some(bytes)) => bytes.map(Some).map_err(|_| Cut::Broken),
+                    Ok(None) => Ok(None),
+                    Err(_) => Err(Cut::TooSlow),
+                },
+                () = sender.closed() => return Outcome::CalledOff,
+            };
         }
-        end
+        drop((sender, body));
+        let link = link.is_free().await.then_some(link);
+        self.answered(name, dial, link);
+        Outcome::Served
     }
 
     /// Guards against machines that vanish: connections to one stay open and silent, and each would take a
@@ -240,10 +357,11 @@
     /// Asks a backend for its load, or where there are no reports for a sign of life.
     pub async fn probe(&self, name: &Name) -> End {
         let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
-        let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
-        match tokio::time::timeout(self.connect_timeout, self.exchange(name, build, None)).await {
-            Ok(Ok((head, body))) if head.status == StatusCode::OK => {
-                let load = std::str::from_utf8(&body).ok().and_then(load);
+        let build = |dial: SocketAddr| Request::get(path).header("Host", dial.to_string());
+        let message = Message::probe();
+        match timeout(self.connect_timeout, self.exchange(name, &message, build)).await {
+            Ok(Ok(Opened { head, start, .. })) if head.status == StatusCode::OK => {
+                let load = std::str::from_utf8(&start).ok().and_then(load);
                 End { outcome: Outcome::Served, answer: None, load }
             }
             Ok(Ok(_)) => Outcome::Error.into(),
@@ -253,12 +371,12 @@
     }
 
     async fn exchange(
-        &self, name: &Name, build: impl Fn(SocketAddr) -> (Builder, Bytes), tally: Option<&Rc<Figures>>,
-    ) -> Result<(response::Parts, Bytes), Outcome> {
+        &self, name: &Name, message: &Message, build: impl Fn(SocketAddr) -> Builder,
+    ) -> Result<Opened, Outcome> {
         loop {
             let (dial, pooled) = self.free_link(name).ok_or(Outcome::NeverSent)?;
             let from_pool = pooled.is_some();
-            let _slot = self.slot().ok_or(Outcome::NeverSent)?;
+            let slot = self.slot().ok_or(Outcome::NeverSent)?;
             let mut link = match pooled {
                 Some(link) => link,
                 None => {
@@ -269,23 +387,54 @@
             if self.dial(name) != Some(dial) {
                 return Err(Outcome::NeverSent);
             }
-            let (builder, body) = build(dial);
-            let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
-            match link.exchange(request, LARGEST_BODY, tally.cloned()).await {
-                Ok(answer) => {
+            let body = Outgoing::new(message.body.clone(), message.rest.clone());
+            let request = build(dial).body(body).map_err(|_| Outcome::NeverSent)?;
+            let tally = message.counts.then(|| self.figures.clone());
+            match Self::open(&mut link, request, tally).await {
+                Ok((head, start, None)) => {
                     let link = link.is_free().await.then_some(link);
                     self.answered(name, dial, link);
-                    return Ok(answer);
+                    return Ok(Opened { head, start, rest: None });
+                }
+                Ok((head, start, Some(body))) => {
+                    return Ok(Opened { head, start, rest: Some((link, body, slot, dial)) });
                 }
                 // Guards against a free connection that its backend closed just now: nothing was written,
                 // so this is no second send, and the backend is not to blame.
-                Err(Progress::Unsent) if from_pool => {}
+                Err(Progress::Unsent) if from_pool && !message.is_spent() => {}
                 Err(Progress::Unsent | Progress::Partly) => return Err(Outcome::ConnectFailed),
                 Err(Progress::Whole) => return Err(Outcome::Broken),
             }
         }
     }
 
+    /// The head of an answer and its whole body, or the start of a long one. Until its first bytes are here an
+    /// answer can still break and be had elsewhere.
+    async fn open(
+        link: &mut Link, request: Request<Outgoing>, tally: Option<Rc<Figures>>,
+    ) -> Result<(response::Parts, Bytes, Option<Incoming>), Progress> {
+        let (head, mut body) = link.send(request, tally).await?;
+        let hold_until = Instant::now() + HOLD_BACK;
+        let (announced, mut start) = (body.size_hint().exact(), BytesMut::new());
+        loop {
+            let long = announced.map_or(start.len() > HELD, |length| length > HELD as u64);
+            if long && !start.is_empty() {
+                return Ok((head, start.freeze(), Some(body)));
+            }
+            let next = tokio::select! {
+                biased;
+                next = link.bytes(&mut body) => next,
+                () = sleep_until(hold_until), if announced.is_none() && !start.is_empty() => {
+                    return Ok((head, start.freeze(), Some(body)));
+                }
+            };
+            match next {
+                Some(bytes) => start.extend_from_slice(&bytes?),
+                None => return Ok((head, start.freeze(), None)),
+            }
+        }
+    }
+
     /// Where a backend listens that may be sent something new.
     fn dial(&self, name: &Name) -> Option<SocketAddr> {
         self.known.borrow().get(name).filter(|b| b.ready()).map(|b| b.host.dial)
@@ -332,7 +481,7 @@
         }
     }
 
-    fn judge(&self, (mut head, body): (response::Parts, Bytes)) -> End {
+    fn judge(&self, mut head: response::Parts, body: Payload) -> End {
         let declined = head.headers.get(DECLINED).is_some_and(|v| v == "1");
         let outcome = match head.status {
             StatusCode::OK => Outcome::Served,
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -1,26 +1,29 @@
 //! The clients' side: takes requests in, reads their headers, writes their answers, drains at the end.
 
-use crate::backends::{LARGEST_BODY, Message};
+use crate::backends::{Answer, Message, Payload, spawn};
+use crate::body::{ClientBody, Content, Cut, Ended, HELD, LARGEST, Upload};
 use crate::clock::millis;
 use crate::engine::{Engine, Reply};
-use crate::figures::{Ending, Figures};
-use bytes::Bytes;
+use crate::figures::{Ending, Figures, Taken};
+use bytes::{Bytes, BytesMut};
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// The last byte of an answer must be out before the client's patience ends: the decisions are told of this
 /// much less, and of no less than the given share.
@@ -30,11 +33,17 @@
 const BACKSTOP: Duration = Duration::from_millis(10);
 /// No client waits longer than this; who claims so is not believed.
 const LONGEST_PATIENCE: u64 = 600_000;
-/// A connection may stand idle, or be in the middle of its first request, for this long: a peer that sends nothing
-/// proper is owed an error or the close within 3 s, and no idle connection may be closed within 2.
+/// A connection may stand idle, or be in the middle of the head of its first request, for this long, and of a later
+/// one for as long again: a peer that sends nothing proper is owed an error or the close within 3 s, and no idle
+/// connection may be closed within 2.
 const IDLE: Duration = Duration::from_millis(2300);
-/// A body whose headers came late in that time has this long all the same.
-const BODY: Duration = Duration::from_millis(400);
+/// The first bytes of a body whose head came late in that time have this long all the same.
+const BODY: Duration = Duration::from_millis(600);
+/// A client's patience begins with the last byte of its request. The decisions are asked before a long body is here:
+/// they are told of so much more patience, which is what the slowest client needs for the longest body.
+const UPLOAD: Duration = Duration::from_secs(600);
+/// Whether an attempt still draws on a body that is no longer wanted is looked after this often.
+const DRAIN: Duration = Duration::from_millis(10);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// After the signal to end new connections are taken for this long. Halfway idle ones are closed, and so are those
@@ -99,11 +108,106 @@
 /// One client's connection.
 struct Guest {
     busy: Cell<bool>,
-    /// When it came or was last answered.
+    /// When it came or was last answered, and when the first byte of the next request came, if any has.
     since: Cell<Instant>,
+    begun: Cell<Option<Instant>>,
+    answered: Cell<bool>,
     leave: Notify,
 }
 
+impl Guest {
+    /// Waits until its time for the next request is over. It goes by progress: a head has time of its own, but not
+    /// the first one, or a peer could stay twice as long and send nothing proper.
+    async fn outstays(&self) {
+        loop {
+            let since = match self.begun.get().filter(|_| self.answered.get()) {
+                Some(begun) => begun,
+                None => self.since.get(),
+            };
+            if self.busy.get() {
+                sleep(IDLE / 2).await;
+            } else if since.elapsed() >= IDLE {
+                return;
+            } else {
+                sleep_until(since + IDLE).await;
+            }
+        }
+    }
+}
+
+/// Marks a guest busy until its answer has been handed out whole.
+struct Busy(Rc<Guest>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(false);
+        self.0.since.set(Instant::now());
+        self.0.answered.set(true);
+    }
+}
+
+/// A guest's socket; it notes when a request begins.
+struct Seat {
+    stream: TcpStream,
+    guest: Rc<Guest>,
+}
+
+impl AsyncRead for Seat {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled && !self.guest.busy.get() && self.guest.begun.get().is_none() {
+            self.guest.begun.set(Some(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Seat {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// What lasts until an answer has been handed out whole.
+#[derive(Default)]
+struct Keep {
+    busy: Option<Busy>,
+    /// Of a long answer: the request, which ends with it.
+    served: Option<(Taken, Waiting)>,
+}
+
+impl Ended for Keep {
+    fn ended(&mut self, whole: bool) {
+        if let Some((taken, waiting)) = self.served.take() {
+            taken.ended(if whole { Ending::Served } else { Ending::Failed });
+            drop(waiting);
+        }
+    }
+}
+
+type Reaction = Response<Content<Keep>>;
+
 impl Front {
     /// A front side that takes at most `most_clients` connections at once.
     pub fn new(
@@ -172,7 +276,7 @@
     /// Serves clients until `end` resolves or another process takes over, then lets those finish that are there.
     /// Returns when the last one has gone.
     pub async fn serve(self: Rc<Self>, listener: Rc<TcpListener>, end: impl Future<Output = ()>) {
-        crate::backends::spawn(self.clone().tend());
+        spawn(self.clone().tend());
         self.serving.set(true);
         let ended = async {
             end.await;
@@ -211,7 +315,7 @@
         while !self.guests.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
             let _ = timeout(SEE_OFF, self.left.notified()).await;
             self.see_off(LAST_CALL);
-            if self.engine.waiting() > 0 {
+            if self.figures.active() > 0 {
                 quiet = Instant::now();
             }
         }
@@ -252,30 +356,31 @@
 
     fn welcome(self: Rc<Self>, stream: TcpStream) {
         let (busy, since, leave) = (Cell::new(false), Cell::new(Instant::now()), Notify::new());
-        let guest = Rc::new(Guest { busy, since, leave });
+        let guest = Rc::new(Guest { busy, since, begun: Cell::new(None), answered: Cell::new(false), leave });
         self.guests.borrow_mut().push(guest.clone());
-        crate::backends::spawn(async move {
+        spawn(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
                     guest.busy.set(true);
-                    let response = front.answer(request, guest.since.get() + IDLE).await;
-                    guest.busy.set(false);
-                    guest.since.set(Instant::now());
+                    guest.begun.set(None);
+                    let busy = Busy(guest.clone());
+                    let whole_by =
+                        if guest.answered.get() { Instant::now() } else { guest.since.get() } + IDLE;
+                    let mut response = front.answer(request, whole_by).await;
+                    response.body_mut().keep.busy = Some(busy);
                     Ok::<_, Infallible>(response)
                 }
             });
             let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
                 .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Seat { stream, guest: guest.clone() }), service);
             let mut connection = pin!(connection);
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                () = guest.leave.notified() => {
+                () = async { tokio::select! { () = guest.leave.notified() => {} () = guest.outstays() => {} } } => {
                     connection.as_mut().graceful_shutdown();
                     // A request that came just now is answered still.
                     let over = timeout(LAST_CALL, connection.as_mut()).await.is_ok();
@@ -290,12 +395,24 @@
     }
 
     /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>, whole_by: Instant) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, whole_by: Instant) -> Reaction {
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
             match self.take(request, whole_by).await {
-                Ok(ticket) => self.decide(ticket).await,
+                Ok(ticket) => {
+                    let rest = ticket.message.rest.clone();
+                    let response = self.decide(ticket).await;
+                    if let Some(rest) = rest {
+                        spawn(async move {
+                            while Rc::strong_count(&rest) > 1 {
+                                sleep(DRAIN).await;
+                            }
+                            rest.drain().await;
+                        });
+                    }
+                    response
+                }
                 Err(fault) => refuse(fault),
             }
         };
@@ -307,7 +424,7 @@
     }
 
     /// Whether new clients should come here.
-    fn up(&self, method: &Method) -> Response<Full<Bytes>> {
+    fn up(&self, method: &Method) -> Reaction {
         match *method {
             Method::GET | Method::HEAD if self.is_lame_duck() || self.ending.get() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "sending clients away\n")
@@ -317,7 +434,7 @@
         }
     }
 
-    /// Reads a request whole.
+    /// Reads a request whole, or with the start of a long body.
     async fn take(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Ticket, Fault> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
@@ -328,16 +445,23 @@
         if ticket.message.method == Method::GET {
             return Err(Fault::Bad("a body where none belongs"));
         }
-        if body.size_hint().lower() > LARGEST_BODY as u64 {
+        if body.size_hint().lower() > LARGEST {
             return Err(Fault::TooLarge);
         }
-        let whole_by = whole_by.max(Instant::now() + BODY);
-        match timeout_at(whole_by, Limited::new(body, LARGEST_BODY).collect()).await {
-            Ok(Ok(body)) => ticket.message.body = body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
-            Ok(Err(_)) => return Err(Fault::Bad("body")),
-            Err(_) => return Err(Fault::TooSlow),
+        let mut body = ClientBody::new(body, whole_by.max(Instant::now() + BODY));
+        let mut start = BytesMut::new();
+        while let Some(bytes) = body.bytes().await {
+            start.extend_from_slice(&bytes.map_err(|cut| match cut {
+                Cut::TooLarge => Fault::TooLarge,
+                Cut::TooSlow => Fault::TooSlow,
+                Cut::Broken => Fault::Bad("body"),
+            })?);
+            if start.len() > HELD && !body.is_over() {
+                ticket.message.rest = Some(Upload::new(body));
+                break;
+            }
         }
+        ticket.message.body = start.freeze();
         Ok(ticket)
     }
 
@@ -379,7 +503,8 @@
         let terms = text(headers, "api-terms")?.ok_or(Fault::Bad("Api-Terms"))?;
         let (units, spread, first) = self.terms(terms).ok_or(Fault::Bad("Api-Terms"))?;
         let (kind, key) = (headers.get(CONTENT_TYPE).cloned(), key.cloned());
-        let message = Message { method, target, id: id.clone(), key, kind, body: Bytes::new() };
+        let (body, rest, id) = (Bytes::new(), None, id.clone());
+        let message = Message { method, target, id, key, kind, body, rest, counts: true };
         Ok(Ticket { class, plan, customer, units, spread, first, repeat, patience, message })
     }
 
@@ -398,52 +523,67 @@
         (units > 0.0 && units <= most).then_some((units, spread.filter(|s| *s > 0)?, first?))
     }
 
-    async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
+    async fn decide(&self, ticket: Ticket) -> Reaction {
         let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
+        let taken = self.figures.taken(&class);
         let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
-        let (patience, now, class_name) = (patience - margin, Instant::now(), class.clone());
-        let patience_ms = millis(patience);
-        let (id, reply) = self.engine.open(
-            |id| Arrival { id, customer, plan, class, units, repeat, patience: patience_ms, first, spread },
-            message,
-            now + patience,
-        );
-        let (waiting, taken) = (Waiting { engine: &self.engine, id }, self.figures.taken(&class_name));
+        let patience = patience - margin;
+        let told = millis(if message.rest.is_some() { patience + UPLOAD } else { patience });
+        let arrival =
+            |id| Arrival { id, customer, plan, class, units, repeat, patience: told, first, spread };
+        let (id, reply) = self.engine.open(arrival, message.clone(), patience);
+        let waiting = Waiting { engine: self.engine.clone(), id };
         // Guards the one final answer: should the decisions forget a request, it still gets one in time.
-        let reply = timeout_at(now + patience + BACKSTOP.min(margin / 2), reply).await;
-        drop(waiting);
-        taken.ended(match reply {
-            Ok(Ok(Reply::Served(_))) => Ending::Served,
-            Ok(Ok(Reply::Refused(_))) => Ending::Refused,
-            _ => Ending::Failed,
-        });
+        let over = patience + BACKSTOP.min(margin / 2);
+        let reply = tokio::select! {
+            biased;
+            reply = reply => reply.ok(),
+            () = message.expires(Instant::now() + over, over) => None,
+        };
+        let reply = reply.unwrap_or(Reply::Failed(true));
         match reply {
-            Ok(Ok(Reply::Served(answer))) => {
-                let mut response = Response::new(Full::new(answer.body));
-                *response.headers_mut() = answer.headers;
+            Reply::Served(Answer { headers, body: Payload::Stream(stream) }) => {
+                // It has not ended yet, and ends when its client has it all, or leaves.
+                let keep = Keep { busy: None, served: Some((taken, waiting)) };
+                let mut response = Response::new(Content::stream(stream, keep));
+                *response.headers_mut() = headers;
                 response
             }
-            Ok(Ok(Reply::Refused(wait))) => {
+            Reply::Served(Answer { headers, body: Payload::Whole(body) }) => {
+                taken.ended(Ending::Served);
+                let mut response = Response::new(Content::whole(body, Keep::default()));
+                *response.headers_mut() = headers;
+                response
+            }
+            Reply::Refused(wait) => {
+                taken.ended(Ending::Refused);
                 let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused, try again later\n");
                 if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
                     response.headers_mut().insert(RETRY_AFTER, wait);
                 }
                 response
             }
-            Ok(Ok(Reply::Failed(false)) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Ok(Reply::Failed(true))) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+            Reply::Failed(late) => {
+                taken.ended(Ending::Failed);
+                match message.rest.as_ref().and_then(|rest| rest.cut()) {
+                    Some(Cut::TooLarge) => refuse(Fault::TooLarge),
+                    Some(Cut::TooSlow) => refuse(Fault::TooSlow),
+                    _ if late => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+                    _ => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+                }
+            }
         }
     }
 }
 
 /// A request whose client waits. Dropped without an answer, as when the connection closes, it tells that the
 /// client has left; after an answer that finds nothing.
-struct Waiting<'a> {
-    engine: &'a Engine,
+struct Waiting {
+    engine: Rc<Engine>,
     id: RequestId,
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for Waiting {
     fn drop(&mut self) {
         self.engine.client_left(self.id);
     }
@@ -464,21 +604,21 @@
     (1..=64).contains(&text.len()) && text.iter().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(b))
 }
 
-fn refuse(fault: Fault) -> Response<Full<Bytes>> {
+fn refuse(fault: Fault) -> Reaction {
     match fault {
         Fault::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
         Fault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
         Fault::TooSlow => plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
         Fault::Bad(what) => {
             let mut response = plain(StatusCode::BAD_REQUEST, "");
-            *response.body_mut() = Full::from(format!("unusable: {what}\n"));
+            *response.body_mut() = Content::whole(format!("unusable: {what}\n").into(), Keep::default());
             response
         }
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::from(text));
+fn plain(status: StatusCode, text: &'static str) -> Reaction {
+    let mut response = Response::new(Content::whole(Bytes::from_static(text.as_bytes()), Keep::default()));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,11 +1,11 @@
 //! The list of backends: what it says, and the watch that keeps it fresh.
 
 use crate::backends::Backends;
+use crate::body::Outgoing;
 use crate::engine::Engine;
 use crate::link::Link;
 use bytes::Bytes;
 use doorcourse::{BackendEntry, BackendState, Event};
-use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -179,9 +179,10 @@
 async fn calls(link: &mut Link, address: SocketAddr, backends: &Backends, engine: &Engine) -> String {
     loop {
         let uri = format!("/discovery/hosts?after={}&wait_ms={}", backends.seq(), WAIT.as_millis());
-        let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
+        let request =
+            Request::get(uri).header("Host", address.to_string()).body(Outgoing::new(Bytes::new(), None));
         let Ok(request) = request else { return "the call cannot be written".into() };
-        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST, None)).await;
+        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
             Ok(Ok((head, _))) => return format!("answered {}", head.status),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -12,6 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -30,6 +31,7 @@
 struct Open {
     message: Message,
     until: Instant,
+    patience: Duration,
     reply: oneshot::Sender<Reply>,
     attempts: u32,
     timed_out: bool,
@@ -94,14 +96,15 @@
 
     /// Takes in a request; the reply comes once, unless the client leaves first.
     pub fn open(
-        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, until: Instant,
+        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, patience: Duration,
     ) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
             state.last += 1;
             let id = state.last;
-            state.open.insert(id, Open { message, until, reply, attempts: 0, timed_out: false });
+            let until = Instant::now() + patience;
+            state.open.insert(id, Open { message, until, patience, reply, attempts: 0, timed_out: false });
             id
         };
         self.post(Event::Request(arrival(id)));
@@ -237,24 +240,39 @@
                 latency: 0.0,
                 true_units: None,
                 finished,
+                spent: false,
                 load: None,
             }));
         };
         let (number, begun) = (request.attempts, Instant::now());
         request.attempts += 1;
         let until = timeout.map_or(request.until, |t| request.until.min(begun + span(t)));
+        let patience = timeout.map_or(request.patience, |t| request.patience.min(span(t)));
         let (call_off, called_off) = oneshot::channel();
         out.insert(id, Out { number, call_off: Some(call_off) });
         let (message, backends, me) = (request.message.clone(), self.backends.clone(), self.me.clone());
         spawn(async move {
-            let end = backends.attempt(&backend, message, until, called_off).await;
+            let (first_bytes, engine) = (Cell::new(None), me.clone());
+            let begin = |answer| {
+                first_bytes.set(Some(begun.elapsed()));
+                if let Some(engine) = engine.upgrade() {
+                    engine.finish(id, |_| Reply::Served(answer));
+                    engine.post(Event::StreamStarted { id });
+                }
+            };
+            let expired = message.expires(until, patience);
+            let end = backends.attempt(&backend, &message, until, expired, called_off, begin).await;
+            // A long answer is judged by its first bytes, a long body by what follows it.
+            let latency = millis(first_bytes.get().unwrap_or(message.waited(begun)));
+            let spent = message.is_spent();
+            drop(message);
             if let Some(engine) = me.upgrade() {
-                engine.ended(id, number, backend, end, millis(begun.elapsed()));
+                engine.ended(id, number, backend, end, latency, spent);
             }
         });
     }
 
-    fn ended(&self, id: RequestId, attempt: u32, backend: Name, end: End, latency: Millis) {
+    fn ended(&self, id: RequestId, attempt: u32, backend: Name, end: End, latency: Millis, spent: bool) {
         let End { outcome, answer, load } = end;
         self.state.borrow_mut().out.remove(&id);
         if let Some(answer) = answer {
@@ -274,6 +292,7 @@
             latency,
             true_units,
             finished,
+            spent,
             load,
         }));
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod backends;
+pub mod body;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -1,10 +1,11 @@
 //! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
 //! twice, and is closed for certain the moment it is dropped.
 
+use crate::body::Outgoing;
 use crate::figures::Figures;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
 use hyper::Request;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
@@ -20,6 +21,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// The most that is held of what comes in: heads, and a long body's next bytes.
+const BUFFER: usize = 64 * 1024;
+
 /// How far a request had got when its connection failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -34,6 +38,8 @@
 /// How far the present request has been written, and who counts it once it is whole.
 struct Sent {
     progress: Cell<Progress>,
+    /// Whether the HTTP library has got its last byte.
+    handed: RefCell<Rc<Cell<bool>>>,
     tally: RefCell<Option<Rc<Figures>>>,
 }
 
@@ -86,10 +92,9 @@
         true
     }
 
-    /// The HTTP library flushes once all that it holds has been written, and it holds whole requests: their
-    /// bodies are in memory.
+    /// The HTTP library flushes once all that it holds has been written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.sent.progress.get() == Progress::Partly {
+        if self.sent.progress.get() == Progress::Partly && self.sent.handed.borrow().get() {
             self.sent.progress.set(Progress::Whole);
             if let Some(figures) = self.sent.tally.take() {
                 figures.tried();
@@ -105,7 +110,7 @@
 
 /// One connection.
 pub struct Link {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Outgoing>,
     /// Gone once it has ended.
     driver: Driver,
     stream: Rc<TcpStream>,
@@ -120,10 +125,12 @@
     pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        let sent = Sent { progress: Cell::new(Progress::Unsent), tally: RefCell::default() };
+        let progress = Cell::new(Progress::Unsent);
+        let sent = Sent { progress, handed: RefCell::default(), tally: RefCell::default() };
         let (stream, sent) = (Rc::new(stream), Rc::new(sent));
         let wire = Wire { stream: stream.clone(), sent: sent.clone() };
-        let (sender, driver) = http1::handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
+        let builder = http1::Builder::new().max_buf_size(BUFFER).clone();
+        let (sender, driver) = builder.handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
         Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent })
     }
 
@@ -134,24 +141,53 @@
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the whole answer, its body no larger than `most`. Once the request is
-    /// written whole it is counted by `tally`.
+    /// Sends a request and waits for the head of the answer. Once the request is written whole it is counted by
+    /// `tally`.
     ///
     /// # Errors
     /// When the connection fails first or the answer cannot be read; says how far the request got.
-    pub async fn exchange(
-        &mut self, request: Request<Full<Bytes>>, most: usize, tally: Option<Rc<Figures>>,
-    ) -> Result<(response::Parts, Bytes), Progress> {
+    pub async fn send(
+        &mut self, request: Request<Outgoing>, tally: Option<Rc<Figures>>,
+    ) -> Result<(response::Parts, Incoming), Progress> {
         self.sent.progress.set(Progress::Unsent);
         self.sent.tally.replace(tally);
-        let driver = &mut self.driver;
+        self.sent.handed.replace(request.body().handed());
         let answer = self.sender.send_request(request);
-        let answer = drive(driver, async {
-            let (head, body) = answer.await.map_err(|_| ())?.into_parts();
-            let body = Limited::new(body, most).collect().await.map_err(|_| ())?;
-            Ok((head, body.to_bytes()))
+        let answer = drive(&mut self.driver, answer).await;
+        answer.map(hyper::Response::into_parts).map_err(|_| self.sent.progress.get())
+    }
+
+    /// The next bytes of an answer's body; none at its end.
+    pub async fn bytes(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Progress>> {
+        let next = poll_fn(|cx| {
+            loop {
+                match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+                    // Trailers say nothing that is passed on.
+                    Some(Ok(frame)) if frame.is_trailers() => {}
+                    next => return Poll::Ready(next),
+                }
+            }
         });
-        answer.await.map_err(|()| self.sent.progress.get())
+        let next = drive(&mut self.driver, next).await?;
+        Some(next.map_err(|_| self.sent.progress.get()).map(|frame| frame.into_data().unwrap_or_default()))
+    }
+
+    /// Sends a request and waits for the whole answer, its body no larger than `most`.
+    ///
+    /// # Errors
+    /// When the connection fails first or the answer cannot be read; says how far the request got.
+    pub async fn exchange(
+        &mut self, request: Request<Outgoing>, most: usize,
+    ) -> Result<(response::Parts, Bytes), Progress> {
+        let (head, mut body) = self.send(request, None).await?;
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = self.bytes(&mut body).await {
+            whole.extend_from_slice(&bytes?);
+            if whole.len() > most {
+                return Err(Progress::Whole);
+            }
+        }
+        Ok((head, whole.freeze()))
     }
 
     /// Whether the connection can carry another request now.
@@ -166,7 +202,7 @@
     }
 }
 
-type Driver = Option<Pin<Box<http1::Connection<TokioIo<Wire>, Full<Bytes>>>>>;
+type Driver = Option<Pin<Box<http1::Connection<TokioIo<Wire>, Outgoing>>>>;
 
 fn poll_driver(driver: &mut Driver, cx: &mut Context<'_>) {
     if driver.as_mut().is_some_and(|d| d.as_mut().poll(cx).is_ready()) {
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -284,6 +284,7 @@
                     latency,
                     true_units,
                     finished,
+                    spent: false,
                     load,
                 })
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,8 @@
     pub true_units: Option<f64>,
     /// Whether the request has had its final answer.
     pub finished: bool,
+    /// Whether some of the request's body is gone with this attempt: it cannot be sent again.
+    pub spent: bool,
     /// A load report, where one came along.
     pub load: Option<LoadReport>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,6 +322,8 @@
     stage: Stage,
     attempts: u32,
     may_have_run: Option<(Millis, Name)>,
+    /// Its body is gone: there is no further attempt.
+    spent: bool,
     sent_at: Millis,
 }
 
@@ -851,7 +853,7 @@
             return self.forget(id);
         }
         customer.open = customer.open.saturating_sub(1);
-        request.stage = Stage::Queue;
+        (request.stage, request.spent) = (Stage::Queue, request.spent || end.spent);
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
             request.may_have_run = Some((request.sent_at, end.backend));
@@ -868,7 +870,10 @@
             (Some((sent, _)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed && request.deadline - self.now > last && request.attempts < self.settings.most_attempts
+        allowed
+            && !request.spent
+            && request.deadline - self.now > last
+            && request.attempts < self.settings.most_attempts
     }
 
     // ---- The counter ----
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -129,6 +129,7 @@
             latency,
             true_units: None,
             finished: outcome == Outcome::Served,
+            spent: false,
             load: None,
         }))
     }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -101,6 +101,7 @@
         latency: 90.0,
         true_units: Some(4.0),
         finished: true,
+        spent: false,
         load: None,
     };
     door.tell(Event::AttemptEnded(end));
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -215,6 +215,7 @@
             latency,
             true_units: None,
             finished,
+            spent: false,
             load: None,
         };
         events.push((*id, Event::AttemptEnded(end)));
