Keep a client busy until its answer is written, not only handed to the HTTP library

The cause: a guest counted as idle once the last frame was handed out. A client that takes more than 2.3 s over the bytes still in the library's buffer was closed on as idle.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -294,7 +294,14 @@
                 // What else was said at length can wait for nobody: its connection closes.
                 let Some(answer) = answer else { return outcome.into() };
                 begin(answer);
-                let outcome = self.pass_on(name, dial, link, body, start, sender).await;
+                let (since, outcome) =
+                    (Instant::now(), self.pass_on(name, dial, link, body, start, sender).await);
+                if outcome != Outcome::Served {
+                    let (id, after) = (message.id.to_str().unwrap_or_default(), since.elapsed().as_millis());
+                    eprintln!(
+                        "request {id}: its long answer from {name} ended after {after} ms: {outcome:?}"
+                    );
+                }
                 End { outcome, answer: None, load }
             }
             Err(_) if message.rest.as_ref().is_some_and(|rest| rest.cut().is_some()) => {
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -112,10 +112,31 @@
     since: Cell<Instant>,
     begun: Cell<Option<Instant>>,
     answered: Cell<bool>,
+    /// Its answer has been handed out, but is not written yet: a client that reads slowly is busy still.
+    handed: Cell<bool>,
     leave: Notify,
 }
 
 impl Guest {
+    fn new() -> Rc<Self> {
+        Rc::new(Self {
+            busy: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            begun: Cell::new(None),
+            answered: Cell::new(false),
+            handed: Cell::new(false),
+            leave: Notify::new(),
+        })
+    }
+
+    /// A request is here; the guest is busy until its answer has been handed out and written.
+    fn asks(self: &Rc<Self>) -> Busy {
+        self.busy.set(true);
+        self.begun.set(None);
+        self.handed.set(false);
+        Busy(self.clone())
+    }
+
     /// Waits until its time for the next request is over. It goes by progress: a head has time of its own, but not
     /// the first one, or a peer could stay twice as long and send nothing proper.
     async fn outstays(&self) {
@@ -135,18 +156,16 @@
     }
 }
 
-/// Marks a guest busy until its answer has been handed out whole.
+/// Lasts until a guest's answer has been handed out whole.
 struct Busy(Rc<Guest>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.busy.set(false);
-        self.0.since.set(Instant::now());
-        self.0.answered.set(true);
+        self.0.handed.set(true);
     }
 }
 
-/// A guest's socket; it notes when a request begins.
+/// A guest's socket; it notes when a request begins and when its answer has been written.
 struct Seat {
     stream: TcpStream,
     guest: Rc<Guest>,
@@ -180,7 +199,13 @@
         self.stream.is_write_vectored()
     }
 
+    /// The HTTP library flushes once all that it holds has been written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.guest.handed.replace(false) {
+            self.guest.busy.set(false);
+            self.guest.since.set(Instant::now());
+            self.guest.answered.set(true);
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -355,17 +380,14 @@
     }
 
     fn welcome(self: Rc<Self>, stream: TcpStream) {
-        let (busy, since, leave) = (Cell::new(false), Cell::new(Instant::now()), Notify::new());
-        let guest = Rc::new(Guest { busy, since, begun: Cell::new(None), answered: Cell::new(false), leave });
+        let guest = Guest::new();
         self.guests.borrow_mut().push(guest.clone());
         spawn(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
-                    guest.busy.set(true);
-                    guest.begun.set(None);
-                    let busy = Busy(guest.clone());
+                    let busy = guest.asks();
                     let whole_by =
                         if guest.answered.get() { Instant::now() } else { guest.since.get() } + IDLE;
                     let mut response = front.answer(request, whole_by).await;
@@ -623,3 +645,39 @@
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::poll_fn;
+
+    #[tokio::test]
+    async fn a_guest_is_busy_until_its_answer_is_written() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let stream =
+            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
+        let guest = Guest::new();
+        let mut seat = Seat { stream, guest: guest.clone() };
+        let busy = guest.asks();
+        let mut flush = async || poll_fn(|cx| Pin::new(&mut seat).poll_flush(cx)).await.expect("flushed");
+        flush().await;
+        assert!(guest.busy.get(), "its answer is still coming");
+        drop(busy);
+        // What has been handed out may wait for a client that reads slowly.
+        assert!(guest.busy.get(), "its answer is still to be written");
+        assert!(
+            timeout(IDLE + IDLE / 2, guest.outstays()).await.is_err(),
+            "no guest has to leave before that"
+        );
+        flush().await;
+        assert!(!guest.busy.get() && guest.answered.get());
+        // Of a pipeline the next one may be here before the flush, which is not its own.
+        drop(guest.asks());
+        let next = guest.asks();
+        flush().await;
+        assert!(guest.busy.get());
+        drop(next);
+        flush().await;
+        assert!(!guest.busy.get());
+    }
+}
