Leave clients in the middle of a head alone in a drain; test what is handed over

The console test fails without it.

Module tests for hand_over, take_over with other plans, and a request whose body is gone.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -137,6 +137,10 @@
         Busy(self.clone())
     }
 
+    fn is_idle(&self) -> bool {
+        !self.busy.get() && self.begun.get().is_none()
+    }
+
     /// Waits until its time for the next request is over. It goes by progress: a head has time of its own, but not
     /// the first one, or a peer could stay twice as long and send nothing proper.
     async fn outstays(&self) {
@@ -350,10 +354,11 @@
         self.guests.borrow().len() >= self.most_clients.get()
     }
 
-    /// Closes the connections that have stood idle for this long.
+    /// Closes the connections that have stood idle for this long. Who is in the middle of a head is not idle: its
+    /// time is bounded, and its answer closes the connection.
     fn see_off(&self, idle: Duration) {
         let guests = self.guests.borrow();
-        let idle = guests.iter().filter(|g| !g.busy.get() && g.since.get().elapsed() >= idle);
+        let idle = guests.iter().filter(|g| g.is_idle() && g.since.get().elapsed() >= idle);
         idle.for_each(|guest| guest.leave.notify_one());
     }
 
--- a/gateway/tests/console.rs
+++ b/gateway/tests/console.rs
@@ -170,6 +170,11 @@
     assert_eq!(idle.ask(&request("look", 900, "", "")).await.status(), 200);
     busy.write(&request("order", 5000, "", "b")).await;
     until("the attempt", || backend.attempts() == 2).await;
+    // Slow with its head, and at it already when the drain begins.
+    let mut slow = world.gateway.client().await;
+    let text = request("look", 5000, "", "");
+    slow.write(&text[..40]).await;
+    pause(50).await;
     assert!(world.gateway.call("LAMEDUCK\n").await.starts_with("YES"));
     let reply = world.gateway.client().await.ask(UP).await;
     assert_eq!((reply.status(), reply.headers["connection"].as_str()), (503, "close"));
@@ -181,6 +186,9 @@
     assert_eq!(reply.headers["connection"], "close");
     // Who comes all the same is served, and sent away.
     *backend.deeds.lock().expect("lock") = vec![Do::Say(ok("x"))];
+    slow.write(&text[40..]).await;
+    let reply = slow.read().await;
+    assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
     let reply = world.gateway.client().await.ask(&request("look", 900, "", "")).await;
     assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
     assert!(world.gateway.call("REJOIN\n").await.starts_with("YES"));
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -125,3 +125,54 @@
     assert_eq!(sends(&door.ask(1, "c", "plain", "safe")), 0);
     assert_eq!(sends(&door.pass(100.0, &[1])), 1);
 }
+
+#[test]
+fn what_a_process_hands_over_is_granted_once_and_not_by_both() {
+    let mut old = Door::new(settings(), &["a1"]);
+    // The first block is burst over gateways: five units, of which one is spent.
+    let at = old.served(1, "c", "plain", "safe");
+    old.end(1, 0, &at, Outcome::Served);
+    let text = serde_json::to_string(&old.gateway.hand_over()).expect("text");
+    let mut new = Door::new(settings(), &[]);
+    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"));
+    for id in 2..=5 {
+        let (_, at) =
+            sent(&new.ask(id, "c", "plain", "safe")).expect("one of the four units left of the block");
+        new.end(id, 0, &at, Outcome::Served);
+    }
+    assert_eq!(sent(&old.ask(6, "c", "plain", "safe")), None, "the old process has no block any more");
+}
+
+#[test]
+fn an_estate_of_other_plans_and_classes_is_taken_as_far_as_it_fits() {
+    let mut old = Door::new(settings(), &["a1"]);
+    old.served(1, "c", "capped", "unsafe");
+    let text = serde_json::to_string(&old.gateway.hand_over()).expect("text");
+    let mut fewer = settings();
+    fewer.plans.truncate(1);
+    fewer.classes.truncate(1);
+    let mut new = Door::new(fewer, &["a1"]);
+    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"));
+    new.served(1, "d", "plain", "safe");
+}
+
+#[test]
+fn a_request_whose_body_is_gone_gets_no_further_attempt() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    for (id, spent) in [(1, false), (2, true)] {
+        let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+        let did = door.tell(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: 0,
+            backend: at,
+            outcome: Outcome::ConnectFailed,
+            latency: 1.0,
+            true_units: None,
+            finished: false,
+            spent,
+            load: None,
+        }));
+        assert_eq!((sends(&did) == 1, refused(&did, id)), (!spent, spent), "{did:?}");
+        door.pass(1000.0, &[]);
+    }
+}
