Keep a large fleet from crowding the counter with late, double and hopeless calls

Causes, each followed by one customer's requests and calls in the order of time: - `counter_silent`: two late answers in a row and 150 ms without a total are silence. A gateway of a hundred makes two or three calls a second, so any two late ones were. On its "return" `granted` cut the store to the slice and took the whole window's count off it: -8 units, all refused. - `silent` refused who waited at 50 ms; the answer came at 60 to 100 ms, and its unit was given back by a call more. - `admit`: of a spent quota each of ten gateways asked for the one next unit, nine gave it back: two calls each. - `learn`: an unknown customer's store left out what the rate had given since the window began. - `spend_slice`: an even slice below one unit was nobody's. - EASE_SHARE: 15 ms is less than a call takes there, so all other customers' calls went down to a tenth.

Fleets large enough for `many` now wait for a late total as long as the request may wait, ask again at drawn times once told that a quota is spent, count the rate's gift, and draw slices below a unit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,8 +29,10 @@
 const SILENT_AFTER: f64 = 3.0;
 /// The most counter calls out at once from one gateway while the counter is at ease.
 const CALLS_MOST: f64 = 12.0;
-/// Counter calls should be answered within this share of their time-out: slower, and fewer are made.
+/// Counter calls should be answered within this share of their time-out: slower, and fewer are made. Many
+/// gateways, who wait for late answers, go by the larger one.
 const EASE_SHARE: f64 = 0.3;
+const EASE_SHARE_MANY: f64 = 0.5;
 /// By how much an instant answer raises the share of calls made; a late one lowers it by up to twice that.
 const EASE_STEP: f64 = 0.2;
 /// The least share of calls still made: who never asks never learns that the counter is back.
@@ -196,13 +198,15 @@
     /// The call out: its window, block, and what was owed.
     #[serde(skip)]
     call: Option<(u64, f64, f64)>,
-    /// Calls on the window's count that got no answer: block and what was owed.
+    /// Calls on the window's count that got no answer: block, what was owed, when they were given up.
     #[serde(skip)]
-    doubts: Vec<(f64, f64)>,
+    doubts: Vec<(f64, f64, Millis)>,
     #[serde(skip)]
     waiting: VecDeque<RequestId>,
     demand: f64,
     demand_at: Millis,
+    /// One of many that was told that the quota is spent asks again from then on only.
+    ask_from: Millis,
     /// This gateway's even slice of the store, spent while the counter is silent.
     slice: Option<(f64, Millis)>,
     #[serde(skip)]
@@ -234,6 +238,12 @@
         (number as u64, number * length - shift)
     }
 
+    /// Whether a call was given up just now: its answer may still come, and to ask again would crowd the
+    /// counter with the same question.
+    fn late_due(&self, now: Millis, timeout: Millis) -> bool {
+        self.doubts.last().is_some_and(|(_, _, at)| now < at + timeout * SILENT_AFTER)
+    }
+
     /// Fills the store and moves to the present window: blocks end with theirs, unused, and so does a debt. A
     /// quota is never below nothing: what a count holds beyond it are blocks that nobody got or that go back.
     fn roll(&mut self, now: Millis, plan: &Plan) {
@@ -262,11 +272,13 @@
         need.max(want.floor()).max(0.0)
     }
 
-    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest.
-    fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan) {
+    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest. What
+    /// the rate has given since `since` belongs to an unknown customer too.
+    fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan, since: Millis) {
         self.added += block + owed;
         if !self.known {
-            self.store = Self::start_of(plan) - total;
+            let given = plan.rate * (self.store_at - since) / 1000.0;
+            self.store = (Self::start_of(plan) + given).min(plan.burst) - total;
             self.known = true;
         } else if total + 1e-6 < self.added {
             // Guards against an emptied count: what this gateway holds is told again, so that new blocks do
@@ -286,9 +298,11 @@
         }
     }
 
-    /// Spends from the even slice, which starts from the store as last known: the silence rule.
-    fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan) -> bool {
-        let (held, at) = self.slice.unwrap_or((self.store.max(0.0) / self.spread, now));
+    /// Spends from the even slice, which starts from the store as last known: the silence rule. Where it
+    /// comes to less than a unit, luck decides who has one: else nobody could spend what all hold together.
+    fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan, luck: f64) -> bool {
+        let even = self.store.max(0.0) / self.spread;
+        let (held, at) = self.slice.unwrap_or(((even + luck).floor().max(even), now));
         let filled = held + plan.rate * (now - at) / 1000.0 / self.spread;
         let held = filled.min((plan.burst / self.spread).max(units));
         let fits = held >= units;
@@ -369,6 +383,12 @@
     sweeping: bool,
 }
 
+/// From when on the rate's gifts are told by a window's count: with few gateways, which know their customers,
+/// and after a silence, in which the count may have been emptied, from now on.
+fn given_since(many: bool, back_at: Millis, began: Millis, now: Millis) -> Millis {
+    if many && back_at < began { began } else { now }
+}
+
 impl Gateway {
     /// A gateway that knows its settings and nothing else.
     ///
@@ -563,8 +583,9 @@
             if self.calls.is_empty() && self.chance() < self.ease {
                 self.ask(&name, out);
             }
-        } else if customer.known && left < units {
-            self.over_quota(id, units - left, plan.rate, out);
+        } else if customer.known && (left < units || now < customer.ask_from) {
+            let short = (units - left).max((customer.ask_from - now) * plan.rate / 1000.0);
+            self.over_quota(id, short, plan.rate, out);
         } else {
             return self.wait_for_total(id, out);
         }
@@ -880,9 +901,11 @@
 
     /// Adds a block to the customer's count: one call out for each name, and a bound on all.
     fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
+        let (many, timeout) = (self.many(), self.settings.counter_timeout);
         let Some(customer) = self.customers.get_mut(name) else { return };
         let full = self.calls.len() as f64 >= (CALLS_MOST * self.ease.min(1.0)).max(1.0);
-        if customer.call.is_some() || !self.settings.counter || full {
+        let late_due = many && customer.late_due(self.now, timeout);
+        if customer.call.is_some() || !self.settings.counter || full || late_due {
             return;
         }
         let plan = &self.settings.plans[customer.plan];
@@ -905,10 +928,11 @@
 
     fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
         if let CountOutcome::Late { total, amount } = outcome {
-            return self.counted_late(count, total, amount);
+            return self.counted_late(count, total, amount, out);
         }
         let Some(name) = self.calls.remove(&count) else { return };
-        let quick = self.settings.counter_timeout * EASE_SHARE;
+        let share = if self.many() { EASE_SHARE_MANY } else { EASE_SHARE };
+        let quick = self.settings.counter_timeout * share;
         let slow = if matches!(outcome, CountOutcome::Total(_)) { latency / quick } else { f64::INFINITY };
         let step = EASE_STEP * (1.0 - slow).max(-2.0);
         self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, EASE_MOST);
@@ -925,6 +949,7 @@
 
     /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
     fn granted(&mut self, name: &Name, total: f64, out: &mut Vec<Action>) {
+        let many = self.many();
         let Some(customer) = self.customers.get_mut(name) else { return };
         let Some((window, block, owed)) = customer.call.take() else { return };
         let plan = &self.settings.plans[customer.plan];
@@ -940,7 +965,22 @@
         }
         customer.heard = self.now;
         if window == customer.window {
-            customer.learn(total, block, owed, plan);
+            let since = given_since(many, self.back_at, customer.window_at(self.now, plan).1, self.now);
+            customer.learn(total, block, owed, plan, since);
+        }
+        self.serve_waiting(name, out);
+    }
+
+    /// Hands out what a total has left. Of a spent quota the rate gives one unit at a time, for which each of
+    /// many would ask at once, and all but one give theirs back: they ask again at times drawn over the time
+    /// in which each has a unit coming.
+    fn serve_waiting(&mut self, name: &Name, out: &mut Vec<Action>) {
+        let (many, luck) = (self.many(), self.chance());
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        if many && customer.known {
+            let spent = customer.store + customer.lease < 1.0;
+            let share = customer.spread / self.settings.plans[customer.plan].rate.max(1e-9) * 1000.0;
+            customer.ask_from = if spent { self.now + luck * share } else { self.now };
         }
         let waiting = std::mem::take(&mut customer.waiting);
         let give_back = customer.owed <= -1.0;
@@ -951,50 +991,65 @@
     }
 
     /// A call taken for lost has counted: its block is in hand after all, and what was owed is told. Else the
-    /// count holds units that nobody can spend, and a slow counter eats up the quotas.
-    fn counted_late(&mut self, count: u64, total: f64, amount: f64) {
-        let Some(name) = self.unanswered.get(&count) else { return };
-        let Some(customer) = self.customers.get_mut(name) else { return };
+    /// count holds units that nobody can spend, and a slow counter eats up the quotas. Of many gateways each
+    /// makes few calls, so that two late ones in a row look like silence: here is the proof that it is none.
+    fn counted_late(&mut self, count: u64, total: f64, amount: f64, out: &mut Vec<Action>) {
+        let many = self.many();
+        if many {
+            (self.silences, self.counter_heard) = (0, self.now);
+        }
+        let Some(name) = self.unanswered.get(&count).cloned() else { return };
+        let Some(customer) = self.customers.get_mut(&name) else { return };
         let plan = &self.settings.plans[customer.plan];
         customer.roll(self.now, plan);
-        let same = |(block, owed): &(f64, f64)| (block + owed - amount).abs() < 1e-6;
+        let same = |(block, owed, _): &(f64, f64, Millis)| (block + owed - amount).abs() < 1e-6;
         if let Some(at) = customer.doubts.iter().position(same) {
-            let (block, owed) = customer.doubts.remove(at);
+            let (block, owed, _) = customer.doubts.remove(at);
+            if customer.thin(plan) {
+                return self.granted_thin(&name, total - block - owed, block, out);
+            }
             customer.owed -= owed.max(0.0);
             if total < customer.seen {
                 // A newer total holds it already.
                 customer.added += amount;
                 (customer.lease, customer.store) = (customer.lease + block, customer.store + owed);
             } else {
-                customer.learn(total, block, owed, plan);
+                let since = given_since(many, self.back_at, customer.window_at(self.now, plan).1, self.now);
+                customer.learn(total, block, owed, plan, since);
+            }
+            if many {
+                self.serve_waiting(&name, out);
             }
         }
     }
 
-    /// No answer: the silence rule decides for who waits, and a block that may have counted is let go.
+    /// No answer: the silence rule decides for who waits, and a block that may have counted is let go. Many
+    /// gateways crowd the counter at times, so there who waits goes on to wait for the answer while it can.
     fn silent(&mut self, count: u64, name: Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
+        let many = self.many();
         let Some(customer) = self.customers.get_mut(&name) else { return };
         let (window, block, owed) = customer.call.take().unwrap_or_default();
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
-        let waiting = std::mem::take(&mut customer.waiting);
-        if may_have_counted
-            && window == customer.window
-            && !customer.thin(&self.settings.plans[customer.plan])
-        {
-            customer.doubts.push((block, owed));
+        let thin = customer.thin(&self.settings.plans[customer.plan]);
+        if may_have_counted && window == customer.window && (many || !thin) {
+            customer.doubts.push((block, owed, self.now));
             self.unanswered.insert(count, name);
+            if many && !self.told_silent {
+                return;
+            }
         }
-        for id in waiting {
+        for id in std::mem::take(&mut customer.waiting) {
             self.by_slice(id, out);
         }
     }
 
     /// The silence rule for one request: the even slice or refusal.
     fn by_slice(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let luck = if self.many() { self.chance() } else { 0.0 };
         let Some(request) = self.requests.get(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         let plan = &self.settings.plans[request.plan];
@@ -1003,7 +1058,7 @@
             return self.by_odds(id, out);
         }
         customer.roll(self.now, plan);
-        if customer.spend_slice(request.units, self.now, plan) {
+        if customer.spend_slice(request.units, self.now, plan, luck) {
             return self.place(id, out);
         }
         let short = request.units - customer.slice.map_or(0.0, |s| s.0);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -170,3 +170,140 @@
     round(&mut doors[0], 100.0, 300);
     assert!(round(&mut doors[0], 100.0, 40) > 36, "and it recovers");
 }
+
+#[test]
+fn of_many_gateways_who_waits_for_a_late_total_gets_it_and_asks_nothing_twice() {
+    for (customer, plan) in [("wide", "plain"), ("under a ceiling", "ceiling")] {
+        let mut door = fleet(GATEWAYS, &names(5), false, false).swap_remove(0);
+        let spread = if plan == "plain" { GATEWAYS } else { 10 };
+        // Not every try of a wide customer is asked about.
+        let asked = (1..).find_map(|id| {
+            let did = door.ask_of(id, &format!("{customer} {id}"), plan, "safe", false, spread);
+            count(&did).map(|(name, amount)| (id, name, amount))
+        });
+        let (id, name, amount) = asked.expect("a call");
+        let own = format!("{customer} {id}");
+        door.now += 50.0;
+        let given_up = Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 };
+        assert_eq!(door.tell(given_up), [], "{own}: it waits");
+        assert_eq!(count(&door.pass(25.0, &[])), None, "{own}: the question is still out");
+        let late = Event::Counted { name, outcome: CountOutcome::Late { total: 1.0, amount }, latency: 80.0 };
+        assert_eq!(sent(&door.tell(late)).map(|(id, _)| id), Some(id), "{own}");
+    }
+}
+
+#[test]
+fn late_totals_show_each_of_many_gateways_that_the_counter_is_not_silent() {
+    let mut door = fleet(GATEWAYS, &names(5), false, false).swap_remove(0);
+    let mut calls = 0;
+    for id in 1..=20 {
+        door.now += 400.0;
+        let did = door.ask_of(id, &format!("c{id}"), "ceiling", "safe", false, 10);
+        let Some((name, amount)) = count(&did) else { continue };
+        calls += 1;
+        door.now += 50.0;
+        door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 });
+        door.now += 20.0;
+        let outcome = CountOutcome::Late { total: 1.0, amount };
+        door.tell(Event::Counted { name, outcome, latency: 70.0 });
+    }
+    assert_eq!(calls, 20, "all are asked about");
+}
+
+#[test]
+fn many_gateways_ask_less_of_a_crowded_counter_and_more_while_answers_come_by_half_time() {
+    let mut doors = fleet(GATEWAYS, &names(5), false, false);
+    let mut id = 0;
+    let mut round = |doors: &mut [Door], latency: Millis| {
+        let mut calls = 0;
+        for door in doors {
+            for _ in 0..20 {
+                id += 1;
+                let did = spread(door, id, &format!("c{id}"), false);
+                if let Some((name, amount)) = count(&did) {
+                    calls += 1;
+                    door.tell(Event::Counted { name, outcome: CountOutcome::Total(amount), latency });
+                }
+            }
+        }
+        calls
+    };
+    let doors = &mut doors[..20];
+    for _ in 0..3 {
+        round(doors, 45.0);
+    }
+    let crowded = round(doors, 45.0);
+    assert!(crowded < 100, "of 400 tries {crowded} are asked about");
+    for _ in 0..12 {
+        round(doors, 18.0);
+    }
+    let eased = round(doors, 18.0);
+    assert!(eased > 2 * crowded, "{eased} after {crowded}");
+}
+
+/// A door of a fleet that the total of a spent quota has just been told to.
+fn told_spent(number: usize) -> Door {
+    let mut door = fleet(GATEWAYS, &names(5), false, false).swap_remove(number);
+    let (name, amount) = count(&door.ask_of(1, "c", "ceiling", "safe", false, 10)).expect("a call");
+    let (_, at) = sent(&door.total(name, amount)).expect("sent on");
+    door.end(1, 0, &at, Outcome::Served);
+    // Two seconds on its store is full again, and others have had all of it.
+    door.pass(2200.0, &[]);
+    let (name, amount) = count(&door.ask_of(2, "c", "ceiling", "safe", false, 10)).expect("a call");
+    let did = door.total(name, 10.0 + amount);
+    assert!(refused(&did, 2));
+    let (name, amount) = count(&did).expect("the unit goes back");
+    assert_eq!(amount, -1.0);
+    door.total(name, 10.0);
+    door
+}
+
+#[test]
+fn the_gateways_of_a_spent_quota_do_not_all_ask_for_the_next_unit() {
+    // Five units a second for ten gateways: after a second each believes one to be there for it.
+    let mut calls = 0;
+    for number in 0..40 {
+        let mut door = told_spent(number);
+        door.pass(1100.0, &[]);
+        calls += u32::from(count(&door.ask_of(3, "c", "ceiling", "safe", false, 10)).is_some());
+    }
+    assert!((5..=35).contains(&calls), "{calls} of 40 ask");
+    let mut door = told_spent(0);
+    door.pass(2100.0, &[]);
+    assert!(
+        count(&door.ask_of(2, "c", "ceiling", "safe", false, 10)).is_some(),
+        "by then each has one coming"
+    );
+}
+
+#[test]
+fn who_first_hears_of_a_customer_late_in_a_window_counts_what_the_rate_has_given() {
+    // Twenty moments of a window of two seconds: by its end burst is there, at its start half of it.
+    let mut gone_on = 0;
+    for moment in 0..20 {
+        let mut door = fleet(GATEWAYS, &names(5), false, false).swap_remove(0);
+        door.now += 100.0 * f64::from(moment);
+        let (name, amount) = count(&door.ask_of(1, "c", "ceiling", "safe", false, 10)).expect("a call");
+        gone_on += sends(&door.total(name, 6.5 + amount));
+    }
+    assert!((5..=16).contains(&gone_on), "{gone_on} of 20 find room beside 6.5 units in the count");
+}
+
+#[test]
+fn even_slices_of_less_than_a_unit_are_drawn_in_a_silence() {
+    let mut gone_on = 0;
+    for door in &mut fleet(GATEWAYS, &names(5), false, false) {
+        // After two refused calls without a total before them the counter counts as silent.
+        for id in 1..=3 {
+            let mut did = door.ask_of(id, &format!("c{id}"), "ceiling", "safe", false, 10);
+            if let Some((name, _)) = count(&did) {
+                did = door.tell(Event::Counted { name, outcome: CountOutcome::NotAdded, latency: 1.0 });
+            }
+            if let Some((id, at)) = sent(&did) {
+                gone_on += u32::from(id == 3);
+                door.end(id, 0, &at, Outcome::Served);
+            }
+        }
+    }
+    assert!((150..=350).contains(&gone_on), "half a unit each: {gone_on} of {GATEWAYS}");
+}
