Make every backend the own one of equally many gateways of a large fleet

`pick` let each gateway draw its five own backends by a hash of its number and the name, so that some were the own ones of three gateways and others of fifteen, and the busiest ran at their limit with the fleet half idle.

Ruled out: to do without own backends.

Now a gateway's own backends are a stretch of the list in the order of hashes that begins where its number lies among all: deterministic subsetting. It is chosen when the list changes rather than at each pick.

The test sends 60 tries from each of 100 gateways: 31 to 210 a backend before, 71 to 121 now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -92,9 +92,9 @@
 const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// One of many gateways keeps to about this many backends of its own, others look `STRANGE` times further:
-/// guards against full connection tables, and it hears more of each.
-const OWN_BACKENDS: f64 = 5.0;
+/// One of many gateways keeps to this many backends of its own, others look `STRANGE` times further: guards
+/// against full connection tables, and it hears more of each.
+const OWN_BACKENDS: usize = 5;
 const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
 /// more than they can do, so all gateways together stay under the multiple that fells it.
@@ -137,6 +137,8 @@
     room: f64,
     failures: u32,
     eject_until: Millis,
+    /// One of the few that this gateway of many keeps to.
+    own: bool,
 }
 
 impl Backend {
@@ -502,9 +504,24 @@
             }
             backend.state = state;
         }
+        self.choose_own();
         self.drain_queue(out);
     }
 
+    /// Picks this gateway's own backends: a stretch of the list in the order of hashes, which starts where
+    /// its number lies among all gateways. So every backend is the own one of equally many, which draws of
+    /// each gateway by itself would not give, and one that comes or goes moves most by a place or none.
+    fn choose_own(&mut self) {
+        let (number, gateways) = (self.settings.number as usize, self.settings.gateways as usize);
+        let mut ready: Vec<_> = self.backends.iter_mut().filter(|(_, b)| b.ready()).collect();
+        ready.sort_unstable_by_key(|(name, _)| hash(name));
+        let count = ready.len();
+        let start = number * count / gateways.max(1);
+        for (at, (_, backend)) in ready.into_iter().enumerate() {
+            backend.own = (at + count - start) % count < OWN_BACKENDS;
+        }
+    }
+
     /// The operators' word goes before the list's, and may come before the list has named the backend. One
     /// that comes back counts as started just now: nobody tells whether it was restarted meanwhile.
     fn on_detach(&mut self, name: Name, detached: bool, out: &mut Vec<Action>) {
@@ -513,6 +530,7 @@
             backend.room = backend.room.min(ROOM_FIRST / f64::from(self.settings.gateways));
             (backend.returned, backend.failures, backend.eject_until) = (Some(self.now), 0, self.now);
         }
+        self.choose_own();
         self.drain_queue(out);
     }
 
@@ -799,7 +817,7 @@
             return None;
         }
         let ready = self.backends.values().filter(|b| b.ready()).count().max(1) as f64;
-        let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
+        let salt = self.random;
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
         let mut best: Option<(f64, &Name)> = None;
@@ -822,8 +840,7 @@
             // Among many, a draw by weight: no two gateways follow the same order.
             let draw = if many { -luck.max(1e-12).ln() } else { 1.0 + 0.1 * luck };
             let far = if *zone == self.settings.zone { 1.0 } else { far };
-            let own = unit(hash(name) ^ own) * ready < OWN_BACKENDS;
-            let far = if own || !many { far } else { far * STRANGE };
+            let far = if backend.own || !many { far } else { far * STRANGE };
             let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -307,3 +307,18 @@
     }
     assert!((150..=350).contains(&gone_on), "half a unit each: {gone_on} of {GATEWAYS}");
 }
+
+#[test]
+fn every_backend_is_the_own_one_of_equally_many_gateways() {
+    // 5 of 60 at each of 100 gateways: 8 or 9 have a backend for their own and send it a fifth of theirs.
+    let mut sent_to = BTreeMap::<Name, u32>::new();
+    for door in &mut fleet(100, &names(60), false, false) {
+        for id in 1..=60 {
+            let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+            door.end(id, 0, &at, Outcome::Served);
+            *sent_to.entry(at).or_default() += 1;
+        }
+    }
+    let (least, most) = (sent_to.values().min(), sent_to.values().max());
+    assert!(least >= Some(&60) && most <= Some(&140), "100 each in the mean: {least:?} to {most:?}");
+}
