Send the cold backends of a large fleet as much for their capacity as warm ones

`pick` gave each cold backend 0.8 times its capacity's share of an even part of all sends, times what `take` let in. With 36 of 60 cold at half of their capacity the 24 warm ones were left with twice an even part: crushed, so that answers came late, `take` fell, and the cold ones were given less still. Each also drew for itself, and of several hits at one pick all but one were lost: of a wanted sum of 0.47 of the sends they got 0.38.

Now one draw goes over all cold backends, each with its part of the capacity that is ready, at most half of the multiple that fells it. Small fleets keep their draws. The test counts what 100 gateways send to 24 warm and 36 cold ones: 228 a warm one at the start before (205 now; 100 would be even), and none near the rule's multiple.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,6 +99,9 @@
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
 /// more than they can do, so all gateways together stay under the multiple that fells it.
 const COLD_MULTIPLE: f64 = 0.8;
+/// Of many gateways a cold one gets as much for its capacity as a warm one, at most this part of the multiple
+/// that fells it: chance does the rest. Warm ones must not be crushed after a mass return.
+const COLD_PART_MANY: f64 = 0.5;
 /// A backend that operators gave back gets its first request after this many ms at the latest.
 const UNUSED_MOST: Millis = 2500.0;
 /// Time between housekeeping rounds, in ms: short beside any aim.
@@ -819,7 +822,17 @@
         let ready = self.backends.values().filter(|b| b.ready()).count().max(1) as f64;
         let salt = self.random;
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
-        let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
+        let many = self.many();
+        // One draw for all cold backends of many gateways: draws for each would hit several at once, and all
+        // but one of the hits be lost.
+        let mut lot = unit(mix(salt)) * ready;
+        let cold_share = if many {
+            let ready_now = self.backends.values().filter(|b| b.ready());
+            let capacity: f64 = ready_now.map(|b| b.warmth(self.now, &self.settings)).sum();
+            (self.settings.fall_multiple * COLD_PART_MANY).min(ready / capacity.max(1e-9))
+        } else {
+            COLD_MULTIPLE * self.take()
+        };
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
             let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
@@ -830,7 +843,10 @@
             let warmth = backend.warmth(self.now, &self.settings);
             // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
             // with no agreement and no warm backend.
-            let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
+            let part = if warmth < 1.0 { warmth * cold_share } else { 0.0 };
+            let missed = if many { !(0.0..part).contains(&lot) } else { luck * ready >= part };
+            lot -= part;
+            let cold = warmth < 1.0 && missed;
             // One request is no load, and who was given back is to be seen in use again.
             let unused = backend.returned.filter(|at| backend.sent <= *at);
             let cold = cold && unused.is_none_or(|at| self.now < at + UNUSED_MOST);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -322,3 +322,35 @@
     let (least, most) = (sent_to.values().min(), sent_to.values().max());
     assert!(least >= Some(&60) && most <= Some(&140), "100 each in the mean: {least:?} to {most:?}");
 }
+
+#[test]
+fn after_a_mass_return_cold_backends_take_work_off_the_warm_ones_but_not_what_would_fell_them() {
+    let names = names(60);
+    let list: Vec<&str> = names.iter().map(String::as_str).collect();
+    let door = |number| {
+        let settings = Settings { gateways: 100, number, fall_multiple: 3.0, ..settings() };
+        Door::seeded(settings, 1000 + u64::from(number), &list)
+    };
+    let mut doors: Vec<Door> = (0..100).map(door).collect();
+    // Six in ten started a moment ago at a fifth of their capacity, or half of the cold time ago at 0.6.
+    for (age, per_warm) in [(0.0, 190..=215), (9000.0, 120..=145)] {
+        let mut sent_to = BTreeMap::<Name, u32>::new();
+        for (door, first) in doors.iter_mut().zip((0..).step_by(1000)) {
+            let born = Some(door.now - age);
+            let cold = names[24..].iter().map(|name| backend(name, BackendState::Ready, born));
+            door.tell(Event::BackendChanges(cold.collect()));
+            for id in first..first + 60 {
+                let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+                door.end(id, 0, &at, Outcome::Served);
+                *sent_to.entry(at).or_default() += 1;
+            }
+            door.now += 20_000.0;
+        }
+        let warm: u32 = names[..24].iter().filter_map(|name| sent_to.get(name.as_str())).sum();
+        assert!(per_warm.contains(&(warm / 24)), "{age}: {} a warm one where 100 are even", warm / 24);
+        let most = names[24..].iter().filter_map(|name| sent_to.get(name.as_str())).max();
+        let share = if age == 0.0 { 0.2 } else { 0.6 };
+        // An even part is 100; a warm one is taken to do no less, the rule's multiple is 3.
+        assert!(most < Some(&((3.0 * share * 100.0) as u32)), "{age}: {most:?} at a cold one");
+    }
+}
