Draw the times at which a large fleet retries its watch of discovery

Discovery had answered 503 to 131 processes, two seconds after each call, and to all of their retries.

Cause: PAUSE in `discovery.rs`. Each gateway begins a new watch 100 ms after a fault, all in step; a new watch is dear, and discovery, overbooked by them, gets none done in its two seconds.

Now the pause is drawn from a span (full jitter) that follows the fleet: three gateways' worth of retries for all together, doubling twice. Fleets of up to five keep their 100 ms.

--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -34,3 +34,40 @@
 pub fn millis(span: Duration) -> Millis {
     span.as_secs_f64() * 1000.0
 }
+
+/// The pauses between tries of what fails for many at once: each is drawn from a span that doubles with every
+/// failure (full jitter). Without room to double it is the same pause each time.
+#[derive(Clone, Debug)]
+pub struct Retry {
+    first: Duration,
+    most: Duration,
+    next: Duration,
+    random: u64,
+}
+
+impl Retry {
+    /// From the first pause up to the longest; the seed sets this process apart from the others.
+    pub fn new(first: Duration, most: Duration, seed: u64) -> Self {
+        Self { first, most, next: first, random: seed }
+    }
+
+    /// How long to wait before the next try.
+    pub fn pause(&mut self) -> Duration {
+        if self.most <= self.first {
+            return self.first;
+        }
+        // Splitmix: seeds that hardly differ lead to draws that do.
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let share = ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1u64 << 53) as f64;
+        let pause = self.next.mul_f64(share);
+        self.next = (self.next * 2).min(self.most);
+        pause
+    }
+
+    /// It went well: the next failure is a first one.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
+}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::backends::Backends;
 use crate::body::Outgoing;
+use crate::clock::Retry;
 use crate::engine::Engine;
 use crate::link::Link;
 use bytes::Bytes;
@@ -22,6 +23,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Between calls after a fault: the watch lasts as long as the next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Larger fleets than this retry their watches no more often, all together, than so many gateways do:
+/// a new watch is dear, and who all come at once keep discovery overbooked, so that none of them hears the news.
+const RETRIERS: u32 = 3;
+/// How often their pause doubles at most.
+const DOUBLINGS: u32 = 2;
 /// The longest list that is read.
 const LONGEST: usize = 1 << 20;
 
@@ -153,13 +159,15 @@
 }
 
 /// Keeps a watch going for ever, at the newest address; while discovery is silent the last list stays.
-pub async fn watch(mut address: Receiver<SocketAddr>, backends: Rc<Backends>, engine: Rc<Engine>) {
+pub async fn watch(
+    mut address: Receiver<SocketAddr>, backends: Rc<Backends>, engine: Rc<Engine>, mut retry: Retry,
+) {
     let mut told = false;
     loop {
         let at = *address.borrow_and_update();
         let watching = async {
             match Link::connect(at, CONNECT_TIMEOUT).await {
-                Ok(mut link) => calls(&mut link, at, &backends, &engine).await,
+                Ok(mut link) => calls(&mut link, at, &backends, &engine, &mut retry).await,
                 Err(error) => format!("no connection: {error}"),
             }
         };
@@ -171,12 +179,20 @@
         if !std::mem::replace(&mut told, true) {
             eprintln!("discovery: {fault} (told once)");
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(retry.pause()).await;
     }
 }
 
+/// The pauses of one of so many gateways.
+pub fn retry(gateways: u32, seed: u64) -> Retry {
+    let first = PAUSE * (gateways / RETRIERS).max(1);
+    Retry::new(first, if first > PAUSE { first * (1 << DOUBLINGS) } else { first }, seed)
+}
+
 /// One call after another on one connection, until something is wrong with it.
-async fn calls(link: &mut Link, address: SocketAddr, backends: &Backends, engine: &Engine) -> String {
+async fn calls(
+    link: &mut Link, address: SocketAddr, backends: &Backends, engine: &Engine, retry: &mut Retry,
+) -> String {
     loop {
         let uri = format!("/discovery/hosts?after={}&wait_ms={}", backends.seq(), WAIT.as_millis());
         let request =
@@ -190,7 +206,10 @@
             Err(_) => return "silent".into(),
         };
         match list {
-            Ok(list) => tell(list, backends, engine),
+            Ok(list) => {
+                retry.reset();
+                tell(list, backends, engine);
+            }
             Err(error) => return error.to_string(),
         }
         if !link.is_free().await {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -113,7 +113,8 @@
     }
     spawn(backends.clone().keep_tidy());
     let (discovery, at) = watch::channel(config.discovery);
-    spawn(discovery::watch(at, backends, engine.clone()));
+    let retry = discovery::retry(settings.gateways, seed);
+    spawn(discovery::watch(at, backends, engine.clone(), retry));
     spawn(reload(hangup, discovery, engine, figures));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
