--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -72,7 +72,7 @@
             class,
             units: 1.0,
             repeat: false,
-            patience: 900.0,
+            deadline: id as Millis * 10.0 + 900.0,
             first: 0,
             spread: 1,
         };
--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -1,16 +1,15 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
 use crate::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
+use crate::budget::Budget;
 use crate::clock::millis;
 use crate::discovery::{Host, List};
-use crate::figures::Figures;
-use crate::link::{Link, Progress};
+use crate::link::{Link, Progress, Trace};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
-use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -53,24 +52,11 @@
     pub body: Bytes,
     /// The rest of a long one.
     pub rest: Option<Rc<Upload>>,
-    /// Whether an attempt with it counts as one.
-    pub counts: bool,
+    /// What its client has left.
+    pub budget: Budget,
 }
 
 impl Message {
-    fn probe() -> Self {
-        Self {
-            method: Method::GET,
-            target: hyper::http::uri::PathAndQuery::from_static("/"),
-            id: HeaderValue::from_static(""),
-            key: None,
-            kind: None,
-            body: Bytes::new(),
-            rest: None,
-            counts: false,
-        }
-    }
-
     /// Whether some of its body is gone.
     pub fn is_spent(&self) -> bool {
         self.rest.as_ref().is_some_and(|rest| rest.is_drawn())
@@ -83,16 +69,26 @@
         whole.map_or(Duration::ZERO, |at| at.max(begun).elapsed())
     }
 
-    /// Waits until its client's patience is over, which begins with the last byte of the request.
-    pub async fn expires(&self, until: Instant, patience: Duration) {
+    /// Waits until its budget is used up, or so much of it as is given, and the grace after that. The time of a long
+    /// body begins with its last byte.
+    pub async fn expires(&self, most: Option<Duration>, grace: Duration) {
         match &self.rest {
             Some(rest) => tokio::select! {
-                at = rest.ended() => sleep_until(at + patience).await,
+                at = rest.ended() => {
+                    let span = self.budget.span();
+                    sleep_until(at + most.map_or(span, |most| most.min(span)) + grace).await;
+                }
                 () = rest.stalls() => {}
             },
-            None => sleep_until(until).await,
+            None => sleep_until(self.ends(most) + grace).await,
         }
     }
+
+    /// When an attempt that begins now and may take so long has to be over.
+    pub fn ends(&self, most: Option<Duration>) -> Instant {
+        let end = self.budget.answer_by();
+        most.map_or(end, |most| end.min(Instant::now() + most))
+    }
 }
 
 /// The body of an answer.
@@ -120,11 +116,22 @@
     rest: Option<(Link, Incoming, Slot, SocketAddr)>,
 }
 
+/// Why an attempt is called off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOff {
+    /// Its client is gone: nothing speaks against the backend.
+    Left,
+    /// It has used up its share of the time.
+    Stalled,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Debug)]
 pub struct End {
     /// How it ended.
     pub outcome: Outcome,
+    /// Whether its time, or its share of it, was over.
+    pub cut: bool,
     /// What was served.
     pub answer: Option<Answer>,
     /// The load report that came along.
@@ -133,7 +140,7 @@
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, answer: None, load: None }
+        Self { outcome, cut: false, answer: None, load: None }
     }
 }
 
@@ -169,14 +176,12 @@
     reports: Reports,
     most_open: Cell<usize>,
     busy: Rc<Cell<usize>>,
-    figures: Rc<Figures>,
 }
 
 impl Backends {
     /// No backends yet; at most `most_open` connections to all of them together.
     pub fn new(
         connect_timeout: Duration, backend_idle: Duration, reports: Reports, most_open: usize,
-        figures: Rc<Figures>,
     ) -> Rc<Self> {
         Rc::new(Self {
             known: RefCell::default(),
@@ -186,7 +191,6 @@
             reports,
             most_open: Cell::new(most_open),
             busy: Rc::default(),
-            figures,
         })
     }
 
@@ -259,11 +263,16 @@
     /// to answer before `expired` resolves, or `called_off`. A long answer is given to `begin` with its first bytes;
     /// it is the client's from then on, and ends by itself.
     pub async fn attempt(
-        &self, name: &Name, message: &Message, until: Instant, expired: impl Future<Output = ()>,
-        called_off: oneshot::Receiver<()>, begin: impl FnOnce(Answer),
+        &self, name: &Name, message: &Message, limit: Duration, trace: &Rc<Trace>,
+        called_off: oneshot::Receiver<CallOff>, begin: impl FnOnce(Answer),
     ) -> End {
+        let until = message.ends(Some(limit));
         let build = |dial: SocketAddr| {
             let left = until.saturating_duration_since(Instant::now());
+            // What is over before it is written need not be begun.
+            if left.as_millis() == 0 && message.rest.is_none() {
+                return None;
+            }
             let mut builder = Request::builder()
                 .method(message.method.clone())
                 .uri(message.target.clone())
@@ -275,22 +284,30 @@
                     builder = builder.header(key, value.clone());
                 }
             }
-            builder
+            builder.body(Outgoing::new(message.body.clone(), message.rest.clone())).ok()
         };
         let begun = Instant::now();
         // Each arm ends the exchange, which closes its connection, before the end is told.
+        let mut cut = false;
         let opened = tokio::select! {
             biased;
-            opened = self.exchange(name, message, build) => opened,
-            _ = called_off => Err(Outcome::CalledOff),
-            () = expired => Err(Outcome::TimedOut),
+            opened = self.exchange(name, || message.is_spent(), build, trace) => opened,
+            why = called_off => {
+                cut = why == Ok(CallOff::Stalled);
+                Err(Outcome::CalledOff)
+            }
+            () = message.expires(Some(limit), Duration::ZERO) => {
+                cut = true;
+                // Closed on before its last byte was written: no backend has begun with it.
+                Err(if trace.whole.get().is_some() { Outcome::TimedOut } else { Outcome::ConnectFailed })
+            }
         };
         match opened {
             Ok(Opened { head, start, rest: None }) => self.judge(head, Payload::Whole(start)),
             Ok(Opened { head, start, rest: Some((link, body, _slot, dial)) }) => {
                 let length = body.size_hint().exact().map(|rest| rest + start.len() as u64);
                 let (sender, stream) = download(length);
-                let End { outcome, answer, load } = self.judge(head, Payload::Stream(stream));
+                let End { outcome, answer, load, .. } = self.judge(head, Payload::Stream(stream));
                 // What else was said at length can wait for nobody: its connection closes.
                 let Some(answer) = answer else { return outcome.into() };
                 begin(answer);
@@ -302,17 +319,17 @@
                         "request {id}: its long answer from {name} ended after {after} ms: {outcome:?}"
                     );
                 }
-                End { outcome, answer: None, load }
+                End { outcome, cut, answer: None, load }
             }
             Err(_) if message.rest.as_ref().is_some_and(|rest| rest.cut().is_some()) => {
                 // The backend is not to blame for what its client did not send.
                 Outcome::CalledOff.into()
             }
             Err(outcome) => {
-                if outcome == Outcome::TimedOut {
+                if cut {
                     self.doubt(name, begun);
                 }
-                outcome.into()
+                End { cut, ..outcome.into() }
             }
         }
     }
@@ -364,12 +381,15 @@
     /// Asks a backend for its load, or where there are no reports for a sign of life.
     pub async fn probe(&self, name: &Name) -> End {
         let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
-        let build = |dial: SocketAddr| Request::get(path).header("Host", dial.to_string());
-        let message = Message::probe();
-        match timeout(self.connect_timeout, self.exchange(name, &message, build)).await {
+        let build = |dial: SocketAddr| {
+            let body = Outgoing::new(Bytes::new(), None);
+            Request::get(path).header("Host", dial.to_string()).body(body).ok()
+        };
+        let trace = Rc::default();
+        match timeout(self.connect_timeout, self.exchange(name, || false, build, &trace)).await {
             Ok(Ok(Opened { head, start, .. })) if head.status == StatusCode::OK => {
                 let load = std::str::from_utf8(&start).ok().and_then(load);
-                End { outcome: Outcome::Served, answer: None, load }
+                End { load, ..Outcome::Served.into() }
             }
             Ok(Ok(_)) => Outcome::Error.into(),
             Ok(Err(outcome)) => outcome.into(),
@@ -378,7 +398,8 @@
     }
 
     async fn exchange(
-        &self, name: &Name, message: &Message, build: impl Fn(SocketAddr) -> Builder,
+        &self, name: &Name, is_spent: impl Fn() -> bool,
+        build: impl Fn(SocketAddr) -> Option<Request<Outgoing>>, trace: &Rc<Trace>,
     ) -> Result<Opened, Outcome> {
         loop {
             let (dial, pooled) = self.free_link(name).ok_or(Outcome::NeverSent)?;
@@ -394,10 +415,9 @@
             if self.dial(name) != Some(dial) {
                 return Err(Outcome::NeverSent);
             }
-            let body = Outgoing::new(message.body.clone(), message.rest.clone());
-            let request = build(dial).body(body).map_err(|_| Outcome::NeverSent)?;
-            let tally = message.counts.then(|| self.figures.clone());
-            match Self::open(&mut link, request, tally).await {
+            trace.connected.set(Some(Instant::now()));
+            let request = build(dial).ok_or(Outcome::NeverSent)?;
+            match Self::open(&mut link, request, trace.clone()).await {
                 Ok((head, start, None)) => {
                     let link = link.is_free().await.then_some(link);
                     self.answered(name, dial, link);
@@ -408,7 +428,7 @@
                 }
                 // Guards against a free connection that its backend closed just now: nothing was written,
                 // so this is no second send, and the backend is not to blame.
-                Err(Progress::Unsent) if from_pool && !message.is_spent() => {}
+                Err(Progress::Unsent) if from_pool && !is_spent() => {}
                 Err(Progress::Unsent | Progress::Partly) => return Err(Outcome::ConnectFailed),
                 Err(Progress::Whole) => return Err(Outcome::Broken),
             }
@@ -418,9 +438,9 @@
     /// The head of an answer and its whole body, or the start of a long one. Until its first bytes are here an
     /// answer can still break and be had elsewhere.
     async fn open(
-        link: &mut Link, request: Request<Outgoing>, tally: Option<Rc<Figures>>,
+        link: &mut Link, request: Request<Outgoing>, trace: Rc<Trace>,
     ) -> Result<(response::Parts, Bytes, Option<Incoming>), Progress> {
-        let (head, mut body) = link.send(request, tally).await?;
+        let (head, mut body) = link.send(request, trace).await?;
         let hold_until = Instant::now() + HOLD_BACK;
         let (announced, mut start) = (body.size_hint().exact(), BytesMut::new());
         loop {
@@ -506,7 +526,7 @@
             }
             Answer { headers: head.headers, body }
         });
-        End { outcome, answer, load }
+        End { outcome, cut: false, answer, load }
     }
 }
 
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -2,9 +2,9 @@
 
 use crate::backends::{Answer, Message, Payload, spawn};
 use crate::body::{ClientBody, Content, Cut, Ended, HELD, LARGEST, Upload};
-use crate::clock::millis;
+use crate::budget::Budget;
 use crate::engine::{Engine, Reply};
-use crate::figures::{Ending, Figures, Taken};
+use crate::figures::{Ending, Figures, Stage, Taken};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use hyper::body::{Body, Incoming};
@@ -25,12 +25,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// The last byte of an answer must be out before the client's patience ends: the decisions are told of this
-/// much less, and of no less than the given share.
-const MARGIN: Duration = Duration::from_millis(25);
-const MARGIN_SHARE: f64 = 0.25;
-/// What has no answer this long after the decisions' time is over gets one all the same.
-const BACKSTOP: Duration = Duration::from_millis(10);
 /// No client waits longer than this; who claims so is not believed.
 const LONGEST_PATIENCE: u64 = 600_000;
 /// A connection may stand idle, or be in the middle of the head of its first request, for this long, and of a later
@@ -40,7 +34,7 @@
 /// The first bytes of a body whose head came late in that time have this long all the same.
 const BODY: Duration = Duration::from_millis(600);
 /// A client's patience begins with the last byte of its request. The decisions are asked before a long body is here:
-/// they are told of so much more patience, which is what the slowest client needs for the longest body.
+/// they are told of a deadline so much later, which is what the slowest client needs for the longest body.
 const UPLOAD: Duration = Duration::from_secs(600);
 /// Whether an attempt still draws on a body that is no longer wanted is looked after this often.
 const DRAIN: Duration = Duration::from_millis(10);
@@ -82,7 +76,6 @@
     spread: u32,
     first: u32,
     repeat: bool,
-    patience: Duration,
     message: Message,
 }
 
@@ -114,6 +107,9 @@
     answered: Cell<bool>,
     /// Its answer has been handed out, but is not written yet: a client that reads slowly is busy still.
     handed: Cell<bool>,
+    /// When bytes last came from it, and since when an answer to a request of a class goes out to it.
+    read_at: Cell<Instant>,
+    passing: Cell<Option<(Name, Instant)>>,
     leave: Notify,
 }
 
@@ -125,6 +121,8 @@
             begun: Cell::new(None),
             answered: Cell::new(false),
             handed: Cell::new(false),
+            read_at: Cell::new(Instant::now()),
+            passing: Cell::default(),
             leave: Notify::new(),
         })
     }
@@ -173,6 +171,7 @@
 struct Seat {
     stream: TcpStream,
     guest: Rc<Guest>,
+    figures: Rc<Figures>,
 }
 
 impl AsyncRead for Seat {
@@ -181,8 +180,12 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled && !self.guest.busy.get() && self.guest.begun.get().is_none() {
-            self.guest.begun.set(Some(Instant::now()));
+        if buf.filled().len() > filled {
+            let now = Instant::now();
+            self.guest.read_at.set(now);
+            if !self.guest.busy.get() && self.guest.begun.get().is_none() {
+                self.guest.begun.set(Some(now));
+            }
         }
         read
     }
@@ -209,6 +212,9 @@
             self.guest.busy.set(false);
             self.guest.since.set(Instant::now());
             self.guest.answered.set(true);
+            if let Some((class, since)) = self.guest.passing.take() {
+                self.figures.spent(&class, Stage::PassOn, since.elapsed());
+            }
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -395,14 +401,15 @@
                     let busy = guest.asks();
                     let whole_by =
                         if guest.answered.get() { Instant::now() } else { guest.since.get() } + IDLE;
-                    let mut response = front.answer(request, whole_by).await;
+                    let mut response = front.answer(request, whole_by, &guest).await;
                     response.body_mut().keep.busy = Some(busy);
                     Ok::<_, Infallible>(response)
                 }
             });
-            let connection = http1::Builder::new()
-                .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(Seat { stream, guest: guest.clone() }), service);
+            let connection = http1::Builder::new().max_buf_size(BUFFER).serve_connection(
+                TokioIo::new(Seat { stream, guest: guest.clone(), figures: self.figures.clone() }),
+                service,
+            );
             let mut connection = pin!(connection);
             tokio::select! {
                 biased;
@@ -422,14 +429,15 @@
     }
 
     /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>, whole_by: Instant) -> Reaction {
+    async fn answer(&self, request: Request<Incoming>, whole_by: Instant, guest: &Guest) -> Reaction {
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            match self.take(request, whole_by).await {
+            match self.take(request, whole_by, guest).await {
                 Ok(ticket) => {
-                    let rest = ticket.message.rest.clone();
+                    let (rest, class) = (ticket.message.rest.clone(), ticket.class.clone());
                     let response = self.decide(ticket).await;
+                    guest.passing.set(Some((class, Instant::now())));
                     if let Some(rest) = rest {
                         spawn(async move {
                             while Rc::strong_count(&rest) > 1 {
@@ -462,13 +470,18 @@
     }
 
     /// Reads a request whole, or with the start of a long body.
-    async fn take(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Ticket, Fault> {
+    async fn take(
+        &self, request: Request<Incoming>, whole_by: Instant, guest: &Guest,
+    ) -> Result<Ticket, Fault> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
-        let mut ticket = self.read(head.method, target, &head.headers)?;
+        let at_the_door =
+            |patience| Budget::at_the_door(guest.read_at.get(), patience, self.engine.lateness());
+        let (mut ticket, patience) = self.read(head.method, target, &head.headers, at_the_door)?;
         if body.is_end_stream() {
             return Ok(ticket);
         }
+        let begun = Instant::now();
         if ticket.message.method == Method::GET {
             return Err(Fault::Bad("a body where none belongs"));
         }
@@ -489,12 +502,15 @@
             }
         }
         ticket.message.body = start.freeze();
+        ticket.message.budget = at_the_door(patience);
+        self.figures.spent(&ticket.class, Stage::Body, begun.elapsed());
         Ok(ticket)
     }
 
     fn read(
         &self, method: Method, target: hyper::http::uri::PathAndQuery, headers: &HeaderMap,
-    ) -> Result<Ticket, Fault> {
+        at_the_door: impl Fn(Duration) -> Budget,
+    ) -> Result<(Ticket, Duration), Fault> {
         let first = target.path().strip_prefix('/').and_then(|p| p.split('/').next());
         let class = first.filter(|c| !c.is_empty()).ok_or(Fault::NoPath)?;
         let class = self.classes.iter().find(|(name, _)| **name == *class);
@@ -518,6 +534,7 @@
         // One customer, one name: its quota does not double with the case of its digits.
         let customer = Name::from(customer.to_ascii_lowercase());
         let patience = text(headers, "req-deadline-ms")?
+            .filter(|t| t.bytes().all(|b| b.is_ascii_digit()))
             .and_then(|t| t.parse::<u64>().ok())
             .filter(|ms| (1..=LONGEST_PATIENCE).contains(ms))
             .ok_or(Fault::Bad("Req-Deadline-Ms"))?;
@@ -531,8 +548,9 @@
         let (units, spread, first) = self.terms(terms).ok_or(Fault::Bad("Api-Terms"))?;
         let (kind, key) = (headers.get(CONTENT_TYPE).cloned(), key.cloned());
         let (body, rest, id) = (Bytes::new(), None, id.clone());
-        let message = Message { method, target, id, key, kind, body, rest, counts: true };
-        Ok(Ticket { class, plan, customer, units, spread, first, repeat, patience, message })
+        let budget = at_the_door(patience);
+        let message = Message { method, target, id, key, kind, body, rest, budget };
+        Ok((Ticket { class, plan, customer, units, spread, first, repeat, message }, patience))
     }
 
     /// Reads `units=2,spread=3,first=1`; a request of no said units is one unit.
@@ -551,21 +569,19 @@
     }
 
     async fn decide(&self, ticket: Ticket) -> Reaction {
-        let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
+        let Ticket { class, plan, customer, units, spread, first, repeat, message } = ticket;
         let taken = self.figures.taken(&class);
-        let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
-        let patience = patience - margin;
-        let told = millis(if message.rest.is_some() { patience + UPLOAD } else { patience });
-        let arrival =
-            |id| Arrival { id, customer, plan, class, units, repeat, patience: told, first, spread };
-        let (id, reply) = self.engine.open(arrival, message.clone(), patience);
+        let upload = if message.rest.is_some() { UPLOAD } else { Duration::ZERO };
+        let deadline = self.engine.at(message.budget.answer_by() + upload);
+        let (named, class) = (class.clone(), class);
+        let arrival = |id| Arrival { id, customer, plan, class, units, repeat, deadline, first, spread };
+        let (id, reply) = self.engine.open(&named, arrival, message.clone());
         let waiting = Waiting { engine: self.engine.clone(), id };
         // Guards the one final answer: should the decisions forget a request, it still gets one in time.
-        let over = patience + BACKSTOP.min(margin / 2);
         let reply = tokio::select! {
             biased;
             reply = reply => reply.ok(),
-            () = message.expires(Instant::now() + over, over) => None,
+            () = message.expires(None, message.budget.backstop()) => None,
         };
         let reply = reply.unwrap_or(Reply::Failed(true));
         match reply {
@@ -662,7 +678,8 @@
         let stream =
             TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
         let guest = Guest::new();
-        let mut seat = Seat { stream, guest: guest.clone() };
+        let figures = Figures::new(&Settings::default());
+        let mut seat = Seat { stream, guest: guest.clone(), figures };
         let busy = guest.asks();
         let mut flush = async || poll_fn(|cx| Pin::new(&mut seat).poll_flush(cx)).await.expect("flushed");
         flush().await;
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -1,7 +1,8 @@
 //! The one clock of a gateway.
 
 use doorcourse::Millis;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
 
 /// Unix time in milliseconds. Count names are made of window numbers, so all gateways must agree on it; it is
 /// read once from the system and then advanced by the steady clock, so that it never jumps or runs back.
@@ -21,7 +22,14 @@
 
     /// The time now.
     pub fn now(&self) -> Millis {
-        (self.unix + self.start.elapsed()).as_secs_f64() * 1000.0
+        self.at(Instant::now())
+    }
+
+    /// The time at some moment.
+    pub fn at(&self, moment: Instant) -> Millis {
+        let since = moment.saturating_duration_since(self.start).as_secs_f64();
+        let before = self.start.saturating_duration_since(moment).as_secs_f64();
+        (self.unix.as_secs_f64() + since - before) * 1000.0
     }
 }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -1,9 +1,11 @@
 //! The one place where the decisions are asked: events go in, actions come out and are carried out. It owns
 //! the tables of requests that have no final answer yet and of attempts that are out.
 
-use crate::backends::{Answer, Backends, End, Message, spawn};
+use crate::backends::{Answer, Backends, CallOff, End, Message, spawn};
 use crate::clock::{Clock, millis, span};
 use crate::counter::Counter;
+use crate::figures::{Figures, Stage};
+use crate::link::Trace;
 use doorcourse::{
     Action, Arrival, AttemptEnd, Estate, Event, Gateway, Millis, Name, Outcome, Pool, RequestId, Settings,
     SettingsError,
@@ -30,8 +32,9 @@
 /// A request without a final answer.
 struct Open {
     message: Message,
-    until: Instant,
-    patience: Duration,
+    class: Name,
+    /// When it came, or its last attempt ended: it waits since.
+    since: Instant,
     reply: oneshot::Sender<Reply>,
     attempts: u32,
     timed_out: bool,
@@ -40,7 +43,7 @@
 /// An attempt without an end.
 struct Out {
     number: u32,
-    call_off: Option<oneshot::Sender<()>>,
+    call_off: Option<oneshot::Sender<CallOff>>,
 }
 
 struct State {
@@ -55,6 +58,7 @@
     clock: Clock,
     backends: Rc<Backends>,
     counter: Option<Counter>,
+    figures: Rc<Figures>,
     state: RefCell<State>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
@@ -68,6 +72,7 @@
     /// When the settings cannot be used.
     pub fn start(
         settings: Settings, seed: u64, backends: Rc<Backends>, counter: Option<SocketAddr>,
+        figures: Rc<Figures>,
     ) -> Result<Rc<Self>, SettingsError> {
         let patience = span(settings.counter_timeout);
         let gateway = Gateway::new(settings, seed)?;
@@ -86,6 +91,7 @@
                 clock: Clock::anchored(),
                 backends,
                 counter,
+                figures,
                 state: RefCell::new(state),
                 events: RefCell::default(),
                 running: Cell::new(false),
@@ -94,17 +100,27 @@
         }))
     }
 
+    /// The time of a moment, on the clock of the decisions.
+    pub fn at(&self, moment: Instant) -> Millis {
+        self.clock.at(moment)
+    }
+
+    /// How late the event loop runs.
+    pub fn lateness(&self) -> Duration {
+        self.figures.lateness().now()
+    }
+
     /// Takes in a request; the reply comes once, unless the client leaves first.
     pub fn open(
-        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, patience: Duration,
+        &self, class: &Name, arrival: impl FnOnce(RequestId) -> Arrival, message: Message,
     ) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
             state.last += 1;
             let id = state.last;
-            let until = Instant::now() + patience;
-            state.open.insert(id, Open { message, until, patience, reply, attempts: 0, timed_out: false });
+            let (class, since) = (class.clone(), Instant::now());
+            state.open.insert(id, Open { message, class, since, reply, attempts: 0, timed_out: false });
             id
         };
         self.post(Event::Request(arrival(id)));
@@ -116,7 +132,7 @@
         let left = {
             let mut state = self.state.borrow_mut();
             if let Some(call_off) = state.out.get_mut(&id).and_then(|out| out.call_off.take()) {
-                let _ = call_off.send(());
+                let _ = call_off.send(CallOff::Left);
             }
             state.open.remove(&id).is_some()
         };
@@ -175,21 +191,23 @@
 
     fn perform(&self, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(id, backend, timeout),
+            Action::Send { id, backend, timeout, blocked } => self.send(id, backend, timeout, blocked),
             Action::Refuse { id, retry_after } => self.finish(id, |_| Reply::Refused(retry_after)),
             Action::Fail { id } => self.finish(id, |open| Reply::Failed(open.timed_out)),
             Action::CallOff { id, attempt } => {
                 let mut state = self.state.borrow_mut();
                 let out = state.out.get_mut(&id).filter(|out| out.number == attempt);
                 if let Some(call_off) = out.and_then(|out| out.call_off.take()) {
-                    let _ = call_off.send(());
+                    let _ = call_off.send(CallOff::Stalled);
                 }
             }
             Action::SetTimer { after, token } => {
                 let (due, me) = (Instant::now() + span(after), self.me.clone());
+                self.figures.lateness().expects(due);
                 spawn(async move {
                     tokio::time::sleep_until(due).await;
                     if let Some(engine) = me.upgrade() {
+                        engine.figures.lateness().met(due);
                         engine.post(Event::Timer { token });
                     }
                 });
@@ -222,10 +240,13 @@
     fn finish(&self, id: RequestId, reply: impl FnOnce(&Open) -> Reply) {
         let Some(open) = self.state.borrow_mut().open.remove(&id) else { return };
         let reply = reply(&open);
+        if open.attempts == 0 {
+            self.figures.spent(&open.class, Stage::Unsent, open.since.elapsed());
+        }
         let _ = open.reply.send(reply);
     }
 
-    fn send(&self, id: RequestId, backend: Name, timeout: Option<Millis>) {
+    fn send(&self, id: RequestId, backend: Name, timeout: Millis, blocked: Millis) {
         let mut state = self.state.borrow_mut();
         let State { open, out, .. } = &mut *state;
         // A request that is over, or still has an attempt out, is not sent; an end is owed all the same.
@@ -244,13 +265,19 @@
                 load: None,
             }));
         };
-        let (number, begun) = (request.attempts, Instant::now());
+        let (number, begun, limit) = (request.attempts, Instant::now(), span(timeout));
         request.attempts += 1;
-        let until = timeout.map_or(request.until, |t| request.until.min(begun + span(t)));
-        let patience = timeout.map_or(request.patience, |t| request.patience.min(span(t)));
+        let waited = begun.duration_since(request.since);
+        let blocked = if number == 0 { span(blocked).min(waited) } else { Duration::ZERO };
+        let class = request.class.clone();
+        if number == 0 {
+            self.figures.spent(&class, Stage::Block, blocked);
+        }
+        self.figures.spent(&class, Stage::Room, waited - blocked);
         let (call_off, called_off) = oneshot::channel();
         out.insert(id, Out { number, call_off: Some(call_off) });
         let (message, backends, me) = (request.message.clone(), self.backends.clone(), self.me.clone());
+        let trace = Rc::new(Trace { figures: Some(self.figures.clone()), ..Trace::default() });
         spawn(async move {
             let (first_bytes, engine) = (Cell::new(None), me.clone());
             let begin = |answer| {
@@ -260,20 +287,32 @@
                     engine.post(Event::StreamStarted { id });
                 }
             };
-            let expired = message.expires(until, patience);
-            let end = backends.attempt(&backend, &message, until, expired, called_off, begin).await;
+            let end = backends.attempt(&backend, &message, limit, &trace, called_off, begin).await;
             // A long answer is judged by its first bytes, a long body by what follows it.
-            let latency = millis(first_bytes.get().unwrap_or(message.waited(begun)));
+            let took = first_bytes.get().unwrap_or(message.waited(begun));
             let spent = message.is_spent();
             drop(message);
             if let Some(engine) = me.upgrade() {
-                engine.ended(id, number, backend, end, latency, spent);
+                engine.note(&class, &end, &trace, begun);
+                engine.ended(id, number, backend, end, millis(took), spent);
             }
         });
     }
 
+    /// Where an attempt's time went, and whether that was all of it or its share.
+    fn note(&self, class: &str, end: &End, trace: &Trace, begun: Instant) {
+        let connected = trace.connected.get();
+        self.figures.spent(class, Stage::Connect, connected.map_or(begun.elapsed(), |at| at - begun));
+        if let Some(at) = connected {
+            self.figures.spent(class, Stage::Backend, at.elapsed());
+        }
+        if end.cut {
+            self.figures.cut(class, end.outcome != Outcome::CalledOff);
+        }
+    }
+
     fn ended(&self, id: RequestId, attempt: u32, backend: Name, end: End, latency: Millis, spent: bool) {
-        let End { outcome, answer, load } = end;
+        let End { outcome, answer, load, .. } = end;
         self.state.borrow_mut().out.remove(&id);
         if let Some(answer) = answer {
             self.finish(id, |_| Reply::Served(answer));
@@ -281,7 +320,7 @@
         let finished = {
             let mut state = self.state.borrow_mut();
             let open = state.open.get_mut(&id);
-            open.map(|open| open.timed_out = outcome == Outcome::TimedOut).is_none()
+            open.map(|open| (open.timed_out, open.since) = (end.cut, Instant::now())).is_none()
         };
         let true_units = None;
         self.post(Event::AttemptEnded(AttemptEnd {
--- a/gateway/src/figures.rs
+++ b/gateway/src/figures.rs
@@ -1,10 +1,13 @@
 //! The figures that operators read: plain counters, all zero when the process starts, kept where requests and
 //! attempts end.
 
+use crate::budget::Lateness;
+use crate::clock::millis;
 use doorcourse::{Name, Pool, Settings};
 use serde_json::{Map, Value, json};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,11 +20,45 @@
     Failed,
 }
 
+/// Where the time of a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its body comes in.
+    Body,
+    /// It waits for a block of its customer.
+    Block,
+    /// It waits for a backend with room.
+    Room,
+    /// It waits for either, and is never sent on.
+    Unsent,
+    /// A connection comes up.
+    Connect,
+    /// A backend has it.
+    Backend,
+    /// The answer goes out to the client.
+    PassOn,
+}
+
+const STAGES: [(&str, Stage); 7] = [
+    ("body", Stage::Body),
+    ("block", Stage::Block),
+    ("room", Stage::Room),
+    ("unsent", Stage::Unsent),
+    ("connect", Stage::Connect),
+    ("backend", Stage::Backend),
+    ("pass_on", Stage::PassOn),
+];
+
 #[derive(Default)]
 struct Row {
     ok: Cell<u64>,
     shed: Cell<u64>,
     errors: Cell<u64>,
+    /// For each stage how often it was gone through, and how long that took in all.
+    times: [Cell<(u64, Duration)>; STAGES.len()],
+    /// Attempts that ended because their share of the budget, or all of it, was used up.
+    cut: Cell<u64>,
+    used_up: Cell<u64>,
 }
 
 /// What this process has done since its start.
@@ -31,6 +68,7 @@
     active: Cell<u64>,
     applied: Cell<u64>,
     rejected: Cell<u64>,
+    lateness: Rc<Lateness>,
 }
 
 impl Figures {
@@ -42,9 +80,33 @@
             active: Cell::default(),
             applied: Cell::default(),
             rejected: Cell::default(),
+            lateness: Rc::default(),
         })
     }
 
+    /// How late the event loop runs.
+    pub fn lateness(&self) -> &Rc<Lateness> {
+        &self.lateness
+    }
+
+    fn row(&self, class: &str) -> Option<&Row> {
+        self.classes.iter().find(|(name, _)| **name == *class).map(|(_, row)| row)
+    }
+
+    /// A request of a class has spent this much of its time in a stage.
+    pub fn spent(&self, class: &str, stage: Stage, time: Duration) {
+        let Some(cell) = self.row(class).map(|row| &row.times[stage as usize]) else { return };
+        let (times, sum) = cell.get();
+        cell.set((times + 1, sum + time));
+    }
+
+    /// An attempt ended because its time was over: that of the whole request, or its share of it.
+    pub fn cut(&self, class: &str, whole: bool) {
+        if let Some(cell) = self.row(class).map(|row| if whole { &row.used_up } else { &row.cut }) {
+            cell.set(cell.get() + 1);
+        }
+    }
+
     /// A request is taken; it is active until what this gives back is dropped.
     pub fn taken(self: &Rc<Self>, class: &str) -> Taken {
         self.active.set(self.active.get() + 1);
@@ -69,14 +131,29 @@
 
     /// All figures, as one line of JSON.
     pub fn line(&self, pool: Pool) -> String {
-        let classes = |of: fn(&Row) -> &Cell<u64>| {
-            let pairs = self.classes.iter().map(|(name, row)| (name.to_string(), Value::from(of(row).get())));
+        let classes = |of: fn(&Row) -> Value| {
+            let pairs = self.classes.iter().map(|(name, row)| (name.to_string(), of(row)));
+            Value::Object(pairs.collect::<Map<_, _>>())
+        };
+        let times = |row: &Row| {
+            let pairs = STAGES.iter().map(|(name, stage)| {
+                let (times, sum) = row.times[*stage as usize].get();
+                ((*name).to_owned(), json!([times, millis(sum).round()]))
+            });
             Value::Object(pairs.collect::<Map<_, _>>())
         };
+        let (late, latest) = self.lateness.told();
         json!({
-            "ok": classes(|row| &row.ok),
-            "shed": classes(|row| &row.shed),
-            "errors": classes(|row| &row.errors),
+            "ok": classes(|row| row.ok.get().into()),
+            "shed": classes(|row| row.shed.get().into()),
+            "errors": classes(|row| row.errors.get().into()),
+            "time_ms": classes(times),
+            "tries_cut": classes(|row| row.cut.get().into()),
+            "tries_used_up": classes(|row| row.used_up.get().into()),
+            "too_late": pool.too_late,
+            "retries_denied": pool.retries_denied,
+            "loop_late": late,
+            "loop_late_most_ms": millis(latest).round(),
             "tries": self.tries.get(),
             "active": self.active.get(),
             "pool_size": pool.size,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backends;
 pub mod body;
+pub mod budget;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// The most that is held of what comes in: heads, and a long body's next bytes.
 const BUFFER: usize = 64 * 1024;
@@ -35,12 +36,23 @@
     Whole,
 }
 
-/// How far the present request has been written, and who counts it once it is whole.
+/// What is known of an attempt while it is out, and still when it has been dropped half-way.
+#[derive(Default)]
+pub struct Trace {
+    /// Where it is counted once it is written whole.
+    pub figures: Option<Rc<Figures>>,
+    /// When its connection stood: a new one, or a free one that was there.
+    pub connected: Cell<Option<Instant>>,
+    /// When its last byte was written.
+    pub whole: Cell<Option<Instant>>,
+}
+
+/// How far the present request has been written, and who is told once it is whole.
 struct Sent {
     progress: Cell<Progress>,
     /// Whether the HTTP library has got its last byte.
     handed: RefCell<Rc<Cell<bool>>>,
-    tally: RefCell<Option<Rc<Figures>>>,
+    trace: RefCell<Rc<Trace>>,
 }
 
 /// The socket as the HTTP library sees it; it notes how far the present request has been written.
@@ -96,7 +108,9 @@
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.sent.progress.get() == Progress::Partly && self.sent.handed.borrow().get() {
             self.sent.progress.set(Progress::Whole);
-            if let Some(figures) = self.sent.tally.take() {
+            let trace = self.sent.trace.take();
+            trace.whole.set(Some(Instant::now()));
+            if let Some(figures) = &trace.figures {
                 figures.tried();
             }
         }
@@ -126,7 +140,7 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
         let progress = Cell::new(Progress::Unsent);
-        let sent = Sent { progress, handed: RefCell::default(), tally: RefCell::default() };
+        let sent = Sent { progress, handed: RefCell::default(), trace: RefCell::default() };
         let (stream, sent) = (Rc::new(stream), Rc::new(sent));
         let wire = Wire { stream: stream.clone(), sent: sent.clone() };
         let builder = http1::Builder::new().max_buf_size(BUFFER).clone();
@@ -141,16 +155,15 @@
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the head of the answer. Once the request is written whole it is counted by
-    /// `tally`.
+    /// Sends a request and waits for the head of the answer. `trace` hears when the request is written whole.
     ///
     /// # Errors
     /// When the connection fails first or the answer cannot be read; says how far the request got.
     pub async fn send(
-        &mut self, request: Request<Outgoing>, tally: Option<Rc<Figures>>,
+        &mut self, request: Request<Outgoing>, trace: Rc<Trace>,
     ) -> Result<(response::Parts, Incoming), Progress> {
         self.sent.progress.set(Progress::Unsent);
-        self.sent.tally.replace(tally);
+        self.sent.trace.replace(trace);
         self.sent.handed.replace(request.body().handed());
         let answer = self.sender.send_request(request);
         let answer = drive(&mut self.driver, answer).await;
@@ -179,7 +192,7 @@
     pub async fn exchange(
         &mut self, request: Request<Outgoing>, most: usize,
     ) -> Result<(response::Parts, Bytes), Progress> {
-        let (head, mut body) = self.send(request, None).await?;
+        let (head, mut body) = self.send(request, Rc::default()).await?;
         let mut whole = BytesMut::new();
         while let Some(bytes) = self.bytes(&mut body).await {
             whole.extend_from_slice(&bytes?);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -73,16 +73,11 @@
     let settings = config.settings;
     let figures = Figures::new(&settings);
     let (most_clients, most_open) = shares(config.sockets, 0);
-    let backends = Backends::new(
-        config.connect_timeout,
-        config.backend_idle,
-        settings.reports,
-        most_open,
-        figures.clone(),
-    );
+    let backends = Backends::new(config.connect_timeout, config.backend_idle, settings.reports, most_open);
     // Two processes may run on one configuration, and by one seed chance would choose alike.
     let seed = config.seed ^ predecessor.as_ref().map_or(0, |_| u64::from(std::process::id()) << 16);
-    let engine = match Engine::start(settings.clone(), seed, backends.clone(), config.counter) {
+    let engine = Engine::start(settings.clone(), seed, backends.clone(), config.counter, figures.clone());
+    let engine = match engine {
         Ok(engine) => engine,
         Err(error) => return unusable(&error),
     };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -194,6 +194,10 @@
     pub size: usize,
     /// How many of these are avoided now: taken out by operators, or ejected.
     pub ejected: usize,
+    /// Requests refused unsent since the start, as too little of their time was left.
+    pub too_late: u64,
+    /// Further attempts not made since the start, as they would have been too many beside the fresh ones.
+    pub retries_denied: u64,
 }
 
 /// A backend's report of its own load; each value only where the site has it.
@@ -261,8 +265,8 @@
     pub units: f64,
     /// Whether the client marks it as a repeat of an earlier try.
     pub repeat: bool,
-    /// How long until the client gives up.
-    pub patience: Millis,
+    /// When the client gives up, on the host's clock: it began to wait before this event is told.
+    pub deadline: Millis,
     /// The number of the first gateway of the customer's set; the others follow in a row, counted round.
     pub first: u32,
     /// How many gateways the customer's requests come in through.
@@ -368,8 +372,10 @@
         id: RequestId,
         /// Where to.
         backend: Name,
-        /// The attempt's time-out; `None` until the client gives up.
-        timeout: Option<Millis>,
+        /// How long it may take from now on, its connection included; never more than its client waits.
+        timeout: Millis,
+        /// How long the request had waited for its customer's block before it first asked for a backend.
+        blocked: Millis,
     },
     /// Final answer: refused, harmless to try again.
     Refuse {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //!     started: None };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
 //! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
-//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1 }), &mut actions);
+//!     class: "read".into(), units: 1.0, repeat: false, deadline: 1900.0, first: 0, spread: 1 }), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), doorcourse::SettingsError>(())
 //! ```
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,6 +63,17 @@
 const LAST_TICKS: f64 = 2.0;
 /// A safe request that may have run is tried this often at most: what two backends cannot do is costly.
 const REPEAT_MOST: u32 = 2;
+/// A try that another one may follow is stalled after this share of the time in which that one is to be
+/// served, but not before this many usual latencies: fewer cut off what is slow, above all in overload.
+const TRY_SHARE: f64 = 0.5;
+const TRY_LATENCIES: f64 = 6.0;
+/// Half of all answers take longer than this many usual latencies: with less time left none is likely.
+const LIKELY: f64 = 0.7;
+/// Further tries after one that reached a backend are at most this share of the fresh requests ...
+const RETRY_SHARE: f64 = 0.2;
+/// ... and at first so many over all gateways, of which each has a few.
+const RETRY_BURST: f64 = 30.0;
+const RETRY_FEW: f64 = 2.0;
 
 // ---- Backends ----
 /// Weight of the newest answer in the share of late ones, and of the newest first total in a plan's odds.
@@ -132,8 +143,9 @@
     detached: bool,
     returned: Option<Millis>,
     started: Option<Millis>,
-    /// When it was last sent something.
+    /// When it was last sent something, and when it last answered anything.
     sent: Millis,
+    heard: Millis,
     #[serde(skip)]
     out: u32,
     /// How many this gateway keeps out here at most.
@@ -336,7 +348,10 @@
     blind: bool,
     repeat: bool,
     arrived: Millis,
-    deadline: Millis,
+    /// Its answer leaves by then, a little before its client gives up.
+    answer_by: Millis,
+    /// When it first asked for a backend.
+    placed: Option<Millis>,
     hold_until: Millis,
     stage: Stage,
     attempts: u32,
@@ -344,6 +359,7 @@
     /// Its body is gone: there is no further attempt.
     spent: bool,
     sent_at: Millis,
+    sent_to: Option<Name>,
 }
 
 /// What a process leaves to the one that takes over from it under the same name: blocks, totals and what it
@@ -384,8 +400,13 @@
     counter_heard: Millis,
     told_silent: bool,
     class_latency: Vec<f64>,
+    class_seen: Vec<f64>,
     late: f64,
     sweeping: bool,
+    /// Further tries that may still be made.
+    retries: f64,
+    too_late: u64,
+    retries_denied: u64,
 }
 
 /// From when on the rate's gifts are told by a window's count: with few gateways, which know their customers,
@@ -394,6 +415,11 @@
     if many && back_at < began { began } else { now }
 }
 
+/// The most further tries that one gateway saves up: few, where many gateways do.
+fn retry_most(settings: &Settings) -> f64 {
+    (RETRY_BURST / f64::from(settings.gateways)).max(RETRY_FEW)
+}
+
 impl Gateway {
     /// A gateway that knows its settings and nothing else.
     ///
@@ -402,8 +428,19 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
+        let class_seen = class_latency.clone();
         let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
-        Ok(Self { settings, random: mix(seed | 1), ease: 1.0, plan_odds, class_latency, ..Self::default() })
+        let (random, retries) = (mix(seed | 1), retry_most(&settings));
+        Ok(Self {
+            settings,
+            random,
+            ease: 1.0,
+            retries,
+            plan_odds,
+            class_latency,
+            class_seen,
+            ..Self::default()
+        })
     }
 
     /// Takes one event at a time and appends what the host is to do.
@@ -462,6 +499,7 @@
         }
         if class_latency.len() == self.class_latency.len() {
             self.class_latency = class_latency;
+            self.class_seen.fill(1.0 / USUAL_WEIGHT);
         }
     }
 
@@ -541,7 +579,8 @@
     pub fn pool(&self, now: Millis) -> Pool {
         let listed = self.backends.values().filter(|b| b.state != BackendState::Gone);
         let ejected = listed.clone().filter(|b| b.detached || now < b.eject_until).count();
-        Pool { size: listed.count(), ejected }
+        let (too_late, retries_denied) = (self.too_late, self.retries_denied);
+        Pool { size: listed.count(), ejected, too_late, retries_denied }
     }
 
     // ---- Requests ----
@@ -555,9 +594,10 @@
         };
         let now = self.now;
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
-        let (arrived, deadline) = (now, now + arrival.patience);
+        let answer_by = arrival.deadline - LAST_TICKS * self.settings.tick;
         let (customer, repeat, rest) = (name.clone(), arrival.repeat, Request::default());
-        self.requests.insert(id, Request { customer, plan, class, units, repeat, arrived, deadline, ..rest });
+        let rest = Request { arrived: now, answer_by, ..rest };
+        self.requests.insert(id, Request { customer, plan, class, units, repeat, ..rest });
         let customer = self.customers.entry(name.clone()).or_insert_with(|| {
             let (salt, store) = (hash(&name) >> 8, Customer::start_of(&self.settings.plans[plan]));
             Customer { plan, salt, store, store_at: now, demand_at: now, ..Customer::default() }
@@ -701,7 +741,7 @@
     fn hold(&mut self, id: RequestId, stage: Stage, until: Millis, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = stage;
-        request.hold_until = until.min(request.deadline - LAST_TICKS * self.settings.tick);
+        request.hold_until = until.min(request.answer_by - LIKELY * self.class_latency[request.class]);
         let after = (request.hold_until - self.now).max(0.0);
         out.push(Action::SetTimer { after, token: id * 2 });
     }
@@ -711,7 +751,15 @@
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Queue;
+        request.placed.get_or_insert(self.now);
         let (fresh, class, blind) = (request.attempts == 0, request.class, request.blind);
+        if self.now + LIKELY * self.class_latency[class] > request.answer_by {
+            // Who refuses all learns no more of latencies: what it believes of them fades.
+            self.class_latency[class] *= 1.0 - USUAL_WEIGHT;
+            request.answer_by = self.now;
+            self.too_late += 1;
+            return self.give_up(id, out);
+        }
         if fresh && !self.taken(class, blind) {
             return self.give_up(id, out);
         }
@@ -745,6 +793,7 @@
         match request.stage {
             Stage::Queue if over => self.give_up(id, out),
             Stage::Block if over => self.by_slice(id, out),
+            Stage::Out if over => self.on_stall(id, out),
             _ => {}
         }
     }
@@ -753,10 +802,9 @@
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[request.class];
-        let harmless = request.may_have_run.is_none()
-            || class.effect == Effect::Safe
-            || (class.effect == Effect::Keyed && class.group == Group::All);
-        if harmless && self.now < request.deadline {
+        let repeatable =
+            class.effect == Effect::Safe || class.effect == Effect::Keyed && class.group == Group::All;
+        if request.may_have_run.is_none() || repeatable && self.now < request.answer_by {
             let wait = self.settings.longest_advice * (0.3 + 0.4 * self.chance());
             self.refuse(id, wait, out);
         } else {
@@ -785,17 +833,54 @@
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let chosen = if self.open_allowed(id) { self.pick(id) } else { None };
         let Some(name) = chosen else { return false };
+        let stalled_after = self.requests.get(&id).and_then(|request| self.stalled_after(request));
         let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
         let (Some(request), Some(backend)) = (request, backend) else { return false };
         (backend.out, backend.sent) = (backend.out + 1, self.now);
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.open += 1;
         }
+        if request.attempts == 0 {
+            self.retries = (self.retries + RETRY_SHARE).min(retry_most(&self.settings));
+        }
         (request.stage, request.sent_at, request.attempts) = (Stage::Out, self.now, request.attempts + 1);
-        out.push(Action::Send { id, backend: name, timeout: None });
+        request.sent_to = Some(name.clone());
+        let (timeout, blocked) = (request.answer_by - self.now, request.placed.unwrap_or(self.now));
+        out.push(Action::Send { id, backend: name, timeout, blocked: blocked - request.arrived });
+        request.hold_until = stalled_after.map_or(f64::INFINITY, |after| self.now + after);
+        if let Some(after) = stalled_after {
+            out.push(Action::SetTimer { after, token: id * 2 });
+        }
         true
     }
 
+    /// After how long without a word the try that is to be sent now is stalled, if another one may follow:
+    /// within the aim or, if answers take longer and few are late, while its client waits.
+    fn stalled_after(&self, request: &Request) -> Option<Millis> {
+        let (class, usual) = (&self.settings.classes[request.class], self.class_latency[request.class]);
+        let (left, aim) = (request.answer_by - self.now, request.arrived + class.aim - self.now);
+        let share = |time: Millis| (time * TRY_SHARE).max(usual * TRY_LATENCIES);
+        let times = if self.take() < 1.0 { [aim.min(left); 2] } else { [aim.min(left), left] };
+        let time = times.into_iter().find(|time| share(*time) + usual <= *time)?;
+        let tries = REPEAT_MOST.min(self.settings.most_attempts);
+        let again = class.effect != Effect::Unsafe && request.attempts + 1 < tries && self.settings.cancel;
+        again.then(|| share(time))
+    }
+
+    /// Calls a stalled try off while there is time for another one. Who has answered others meanwhile is
+    /// slow, not stalled; without another backend or further tries it is left to run.
+    fn on_stall(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let heard = |name: &Name| self.backends.get(name).is_some_and(|b| b.heard > request.sent_at);
+        let free = |(name, b): (&Name, &Backend)| {
+            b.ready() && self.now >= b.eject_until && request.sent_to.as_ref() != Some(name)
+        };
+        let slow = request.sent_to.as_ref().is_some_and(heard);
+        if !slow && self.retries >= 1.0 && self.backends.iter().any(free) {
+            out.push(Action::CallOff { id, attempt: request.attempts - 1 });
+        }
+    }
+
     /// The open cap, shared evenly: the gateways first in the customer's set take what does not divide.
     fn open_allowed(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
@@ -879,16 +964,23 @@
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
                 }
                 backend.failures = 0;
-                *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
+                let seen = &mut self.class_seen[class];
+                *seen += 1.0;
+                *usual += (latency - *usual) * USUAL_WEIGHT.max(1.0 / *seen);
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
-            Outcome::NeverSent | Outcome::CalledOff => return,
+            Outcome::NeverSent => return,
+            // Its client has left; else it was called off as stalled.
+            Outcome::CalledOff if !self.requests.contains_key(&end.id) => return,
             Outcome::Full => true,
             // A client with little time left proves nothing of the fleet, one that left nothing at all.
             _ => latency > *usual * LATE_LATENCIES,
         };
         backend.note_latency(late);
         self.late += NEWEST * (f64::from(u8::from(late)) - self.late);
+        if matches!(end.outcome, Outcome::Served | Outcome::Error | Outcome::Full) {
+            backend.heard = now;
+        }
         let lost = end.outcome != Outcome::Served;
         if lost && backend.failed(now, latency, &self.settings) {
             out.push(Action::Log(format!("backend {name} ejected: {EJECT_TOLD} failures in a row")));
@@ -912,7 +1004,18 @@
         if !never_ran && request.may_have_run.is_none() {
             request.may_have_run = Some((request.sent_at, end.backend));
         }
-        if self.may_try_again(id) { self.place(id, out) } else { self.give_up(id, out) }
+        let again = self.may_try_again(id) && self.may_load_again(outcome);
+        if again { self.place(id, out) } else { self.give_up(id, out) }
+    }
+
+    /// Guards all backends against a part of them that is slow or failing: what it leaves undone would come
+    /// to the others on top. A connection that never came up has loaded nobody.
+    fn may_load_again(&mut self, outcome: Outcome) -> bool {
+        let free = matches!(outcome, Outcome::ConnectFailed | Outcome::NeverSent);
+        let allowed = free || self.retries >= 1.0;
+        self.retries -= f64::from(u8::from(allowed && !free));
+        self.retries_denied += u64::from(!allowed);
+        allowed
     }
 
     fn may_try_again(&self, id: RequestId) -> bool {
@@ -926,7 +1029,7 @@
         };
         allowed
             && !request.spent
-            && request.deadline - self.now > last
+            && request.answer_by > self.now
             && request.attempts < self.settings.most_attempts
     }
 
