Go on in the old process's time when the system's clock was set before a handover

Need: what is handed over (blocks, stores, ejections, windows) stands in the old process's time, which it read once at its start. A system clock that was set between the two starts moved the new process's time against it: a block belonged to a window long past, and a store filled for an hour that never was.

Change: the old process tells its time with what it hands over. If the new one's differs by more than 2 s, well above what a handover takes, it goes on in the old time, so that its windows stay those of the other gateways, and says so in one log line. Older versions tell no time, and nothing changes then. Rejected: moving each time in the estate by the step, which would leave the blocks in windows of another number.

--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -4,6 +4,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
+/// Two processes of a gateway whose clocks differ by more than this many ms were started on either side of a step of
+/// the system's clock: well above what a handover takes.
+const STEP: Millis = 2000.0;
+
 /// Unix time in milliseconds. Count names are made of window numbers, so all gateways must agree on it; it is
 /// read once from the system and then advanced by the steady clock, so that it never jumps or runs back.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +35,15 @@
         let before = self.start.saturating_duration_since(moment).as_secs_f64();
         (self.unix.as_secs_f64() + since - before) * 1000.0
     }
+
+    /// The clock of another process of this gateway that told the time just now, if the system's clock was set in
+    /// between: what is handed over stands in that time, and so do the windows that the other gateways count in.
+    /// A small difference is the way from there to here.
+    pub fn following(self, told: Millis) -> Option<Self> {
+        let step = told - self.now();
+        let unix = Duration::try_from_secs_f64(self.unix.as_secs_f64() + step / 1000.0).ok()?;
+        (step.abs() > STEP).then_some(Self { unix, ..self })
+    }
 }
 
 /// A span of milliseconds as a duration; what is negative or no number is zero.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -55,7 +55,7 @@
 
 /// Runs the decisions.
 pub struct Engine {
-    clock: Clock,
+    clock: Cell<Clock>,
     backends: Rc<Backends>,
     counter: Option<Counter>,
     figures: Rc<Figures>,
@@ -88,7 +88,7 @@
                 Counter::start(address, patience, Rc::new(report))
             });
             Self {
-                clock: Clock::anchored(),
+                clock: Cell::new(Clock::anchored()),
                 backends,
                 counter,
                 figures,
@@ -102,7 +102,7 @@
 
     /// The time of a moment, on the clock of the decisions.
     pub fn at(&self, moment: Instant) -> Millis {
-        self.clock.at(moment)
+        self.clock.get().at(moment)
     }
 
     /// How late the event loop runs.
@@ -153,14 +153,20 @@
         }
     }
 
-    /// What another process of this gateway goes on with.
-    pub fn hand_over(&self) -> Estate {
-        self.state.borrow_mut().gateway.hand_over()
+    /// What another process of this gateway goes on with, and the time by the clock that it stands in.
+    pub fn hand_over(&self) -> (Estate, Millis) {
+        (self.state.borrow_mut().gateway.hand_over(), self.clock.get().now())
     }
 
-    /// Goes on where another process stopped.
-    pub fn take_over(&self, estate: Estate) {
-        self.state.borrow_mut().gateway.take_over(estate);
+    /// Goes on where another process stopped, whose clock showed this time just now. Older versions do not tell.
+    pub fn take_over(&self, estate: Estate, told: Option<Millis>) {
+        let clock = self.clock.get();
+        if let Some((told, following)) = told.and_then(|told| Some((told, clock.following(told)?))) {
+            let step = clock.now() - told;
+            eprintln!("handover: the system's clock was set by {step:.0} ms; the time handed over goes on");
+            self.clock.set(following);
+        }
+        self.state.borrow_mut().gateway.take_over(estate, self.clock.get().now());
     }
 
     /// Whether the counter can be called, if there is one.
@@ -170,7 +176,7 @@
 
     /// What operators are shown of the backends.
     pub fn pool(&self) -> Pool {
-        self.state.borrow().gateway.pool(self.clock.now())
+        self.state.borrow().gateway.pool(self.clock.get().now())
     }
 
     /// How many requests wait for their final answer.
@@ -188,7 +194,7 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            self.state.borrow_mut().gateway.handle(self.clock.now(), event, &mut actions);
+            self.state.borrow_mut().gateway.handle(self.clock.get().now(), event, &mut actions);
             actions.drain(..).for_each(|action| self.perform(action));
         }
         self.running.set(false);
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -47,6 +47,8 @@
 #[derive(Deserialize, Serialize)]
 struct Legacy {
     estate: Estate,
+    /// The time as it was handed over, by the clock that the estate's times are of.
+    now: Option<f64>,
     list: Value,
     lame_duck: bool,
     /// Connections of clients that are still there.
@@ -124,7 +126,7 @@
         let legacy = legacy?;
         let list = List::from_value(&legacy.list).map_err(io::Error::other)?;
         parts.front.set_lame_duck(legacy.lame_duck);
-        parts.engine.take_over(legacy.estate);
+        parts.engine.take_over(legacy.estate, legacy.now);
         discovery::tell(list, &parts.backends, &parts.engine);
         parts.detached.tell_again();
         Ok(())
@@ -181,7 +183,8 @@
     let guests = parts.front.hand_over();
     parts.backends.close_idle();
     let list = parts.backends.list().to_value();
-    let legacy = Legacy { estate: parts.engine.hand_over(), list, lame_duck, guests };
+    let (estate, now) = parts.engine.hand_over();
+    let legacy = Legacy { estate, now: Some(now), list, lame_duck, guests };
     let mut text = serde_json::to_vec(&legacy)?;
     text.push(b'\n');
     // From here on there is no way back: what the estate holds may be in use already.
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -5,12 +5,16 @@
 use helper::{
     Backend, Client, Do, Gateway, Heard, Mood, Setup, World, hear, ok, pause, request, row, soon, until,
 };
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 use std::collections::HashMap;
+use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UnixListener};
 
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 
@@ -247,6 +251,83 @@
     assert_eq!((orders(&silent), orders(&good)), (1, 0), "the new process knows nothing of it");
 }
 
+/// Gives a listener to the process that asks for it, and an estate in the time of a clock that is an hour behind.
+async fn predecessor(path: std::path::PathBuf, listener: std::net::TcpListener, list: String) {
+    let socket = UnixListener::bind(path).expect("a socket");
+    let (stream, _) = socket.accept().await.expect("the new process");
+    stream.writable().await.expect("writable");
+    {
+        let fds = [listener.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        assert!(control.push(SendAncillaryMessage::ScmRights(&fds)));
+        sendmsg(&stream, &[IoSlice::new(b"L")], &mut control, SendFlags::NOSIGNAL).expect("sent");
+    }
+    drop(listener);
+    let mut stream = BufReader::new(stream);
+    let mut said = String::new();
+    stream.read_line(&mut said).await.expect("a line");
+    assert_eq!(said, "take\n");
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_secs_f64() * 1000.0;
+    let now = unix - 3_600_000.0;
+    // A turn of 10,000 s: the window at that time, with what is left of its block and nothing in the store.
+    let length = 10_000_000.0;
+    let salt = 7;
+    let window = ((now + f64::from(salt) / 1024.0 * length) / length).floor() as u64;
+    let text = format!(
+        r#"{{"estate":{{"customers":{{"00000000b4d65521":{{"plan":0,"spread":1.0,"place":0,"salt":{salt},
+        "window":{window},"lease":3.0,"added":10.0,"seen":10.0,"store":0.0,"store_at":{now},"known":true,
+        "heard":{now},"demand":0.001,"demand_at":{now},"ask_from":{now}}}}},"ease":1.0}},
+        "now":{now},"list":{list},"lame_duck":false,"guests":0}}"#
+    );
+    let text = text.replace('\n', "") + "\n";
+    stream.write_all(text.as_bytes()).await.expect("handed over");
+    std::future::pending().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_handed_over_holds_although_the_system_s_clock_was_set_meanwhile() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let rows = [row("b", backend.at, "in_service")];
+    let setup = Setup { rate: 0.001, burst: 10.0, ..Setup::operated(&rows) };
+    let path = setup.place.as_ref().expect("a place").0.join("fennelscale-t.handover");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+    listener.set_nonblocking(true).expect("set");
+    let other = tokio::spawn(predecessor(path.clone(), listener, helper::list(1, true, &rows)));
+    until("the other process", || path.exists()).await;
+    let world = World::set(&setup, Mood::Busy).await;
+    let mut served = 0;
+    for _ in 0..8 {
+        let reply = world.gateway.client().await.ask(&request("look", 5000, "", "")).await;
+        served += usize::from(reply.status() == 200);
+    }
+    // In its own time the block would belong to a window long past, and a whole hour's fill would have come in.
+    assert_eq!(served, 3, "the three units handed over, and no more");
+    other.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unusable_time_to_end_in_is_named() {
+    for value in ["0", "-1", "1e99", "\"soon\""] {
+        let path = std::env::temp_dir().join(format!("fennelscale-grace-{}.json", std::process::id()));
+        let text = format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{{"grace_ms":{value}}},
+            "settings":{{"fleet-size":1,"classes":[{{"name":"a","effect":"idempotent"}}]}}}}"#
+        );
+        std::fs::write(&path, text).expect("a file");
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+            .env("NODE_CONFIG", &path)
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .output()
+            .expect("a process");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{value}: {said}");
+        assert!(said.contains("grace_ms"), "{said}");
+        std::fs::remove_file(&path).expect("removed");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_pipelined_request_has_waited_since_it_came() {
     let backend = Backend::start(&[Do::SayLater(400, ok("x")), Do::Say(ok("y"))]).await;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -491,8 +491,10 @@
         Estate { customers, backends, told, plan_odds, class_latency, ease, late }
     }
 
-    /// Goes on where another process stopped; its list comes along, what operators detached is told anew.
-    pub fn take_over(&mut self, estate: Estate) {
+    /// Goes on where another process stopped, in its time; its list comes along, what operators detached is
+    /// told anew.
+    pub fn take_over(&mut self, estate: Estate, now: Millis) {
+        self.now = now;
         let Estate { mut customers, backends, told, plan_odds, class_latency, ease, late } = estate;
         customers.retain(|_, customer| customer.plan < self.settings.plans.len());
         (self.customers, self.told, self.late) = (customers, told, late);
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -134,7 +134,7 @@
     old.end(1, 0, &at, Outcome::Served);
     let text = serde_json::to_string(&old.gateway.hand_over()).expect("text");
     let mut new = Door::new(settings(), &[]);
-    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"));
+    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"), new.now);
     for id in 2..=5 {
         let (_, at) =
             sent(&new.ask(id, "c", "plain", "safe")).expect("one of the four units left of the block");
@@ -152,7 +152,7 @@
     fewer.plans.truncate(1);
     fewer.classes.truncate(1);
     let mut new = Door::new(fewer, &["a1"]);
-    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"));
+    new.gateway.take_over(serde_json::from_str(&text).expect("an estate"), new.now);
     new.served(1, "d", "plain", "safe");
 }
 
