Call a try off although its backend answers others: its connection may be blind alone

A probe in the log told of each stalled try: of 168 looked at (at 200 ms, usual answers 20 ms), 143 were held for slow because their backend had answered another request since, and 150 of the tries of `reading` then ran to their end, at 1423 ms in the mean, all with free backends and further tries at hand.

Ruled out: connecting (a free connection was used at once, the request written whole in the same ms); the bound on further tries (15 left each time); want of a free backend (none of the 168). At fault: `slow` in `on_stall`. A machine that is cut off and comes back leaves old connections blind while new ones work, so that the backend's other answers say nothing of this connection.

Change: who answers others gives the try twice as long, twelve usual latencies; then it is called off all the same, if another one is still likely within the time that counts.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -875,16 +875,23 @@
         again.then(|| share(time))
     }
 
-    /// Calls a stalled try off while there is time for another one. Who has answered others meanwhile is
-    /// slow, not stalled; without another backend or further tries it is left to run.
+    /// Calls a stalled try off while there is time for another one. Who has answered others meanwhile may be
+    /// slow and gets twice as long, but its connection may have gone blind alone. Without another backend or
+    /// further tries it is left to run.
     fn on_stall(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let heard = |name: &Name| self.backends.get(name).is_some_and(|b| b.heard > request.sent_at);
-        let free = |(name, b): (&Name, &Backend)| {
-            b.ready() && self.now >= b.eject_until && request.sent_to.as_ref() != Some(name)
-        };
-        let slow = request.sent_to.as_ref().is_some_and(heard);
-        if !slow && self.retries >= 1.0 && self.backends.iter().any(free) {
+        let late = self.take() < 1.0;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let aim = request.arrived + self.settings.classes[request.class].aim;
+        let useful = if late { aim.min(request.answer_by) } else { request.answer_by };
+        let usual = self.class_latency[request.class];
+        let sent_to = |name: &Name| request.sent_to.as_ref() == Some(name);
+        let free = |(name, b): (&Name, &Backend)| b.ready() && self.now >= b.eject_until && !sent_to(name);
+        let heard = self.backends.iter().any(|(name, b)| sent_to(name) && b.heard > request.sent_at);
+        let more = request.sent_at + usual * TRY_LATENCIES * 2.0 - self.now;
+        if heard && more > 0.0 {
+            request.hold_until = self.now + more;
+            out.push(Action::SetTimer { after: more, token: id * 2 });
+        } else if self.retries >= 1.0 && self.now + usual <= useful && self.backends.iter().any(free) {
             out.push(Action::CallOff { id, attempt: request.attempts - 1 });
         }
     }
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -77,16 +77,27 @@
 }
 
 #[test]
-fn who_answers_others_is_slow_and_not_stalled() {
+fn at_a_backend_that_answers_others_a_try_has_twice_as_long() {
     let mut door = Door::new(settings(), &["a1", "a2"]);
-    let (at, _) = limit(&let_in(&mut door, 1, "c", "safe")).expect("sent");
+    for id in 100..160 {
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        door.end_after(80.0, id, 0, &at, Outcome::Served);
+    }
+    let did = let_in(&mut door, 1, "c", "safe");
+    let ((at, _), first) = (limit(&did).expect("sent"), stalled(&did, 1).expect("a timer"));
+    assert!((first - 480.0).abs() < 1.0, "six usual latencies: {first}");
     door.now += 100.0;
     let beside = (2..=4).find(|id| {
         let (other, _) = limit(&let_in(&mut door, *id, &format!("c{id}"), "safe")).expect("sent");
         other == at
     });
-    door.end_after(10.0, beside.expect("another one at the same backend"), 0, &at, Outcome::Served);
-    assert!(!called_off(&door.pass(300.0, &[1]), 1));
+    door.end_after(80.0, beside.expect("another one at the same backend"), 0, &at, Outcome::Served);
+    let did = door.pass(first - 100.0, &[1]);
+    assert!(!called_off(&did, 1), "it may be slow");
+    let more = stalled(&did, 1).expect("a second timer");
+    assert!((first + more - 960.0).abs() < 3.0, "twelve usual latencies: {first} and {more}");
+    // Its connection may have gone blind while others have not.
+    assert!(called_off(&door.pass(more, &[1]), 1));
 }
 
 #[test]
