Test of closed free connections: wait until the close has arrived at the gateway's side

`a_free_connection_that_its_backend_closed_is_not_written_to` failed once, 502 for 200: a request was written to a connection that had been closed. What was checked: `stands` asks the kernel itself before a write, and nothing lies between; the test however went on when the backend had made its close, not when the kernel had brought it to the gateway's socket, which it may do later on a busy machine. That gap is closed: the test waits until the kernel's table shows no open connection there. That the table shows an open one is asserted where one is kept.

--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -96,6 +96,7 @@
     for n in 1..=10 {
         assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), 200);
         helper::until("the backend's close", || backend.closed() == n).await;
+        helper::until("the close at the gateway", || backend.held_open() == 0).await;
     }
     assert_eq!(backend.attempts(), 10);
 }
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -148,6 +148,18 @@
     pub fn closed(&self) -> u32 {
         self.closed.load(Ordering::SeqCst)
     }
+
+    /// How many connections to it the kernel holds for open at the side that made them: a close by this side is there
+    /// a moment after it was made, or later on a busy machine.
+    pub fn held_open(&self) -> usize {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
+        let remote = format!(":{:04X}", self.at.port());
+        let open = |line: &&str| {
+            let words: Vec<_> = line.split_ascii_whitespace().collect();
+            words.len() > 3 && words[2].ends_with(&remote) && words[3] == "01"
+        };
+        table.lines().skip(1).filter(open).count()
+    }
 }
 
 /// One line of the list.
--- a/gateway/tests/requests.rs
+++ b/gateway/tests/requests.rs
@@ -34,7 +34,7 @@
     for _ in 0..20 {
         assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), 200);
     }
-    assert_eq!((backend.attempts(), backend.opened()), (20, 1));
+    assert_eq!((backend.attempts(), backend.opened(), backend.held_open()), (20, 1, 1));
 }
 
 #[tokio::test(flavor = "multi_thread")]
