Show what the process costs in INFO: processor time, memory, descriptors by use, reuse

Need: nobody could say what a request costs, or which use holds the descriptors.

Change: `cost.rs`. Who holds a connection holds an entry that counts it by use until it is dropped; further counts are connections opened and used again, counter calls and requests. Processor time, memory and the number of descriptors are read from the kernel when `INFO` asks. On the way of a request there are plain counters alone.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -3,6 +3,7 @@
 use crate::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
 use crate::budget::Budget;
 use crate::clock::millis;
+use crate::cost::{Cost, Use};
 use crate::discovery::{Host, List};
 use crate::link::{Link, Progress, Trace};
 use bytes::{Bytes, BytesMut};
@@ -176,12 +177,13 @@
     reports: Reports,
     most_open: Cell<usize>,
     busy: Rc<Cell<usize>>,
+    cost: Rc<Cost>,
 }
 
 impl Backends {
     /// No backends yet; at most `most_open` connections to all of them together.
     pub fn new(
-        connect_timeout: Duration, backend_idle: Duration, reports: Reports, most_open: usize,
+        connect_timeout: Duration, backend_idle: Duration, reports: Reports, most_open: usize, cost: Rc<Cost>,
     ) -> Rc<Self> {
         Rc::new(Self {
             known: RefCell::default(),
@@ -191,6 +193,7 @@
             reports,
             most_open: Cell::new(most_open),
             busy: Rc::default(),
+            cost,
         })
     }
 
@@ -406,9 +409,13 @@
             let from_pool = pooled.is_some();
             let slot = self.slot().ok_or(Outcome::NeverSent)?;
             let mut link = match pooled {
-                Some(link) => link,
+                Some(link) => {
+                    self.cost.reused();
+                    link
+                }
                 None => {
-                    Link::connect(dial, self.connect_timeout).await.map_err(|_| Outcome::ConnectFailed)?
+                    let link = Link::connect(dial, self.connect_timeout, &self.cost, Use::Backend).await;
+                    link.map_err(|_| Outcome::ConnectFailed)?
                 }
             };
             // Guards drains: while the connection came up the list may have changed.
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::backends::{Answer, Message, Payload, spawn};
 use crate::body::{ClientBody, Content, Cut, Ended, HELD, LARGEST, Upload};
 use crate::budget::Budget;
+use crate::cost::Use;
 use crate::engine::{Engine, Reply};
 use crate::figures::{Ending, Figures, Stage, Taken};
 use bytes::{Bytes, BytesMut};
@@ -399,12 +400,16 @@
     fn welcome(self: Rc<Self>, stream: TcpStream) {
         let guest = Guest::new();
         self.guests.borrow_mut().push(guest.clone());
+        let held = self.figures.cost().holds(Use::Client);
         spawn(async move {
+            // Dropped after the connection, which is made later.
+            let _held = held;
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
                     let busy = guest.asks();
+                    front.figures.cost().asked();
                     let whole_by =
                         if guest.answered.get() { Instant::now() } else { guest.since.get() } + IDLE;
                     let mut response = front.answer(request, whole_by, &guest).await;
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -3,6 +3,7 @@
 
 use crate::backends::spawn;
 use crate::clients::Front;
+use crate::cost::Use;
 use crate::detached::Detached;
 use crate::engine::Engine;
 use crate::figures::Figures;
@@ -61,8 +62,9 @@
                 }
                 callers.push_back(stay);
             }
-            let console = self.clone();
+            let (console, held) = (self.clone(), self.figures.cost().holds(Use::Console));
             spawn(async move {
+                let _held = held;
                 tokio::select! {
                     // Who breaks off has no reply coming.
                     _ = console.hear(stream) => {}
--- /dev/null
+++ b/gateway/src/cost.rs
@@ -0,0 +1,178 @@
+//! What the process costs: descriptors by use, connections opened and used again, calls and requests, and the kernel's
+//! own accounts of processor time and memory.
+//!
+//! Invariants: who holds a connection holds its [`Held`], so that the open ones of each use are those that live; on the
+//! way of a request nothing but plain counters is touched; the kernel is asked only when the figures are.
+
+use serde_json::{Map, Value, json};
+use std::cell::Cell;
+use std::fs;
+use std::rc::Rc;
+
+/// The kernel's unit of processor time in /proc, in ms: 100 a second on every Linux.
+const TICK_MS: u64 = 10;
+
+/// What a connection is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// A client's.
+    Client,
+    /// To a backend.
+    Backend,
+    /// To the counter.
+    Counter,
+    /// To discovery.
+    Discovery,
+    /// An operator's.
+    Console,
+}
+
+const USES: [(&str, Use); 5] = [
+    ("clients", Use::Client),
+    ("backends", Use::Backend),
+    ("counter", Use::Counter),
+    ("discovery", Use::Discovery),
+    ("console", Use::Console),
+];
+
+/// Counted since the process started.
+#[derive(Default)]
+pub struct Cost {
+    open: [Cell<u64>; USES.len()],
+    opened: [Cell<u64>; USES.len()],
+    reused: Cell<u64>,
+    counter_calls: Cell<u64>,
+    requests: Cell<u64>,
+}
+
+/// A connection that is open for as long as this lives.
+pub struct Held {
+    cost: Rc<Cost>,
+    of: Use,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let open = &self.cost.open[self.of as usize];
+        open.set(open.get() - 1);
+    }
+}
+
+fn add_one(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+impl Cost {
+    /// A connection has come up.
+    pub fn holds(self: &Rc<Self>, of: Use) -> Held {
+        add_one(&self.open[of as usize]);
+        add_one(&self.opened[of as usize]);
+        Held { cost: self.clone(), of }
+    }
+
+    /// A free connection to a backend is used again.
+    pub fn reused(&self) {
+        add_one(&self.reused);
+    }
+
+    /// The counter is called.
+    pub fn counter_called(&self) {
+        add_one(&self.counter_calls);
+    }
+
+    /// A request has come, whatever becomes of it.
+    pub fn asked(&self) {
+        add_one(&self.requests);
+    }
+
+    /// All of it, with what the kernel says now.
+    pub fn told(&self) -> Value {
+        let by_use = |counts: &[Cell<u64>]| -> Map<String, Value> {
+            USES.iter().map(|(name, of)| ((*name).to_owned(), counts[*of as usize].get().into())).collect()
+        };
+        let kernel = Kernel::now();
+        let mut descriptors = by_use(&self.open);
+        let counted: u64 = self.open.iter().map(Cell::get).sum();
+        descriptors.insert("other".into(), kernel.descriptors.map(|all| all.saturating_sub(counted)).into());
+        json!({
+            "user_ms": kernel.user_ms,
+            "system_ms": kernel.system_ms,
+            "resident_kb": kernel.resident_kb,
+            "peak_kb": kernel.peak_kb,
+            "descriptors": descriptors,
+            "opened": by_use(&self.opened),
+            "reused": self.reused.get(),
+            "counter_calls": self.counter_calls.get(),
+            "requests": self.requests.get(),
+        })
+    }
+}
+
+/// The kernel's accounts of this process; what cannot be read is not there.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Kernel {
+    user_ms: Option<u64>,
+    system_ms: Option<u64>,
+    resident_kb: Option<u64>,
+    peak_kb: Option<u64>,
+    descriptors: Option<u64>,
+}
+
+impl Kernel {
+    fn now() -> Self {
+        let text = |name| fs::read_to_string(name).unwrap_or_default();
+        // The listing itself holds one while it is read.
+        let descriptors = fs::read_dir("/proc/self/fd").ok().map(|entries| entries.count() as u64 - 1);
+        Self { descriptors, ..Self::parse(&text("/proc/self/stat"), &text("/proc/self/status")) }
+    }
+
+    fn parse(stat: &str, status: &str) -> Self {
+        // The program's name stands in brackets and may hold anything; the times are the 12th and 13th word after it.
+        let words = stat.rsplit_once(')').map(|(_, rest)| rest);
+        let time = |at| words?.split_ascii_whitespace().nth(at)?.parse::<u64>().ok()?.checked_mul(TICK_MS);
+        let size = |key| {
+            let line = status.lines().find_map(|line| line.strip_prefix(key))?;
+            line.split_ascii_whitespace().next()?.parse().ok()
+        };
+        Self {
+            user_ms: time(11),
+            system_ms: time(12),
+            resident_kb: size("VmRSS:"),
+            peak_kb: size("VmHWM:"),
+            descriptors: None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_kernel_s_accounts_are_read_whatever_the_program_is_called() {
+        let stat = "7 (a) R 9) S 1 7 7 0 -1 4194560 89 0 0 0 31 12 0 0 20 0 1 0 5 8192 700 1844";
+        let status = "Name:\ta\nVmPeak:\t 9 kB\nVmHWM:\t 4321 kB\nVmRSS:\t 1234 kB\n";
+        let expected = Kernel {
+            user_ms: Some(310),
+            system_ms: Some(120),
+            resident_kb: Some(1234),
+            peak_kb: Some(4321),
+            descriptors: None,
+        };
+        assert_eq!(Kernel::parse(stat, status), expected);
+        for junk in ["", ")", "7 (x) S 1 2", "7 (x) S 1 7 7 0 -1 4194560 89 0 0 0 x 99999999999999999999"] {
+            assert_eq!(Kernel::parse(junk, junk), Kernel::default(), "{junk}");
+        }
+    }
+
+    #[test]
+    fn what_is_held_is_counted_until_it_is_dropped() {
+        let cost = Rc::<Cost>::default();
+        let (one, two) = (cost.holds(Use::Client), cost.holds(Use::Client));
+        drop(one);
+        let told = cost.told();
+        assert_eq!((&told["descriptors"]["clients"], &told["opened"]["clients"]), (&json!(1), &json!(2)));
+        drop(two);
+        assert_eq!(cost.told()["descriptors"]["clients"], 0);
+    }
+}
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -1,6 +1,7 @@
 //! The shared counter: pipelined RESP2 calls on a few connections.
 
 use crate::clock::millis;
+use crate::cost::{Cost, Use};
 use doorcourse::{CountOutcome, Millis};
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
@@ -54,6 +55,7 @@
 struct Lane {
     patience: Duration,
     report: Rc<Report>,
+    cost: Rc<Cost>,
     pipeline: RefCell<Pipeline>,
     wake: Notify,
     told_bad: Cell<bool>,
@@ -67,11 +69,18 @@
 
 impl Counter {
     /// Connects and stays connected from now on. A call without an answer for `patience` is reported unknown.
-    pub fn start(address: SocketAddr, patience: Duration, report: Rc<Report>) -> Self {
+    pub fn start(address: SocketAddr, patience: Duration, report: Rc<Report>, cost: Rc<Cost>) -> Self {
         let (address, at) = watch::channel(address);
         let lane = |_| {
             let (pipeline, wake, told_bad) = (RefCell::default(), Notify::new(), Cell::new(false));
-            let lane = Rc::new(Lane { patience, report: report.clone(), pipeline, wake, told_bad });
+            let lane = Rc::new(Lane {
+                patience,
+                report: report.clone(),
+                cost: cost.clone(),
+                pipeline,
+                wake,
+                told_bad,
+            });
             tokio::task::spawn_local(lane.clone().run(at.clone()));
             lane
         };
@@ -122,6 +131,9 @@
         for word in words {
             pipeline.out.extend(format!("${}\r\n{word}\r\n", word.len()).bytes());
         }
+        if name.is_some() {
+            self.cost.counter_called();
+        }
         let end = pipeline.written + pipeline.out.len() as u64;
         pipeline.calls.push_back(Call { name, amount, made: Instant::now(), end, told: name.is_none() });
         self.wake.notify_one();
@@ -136,8 +148,9 @@
                 && stream.set_nodelay(true).is_ok()
             {
                 *self.pipeline.borrow_mut() = Pipeline { up: true, ..Pipeline::default() };
+                let held = self.cost.holds(Use::Counter);
                 let end = self.session(&stream, &mut address).await;
-                drop(stream);
+                drop((stream, held));
                 self.fail_all();
                 if let Err(error) = end
                     && error.kind() == io::ErrorKind::InvalidData
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,6 +3,7 @@
 use crate::backends::Backends;
 use crate::body::Outgoing;
 use crate::clock::Retry;
+use crate::cost::{Cost, Use};
 use crate::engine::Engine;
 use crate::link::Link;
 use bytes::Bytes;
@@ -161,12 +162,13 @@
 /// Keeps a watch going for ever, at the newest address; while discovery is silent the last list stays.
 pub async fn watch(
     mut address: Receiver<SocketAddr>, backends: Rc<Backends>, engine: Rc<Engine>, mut retry: Retry,
+    cost: Rc<Cost>,
 ) {
     let mut told = false;
     loop {
         let at = *address.borrow_and_update();
         let watching = async {
-            match Link::connect(at, CONNECT_TIMEOUT).await {
+            match Link::connect(at, CONNECT_TIMEOUT, &cost, Use::Discovery).await {
                 Ok(mut link) => calls(&mut link, at, &backends, &engine, &mut retry).await,
                 Err(error) => format!("no connection: {error}"),
             }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -85,7 +85,7 @@
                         engine.post(Event::Counted { name, outcome, latency });
                     }
                 };
-                Counter::start(address, patience, Rc::new(report))
+                Counter::start(address, patience, Rc::new(report), figures.cost().clone())
             });
             Self {
                 clock: Cell::new(Clock::anchored()),
--- a/gateway/src/figures.rs
+++ b/gateway/src/figures.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::Lateness;
 use crate::clock::millis;
+use crate::cost::Cost;
 use doorcourse::{Name, Pool, Settings};
 use serde_json::{Map, Value, json};
 use std::cell::Cell;
@@ -69,6 +70,7 @@
     applied: Cell<u64>,
     rejected: Cell<u64>,
     lateness: Rc<Lateness>,
+    cost: Rc<Cost>,
 }
 
 impl Figures {
@@ -81,6 +83,7 @@
             applied: Cell::default(),
             rejected: Cell::default(),
             lateness: Rc::default(),
+            cost: Rc::default(),
         })
     }
 
@@ -89,6 +92,11 @@
         &self.lateness
     }
 
+    /// What the process costs.
+    pub fn cost(&self) -> &Rc<Cost> {
+        &self.cost
+    }
+
     fn row(&self, class: &str) -> Option<&Row> {
         self.classes.iter().find(|(name, _)| **name == *class).map(|(_, row)| row)
     }
@@ -154,6 +162,7 @@
             "retries_denied": pool.retries_denied,
             "loop_late": late,
             "loop_late_most_ms": millis(latest).round(),
+            "cost": self.cost.told(),
             "tries": self.tries.get(),
             "active": self.active.get(),
             "pool_size": pool.size,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod config;
 pub mod console;
+pub mod cost;
 pub mod counter;
 pub mod detached;
 pub mod discovery;
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -2,6 +2,7 @@
 //! twice, and is closed for certain the moment it is dropped.
 
 use crate::body::Outgoing;
+use crate::cost::{Cost, Held, Use};
 use crate::figures::Figures;
 use bytes::{Bytes, BytesMut};
 use hyper::Request;
@@ -129,15 +130,17 @@
     driver: Driver,
     stream: Rc<TcpStream>,
     sent: Rc<Sent>,
+    _held: Held,
 }
 
 impl Link {
-    /// Connects.
+    /// Connects; it is counted as long as it is open.
     ///
     /// # Errors
     /// When no connection comes up in time.
-    pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
+    pub async fn connect(to: SocketAddr, timeout: Duration, cost: &Rc<Cost>, of: Use) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
+        let _held = cost.holds(of);
         stream.set_nodelay(true)?;
         let progress = Cell::new(Progress::Unsent);
         let sent = Sent { progress, handed: RefCell::default(), trace: RefCell::default() };
@@ -145,7 +148,7 @@
         let wire = Wire { stream: stream.clone(), sent: sent.clone() };
         let builder = http1::Builder::new().max_buf_size(BUFFER).clone();
         let (sender, driver) = builder.handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent, _held })
     }
 
     /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -73,7 +73,13 @@
     let settings = config.settings;
     let figures = Figures::new(&settings);
     let (most_clients, most_open) = shares(config.sockets, 0);
-    let backends = Backends::new(config.connect_timeout, config.backend_idle, settings.reports, most_open);
+    let backends = Backends::new(
+        config.connect_timeout,
+        config.backend_idle,
+        settings.reports,
+        most_open,
+        figures.cost().clone(),
+    );
     // Two processes may run on one configuration, and by one seed chance would choose alike.
     let seed = config.seed ^ predecessor.as_ref().map_or(0, |_| u64::from(std::process::id()) << 16);
     let engine = Engine::start(settings.clone(), seed, backends.clone(), config.counter, figures.clone());
@@ -109,7 +115,7 @@
     spawn(backends.clone().keep_tidy());
     let (discovery, at) = watch::channel(config.discovery);
     let retry = discovery::retry(settings.gateways, seed);
-    spawn(discovery::watch(at, backends, engine.clone(), retry));
+    spawn(discovery::watch(at, backends, engine.clone(), retry, figures.cost().clone()));
     spawn(reload(hangup, discovery, engine, figures));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -3,9 +3,11 @@
 mod helper;
 
 use fennelscale::body::Outgoing;
+use fennelscale::cost::Use;
 use fennelscale::link::{Link, Progress};
 use helper::{Backend, Do, Gateway, Mood, Setup, World, list, ok, pause, request, row};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -168,7 +170,9 @@
     let at = listener.local_addr().expect("an address");
     // Larger than any socket buffer, to a peer that reads little of it and closes: not written whole.
     for (size, heard, progress) in [(64 << 20, 10, Progress::Partly), (10, 40, Progress::Whole)] {
-        let mut link = Link::connect(at, Duration::from_secs(60)).await.expect("a connection");
+        let mut link = Link::connect(at, Duration::from_secs(60), &Rc::default(), Use::Backend)
+            .await
+            .expect("a connection");
         let (mut peer, _) = listener.accept().await.expect("a connection");
         let request =
             hyper::Request::post("/x").body(Outgoing::new(vec![b'x'; size].into(), None)).expect("a request");
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -99,7 +99,7 @@
 ) -> (fennelscale::counter::Counter, mpsc::UnboundedReceiver<(u64, CountOutcome)>) {
     let (tell, told) = mpsc::unbounded_channel();
     let report = move |name, outcome, _| tell.send((name, outcome)).expect("a listener");
-    (fennelscale::counter::Counter::start(at, patience, Rc::new(report)), told)
+    (fennelscale::counter::Counter::start(at, patience, Rc::new(report), Rc::default()), told)
 }
 
 /// The counter's end of all lanes.
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -444,6 +444,20 @@
         self.signal("-HUP");
     }
 
+    /// What the kernel says of the process, as text.
+    pub fn kernel(&self, what: &str) -> String {
+        std::fs::read_to_string(self.place(what)).expect("the kernel's account")
+    }
+
+    /// Its descriptors, as the kernel counts them.
+    pub fn descriptors(&self) -> u64 {
+        std::fs::read_dir(self.place("fd")).expect("a listing").count() as u64
+    }
+
+    fn place(&self, what: &str) -> String {
+        format!("/proc/{}/{what}", self.child.id().expect("a process"))
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
