--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -194,6 +194,24 @@
     assert!(sent_on.is_some(), "refused for ever");
 }
 
+#[test]
+fn what_was_written_already_is_not_called_refused_for_want_of_time() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    for id in 1..=60 {
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        door.end_after(400.0, id, 0, &at, Outcome::Served);
+    }
+    for (id, outcome, unsent) in [(1000, Outcome::Broken, false), (1001, Outcome::ConnectFailed, true)] {
+        door.now += 3000.0;
+        let (at, _) = limit(&let_in(&mut door, id, &format!("d{id}"), "safe")).expect("sent");
+        // 200 ms are left, and half of all answers take 280.
+        door.now += 1800.0;
+        let did = door.end_after(1800.0, id, 0, &at, outcome);
+        assert_eq!(sends(&did), 0, "{outcome:?}: {did:?}");
+        assert_eq!((refused(&did, id), failed(&did, id)), (unsent, !unsent), "{outcome:?}: {did:?}");
+    }
+}
+
 #[test]
 fn further_tries_are_a_share_of_the_fresh_ones_over_the_whole_fleet() {
     const GATEWAYS: u32 = 300;
