Make the budget once, where the request is whole, and drop what the time limits left over

Read over once more, the change of the time limits held: a budget made twice for each request with a body (by a closure that `read` was handed), a deadline that only ever served to take the reserve off again, a method that only tests called, the time of a request's last byte written where only the fact is asked, the class passed beside the arrival that names it, a second search for a class's figures beside the one in `taken`, and in `on_stall` a scan of all backends for one that is known by name, with the rule on late answers written out a second time.

Now `decide` makes the budget; the rule is `useful_by`, used by both; the rest is gone.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -263,7 +263,7 @@
     }
 
     /// Sends a request to a backend and tells how that ended, once its connection is closed or free again. It has
-    /// to answer before `expired` resolves, or `called_off`. A long answer is given to `begin` with its first bytes;
+    /// to answer within `limit` and its client's budget, and before `called_off` resolves. A long answer is given to `begin` with its first bytes;
     /// it is the client's from then on, and ends by itself.
     pub async fn attempt(
         &self, name: &Name, message: &Message, limit: Duration, trace: &Rc<Trace>,
@@ -302,7 +302,7 @@
             () = message.expires(Some(limit), Duration::ZERO) => {
                 cut = true;
                 // Closed on before its last byte was written: no backend has begun with it.
-                Err(if trace.whole.get().is_some() { Outcome::TimedOut } else { Outcome::ConnectFailed })
+                Err(if trace.whole.get() { Outcome::TimedOut } else { Outcome::ConnectFailed })
             }
         };
         match opened {
@@ -322,7 +322,7 @@
                         "request {id}: its long answer from {name} ended after {after} ms: {outcome:?}"
                     );
                 }
-                End { outcome, cut, answer: None, load }
+                End { load, ..outcome.into() }
             }
             Err(_) if message.rest.as_ref().is_some_and(|rest| rest.cut().is_some()) => {
                 // The backend is not to blame for what its client did not send.
@@ -533,7 +533,7 @@
             }
             Answer { headers: head.headers, body }
         });
-        End { outcome, cut: false, answer, load }
+        End { answer, load, ..outcome.into() }
     }
 }
 
--- a/gateway/src/budget.rs
+++ b/gateway/src/budget.rs
@@ -20,7 +20,7 @@
 /// What a request has left.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
-    deadline: Instant,
+    answer_by: Instant,
     reserve: Duration,
     span: Duration,
 }
@@ -31,17 +31,12 @@
     pub fn at_the_door(read_at: Instant, patience: Duration, lateness: Duration) -> Self {
         let reserve = RESERVE.min(patience.mul_f64(RESERVE_SHARE));
         let span = patience.saturating_sub(reserve).saturating_sub(lateness);
-        Self { deadline: read_at + span + reserve, reserve, span }
+        Self { answer_by: read_at + span, reserve, span }
     }
 
     /// By when the answer has to be here.
     pub fn answer_by(&self) -> Instant {
-        self.deadline - self.reserve
-    }
-
-    /// What is left for everything up to the answer.
-    pub fn left(&self) -> Duration {
-        self.answer_by().saturating_duration_since(Instant::now())
+        self.answer_by
     }
 
     /// All of it, which a long body's request has from its last byte on.
@@ -117,25 +112,29 @@
 
     const MS: Duration = Duration::from_millis(1);
 
+    fn left(budget: Budget) -> Duration {
+        budget.answer_by().saturating_duration_since(Instant::now())
+    }
+
     #[tokio::test(start_paused = true)]
     async fn every_stage_finds_what_the_ones_before_have_left() {
         let budget = Budget::at_the_door(Instant::now(), 480 * MS, Duration::ZERO);
-        assert_eq!(budget.left(), 455 * MS);
+        assert_eq!(left(budget), 455 * MS);
         advance(400 * MS).await;
-        assert_eq!(budget.left(), 55 * MS);
+        assert_eq!(left(budget), 55 * MS);
         advance(400 * MS).await;
-        assert_eq!(budget.left(), Duration::ZERO);
+        assert_eq!(left(budget), Duration::ZERO);
         // Of little time no more than a quarter is kept back.
-        assert_eq!(Budget::at_the_door(Instant::now(), 20 * MS, Duration::ZERO).left(), 15 * MS);
+        assert_eq!(left(Budget::at_the_door(Instant::now(), 20 * MS, Duration::ZERO)), 15 * MS);
     }
 
     #[tokio::test(start_paused = true)]
     async fn what_was_read_long_ago_and_a_late_event_loop_are_taken_off() {
         let read_at = Instant::now();
         advance(100 * MS).await;
-        assert_eq!(Budget::at_the_door(read_at, 480 * MS, 50 * MS).left(), 305 * MS);
+        assert_eq!(left(Budget::at_the_door(read_at, 480 * MS, 50 * MS)), 305 * MS);
         let budget = Budget::at_the_door(read_at, 480 * MS, Duration::from_secs(9));
-        assert_eq!((budget.left(), budget.span()), (Duration::ZERO, Duration::ZERO));
+        assert_eq!((left(budget), budget.span()), (Duration::ZERO, Duration::ZERO));
     }
 
     #[tokio::test(start_paused = true)]
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -10,6 +10,7 @@
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -80,7 +81,14 @@
     spread: u32,
     first: u32,
     repeat: bool,
-    message: Message,
+    patience: Duration,
+    method: Method,
+    target: PathAndQuery,
+    id: HeaderValue,
+    key: Option<HeaderValue>,
+    kind: Option<HeaderValue>,
+    body: Bytes,
+    rest: Option<Rc<Upload>>,
 }
 
 /// The front side of one gateway.
@@ -444,10 +452,10 @@
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            match self.take(request, whole_by, guest).await {
+            match self.take(request, whole_by).await {
                 Ok(ticket) => {
-                    let (rest, class) = (ticket.message.rest.clone(), ticket.class.clone());
-                    let response = self.decide(ticket).await;
+                    let (rest, class) = (ticket.rest.clone(), ticket.class.clone());
+                    let response = self.decide(ticket, guest.read_at.get()).await;
                     guest.passing.set(Some((class, Instant::now())));
                     if let Some(rest) = rest {
                         spawn(async move {
@@ -481,19 +489,15 @@
     }
 
     /// Reads a request whole, or with the start of a long body.
-    async fn take(
-        &self, request: Request<Incoming>, whole_by: Instant, guest: &Guest,
-    ) -> Result<Ticket, Fault> {
+    async fn take(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Ticket, Fault> {
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
-        let at_the_door =
-            |patience| Budget::at_the_door(guest.read_at.get(), patience, self.engine.lateness());
-        let (mut ticket, patience) = self.read(head.method, target, &head.headers, at_the_door)?;
+        let mut ticket = self.read(head.method, target, &head.headers)?;
         if body.is_end_stream() {
             return Ok(ticket);
         }
         let begun = Instant::now();
-        if ticket.message.method == Method::GET {
+        if ticket.method == Method::GET {
             return Err(Fault::Bad("a body where none belongs"));
         }
         if body.size_hint().lower() > LARGEST {
@@ -508,20 +512,16 @@
                 Cut::Broken => Fault::Bad("body"),
             })?);
             if start.len() > HELD && !body.is_over() {
-                ticket.message.rest = Some(Upload::new(body));
+                ticket.rest = Some(Upload::new(body));
                 break;
             }
         }
-        ticket.message.body = start.freeze();
-        ticket.message.budget = at_the_door(patience);
+        ticket.body = start.freeze();
         self.figures.spent(&ticket.class, Stage::Body, begun.elapsed());
         Ok(ticket)
     }
 
-    fn read(
-        &self, method: Method, target: hyper::http::uri::PathAndQuery, headers: &HeaderMap,
-        at_the_door: impl Fn(Duration) -> Budget,
-    ) -> Result<(Ticket, Duration), Fault> {
+    fn read(&self, method: Method, target: PathAndQuery, headers: &HeaderMap) -> Result<Ticket, Fault> {
         let first = target.path().strip_prefix('/').and_then(|p| p.split('/').next());
         let class = first.filter(|c| !c.is_empty()).ok_or(Fault::NoPath)?;
         let class = self.classes.iter().find(|(name, _)| **name == *class);
@@ -559,9 +559,23 @@
         let (units, spread, first) = self.terms(terms).ok_or(Fault::Bad("Api-Terms"))?;
         let (kind, key) = (headers.get(CONTENT_TYPE).cloned(), key.cloned());
         let (body, rest, id) = (Bytes::new(), None, id.clone());
-        let budget = at_the_door(patience);
-        let message = Message { method, target, id, key, kind, body, rest, budget };
-        Ok((Ticket { class, plan, customer, units, spread, first, repeat, message }, patience))
+        Ok(Ticket {
+            class,
+            plan,
+            customer,
+            units,
+            spread,
+            first,
+            repeat,
+            patience,
+            method,
+            target,
+            id,
+            key,
+            kind,
+            body,
+            rest,
+        })
     }
 
     /// Reads `units=2,spread=3,first=1`; a request of no said units is one unit.
@@ -579,14 +593,17 @@
         (units > 0.0 && units <= most).then_some((units, spread.filter(|s| *s > 0)?, first?))
     }
 
-    async fn decide(&self, ticket: Ticket) -> Reaction {
-        let Ticket { class, plan, customer, units, spread, first, repeat, message } = ticket;
+    /// Has the decisions answer a request whose last byte was read at this time.
+    async fn decide(&self, ticket: Ticket, read_at: Instant) -> Reaction {
+        let Ticket { class, plan, customer, units, spread, first, repeat, patience, .. } = ticket;
+        let Ticket { method, target, id, key, kind, body, rest, .. } = ticket;
+        let budget = Budget::at_the_door(read_at, patience, self.engine.lateness());
+        let message = Message { method, target, id, key, kind, body, rest, budget };
         let taken = self.figures.taken(&class);
         let upload = if message.rest.is_some() { UPLOAD } else { Duration::ZERO };
         let deadline = self.engine.at(message.budget.answer_by() + upload);
-        let (named, class) = (class.clone(), class);
         let arrival = |id| Arrival { id, customer, plan, class, units, repeat, deadline, first, spread };
-        let (id, reply) = self.engine.open(&named, arrival, message.clone());
+        let (id, reply) = self.engine.open(arrival, message.clone());
         let waiting = Waiting { engine: self.engine.clone(), id };
         // Guards the one final answer: should the decisions forget a request, it still gets one in time.
         let reply = tokio::select! {
--- a/gateway/src/cost.rs
+++ b/gateway/src/cost.rs
@@ -53,36 +53,31 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let open = &self.cost.open[self.of as usize];
-        open.set(open.get() - 1);
+        self.cost.open[self.of as usize].update(|n| n - 1);
     }
 }
 
-fn add_one(count: &Cell<u64>) {
-    count.set(count.get() + 1);
-}
-
 impl Cost {
     /// A connection has come up.
     pub fn holds(self: &Rc<Self>, of: Use) -> Held {
-        add_one(&self.open[of as usize]);
-        add_one(&self.opened[of as usize]);
+        self.open[of as usize].update(|n| n + 1);
+        self.opened[of as usize].update(|n| n + 1);
         Held { cost: self.clone(), of }
     }
 
     /// A free connection to a backend is used again.
     pub fn reused(&self) {
-        add_one(&self.reused);
+        self.reused.update(|n| n + 1);
     }
 
     /// The counter is called.
     pub fn counter_called(&self) {
-        add_one(&self.counter_calls);
+        self.counter_calls.update(|n| n + 1);
     }
 
     /// A request has come, whatever becomes of it.
     pub fn asked(&self) {
-        add_one(&self.requests);
+        self.requests.update(|n| n + 1);
     }
 
     /// All of it, with what the kernel says now.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -117,18 +117,20 @@
 
     /// Takes in a request; the reply comes once, unless the client leaves first.
     pub fn open(
-        &self, class: &Name, arrival: impl FnOnce(RequestId) -> Arrival, message: Message,
+        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message,
     ) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, receiver) = oneshot::channel();
-        let id = {
+        let arrival = {
             let mut state = self.state.borrow_mut();
             state.last += 1;
-            let id = state.last;
-            let (class, since) = (class.clone(), Instant::now());
-            state.open.insert(id, Open { message, class, since, reply, attempts: 0, timed_out: false });
-            id
+            let arrival = arrival(state.last);
+            let (class, since) = (arrival.class.clone(), Instant::now());
+            let open = Open { message, class, since, reply, attempts: 0, timed_out: false };
+            state.open.insert(arrival.id, open);
+            arrival
         };
-        self.post(Event::Request(arrival(id)));
+        let id = arrival.id;
+        self.post(Event::Request(arrival));
         (id, receiver)
     }
 
--- a/gateway/src/figures.rs
+++ b/gateway/src/figures.rs
@@ -97,28 +97,32 @@
         &self.cost
     }
 
+    fn position(&self, class: &str) -> Option<usize> {
+        self.classes.iter().position(|(name, _)| **name == *class)
+    }
+
     fn row(&self, class: &str) -> Option<&Row> {
-        self.classes.iter().find(|(name, _)| **name == *class).map(|(_, row)| row)
+        self.position(class).map(|at| &self.classes[at].1)
     }
 
     /// A request of a class has spent this much of its time in a stage.
     pub fn spent(&self, class: &str, stage: Stage, time: Duration) {
-        let Some(cell) = self.row(class).map(|row| &row.times[stage as usize]) else { return };
-        let (times, sum) = cell.get();
-        cell.set((times + 1, sum + time));
+        if let Some(row) = self.row(class) {
+            row.times[stage as usize].update(|(times, sum)| (times + 1, sum + time));
+        }
     }
 
     /// An attempt ended because its time was over: that of the whole request, or its share of it.
     pub fn cut(&self, class: &str, whole: bool) {
-        if let Some(cell) = self.row(class).map(|row| if whole { &row.used_up } else { &row.cut }) {
-            cell.set(cell.get() + 1);
+        if let Some(row) = self.row(class) {
+            if whole { &row.used_up } else { &row.cut }.update(|n| n + 1);
         }
     }
 
     /// A request is taken; it is active until what this gives back is dropped.
     pub fn taken(self: &Rc<Self>, class: &str) -> Taken {
         self.active.set(self.active.get() + 1);
-        Taken { figures: self.clone(), class: self.classes.iter().position(|(name, _)| **name == *class) }
+        Taken { figures: self.clone(), class: self.position(class) }
     }
 
     /// How many requests are taken and have not ended.
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -44,8 +44,8 @@
     pub figures: Option<Rc<Figures>>,
     /// When its connection stood: a new one, or a free one that was there.
     pub connected: Cell<Option<Instant>>,
-    /// When its last byte was written.
-    pub whole: Cell<Option<Instant>>,
+    /// Whether its last byte was written.
+    pub whole: Cell<bool>,
 }
 
 /// How far the present request has been written, and who is told once it is whole.
@@ -110,7 +110,7 @@
         if self.sent.progress.get() == Progress::Partly && self.sent.handed.borrow().get() {
             self.sent.progress.set(Progress::Whole);
             let trace = self.sent.trace.take();
-            trace.whole.set(Some(Instant::now()));
+            trace.whole.set(true);
             if let Some(figures) = &trace.figures {
                 figures.tried();
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -434,16 +434,8 @@
         let class_seen = class_latency.clone();
         let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
         let (random, retries) = (mix(seed | 1), retry_most(&settings));
-        Ok(Self {
-            settings,
-            random,
-            ease: 1.0,
-            retries,
-            plan_odds,
-            class_latency,
-            class_seen,
-            ..Self::default()
-        })
+        let learned = Self { plan_odds, class_latency, class_seen, ..Self::default() };
+        Ok(Self { settings, random, ease: 1.0, retries, ..learned })
     }
 
     /// Takes one event at a time and appends what the host is to do.
@@ -868,30 +860,36 @@
         let (class, usual) = (&self.settings.classes[request.class], self.class_latency[request.class]);
         let (left, aim) = (request.answer_by - self.now, request.arrived + class.aim - self.now);
         let share = |time: Millis| (time * TRY_SHARE).max(usual * TRY_LATENCIES);
-        let times = if self.take() < 1.0 { [aim.min(left); 2] } else { [aim.min(left), left] };
+        let times = [aim.min(left), self.useful_by(request) - self.now];
         let time = times.into_iter().find(|time| share(*time) + usual <= *time)?;
         let tries = REPEAT_MOST.min(self.settings.most_attempts);
         let again = class.effect != Effect::Unsafe && request.attempts + 1 < tries && self.settings.cancel;
         again.then(|| share(time))
     }
 
+    /// Until when another try's answer is worth the load: while many are late, nobody is loaded for one after
+    /// the aim.
+    fn useful_by(&self, request: &Request) -> Millis {
+        let aim = request.arrived + self.settings.classes[request.class].aim;
+        if self.take() < 1.0 { aim.min(request.answer_by) } else { request.answer_by }
+    }
+
     /// Calls a stalled try off while there is time for another one. Who has answered others meanwhile may be
     /// slow and gets twice as long, but its connection may have gone blind alone. Without another backend or
     /// further tries it is left to run.
     fn on_stall(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let late = self.take() < 1.0;
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let aim = request.arrived + self.settings.classes[request.class].aim;
-        let useful = if late { aim.min(request.answer_by) } else { request.answer_by };
-        let usual = self.class_latency[request.class];
-        let sent_to = |name: &Name| request.sent_to.as_ref() == Some(name);
-        let free = |(name, b): (&Name, &Backend)| b.ready() && self.now >= b.eject_until && !sent_to(name);
-        let heard = self.backends.iter().any(|(name, b)| sent_to(name) && b.heard > request.sent_at);
+        let Some(request) = self.requests.get(&id) else { return };
+        let (usual, useful_by) = (self.class_latency[request.class], self.useful_by(request));
+        let at = request.sent_to.as_ref();
+        let heard = at.and_then(|at| self.backends.get(at)).is_some_and(|b| b.heard > request.sent_at);
         let more = request.sent_at + usual * TRY_LATENCIES * 2.0 - self.now;
         if heard && more > 0.0 {
-            request.hold_until = self.now + more;
-            out.push(Action::SetTimer { after: more, token: id * 2 });
-        } else if self.retries >= 1.0 && self.now + usual <= useful && self.backends.iter().any(free) {
+            let hold_until = self.now + more;
+            self.requests.entry(id).and_modify(|r| r.hold_until = hold_until);
+            return out.push(Action::SetTimer { after: more, token: id * 2 });
+        }
+        let free = |(name, b): (&Name, &Backend)| b.ready() && self.now >= b.eject_until && Some(name) != at;
+        if self.retries >= 1.0 && self.now + usual <= useful_by && self.backends.iter().any(free) {
             out.push(Action::CallOff { id, attempt: request.attempts - 1 });
         }
     }
