Tests: one place each for an arrival, an attempt's end, a second process, a refused start

All assertions stay; the one on a backend that answers others uses other request numbers, as the lesson takes the first ones. No code of the program is touched.

--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -2,9 +2,7 @@
 
 mod helper;
 
-use helper::{
-    Backend, Client, Do, Gateway, Heard, Mood, Setup, World, hear, ok, pause, request, row, soon, until,
-};
+use helper::{Backend, Client, Do, Heard, Mood, Setup, World, hear, ok, pause, request, row, soon, until};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 use std::collections::HashMap;
 use std::io::IoSlice;
@@ -230,13 +228,7 @@
     world.discovery.asked_again(0).await;
     world.discovery.tell(known);
     world.discovery.asked_again(1).await;
-    let second = Gateway::start(world.discovery.at, world.counter.at, &setup).await;
-    soon("yes", async {
-        while !second.call("PING\n").await.starts_with("YES") {
-            pause(5).await;
-        }
-    })
-    .await;
+    let second = world.beside(&setup).await;
     world.gateway.terminate();
     for _ in 0..6 {
         let reply = second.client().await.ask(&request("look", 3000, "", "")).await;
@@ -309,22 +301,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unusable_time_to_end_in_is_named() {
     for value in ["0", "-1", "1e99", "\"soon\""] {
-        let path = std::env::temp_dir().join(format!("fennelscale-grace-{}.json", std::process::id()));
         let text = format!(
             r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{{"grace_ms":{value}}},
             "settings":{{"fleet-size":1,"classes":[{{"name":"a","effect":"idempotent"}}]}}}}"#
         );
-        std::fs::write(&path, text).expect("a file");
-        let output = std::process::Command::new(env!("CARGO_BIN_EXE_fennelscale"))
-            .env("NODE_CONFIG", &path)
-            .env_remove("NODE_LISTEN")
-            .env_remove("NODE_DISCOVERY")
-            .output()
-            .expect("a process");
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{value}: {said}");
+        let (status, said) = helper::refused_start(&text);
+        assert_eq!((status, said.lines().count()), (Some(2), 1), "{value}: {said}");
         assert!(said.contains("grace_ms"), "{said}");
-        std::fs::remove_file(&path).expect("removed");
     }
 }
 
--- a/gateway/tests/handover.rs
+++ b/gateway/tests/handover.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use helper::{Backend, Do, Gateway, Mood, Setup, World, ok, pause, request, row, until};
+use helper::{Backend, Do, Mood, Setup, World, ok, pause, request, row, until};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -15,19 +15,6 @@
     World::set(setup, Mood::Adds).await
 }
 
-/// Starts the second process and waits until it says yes.
-async fn beside(world: &World, setup: &Setup) -> Gateway {
-    let second = Gateway::start(world.discovery.at, world.counter.at, setup).await;
-    assert_eq!(second.at, world.gateway.at, "one listener");
-    helper::soon("yes", async {
-        while !second.call("PING\n").await.starts_with("YES") {
-            pause(5).await;
-        }
-    })
-    .await;
-    second
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_ends_at_the_door_while_a_second_process_takes_over_and_the_first_one_goes() {
     let backend = Backend::start(&[Do::Say(ok("x"))]).await;
@@ -58,7 +45,7 @@
     let (mut kept, mut idle) = (world.gateway.client().await, world.gateway.client().await);
     assert_eq!(kept.ask(UP).await.status(), 200);
     assert_eq!(idle.ask(UP).await.status(), 200);
-    let mut second = beside(&world, &setup).await;
+    let mut second = world.beside(&setup).await;
     assert!(world.gateway.call("PING\n").await.starts_with("NO"));
     // Kept connections end with an answer, or idle and late.
     let reply = kept.ask(&request("order", 5000, "", "b")).await;
@@ -90,7 +77,7 @@
     for _ in 0..5 {
         assert_eq!(client.ask(&request("look", 5000, "", "")).await.status(), 200);
     }
-    let second = beside(&world, &setup).await;
+    let second = world.beside(&setup).await;
     let mut served = 0;
     for _ in 0..30 {
         served +=
@@ -113,7 +100,7 @@
     *b.deeds.lock().expect("lock") = vec![Do::Hang, Do::Say(ok("b"))];
     long.write(&request("order", 20_000, "", "b")).await;
     until("the attempt", || b.attempts() == 1).await;
-    let second = beside(&world, &setup).await;
+    let second = world.beside(&setup).await;
     assert_eq!(second.figures().await["pool_ejected"], 1);
     assert_eq!(second.client().await.ask(UP).await.status(), 503, "the drain is not over");
     assert!(second.call("REJOIN\n").await.starts_with("YES"));
@@ -143,7 +130,7 @@
     assert_eq!((reply.status(), reply.headers.contains_key("connection")), (200, false));
     assert!(world.gateway.call("PING\n").await.starts_with("YES"));
     // The next one is served as if nothing had been.
-    let second = beside(&world, &setup).await;
+    let second = world.beside(&setup).await;
     assert_eq!(second.client().await.ask(&request("look", 900, "", "")).await.status(), 200);
     // A file that is left behind by a process that was killed is in nobody's way.
     drop((second, world));
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -345,6 +345,21 @@
 
 static FILES: AtomicU32 = AtomicU32::new(0);
 
+/// Starts a process by a configuration that it cannot use: how it ends, and what it says.
+pub fn refused_start(text: &str) -> (Option<i32>, String) {
+    let number = FILES.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("fennelscale-bad-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+        .env("NODE_CONFIG", &path)
+        .env_remove("NODE_LISTEN")
+        .env_remove("NODE_DISCOVERY")
+        .output()
+        .expect("a process");
+    std::fs::remove_file(&path).expect("removed");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
 /// A gateway as a process.
 pub struct Gateway {
     pub at: SocketAddr,
@@ -539,4 +554,17 @@
         let gateway = Gateway::start(discovery.at, counter.at, setup).await;
         Self { gateway, discovery, counter }
     }
+
+    /// Starts a second process of the same gateway and waits until it says yes.
+    pub async fn beside(&self, setup: &Setup) -> Gateway {
+        let second = Gateway::start(self.discovery.at, self.counter.at, setup).await;
+        assert_eq!(second.at, self.gateway.at, "one listener");
+        soon("yes", async {
+            while !second.call("PING\n").await.starts_with("YES") {
+                pause(5).await;
+            }
+        })
+        .await;
+        second
+    }
 }
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -3,7 +3,6 @@
 mod helper;
 
 use helper::{Backend, Counter, Discovery, Do, Mood, Setup, World, list, ok, request, row};
-use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -167,7 +166,6 @@
 
 #[test]
 fn an_unusable_configuration_is_one_line_and_status_2() {
-    let path = std::env::temp_dir().join(format!("fennelscale-bad-{}.json", std::process::id()));
     let end = r#""seed":"1","settings":{"fleet-size":1,"classes":[{"name":"a","effect":"idempotent"}]}}"#;
     let texts = [
         String::new(),
@@ -179,15 +177,8 @@
         format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9",{end}"#).replace("\"1\"", "\"z\""),
     ];
     for text in texts {
-        std::fs::write(&path, &text).expect("a file");
-        let output = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
-            .env("NODE_CONFIG", &path)
-            .env_remove("NODE_LISTEN")
-            .env_remove("NODE_DISCOVERY")
-            .output()
-            .expect("a process");
-        assert_eq!(output.status.code(), Some(2), "{text}");
-        assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1, "{text}");
+        let (status, said) = helper::refused_start(&text);
+        assert_eq!(status, Some(2), "{text}");
+        assert_eq!(said.lines().count(), 1, "{text}");
     }
-    std::fs::remove_file(&path).expect("removed");
 }
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -21,6 +21,14 @@
     }
 }
 
+/// Teaches a gateway how long answers to a class usually take, by so many of them.
+fn teach(door: &mut Door, class: &str, usual: Millis, answers: RequestId) {
+    for id in 1..=answers {
+        let at = door.served(id, &format!("c{id}"), "plain", class);
+        door.end_after(usual, id, 0, &at, Outcome::Served);
+    }
+}
+
 /// When a request's try counts as stalled, where another one may follow.
 fn stalled(actions: &[Action], id: RequestId) -> Option<Millis> {
     actions.iter().rev().find_map(|a| match a {
@@ -79,25 +87,22 @@
 #[test]
 fn at_a_backend_that_answers_others_a_try_has_twice_as_long() {
     let mut door = Door::new(settings(), &["a1", "a2"]);
-    for id in 100..160 {
-        let at = door.served(id, &format!("c{id}"), "plain", "safe");
-        door.end_after(80.0, id, 0, &at, Outcome::Served);
-    }
-    let did = let_in(&mut door, 1, "c", "safe");
-    let ((at, _), first) = (limit(&did).expect("sent"), stalled(&did, 1).expect("a timer"));
+    teach(&mut door, "safe", 80.0, 60);
+    let did = let_in(&mut door, 101, "d", "safe");
+    let ((at, _), first) = (limit(&did).expect("sent"), stalled(&did, 101).expect("a timer"));
     assert!((first - 480.0).abs() < 1.0, "six usual latencies: {first}");
     door.now += 100.0;
-    let beside = (2..=4).find(|id| {
+    let beside = (102..=104).find(|id| {
         let (other, _) = limit(&let_in(&mut door, *id, &format!("c{id}"), "safe")).expect("sent");
         other == at
     });
     door.end_after(80.0, beside.expect("another one at the same backend"), 0, &at, Outcome::Served);
-    let did = door.pass(first - 100.0, &[1]);
-    assert!(!called_off(&did, 1), "it may be slow");
-    let more = stalled(&did, 1).expect("a second timer");
+    let did = door.pass(first - 100.0, &[101]);
+    assert!(!called_off(&did, 101), "it may be slow");
+    let more = stalled(&did, 101).expect("a second timer");
     assert!((first + more - 960.0).abs() < 3.0, "twelve usual latencies: {first} and {more}");
     // Its connection may have gone blind while others have not.
-    assert!(called_off(&door.pass(more, &[1]), 1));
+    assert!(called_off(&door.pass(more, &[101]), 101));
 }
 
 #[test]
@@ -106,10 +111,7 @@
     for (usual, expected) in [(50.0, Some(400.0)), (100.0, Some(600.0)), (130.0, Some(996.0)), (400.0, None)]
     {
         let mut door = Door::new(settings(), &["a1", "a2"]);
-        for id in 1..=60 {
-            let at = door.served(id, &format!("c{id}"), "plain", "safe");
-            door.end_after(usual, id, 0, &at, Outcome::Served);
-        }
+        teach(&mut door, "safe", usual, 60);
         let after = stalled(&let_in(&mut door, 1000, "d", "safe"), 1000);
         assert!(
             matches!((after, expected), (None, None))
@@ -168,22 +170,10 @@
 #[test]
 fn with_too_little_left_a_request_is_refused_unsent_and_later_ones_are_tried_again() {
     let mut door = Door::new(settings(), &["a1", "a2"]);
-    for id in 1..=400 {
-        let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
-        door.end_after(600.0, id, 0, &at, Outcome::Served);
-    }
+    teach(&mut door, "unsafe", 600.0, 400);
     let ask = |door: &mut Door, id| {
-        door.tell(Event::Request(Arrival {
-            id,
-            customer: "d".into(),
-            plan: "plain".into(),
-            class: "unsafe".into(),
-            units: 1.0,
-            repeat: false,
-            deadline: door.now + 400.0,
-            first: 0,
-            spread: 2,
-        }))
+        let arrival = door.arrival(id, "d", "plain", "unsafe");
+        door.tell(Event::Request(Arrival { deadline: door.now + 400.0, ..arrival }))
     };
     let (name, amount) = count(&ask(&mut door, 1000)).expect("a call");
     let did = door.total(name, amount);
@@ -197,10 +187,7 @@
 #[test]
 fn what_was_written_already_is_not_called_refused_for_want_of_time() {
     let mut door = Door::new(settings(), &["a1", "a2"]);
-    for id in 1..=60 {
-        let at = door.served(id, &format!("c{id}"), "plain", "safe");
-        door.end_after(400.0, id, 0, &at, Outcome::Served);
-    }
+    teach(&mut door, "safe", 400.0, 60);
     for (id, outcome, unsent) in [(1000, Outcome::Broken, false), (1001, Outcome::ConnectFailed, true)] {
         door.now += 3000.0;
         let (at, _) = limit(&let_in(&mut door, id, &format!("d{id}"), "safe")).expect("sent");
--- a/tests/cost.rs
+++ b/tests/cost.rs
@@ -24,33 +24,7 @@
 }
 
 fn arrival(door: &Door, id: RequestId, customer: &str) -> Event {
-    Event::Request(Arrival {
-        id,
-        customer: customer.into(),
-        plan: "plain".into(),
-        class: "safe".into(),
-        units: 1.0,
-        repeat: false,
-        deadline: door.now + 2000.0,
-        first: 0,
-        spread: 1,
-    })
-}
-
-fn ended(id: RequestId, attempt: u32, backend: &Name, outcome: Outcome) -> Event {
-    let finished = outcome == Outcome::Served;
-    let (backend, latency, true_units, spent, load) = (backend.clone(), 50.0, None, false, None);
-    Event::AttemptEnded(AttemptEnd {
-        id,
-        attempt,
-        backend,
-        outcome,
-        latency,
-        true_units,
-        finished,
-        spent,
-        load,
-    })
+    Event::Request(Arrival { spread: 1, ..door.arrival(id, customer, "plain", "safe") })
 }
 
 /// What it takes to handle an event; what the host allocates for it is left out.
@@ -66,7 +40,7 @@
     let event = arrival(door, id, customer);
     let asked = handle(door, event).count_total;
     let Some((_, at)) = sent(&door.did) else { return (None, asked) };
-    let served = handle(door, ended(id, 0, &at, Outcome::Served)).count_total;
+    let served = handle(door, ended(50.0, id, 0, &at, Outcome::Served)).count_total;
     (Some(at), asked + served)
 }
 
@@ -100,7 +74,7 @@
         let event = arrival(&door, id, "c0");
         let cost = handle(&mut door, event).count_total;
         match sent(&door.did) {
-            Some((_, at)) => drop(handle(&mut door, ended(id, 0, &at, Outcome::Served))),
+            Some((_, at)) => drop(handle(&mut door, ended(50.0, id, 0, &at, Outcome::Served))),
             None => refusals.push(cost),
         }
     }
@@ -118,9 +92,9 @@
         let event = arrival(&door, id, "c0");
         handle(&mut door, event);
         let (_, at) = sent(&door.did).expect("sent");
-        most = most.max(handle(&mut door, ended(id, 0, &at, Outcome::ConnectFailed)).count_total);
+        most = most.max(handle(&mut door, ended(50.0, id, 0, &at, Outcome::ConnectFailed)).count_total);
         let (_, next) = sent(&door.did).expect("sent elsewhere");
-        handle(&mut door, ended(id, 1, &next, Outcome::Served));
+        handle(&mut door, ended(50.0, id, 1, &next, Outcome::Served));
     }
     // Measured: 1; the slack is one.
     assert!(most <= 2, "{most}");
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -101,17 +101,23 @@
     pub fn ask_of(
         &mut self, id: RequestId, customer: &str, plan: &str, class: &str, repeat: bool, spread: u32,
     ) -> Vec<Action> {
-        self.tell(Event::Request(Arrival {
+        let arrival = self.arrival(id, customer, plan, class);
+        self.tell(Event::Request(Arrival { repeat, spread, ..arrival }))
+    }
+
+    /// A first try of a customer of two gateways, for which its client waits 2 s.
+    pub fn arrival(&self, id: RequestId, customer: &str, plan: &str, class: &str) -> Arrival {
+        Arrival {
             id,
             customer: customer.into(),
             plan: plan.into(),
             class: class.into(),
             units: 1.0,
-            repeat,
+            repeat: false,
             deadline: self.now + 2000.0,
             first: 0,
-            spread,
-        }))
+            spread: 2,
+        }
     }
 
     pub fn end(&mut self, id: RequestId, attempt: u32, backend: &Name, outcome: Outcome) -> Vec<Action> {
@@ -121,17 +127,7 @@
     pub fn end_after(
         &mut self, latency: Millis, id: RequestId, attempt: u32, backend: &Name, outcome: Outcome,
     ) -> Vec<Action> {
-        self.tell(Event::AttemptEnded(AttemptEnd {
-            id,
-            attempt,
-            backend: backend.clone(),
-            outcome,
-            latency,
-            true_units: None,
-            finished: outcome == Outcome::Served,
-            spent: false,
-            load: None,
-        }))
+        self.tell(ended(latency, id, attempt, backend, outcome))
     }
 
     /// Answers a counter call with a total.
@@ -149,6 +145,21 @@
     }
 }
 
+/// The end of an attempt that was out for so long.
+pub fn ended(latency: Millis, id: RequestId, attempt: u32, backend: &Name, outcome: Outcome) -> Event {
+    Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt,
+        backend: backend.clone(),
+        outcome,
+        latency,
+        true_units: None,
+        finished: outcome == Outcome::Served,
+        spent: false,
+        load: None,
+    })
+}
+
 /// The first counter call among actions: its name and amount.
 pub fn count(actions: &[Action]) -> Option<(u64, f64)> {
     actions.iter().find_map(|a| match a {
