Add the fleet in simulated time: world, judge, books, experiments

Change: the crate emulator/ (library and fennelscale-lab). Five baselines, ten scenarios (six at full size), run, show, compare with 95% intervals, draw. It is no part of what run starts.

--- /dev/null
+++ b/emulator/build.rs
@@ -0,0 +1,32 @@
+//! Names the commit and the decisions that the program is built with, for the results it writes.
+
+use sha2::{Digest as _, Sha256};
+use std::path::Path;
+use std::process::Command;
+
+fn git(args: &[&str]) -> Option<String> {
+    let out = Command::new("git").args(args).output().ok().filter(|out| out.status.success())?;
+    Some(String::from_utf8_lossy(&out.stdout).trim().to_string())
+}
+
+fn main() {
+    let decisions = Path::new("../src");
+    println!("cargo::rerun-if-changed=../src");
+    if let Some(head) = git(&["rev-parse", "--git-path", "logs/HEAD"]) {
+        println!("cargo::rerun-if-changed={head}");
+    }
+    let mut files: Vec<_> = std::fs::read_dir(decisions)
+        .map(|folder| folder.filter_map(|entry| Some(entry.ok()?.path())).collect())
+        .unwrap_or_default();
+    files.sort();
+    let mut sum = Sha256::new();
+    for file in files {
+        sum.update(std::fs::read(file).unwrap_or_default());
+    }
+    let digest: String = sum.finalize()[..8].iter().map(|byte| format!("{byte:02x}")).collect();
+    let commit = git(&["rev-parse", "--short=12", "HEAD"]).unwrap_or_else(|| "unknown".into());
+    let changed = git(&["status", "--porcelain", "--", "../src"]).is_some_and(|text| !text.is_empty());
+    let mark = if changed { "+changes" } else { "" };
+    println!("cargo::rustc-env=LAB_COMMIT={commit}{mark}");
+    println!("cargo::rustc-env=LAB_DECISIONS={digest}");
+}
--- /dev/null
+++ b/emulator/src/main.rs
@@ -0,0 +1,356 @@
+//! `fennelscale-lab`: experiments with the fleet in simulated time.
+
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use fennelscale_lab::draw::Day;
+use fennelscale_lab::experiment::{self, Estimate, Moved, Plan};
+use fennelscale_lab::results::{Results, Row};
+use fennelscale_lab::scenario::{SHIPPED, Scenario};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::Write as _;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+
+/// The fleet in simulated time: plays days, compares versions.
+#[derive(Parser)]
+#[command(version, about, after_help = "Status: 0 done; 1 a rule was broken; 2 the input cannot be used.")]
+struct Command {
+    /// Days played side by side; 0: one for each core.
+    #[arg(long, global = true, default_value_t = 0)]
+    threads: usize,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Plays days, and writes what came of them.
+    Run {
+        /// Shipped scenarios by name, or scenario files.
+        #[arg(required = true)]
+        scenarios: Vec<String>,
+        /// Seeds: a range as 1..20 (both ends included), single numbers, or both with commas.
+        #[arg(long, default_value = "1..5", value_parser = seeds)]
+        seeds: Seeds,
+        /// Where the results go.
+        #[arg(long)]
+        out: PathBuf,
+        /// Plays the baselines as well, for a score of each day.
+        #[arg(long)]
+        score: bool,
+        /// Keeps the baselines' rows beside.
+        #[arg(long)]
+        baselines: bool,
+    },
+    /// Pairs two files of results by scenario and seed.
+    Compare {
+        /// The older results.
+        old: PathBuf,
+        /// The newer results.
+        new: PathBuf,
+        /// Causes shown for each scenario.
+        #[arg(long, default_value_t = 5)]
+        causes: usize,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Prints a file of results as a table.
+    Show {
+        /// The results.
+        file: PathBuf,
+    },
+    /// Writes a day out so that it can be read.
+    Draw {
+        /// A shipped scenario or a scenario file.
+        scenario: String,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// All first tries as well.
+        #[arg(long)]
+        requests: bool,
+    },
+    /// Lists the shipped scenarios.
+    Scenarios,
+}
+
+#[derive(Clone, Debug)]
+struct Seeds(Vec<u64>);
+
+fn seeds(text: &str) -> Result<Seeds, String> {
+    let mut all = Vec::new();
+    for part in text.split(',') {
+        let number = |text: &str| text.trim().parse::<u64>().map_err(|_| format!("not a seed: {text}"));
+        match part.split_once("..") {
+            Some((from, to)) => {
+                let (from, to) = (number(from)?, number(to)?);
+                if from > to || to - from >= 10_000 {
+                    return Err(format!("not a range of at most 10,000 seeds: {part}"));
+                }
+                all.extend(from..=to);
+            }
+            None => all.push(number(part)?),
+        }
+    }
+    Ok(Seeds(all))
+}
+
+/// What ends the program: a line for standard error.
+type Fault = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let command = Command::parse();
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(command.threads).build_global();
+    if let Err(error) = pool {
+        eprintln!("threads: {error}");
+        return ExitCode::from(2);
+    }
+    match carry_out(command.what) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(fault) => {
+            // Who reads no further is no fault.
+            let closed = fault.downcast_ref::<std::io::Error>().map(std::io::Error::kind);
+            if closed == Some(std::io::ErrorKind::BrokenPipe) {
+                return ExitCode::SUCCESS;
+            }
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Does what was asked for; gives how many rules were broken.
+fn carry_out(what: What) -> Result<u64, Fault> {
+    let mut out = std::io::stdout().lock();
+    match what {
+        What::Run { scenarios, seeds, out: path, score, baselines } => {
+            let scenarios = scenarios.iter().map(|name| Scenario::load(name).map(Arc::new));
+            let scenarios = scenarios.collect::<Result<Vec<_>, _>>()?;
+            let plan = Plan { scenarios, seeds: seeds.0, score, baselines };
+            run(&plan, &path, &mut out)
+        }
+        What::Compare { old, new, causes, json } => {
+            let (old, new) = (Results::read(&old)?, Results::read(&new)?);
+            let (moved, unpaired) = experiment::compare(&old, &new);
+            if json {
+                writeln!(out, "{}", serde_json::to_string_pretty(&moved)?)?;
+                return Ok(0);
+            }
+            writeln!(
+                out,
+                "old {} ({}), new {} ({})",
+                old.head.commit, old.head.decisions, new.head.commit, new.head.decisions
+            )?;
+            for side in [&old, &new] {
+                if side.missing() > 0 {
+                    writeln!(
+                        out,
+                        "{}: {} of {} days are missing",
+                        side.head.commit,
+                        side.missing(),
+                        side.head.days
+                    )?;
+                }
+            }
+            if unpaired > 0 {
+                writeln!(out, "{unpaired} days stand in one file only, and are left out")?;
+            }
+            if moved.is_empty() {
+                return Err("the two files have no day in common".into());
+            }
+            moved.iter().try_for_each(|moved| write_moved(moved, causes, &mut out))?;
+            Ok(0)
+        }
+        What::Show { file } => {
+            let results = Results::read(&file)?;
+            if results.missing() > 0 {
+                writeln!(out, "{} of {} days are missing", results.missing(), results.head.days)?;
+            }
+            table(&results.rows, &mut out)?;
+            Ok(0)
+        }
+        What::Draw { scenario, seed, requests } => {
+            draw(&Day::draw(&Arc::new(Scenario::load(&scenario)?), seed), requests, &mut out)?;
+            Ok(0)
+        }
+        What::Scenarios => {
+            for (name, text) in SHIPPED {
+                let about = text.lines().find_map(|line| line.strip_prefix("# ")).unwrap_or_default();
+                writeln!(out, "{name:14}{about}")?;
+            }
+            Ok(0)
+        }
+    }
+}
+
+fn run(plan: &Plan, path: &std::path::Path, out: &mut impl std::io::Write) -> Result<u64, Fault> {
+    let days = plan.scenarios.len() * plan.seeds.len();
+    let bar = ProgressBar::new(days as u64);
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} days, {eta} left {msg}")?;
+    bar.set_style(style);
+    let rows = Mutex::new(Vec::new());
+    experiment::run_into(plan, path, |row| {
+        bar.inc(1);
+        bar.set_message(format!("{} {}", row.scenario, row.seed));
+        if let Ok(mut rows) = rows.lock() {
+            rows.push(row.clone());
+        }
+    })?;
+    bar.finish_and_clear();
+    let mut rows = rows.into_inner().unwrap_or_default();
+    rows.sort_by_key(|row: &Row| (plan.scenarios.iter().position(|s| s.name == row.scenario), row.seed));
+    table(&rows, out)?;
+    let broken = rows.iter().map(|row| row.broken).sum();
+    for row in rows.iter().filter(|row| row.broken > 0) {
+        let first = &row.breaches[0];
+        let request = first.request.map_or(String::new(), |id| format!(", request {id}"));
+        writeln!(
+            out,
+            "{} {}: {} rules broken, first {:?} at {:.3} ms, gateway {}{request}: {}",
+            row.scenario, row.seed, row.broken, first.rule, first.at, first.gateway, first.what
+        )?;
+    }
+    Ok(broken)
+}
+
+/// One line a day, and one for the mean of each scenario.
+fn table(rows: &[Row], out: &mut impl std::io::Write) -> std::io::Result<()> {
+    writeln!(
+        out,
+        "{:14}{:>5} {:>9} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6}  largest losses",
+        "scenario",
+        "seed",
+        "size",
+        "G",
+        "score",
+        "served",
+        "tries",
+        "refus",
+        "w.room",
+        "beyond",
+        "calls",
+        "broken"
+    )?;
+    let line = |out: &mut dyn std::io::Write, name: &str, rows: &[&Row]| -> std::io::Result<()> {
+        let mean = |of: &dyn Fn(&Row) -> f64| rows.iter().map(|row| of(row)).sum::<f64>() / rows.len() as f64;
+        let (seed, size) = match rows {
+            [row] => (row.seed.to_string(), format!("{}x{}", row.size.0, row.size.1)),
+            _ => ("mean".into(), format!("{} days", rows.len())),
+        };
+        let scores: Option<Vec<f64>> = rows.iter().map(|row| row.score).collect();
+        let score = scores.map_or("-".into(), |all| format!("{:.3}", Estimate::of(&all).mean));
+        let mut lost: std::collections::BTreeMap<String, f64> = Default::default();
+        for row in rows {
+            experiment::losses(&row.books)
+                .into_iter()
+                .for_each(|(name, points)| *lost.entry(name).or_default() += points / rows.len() as f64);
+        }
+        let mut lost: Vec<_> = lost.into_iter().collect();
+        lost.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let lost: Vec<_> = lost.iter().take(4).map(|(name, points)| format!("{name} {points:.3}")).collect();
+        writeln!(
+            out,
+            "{name:14}{seed:>5} {size:>9} {:>6.3} {score:>6} {:>6.3} {:>6.2} {:>6.3} {:>7.3} {:>6.3} {:>6.3} {:>6}  {}",
+            mean(&|r| r.books.g),
+            mean(&|r| r.books.whole.share()),
+            mean(&|r| r.books.figures.tries),
+            mean(&|r| r.books.figures.refused),
+            mean(&|r| r.books.figures.refused_with_room),
+            mean(&|r| r.books.figures.beyond),
+            mean(&|r| r.books.figures.calls),
+            rows.iter().map(|r| r.broken).sum::<u64>(),
+            lost.join(", ")
+        )
+    };
+    let mut names: Vec<(&str, &str)> = Vec::new();
+    for row in rows {
+        let key = (row.scenario.as_str(), row.policy.as_str());
+        if !names.contains(&key) {
+            names.push(key);
+        }
+    }
+    for (scenario, policy) in names {
+        let of: Vec<&Row> =
+            rows.iter().filter(|row| row.scenario == scenario && row.policy == policy).collect();
+        let name = if policy == "module" { scenario.to_string() } else { format!(" {policy}") };
+        for row in &of {
+            line(out, &name, &[row])?;
+        }
+        if of.len() > 1 {
+            line(out, &name, &of)?;
+        }
+    }
+    Ok(())
+}
+
+fn estimate(estimate: &Estimate) -> String {
+    let within = estimate.within.map_or(String::new(), |within| format!(" ± {within:.4}"));
+    format!("{:+.4}{within}", estimate.mean)
+}
+
+fn write_moved(moved: &Moved, causes: usize, out: &mut impl std::io::Write) -> std::io::Result<()> {
+    writeln!(
+        out,
+        "{:14} G {:.4} -> {:.4}: {} over {} days (95%); worst seed {} {:+.4}; broken {} -> {}",
+        moved.scenario,
+        moved.means.0,
+        moved.means.1,
+        estimate(&moved.g),
+        moved.g.count,
+        moved.worst.0,
+        moved.worst.1,
+        moved.broken.0,
+        moved.broken.1
+    )?;
+    for (name, lost) in moved.causes.iter().take(causes).filter(|(_, lost)| lost.mean != 0.0) {
+        writeln!(out, "    lost by {name:22} {}", estimate(lost))?;
+    }
+    Ok(())
+}
+
+fn draw(day: &Day, requests: bool, out: &mut impl std::io::Write) -> Result<(), Fault> {
+    writeln!(out, "{} ({}), seed {}, {:.1} s", day.scenario, day.digest, day.seed, day.length as f64 / 1e6)?;
+    let shown = [
+        ("net", serde_json::to_value(&day.net)?),
+        ("clients", serde_json::to_value(&day.clients)?),
+        ("discovery", serde_json::to_value(&day.discovery)?),
+        ("counter", serde_json::to_value(&day.counter)?),
+        ("machine", serde_json::to_value(&day.machine)?),
+    ];
+    for (name, value) in shown {
+        writeln!(out, "{name} {value}")?;
+    }
+    for class in &day.classes {
+        writeln!(out, "class {}", serde_json::to_value(class)?)?;
+    }
+    for plan in &day.settings.plans {
+        writeln!(out, "plan {plan:?}")?;
+    }
+    writeln!(out, "gateways {} by zone {:?}", day.gateways.len(), day.gateways)?;
+    for backend in &day.backends {
+        writeln!(out, "backend {}", serde_json::to_value(backend)?)?;
+    }
+    for trouble in &day.troubles {
+        writeln!(out, "trouble {}", serde_json::to_value(trouble)?)?;
+    }
+    let inside = day.roots.iter().filter(|root| root.inside).count();
+    writeln!(
+        out,
+        "customers {}, first tries {}, inside quotas {inside}",
+        day.customers.len(),
+        day.roots.len()
+    )?;
+    for customer in &day.customers {
+        writeln!(out, "customer {}", serde_json::to_value(customer)?)?;
+    }
+    if requests {
+        for root in &day.roots {
+            writeln!(out, "request {}", serde_json::to_value(root)?)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/emulator/tests/judge.rs
@@ -0,0 +1,220 @@
+//! The judge catches a module that breaks a rule, names the request, and accuses no honest one.
+
+mod helper;
+use doorcourse::{Action, Event, Millis, Outcome};
+use fennelscale_lab::decider::{BASELINES, Decider, Honest, Policy, Sight};
+use fennelscale_lab::draw::Day;
+use fennelscale_lab::judge::{Breach, Rule};
+use helper::*;
+use rayon::prelude::*;
+use std::collections::BTreeSet;
+
+fn breaches(twist: Twist, troubles: &str) -> Vec<Breach> {
+    let day = Day::draw(&small(troubles), 1);
+    play(&day, &Twisted(twist)).0.judge.breaches
+}
+
+/// The requests that a rule's breaks name; there is at least one, and no other rule is broken.
+fn named(breaches: &[Breach], rule: Rule) -> BTreeSet<u64> {
+    assert!(!breaches.is_empty(), "nobody saw it");
+    assert!(breaches.iter().all(|b| b.rule == rule), "{breaches:?}");
+    breaches.iter().filter_map(|b| b.request).collect()
+}
+
+#[test]
+fn an_honest_module_is_never_accused_over_two_hundred_days() {
+    let troubles = "[[trouble]]\nkind = \"gateway-crash\"\nfor_s = [1, 2]\npart = 0.4\nchance = 0.5\n\
+        [[trouble]]\nkind = \"gateway-roll\"\nfor_s = [1, 3]\nchance = 0.3\n\
+        [[trouble]]\nkind = \"replace\"\nfor_s = [1, 3]\npart = 0.4\nchance = 0.5\n\
+        [[trouble]]\nkind = \"zone-cut\"\nfor_s = [1, 3]\nchance = 0.5\n\
+        [[trouble]]\nkind = \"zone-loss\"\nfor_s = 2\nchance = 0.3\n\
+        [[trouble]]\nkind = \"counter-down\"\nfor_s = [1, 3]\nchance = 0.5\n\
+        [[trouble]]\nkind = \"hot-customer\"\nfor_s = [2, 5]\nsize = [0.04, 0.2]\nchance = 0.5\n\
+        [[trouble]]\nkind = \"answers-lost\"\nfor_s = [2, 5]\nsize = 0.03\nchance = 0.5\n\
+        [[trouble]]\nkind = \"silent\"\nfor_s = [1, 2]\npart = 0.2\nchance = 0.5\n";
+    let scenario = small(troubles);
+    let accused: Vec<String> = (0..200u64)
+        .into_par_iter()
+        .flat_map_iter(|seed| {
+            let (record, _) = play(&Day::draw(&scenario, seed), &Honest);
+            assert!(record.totals.attempts > 50, "seed {seed} sent nothing");
+            record.judge.breaches.into_iter().map(move |breach| format!("seed {seed}: {breach:?}"))
+        })
+        .collect();
+    assert_eq!(accused, Vec::<String>::new());
+}
+
+#[test]
+fn who_swallows_answers_loses_requests() {
+    // Every request whose number ends in 7 gets no refusal.
+    let found =
+        breaches(|_, _, out| out.retain(|a| !matches!(a, Action::Refuse { id, .. } if id % 10 == 7)), "");
+    let requests = named(&found, Rule::Lost);
+    assert!(requests.iter().all(|id| id % 10 == 7), "{requests:?}");
+}
+
+#[test]
+fn who_repeats_what_may_have_run_is_caught() {
+    let twist: Twist = |_, event, out| {
+        let Event::AttemptEnded(end) = event else { return };
+        // An error may have run; the honest module fails it.
+        if end.outcome == Outcome::Error && out.iter().any(|a| matches!(a, Action::Fail { .. })) {
+            out.retain(|a| !matches!(a, Action::Fail { .. }));
+            let (id, backend) = (end.id, end.backend.clone());
+            out.push(Action::Send { id, backend, timeout: 100.0, blocked: 0.0 });
+        }
+    };
+    let failing = "[[trouble]]\nkind = \"fast-errors\"\nfrom_s = 1\nfor_s = 5\npart = 1\nsize = 0.3\n";
+    let day = Day::draw(&small(failing), 1);
+    let (record, _) = play(&day, &Twisted(twist));
+    let twice: BTreeSet<u64> = record
+        .judge
+        .breaches
+        .iter()
+        .filter(|b| b.rule == Rule::Duplicate)
+        .filter_map(|b| b.request)
+        .collect();
+    assert!(!twice.is_empty());
+    for id in twice {
+        let tried = &record.tries[id as usize];
+        assert!(day.classes[usize::from(day.roots[tried.root as usize].class)].once);
+        assert!(tried.attempts.len() > 1);
+    }
+}
+
+/// Sends to whatever it has ever heard of, whatever the list says of it now.
+struct Deaf;
+
+struct DeafGateway(Vec<doorcourse::Name>);
+
+impl Decider for DeafGateway {
+    fn handle(&mut self, _: Millis, event: Event, _: &Sight<'_>, out: &mut Vec<Action>) {
+        match event {
+            Event::BackendList(list) => self.0.extend(list.into_iter().map(|entry| entry.name)),
+            Event::Request(arrival) => {
+                let backend = self.0[arrival.id as usize % self.0.len()].clone();
+                out.push(Action::Send { id: arrival.id, backend, timeout: 400.0, blocked: 0.0 });
+            }
+            Event::AttemptEnded(end) if !end.finished => out.push(Action::Fail { id: end.id }),
+            _ => {}
+        }
+    }
+}
+
+impl Policy for Deaf {
+    fn name(&self) -> &str {
+        "deaf"
+    }
+
+    fn start(&self, _: doorcourse::Settings, _: u64) -> Result<Box<dyn Decider>, doorcourse::SettingsError> {
+        Ok(Box::new(DeafGateway(Vec::new())))
+    }
+}
+
+#[test]
+fn who_goes_on_sending_to_a_draining_backend_is_caught() {
+    let day = Day::draw(&small("[[trouble]]\nkind = \"replace\"\nfrom_s = 1\nfor_s = 0.5\npart = 0.3\n"), 1);
+    let (record, _) = play(&day, &Deaf);
+    let drains: Vec<_> = record.judge.breaches.iter().filter(|b| b.rule == Rule::Drain).collect();
+    assert!(!drains.is_empty());
+    for breach in drains {
+        let tried = &record.tries[breach.request.expect("a request") as usize];
+        let backend = &day.backends[tried.attempts[0].backend];
+        let (from, _) = backend.drains.expect("one that drains");
+        assert!(breach.at * 1000.0 > from as f64 + 2_000_000.0, "{breach:?}");
+    }
+}
+
+#[test]
+fn who_lets_everything_in_passes_ceilings() {
+    let troubles = "[[trouble]]\nkind = \"hot-customer\"\nfrom_s = 1\nfor_s = 6\nsize = 0.3\n";
+    let scenario = small(troubles);
+    let all_in = &BASELINES[0];
+    let passed = (0..8).flat_map(|seed| {
+        let day = Day::draw(&scenario, seed);
+        let (record, _) = play(&day, all_in);
+        let of_ceiling = record.judge.breaches.into_iter().filter(|b| b.rule == Rule::Ceiling);
+        of_ceiling
+            .inspect(|breach| {
+                let tried = &record.tries[breach.request.expect("a request") as usize];
+                let customer = &day.customers[day.roots[tried.root as usize].customer as usize];
+                assert!(day.settings.plans[customer.plan].ceiling_rate > 0.0);
+            })
+            .collect::<Vec<_>>()
+    });
+    assert!(passed.count() > 0);
+}
+
+/// Sends everything to one backend as soon as it has heard that this one started anew.
+struct Crush;
+
+struct CrushGateway(Vec<doorcourse::Name>, Option<doorcourse::Name>);
+
+impl Decider for CrushGateway {
+    fn handle(&mut self, _: Millis, event: Event, _: &Sight<'_>, out: &mut Vec<Action>) {
+        match event {
+            Event::BackendList(list) | Event::BackendChanges(list) => {
+                for entry in list {
+                    if entry.started.is_some() {
+                        self.1.get_or_insert(entry.name.clone());
+                    }
+                    self.0.push(entry.name);
+                }
+            }
+            Event::Request(arrival) => {
+                let any = &self.0[arrival.id as usize % self.0.len()];
+                let backend = self.1.as_ref().unwrap_or(any).clone();
+                out.push(Action::Send { id: arrival.id, backend, timeout: 400.0, blocked: 0.0 });
+            }
+            Event::AttemptEnded(end) if !end.finished => out.push(Action::Fail { id: end.id }),
+            _ => {}
+        }
+    }
+}
+
+impl Policy for Crush {
+    fn name(&self) -> &str {
+        "crush"
+    }
+
+    fn start(&self, _: doorcourse::Settings, _: u64) -> Result<Box<dyn Decider>, doorcourse::SettingsError> {
+        Ok(Box::new(CrushGateway(Vec::new(), None)))
+    }
+}
+
+#[test]
+fn who_crushes_a_cold_backend_is_caught() {
+    let day = Day::draw(&small("[[trouble]]\nkind = \"replace\"\nfrom_s = 1\nfor_s = 0.5\npart = 0.1\n"), 1);
+    let (record, _) = play(&day, &Crush);
+    let falls: Vec<_> = record.judge.breaches.iter().filter(|b| b.rule == Rule::Fall).collect();
+    assert!(!falls.is_empty());
+    assert_eq!(record.totals.fallen, falls.len() as u64);
+    for breach in falls {
+        let tried = &record.tries[breach.request.expect("a request") as usize];
+        let backend = tried.attempts.last().expect("an attempt").backend;
+        assert!(day.backends[backend].starts.is_some());
+    }
+}
+
+#[test]
+fn actions_that_the_interface_does_not_allow_are_named() {
+    let twists: [(Twist, &str); 5] = [
+        (
+            |_, event, out| {
+                if let Event::Request(arrival) = event {
+                    let (id, backend) = (arrival.id, "nobody".into());
+                    out.push(Action::Send { id, backend, timeout: 1.0, blocked: 0.0 });
+                }
+            },
+            "no list",
+        ),
+        (|_, _, out| out.push(Action::CallOff { id: 0, attempt: 99 }), "never made"),
+        (|_, _, out| out.push(Action::Refuse { id: 1 << 40, retry_after: 0.0 }), "not given"),
+        (|_, _, out| out.push(Action::Count { name: 1 << 63, amount: 1.0, keep: 10.0 }), "counter"),
+        (|_, _, out| out.push(Action::SetTimer { after: f64::NAN, token: 0 }), "timer"),
+    ];
+    for (twist, what) in twists {
+        let found = breaches(twist, "");
+        assert!(found.iter().any(|b| b.rule == Rule::Protocol && b.what.contains(what)), "{what}: {found:?}");
+    }
+}
