--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod experiment;
 pub mod judge;
 pub mod random;
+pub mod report;
 pub mod results;
 pub mod scenario;
 pub mod world;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand};
 use fennelscale_lab::draw::Day;
 use fennelscale_lab::experiment::{self, Estimate, Moved, Plan};
+use fennelscale_lab::report;
 use fennelscale_lab::results::{Results, Row};
 use fennelscale_lab::scenario::{SHIPPED, Scenario};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -62,6 +63,17 @@
         /// The results.
         file: PathBuf,
     },
+    /// Makes one HTML page with plots of a file of results.
+    Report {
+        /// The results.
+        file: PathBuf,
+        /// The folder that the page, `index.html`, goes to.
+        #[arg(long)]
+        out: PathBuf,
+        /// Older results, shown beside.
+        #[arg(long)]
+        old: Option<PathBuf>,
+    },
     /// Writes a day out so that it can be read.
     Draw {
         /// A shipped scenario or a scenario file.
@@ -99,7 +111,7 @@
 }
 
 /// What ends the program: a line for standard error.
-type Fault = Box<dyn std::error::Error>;
+type Fault = Box<dyn std::error::Error + Send + Sync>;
 
 fn main() -> ExitCode {
     let command = Command::parse();
@@ -173,6 +185,15 @@
             table(&results.rows, &mut out)?;
             Ok(0)
         }
+        What::Report { file, out: folder, old } => {
+            let old = old.as_deref().map(Results::read).transpose()?;
+            let page = report::page(&Results::read(&file)?, old.as_ref())?;
+            std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+            let path = folder.join("index.html");
+            std::fs::write(&path, page).map_err(|e| format!("{}: {e}", path.display()))?;
+            writeln!(out, "{}", path.display())?;
+            Ok(0)
+        }
         What::Draw { scenario, seed, requests } => {
             draw(&Day::draw(&Arc::new(Scenario::load(&scenario)?), seed), requests, &mut out)?;
             Ok(0)
--- /dev/null
+++ b/emulator/src/report.rs
@@ -0,0 +1,361 @@
+//! One HTML page about a file of results, with plots as SVG inside: worth over time, refusals, counter calls, what
+//! backends held, the loss waterfall, and older results beside where there are any.
+
+use crate::books::Part;
+use crate::experiment::{Estimate, losses};
+use crate::results::{Results, Row};
+use plotters::coord::Shift;
+use plotters::coord::ranged1d::SegmentValue;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+/// What can go wrong while a plot is drawn.
+pub type PlotError = Box<dyn std::error::Error + Send + Sync>;
+
+const SIZE: (u32, u32) = (720, 300);
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0x1f, 0x77, 0xb4),
+    RGBColor(0xd6, 0x5f, 0x0e),
+    RGBColor(0x2c, 0x8c, 0x3c),
+    RGBColor(0xb0, 0x30, 0x60),
+    RGBColor(0x6b, 0x4c, 0x9a),
+    RGBColor(0x55, 0x55, 0x55),
+];
+
+type Series = (String, Vec<(f64, f64)>);
+
+fn drawn(
+    draw: impl FnOnce(&DrawingArea<SVGBackend<'_>, Shift>) -> Result<(), PlotError>, size: (u32, u32),
+) -> Result<String, PlotError> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, size).into_drawing_area();
+        area.fill(&WHITE)?;
+        draw(&area)?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+/// Lines over the seconds of a day.
+fn lines(title: &str, unit: &str, series: &[Series]) -> Result<String, PlotError> {
+    let all = || series.iter().flat_map(|(_, points)| points);
+    let right = all().map(|(x, _)| *x).fold(1.0, f64::max);
+    let top = all().map(|(_, y)| *y).fold(1e-9, f64::max) * 1.08;
+    drawn(
+        |area| {
+            let mut chart = ChartBuilder::on(area)
+                .caption(title, ("sans-serif", 17))
+                .margin(10)
+                .x_label_area_size(38)
+                .y_label_area_size(58)
+                .build_cartesian_2d(0.0..right, 0.0..top)?;
+            chart.configure_mesh().x_desc("seconds").y_desc(unit).light_line_style(WHITE).draw()?;
+            for (number, (name, points)) in series.iter().enumerate() {
+                let colour = COLOURS[number % COLOURS.len()];
+                chart
+                    .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))?
+                    .label(name)
+                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+            }
+            chart
+                .configure_series_labels()
+                .position(SeriesLabelPosition::UpperRight)
+                .background_style(WHITE.mix(0.85))
+                .border_style(BLACK.mix(0.3))
+                .draw()?;
+            Ok(())
+        },
+        SIZE,
+    )
+}
+
+/// Bars side by side: a group for each label, a bar for each series.
+fn bars(
+    title: &str, unit: &str, labels: &[String], series: &[(String, Vec<f64>)],
+) -> Result<String, PlotError> {
+    let figures = || series.iter().flat_map(|(_, figures)| figures).copied();
+    let (low, high) = (figures().fold(0.0, f64::min), figures().fold(1e-9, f64::max));
+    let range = low * 1.1..high * 1.1;
+    let count = labels.len().max(1);
+    drawn(
+        |area| {
+            let mut chart = ChartBuilder::on(area)
+                .caption(title, ("sans-serif", 17))
+                .margin(10)
+                .x_label_area_size(38)
+                .y_label_area_size(58)
+                .build_cartesian_2d((0..count - 1).into_segmented(), range)?;
+            let name = |at: &SegmentValue<usize>| match at {
+                SegmentValue::CenterOf(at) => labels.get(*at).cloned().unwrap_or_default(),
+                _ => String::new(),
+            };
+            chart
+                .configure_mesh()
+                .disable_x_mesh()
+                .light_line_style(WHITE)
+                .y_desc(unit)
+                .x_labels(count)
+                .x_label_formatter(&name)
+                .draw()?;
+            let plane = chart.plotting_area();
+            let width = f64::from(plane.dim_in_pixel().0) / count as f64;
+            let each = (width * 0.7 / series.len().max(1) as f64) as i32;
+            for (number, (_, figures)) in series.iter().enumerate() {
+                let colour = COLOURS[number % COLOURS.len()];
+                for (at, figure) in figures.iter().enumerate() {
+                    let place = SegmentValue::CenterOf(at);
+                    let foot = plane.map_coordinate(&(place.clone(), 0.0));
+                    let head = plane.map_coordinate(&(place, *figure));
+                    let left = foot.0 - each * series.len() as i32 / 2 + each * number as i32;
+                    let bar = [(left, foot.1), (left + each - 1, head.1)];
+                    area.draw(&Rectangle::new(bar, colour.filled()))?;
+                }
+            }
+            if series.len() > 1 {
+                for (number, (name, _)) in series.iter().enumerate() {
+                    let (x, y) = (SIZE.0 as i32 - 170, 14 + 15 * number as i32);
+                    let colour = COLOURS[number % COLOURS.len()];
+                    area.draw(&Rectangle::new([(x, y), (x + 10, y + 10)], colour.filled()))?;
+                    area.draw(&Text::new(name.clone(), (x + 15, y), ("sans-serif", 12)))?;
+                }
+            }
+            Ok(())
+        },
+        SIZE,
+    )
+}
+
+/// From 1 down to G: one step for each loss, largest first, the small ones together.
+fn waterfall(title: &str, books: &[(String, f64)], g: f64) -> Result<String, PlotError> {
+    let mut steps: Vec<(String, f64)> =
+        books.iter().filter(|(_, lost)| lost.abs() >= 0.004).cloned().collect();
+    let small: f64 = books.iter().filter(|(_, lost)| lost.abs() < 0.004).map(|(_, lost)| lost).sum();
+    steps.push(("all smaller".into(), small));
+    let rows = steps.len() as i32 + 1;
+    let size = (SIZE.0, 70 + 22 * rows as u32);
+    let mut lowest: f64 = g.min(0.0);
+    let mut level = 1.0;
+    for (_, lost) in &steps {
+        level -= lost;
+        lowest = lowest.min(level);
+    }
+    drawn(
+        |area| {
+            area.draw(&Text::new(title.to_string(), (12, 10), ("sans-serif", 17)))?;
+            let x = |share: f64| 190 + ((share - lowest) / (1.0 - lowest).max(1e-9) * 430.0) as i32;
+            let mut level = 1.0;
+            for (row, (name, lost)) in steps.iter().enumerate() {
+                let y = 40 + 22 * row as i32;
+                let next = level - lost;
+                let colour = if *lost >= 0.0 { COLOURS[1] } else { COLOURS[2] };
+                area.draw(&Text::new(name.clone(), (12, y + 2), ("sans-serif", 13)))?;
+                area.draw(&Rectangle::new([(x(level), y), (x(next), y + 16)], colour.filled()))?;
+                let figure = format!("{:+.3}", -lost);
+                area.draw(&Text::new(figure, (x(level.max(next)) + 6, y + 2), ("sans-serif", 12)))?;
+                level = next;
+            }
+            let y = 40 + 22 * (rows - 1);
+            area.draw(&Text::new("G", (12, y + 2), ("sans-serif", 13)))?;
+            area.draw(&Rectangle::new([(x(0.0f64.max(lowest)), y), (x(g), y + 16)], COLOURS[0].filled()))?;
+            area.draw(&Text::new(format!("{g:.3}"), (x(g) + 6, y + 2), ("sans-serif", 12)))?;
+            Ok(())
+        },
+        size,
+    )
+}
+
+fn mean(rows: &[&Row], of: impl Fn(&Row) -> f64) -> f64 {
+    rows.iter().map(|row| of(row)).sum::<f64>() / rows.len().max(1) as f64
+}
+
+/// A figure of each second, as mean over the days.
+fn by_second(rows: &[&Row], of: impl Fn(&crate::books::Second) -> f64) -> Vec<(f64, f64)> {
+    // The last second of a day is a part of one.
+    let most = rows.iter().map(|row| row.books.seconds.len().saturating_sub(1)).max().unwrap_or(0);
+    (0..most)
+        .map(|second| {
+            let figures = rows.iter().filter_map(|row| row.books.seconds.get(second)).map(&of);
+            let all: Vec<f64> = figures.collect();
+            (second as f64, all.iter().sum::<f64>() / all.len().max(1) as f64)
+        })
+        .collect()
+}
+
+type Look = (f64, usize, usize, usize, usize, u64);
+
+fn by_look(rows: &[&Row], of: impl Fn(&Look, Option<&Look>) -> f64) -> Vec<(f64, f64)> {
+    let most = rows.iter().map(|row| row.looks.len()).min().unwrap_or(0);
+    (0..most)
+        .map(|at| {
+            let figure = |row: &&Row| of(&row.looks[at], at.checked_sub(1).map(|before| &row.looks[before]));
+            (rows[0].looks[at].0, rows.iter().map(figure).sum::<f64>() / rows.len() as f64)
+        })
+        .collect()
+}
+
+fn parts(
+    title: &str, sides: &[(&str, &[&Row])], of: impl Fn(&Row) -> &BTreeMap<String, Part>,
+) -> Result<String, PlotError> {
+    let Some(first) = sides.first().and_then(|(_, rows)| rows.first()) else { return Ok(String::new()) };
+    let names: Vec<String> = of(first).keys().cloned().collect();
+    let series: Vec<(String, Vec<f64>)> = sides
+        .iter()
+        .map(|(side, rows)| {
+            let share = |name: &String| mean(rows, |row| of(row).get(name).map_or(0.0, Part::share));
+            (side.to_string(), names.iter().map(share).collect())
+        })
+        .collect();
+    bars(title, "share earned", &names, &series)
+}
+
+/// The page about results, with older ones beside.
+///
+/// # Errors
+/// When a plot cannot be drawn.
+pub fn page(new: &Results, old: Option<&Results>) -> Result<String, PlotError> {
+    let mut html = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>fennelscale-lab</title><style>\
+         body{font:15px/1.45 sans-serif;margin:2em auto;max-width:1500px;color:#222}\
+         table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}\
+         td:first-child,th:first-child{text-align:left}.plots{display:flex;flex-wrap:wrap;gap:14px}\
+         .plots svg{border:1px solid #e4e4e4}.bad{color:#b00020}</style><h1>The fleet in simulated time</h1>",
+    );
+    let mut versions = vec![("new", new)];
+    versions.extend(old.map(|old| ("old", old)));
+    for (side, results) in &versions {
+        let head = &results.head;
+        writeln!(
+            html,
+            "<p>{side}: commit {}, decisions {}",
+            escaped(&head.commit),
+            escaped(&head.decisions)
+        )?;
+        if results.missing() > 0 {
+            writeln!(
+                html,
+                "<span class=\"bad\">{} of {} days are missing</span>",
+                results.missing(),
+                head.days
+            )?;
+        }
+    }
+    let mut names: Vec<&str> = Vec::new();
+    for row in new.rows.iter().filter(|row| row.policy == "module") {
+        if !names.contains(&row.scenario.as_str()) {
+            names.push(&row.scenario);
+        }
+    }
+    html.push_str("<table><tr><th>scenario<th>days<th>G<th>95%<th>served<th>refused<th>with room<th>beyond quota<th>calls a try<th>rules broken");
+    if old.is_some() {
+        html.push_str("<th>old G");
+    }
+    for name in &names {
+        let rows = of(new, name);
+        let g: Vec<f64> = rows.iter().map(|row| row.books.g).collect();
+        let estimate = Estimate::of(&g);
+        let within = estimate.within.map_or("-".into(), |within| format!("± {within:.3}"));
+        let broken: u64 = rows.iter().map(|row| row.broken).sum();
+        let figure = |of: &dyn Fn(&Row) -> f64| format!("<td>{:.3}", mean(&rows, of));
+        write!(
+            html,
+            "<tr><td><a href=\"#{0}\">{0}</a><td>{1}<td>{2:.3}<td>{within}",
+            escaped(name),
+            rows.len(),
+            estimate.mean
+        )?;
+        html.push_str(&figure(&|row| row.books.whole.share()));
+        html.push_str(&figure(&|row| row.books.figures.refused));
+        html.push_str(&figure(&|row| row.books.figures.refused_with_room));
+        html.push_str(&figure(&|row| row.books.figures.beyond));
+        html.push_str(&figure(&|row| row.books.figures.calls));
+        write!(html, "<td{}>{broken}", if broken > 0 { " class=\"bad\"" } else { "" })?;
+        if let Some(old) = old {
+            let rows = of(old, name);
+            let g =
+                if rows.is_empty() { "-".into() } else { format!("{:.3}", mean(&rows, |row| row.books.g)) };
+            write!(html, "<td>{g}")?;
+        }
+    }
+    html.push_str("</table>");
+    for name in &names {
+        section(&mut html, name, new, old)?;
+    }
+    html.push_str("</html>\n");
+    Ok(html)
+}
+
+fn of<'a>(results: &'a Results, scenario: &str) -> Vec<&'a Row> {
+    results.rows.iter().filter(|row| row.scenario == scenario && row.policy == "module").collect()
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('"', "&quot;")
+}
+
+fn section(html: &mut String, name: &str, new: &Results, old: Option<&Results>) -> Result<(), PlotError> {
+    let rows = of(new, name);
+    let old_rows = old.map(|old| of(old, name)).filter(|rows| !rows.is_empty());
+    let mut sides: Vec<(&str, &[&Row])> = vec![("new", &rows)];
+    if let Some(old_rows) = &old_rows {
+        sides.push(("old", old_rows));
+    }
+    writeln!(html, "<h2 id=\"{0}\">{0}</h2><div class=\"plots\">", escaped(name))?;
+    let mut worth = vec![("offered".to_string(), by_second(&rows, |s| s.part.offered))];
+    worth.extend(
+        sides.iter().map(|(side, rows)| (format!("earned, {side}"), by_second(rows, |s| s.part.earned))),
+    );
+    html.push_str(&lines("Worth by the second of its first try", "worth", &worth)?);
+    let tries = [
+        ("tries".to_string(), by_second(&rows, |s| f64::from(s.tries))),
+        ("refused".to_string(), by_second(&rows, |s| f64::from(s.refused))),
+        (
+            "counter calls".to_string(),
+            by_look(&rows, |look, before| (look.5 - before.map_or(0, |before| before.5)) as f64 * 2.0),
+        ),
+    ];
+    html.push_str(&lines("Tries, refusals and counter calls", "a second", &tries)?);
+    let held = [
+        ("held by all backends".to_string(), by_look(&rows, |look, _| look.1 as f64)),
+        ("of these waiting".to_string(), by_look(&rows, |look, _| look.2 as f64)),
+        ("backends that serve".to_string(), by_look(&rows, |look, _| look.4 as f64)),
+        ("gateways that run".to_string(), by_look(&rows, |look, _| look.3 as f64)),
+    ];
+    html.push_str(&lines("Requests out at backends, and machines", "number", &held)?);
+    let mut triggers: Vec<String> = rows.iter().flat_map(|row| row.books.refusals.keys().cloned()).collect();
+    triggers.sort();
+    triggers.dedup();
+    let refusals: Vec<(String, Vec<f64>)> = sides
+        .iter()
+        .map(|(side, rows)| {
+            let count = |trigger: &String| {
+                mean(rows, |row| row.books.refusals.get(trigger).copied().unwrap_or(0) as f64)
+            };
+            (side.to_string(), triggers.iter().map(count).collect())
+        })
+        .collect();
+    html.push_str(&bars(
+        "Refusals by what the gateway was told just before",
+        "tries a day",
+        &triggers,
+        &refusals,
+    )?);
+    html.push_str(&parts("By plan, inside the quotas", &sides, |row| &row.books.plans)?);
+    html.push_str(&parts("By class", &sides, |row| &row.books.classes)?);
+    html.push_str(&parts("By the gateway's zone", &sides, |row| &row.books.zones)?);
+    for (side, rows) in &sides {
+        let mut lost: BTreeMap<String, f64> = BTreeMap::new();
+        for row in *rows {
+            for (name, points) in losses(&row.books) {
+                *lost.entry(name).or_default() += points / rows.len() as f64;
+            }
+        }
+        let mut lost: Vec<(String, f64)> = lost.into_iter().collect();
+        lost.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let g = mean(rows, |row| row.books.g);
+        html.push_str(&waterfall(&format!("What was lost, from 1 to G ({side})"), &lost, g)?);
+    }
+    html.push_str("</div>");
+    Ok(())
+}
