Counter lanes wait for the moment they look at: no spin while the counter is silent

At fault is Lane::session: with all calls told, it slept until heard + SILENT, but ends the connection only at max(made, heard) + SILENT. On a lane that had been idle for longer than SILENT the first moment is over at once, and the loop spun until the second: up to 200 ms of full processor time for each silence, in every gateway.

Change: the sleep ends at the moment that is looked at.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -195,16 +195,18 @@
             }
             let (waiting, due) = {
                 let pipeline = self.pipeline.borrow();
-                let due = pipeline.calls.iter().find(|c| !c.told).map(|c| c.made + self.patience);
-                (!pipeline.out.is_empty(), due)
+                // The same moments as are looked at below: waiting for one that is over would take all of the
+                // processor until the other is.
+                let silence = pipeline.calls.front().map_or(heard + PING, |c| c.made.max(heard) + SILENT);
+                let untold = pipeline.calls.iter().find(|c| !c.told).map(|c| c.made + self.patience);
+                (!pipeline.out.is_empty(), untold.map_or(silence, |due| due.min(silence)))
             };
-            let silence = heard + if self.is_idle() { PING } else { SILENT };
             tokio::select! {
                 () = self.wake.notified() => {}
                 Ok(()) = address.changed(), if !moved => moved = true,
                 ready = stream.readable() => ready?,
                 ready = stream.writable(), if waiting => ready?,
-                () = sleep_until(due.map_or(silence, |d| d.min(silence))) => {}
+                () = sleep_until(due) => {}
             }
             self.write(stream)?;
             // Before the time-outs: an answer that is there counts.
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -193,3 +193,28 @@
     };
     LocalSet::new().run_until(scene).await;
 }
+
+/// The processor time of this thread, on which both ends of the lanes run.
+fn processor_time() -> Duration {
+    let spent = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(spent.tv_sec.unsigned_abs(), u32::try_from(spent.tv_nsec).expect("below a second"))
+}
+
+#[tokio::test]
+async fn waiting_for_a_counter_that_says_nothing_takes_no_processor_time() {
+    let scene = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (counter, mut told) =
+            lanes(listener.local_addr().expect("an address"), Duration::from_millis(20));
+        let _peer = Peer::accept(&listener).await;
+        // The lanes have heard nothing for longer than a silence may last, as there was nothing to hear.
+        pause(300).await;
+        call_in_vain(&counter, &mut told).await;
+        // The call was given up, and its lane waits for the end of the silence, for some 230 ms.
+        let before = processor_time();
+        pause(150).await;
+        let spent = processor_time() - before;
+        assert!(spent < Duration::from_millis(50), "{spent:?} of 150 ms");
+    };
+    LocalSet::new().run_until(scene).await;
+}
