Demo and load on real sockets: stand-ins, an open-loop load, troubles in the midst

Need: a newcomer could not see the program work without writing backends of his own.

In the end a table by class (HDR histogram, timed from when each request was due) and each gateway's cost by its own INFO. fennelscale-lab load sends load to gateways that run; other than loopback is refused by name.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod judge;
+pub mod live;
 pub mod random;
 pub mod report;
 pub mod results;
--- /dev/null
+++ b/emulator/src/live/mod.rs
@@ -0,0 +1,347 @@
+//! Real gateways on loopback sockets among stand-ins, with a steady load and, where wanted, a trouble in the midst.
+
+pub mod load;
+pub mod stand_ins;
+
+use load::{Class, Load, Tally};
+use serde_json::{Value, json};
+use stand_ins::{Backend, Counter, Discovery};
+use std::fmt::Write as _;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// How many gateways the demo starts, and backends in each zone.
+const GATEWAYS: usize = 3;
+const BACKENDS: usize = 3;
+const ZONES: [&str; 3] = ["north", "south", "east"];
+/// A gateway has this long to come up.
+const COMES_UP: Duration = Duration::from_secs(10);
+
+/// What happens in the midst of the demo, and is over before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Trouble {
+    /// One gateway is killed, and started again.
+    Gateway,
+    /// All backends of a zone fall silent.
+    Zone,
+    /// The counter falls silent.
+    Counter,
+    /// A backend drains.
+    Drain,
+}
+
+/// The demo.
+#[derive(Clone, Debug)]
+pub struct Demo {
+    /// The gateway's program.
+    pub program: PathBuf,
+    /// For how long there is load, in seconds.
+    pub seconds: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// What happens.
+    pub trouble: Option<Trouble>,
+}
+
+/// A gateway's process.
+struct Gateway {
+    name: String,
+    config: PathBuf,
+    console: SocketAddr,
+    process: Child,
+}
+
+/// What a gateway's figures said at the end.
+#[derive(Clone, Debug)]
+pub struct Cost {
+    /// Which gateway.
+    pub name: String,
+    /// Requests that it got.
+    pub requests: u64,
+    /// Processor time, in ms.
+    pub processor_ms: u64,
+    /// Resident memory at its peak, in kB.
+    pub peak_kb: u64,
+    /// Counter calls.
+    pub counter_calls: u64,
+}
+
+/// What the demo came to.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// By class.
+    pub classes: Vec<(String, Tally)>,
+    /// By gateway; without those that did not answer.
+    pub costs: Vec<Cost>,
+    /// What happened, with its time in seconds.
+    pub happened: Vec<(f64, String)>,
+}
+
+impl Demo {
+    /// Runs it to its end. `told` hears of each request that was due.
+    ///
+    /// # Errors
+    /// When something cannot be started.
+    pub async fn run(&self, told: impl Fn()) -> Result<Outcome, Box<dyn std::error::Error + Send + Sync>> {
+        let folder = std::env::temp_dir().join(format!("fennelscale-demo-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let result = self.run_in(&folder, told).await;
+        let _ = std::fs::remove_dir_all(&folder);
+        result
+    }
+
+    async fn run_in(
+        &self, folder: &Path, told: impl Fn(),
+    ) -> Result<Outcome, Box<dyn std::error::Error + Send + Sync>> {
+        let mut backends = Vec::new();
+        for number in 0..ZONES.len() * BACKENDS {
+            backends.push(Backend::start(number, ZONES[number % ZONES.len()]).await?);
+        }
+        let discovery = Discovery::start(hosts(&backends)).await?;
+        let counter = Counter::start().await?;
+        let (mut gateways, mut addresses) = (Vec::new(), Vec::new());
+        for number in 0..GATEWAYS {
+            let (gateway, address) =
+                Gateway::start(&self.program, folder, number, &discovery, counter.address).await?;
+            gateways.push(gateway);
+            addresses.push(address);
+        }
+        let load = Load {
+            to: addresses,
+            rate: self.rate,
+            seconds: self.seconds,
+            classes: vec![
+                Class { name: "reading".into(), safe: true, share: 0.7, deadline_ms: 2000 },
+                Class { name: "setpoint".into(), safe: false, share: 0.3, deadline_ms: 2500 },
+            ],
+            plans: vec!["basic".into(), "large".into()],
+            customers: 40,
+            seed: 1,
+        };
+        let mut happened = Vec::new();
+        let loaded = load.run(told);
+        let troubled = self.troubled(&mut gateways, &backends, &discovery, &counter, &mut happened);
+        let (classes, troubled) = tokio::join!(loaded, troubled);
+        troubled?;
+        let mut costs = Vec::new();
+        for gateway in &mut gateways {
+            costs.extend(gateway.cost().await);
+            gateway.process.kill().await?;
+        }
+        Ok(Outcome { classes: classes?, costs, happened })
+    }
+
+    /// What goes wrong from two fifths of the time on, for three tenths of it.
+    async fn troubled(
+        &self, gateways: &mut [Gateway], backends: &[Arc<Backend>], discovery: &Discovery, counter: &Counter,
+        happened: &mut Vec<(f64, String)>,
+    ) -> io::Result<()> {
+        let Some(trouble) = self.trouble else { return Ok(()) };
+        let (before, lasts) = (self.seconds as f64 * 0.4, self.seconds as f64 * 0.3);
+        sleep(Duration::from_secs_f64(before)).await;
+        let zone = |silent: bool| {
+            for backend in backends.iter().filter(|backend| backend.zone == ZONES[1]) {
+                backend.silent.store(silent, Ordering::Relaxed);
+            }
+        };
+        let drain = |draining: bool| {
+            backends[0].draining.store(draining, Ordering::Relaxed);
+            discovery.change(hosts(backends));
+        };
+        happened.push((
+            before,
+            match trouble {
+                Trouble::Gateway => {
+                    gateways[0].process.kill().await?;
+                    format!("gateway {} is killed", gateways[0].name)
+                }
+                Trouble::Zone => {
+                    zone(true);
+                    format!("the backends of zone {} fall silent", ZONES[1])
+                }
+                Trouble::Counter => {
+                    counter.silent.store(true, Ordering::Relaxed);
+                    "the counter falls silent".into()
+                }
+                Trouble::Drain => {
+                    drain(true);
+                    format!("backend {} drains", backends[0].name)
+                }
+            },
+        ));
+        sleep(Duration::from_secs_f64(lasts)).await;
+        happened.push((
+            before + lasts,
+            match trouble {
+                Trouble::Gateway => {
+                    let config = gateways[0].config.clone();
+                    gateways[0].process = spawn(&self.program, &config)?;
+                    format!("gateway {} is started again", gateways[0].name)
+                }
+                Trouble::Zone => {
+                    zone(false);
+                    format!("the backends of zone {} answer again", ZONES[1])
+                }
+                Trouble::Counter => {
+                    counter.silent.store(false, Ordering::Relaxed);
+                    "the counter answers again".into()
+                }
+                Trouble::Drain => {
+                    drain(false);
+                    format!("backend {} is back", backends[0].name)
+                }
+            },
+        ));
+        Ok(())
+    }
+}
+
+fn hosts(backends: &[Arc<Backend>]) -> Vec<Value> {
+    backends
+        .iter()
+        .enumerate()
+        .map(|(number, backend)| {
+            let health = if backend.draining.load(Ordering::Relaxed) { "terminating" } else { "in_service" };
+            json!({"host": backend.name, "dial": backend.address.to_string(), "site": backend.zone,
+                "class": "demo", "block": number / 3, "health": health, "share": 1.0, "born_ms": 0})
+        })
+        .collect()
+}
+
+fn spawn(program: &Path, config: &Path) -> io::Result<Child> {
+    // What it writes down goes with the demo's own folder.
+    let folder = config.parent().unwrap_or(Path::new("."));
+    Command::new(program)
+        .env("TMPDIR", folder)
+        .env("NODE_CONFIG", config)
+        .env_remove("NODE_LISTEN")
+        .env_remove("NODE_DISCOVERY")
+        .env_remove("NODE_CONSOLE")
+        .env_remove("NODE_NAME")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+}
+
+/// An address that nobody listens at just now.
+async fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0").await?.local_addr()
+}
+
+impl Gateway {
+    async fn start(
+        program: &Path, folder: &Path, number: usize, discovery: &Discovery, counter: SocketAddr,
+    ) -> io::Result<(Self, SocketAddr)> {
+        let (listen, console) = (free_address().await?, free_address().await?);
+        let name = format!("g{number}");
+        let plan = |name: &str, rate: f64, burst: f64| json!({"name": name, "refill": rate, "burst": burst});
+        let class = |name: &str, effect: &str, aim: f64, worth: f64| json!({"name": name, "effect": effect, "goal-time-ms": aim, "worth": worth});
+        let config = json!({
+            "name": name, "listen": listen.to_string(), "console": console.to_string(), "seed": format!("{:x}", number + 1),
+            "discovery": discovery.address.to_string(), "counter": counter.to_string(), "known": discovery.known(),
+            "settings": {
+                "fleet-size": GATEWAYS, "my-number": number, "locality": ZONES[number % ZONES.len()], "period-ms": 2,
+                "classes": [class("reading", "idempotent", 600.0, 2.0), class("setpoint", "at_most_once", 1000.0, 5.0)],
+                "plans": [plan("basic", 3.0, 9.0), plan("large", 8.0, 24.0)],
+                "extra": {"has-counter": true, "count-limit-ms": 50, "units-top": 1},
+                "permissions": {"most-tries": 4, "may-cancel": true, "max-retry-after-ms": 1000},
+                "rules": {"cold-from": 0.2, "cold-ms": 10000, "overload-factor": 2.5, "fall-ms": 2000}}});
+        let path = folder.join(format!("{name}.json"));
+        std::fs::write(&path, config.to_string())?;
+        let mut process = spawn(program, &path)
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
+        let fault = |what: String| io::Error::other(format!("gateway {name}: {what}"));
+        let log = process.stderr.take().ok_or_else(|| fault("has no log".into()))?;
+        let mut lines = BufReader::new(log).lines();
+        let up = async {
+            let mut last = String::new();
+            while let Some(line) = lines.next_line().await? {
+                if line.contains(": listening at ") {
+                    return Ok(());
+                }
+                last = line;
+            }
+            Err(fault(format!("ended: {last}")))
+        };
+        timeout(COMES_UP, up).await.map_err(|_| fault("did not come up".into()))??;
+        // Whoever reads no log would fill its pipe.
+        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Ok((Self { name, config: path, console, process }, listen))
+    }
+
+    /// What its figures say, if it answers.
+    async fn cost(&self) -> Option<Cost> {
+        let read = async {
+            let mut stream = TcpStream::connect(self.console).await.ok()?;
+            stream.write_all(b"INFO\n").await.ok()?;
+            let mut text = String::new();
+            stream.take(1 << 20).read_to_string(&mut text).await.ok()?;
+            serde_json::from_str::<Value>(text.lines().next()?).ok()
+        };
+        let figures = timeout(Duration::from_secs(2), read).await.ok()??;
+        let cost = |name: &str| figures["cost"][name].as_u64().unwrap_or(0);
+        Some(Cost {
+            name: self.name.clone(),
+            requests: cost("requests"),
+            processor_ms: cost("user_ms") + cost("system_ms"),
+            peak_kb: cost("peak_kb"),
+            counter_calls: cost("counter_calls"),
+        })
+    }
+}
+
+/// The outcome by class as a table.
+pub fn table(classes: &[(String, Tally)]) -> String {
+    let mut text = format!(
+        "{:10}{:>8}{:>8}{:>9}{:>8}{:>8} | {:>9}{:>9}{:>9}{:>9}\n",
+        "class", "due", "served", "refused", "failed", "unsent", "p50 ms", "p90 ms", "p99 ms", "max ms"
+    );
+    for (name, tally) in classes {
+        let at = |share: f64| tally.times.value_at_quantile(share) as f64 / 1000.0;
+        let _ = writeln!(
+            text,
+            "{name:10}{:>8}{:>8}{:>9}{:>8}{:>8} | {:>9.1}{:>9.1}{:>9.1}{:>9.1}",
+            tally.all(),
+            tally.served,
+            tally.refused,
+            tally.failed,
+            tally.unsent,
+            at(0.5),
+            at(0.9),
+            at(0.99),
+            tally.times.max() as f64 / 1000.0
+        );
+    }
+    text
+}
+
+impl Outcome {
+    /// All of it as text.
+    pub fn text(&self) -> String {
+        let mut text = table(&self.classes);
+        for (at, what) in &self.happened {
+            let _ = writeln!(text, "at {at:.1} s {what}");
+        }
+        for cost in &self.costs {
+            let each = cost.processor_ms as f64 * 1000.0 / cost.requests.max(1) as f64;
+            let calls = cost.counter_calls as f64 / cost.requests.max(1) as f64;
+            let _ = writeln!(
+                text,
+                "gateway {}: {} requests, {each:.0} us of processor time and {calls:.2} counter calls each, {} kB at most",
+                cost.name, cost.requests, cost.peak_kb
+            );
+        }
+        text
+    }
+}
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -5,11 +5,13 @@
 use clap::{Parser, Subcommand};
 use fennelscale_lab::draw::Day;
 use fennelscale_lab::experiment::{self, Estimate, Moved, Plan};
+use fennelscale_lab::live::{Demo, Trouble, load, table as table_of_load};
 use fennelscale_lab::report;
 use fennelscale_lab::results::{Results, Row};
 use fennelscale_lab::scenario::{SHIPPED, Scenario};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::Write as _;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
@@ -87,6 +89,45 @@
     },
     /// Lists the shipped scenarios.
     Scenarios,
+    /// Starts three real gateways among stand-ins on loopback, loads them, and shows what came of it.
+    Demo {
+        /// For how long there is load, in seconds.
+        #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u64).range(2..=load::MOST_SECONDS))]
+        seconds: u64,
+        /// Requests a second.
+        #[arg(long, default_value_t = 150.0)]
+        rate: f64,
+        /// What goes wrong in the midst.
+        #[arg(long)]
+        trouble: Option<Trouble>,
+        /// The gateway's program; usually the one beside this program.
+        #[arg(long)]
+        gateway: Option<PathBuf>,
+    },
+    /// Sends load to gateways that run already, at loopback addresses.
+    Load {
+        /// A gateway's address, as often as there are gateways.
+        #[arg(long = "to", required = true)]
+        to: Vec<SocketAddr>,
+        /// For how long, in seconds.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Requests a second.
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        /// A class as NAME:SHARE:DEADLINE_MS, with a ! after the name where it must not run twice.
+        #[arg(long = "class", default_values = ["reading:0.7:4000", "setpoint!:0.3:5000"], value_parser = class)]
+        classes: Vec<load::Class>,
+        /// A plan's name.
+        #[arg(long = "plan", default_values = ["basic"])]
+        plans: Vec<String>,
+        /// Customers.
+        #[arg(long, default_value_t = 40)]
+        customers: u64,
+        /// The seed of all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +151,22 @@
     Ok(Seeds(all))
 }
 
+fn class(text: &str) -> Result<load::Class, String> {
+    let parts: Vec<&str> = text.split(':').collect();
+    let [name, share, deadline] = parts[..] else { return Err("not NAME:SHARE:DEADLINE_MS".into()) };
+    let share = share.parse().ok().filter(|share| *share > 0.0 && *share <= 1e6);
+    let deadline_ms = deadline.parse().ok().filter(|ms| (1..=600_000).contains(ms));
+    let (Some(share), Some(deadline_ms)) = (share, deadline_ms) else {
+        return Err("the share must be above 0, the deadline 1 to 600,000 ms".into());
+    };
+    let bare = name.trim_end_matches('!');
+    let plain = !bare.is_empty() && bare.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
+    if !plain {
+        return Err("a class's name is letters, digits, - and _".into());
+    }
+    Ok(load::Class { name: bare.into(), safe: bare == name, share, deadline_ms })
+}
+
 /// What ends the program: a line for standard error.
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
@@ -198,6 +255,31 @@
             draw(&Day::draw(&Arc::new(Scenario::load(&scenario)?), seed), requests, &mut out)?;
             Ok(0)
         }
+        What::Demo { seconds, rate, trouble, gateway } => {
+            let program = match gateway {
+                Some(program) => program,
+                None => std::env::current_exe()?.with_file_name("fennelscale"),
+            };
+            if !program.exists() {
+                let told = "build it with: cargo build --release --workspace --locked";
+                return Err(format!("{}: there is no gateway; {told}", program.display()).into());
+            }
+            let demo = Demo { program, seconds, rate, trouble };
+            let bar = progress(rate * seconds as f64)?;
+            let outcome = live()?.block_on(demo.run(|| bar.inc(1)))?;
+            bar.finish_and_clear();
+            write!(out, "{}", outcome.text())?;
+            Ok(0)
+        }
+        What::Load { to, seconds, rate, classes, plans, customers, seed } => {
+            let load = load::Load { to, rate, seconds, classes, plans, customers, seed };
+            load.check()?;
+            let bar = progress(rate * seconds as f64)?;
+            let classes = live()?.block_on(load.run(|| bar.inc(1)))?;
+            bar.finish_and_clear();
+            write!(out, "{}", table_of_load(&classes))?;
+            Ok(0)
+        }
         What::Scenarios => {
             for (name, text) in SHIPPED {
                 let about = text.lines().find_map(|line| line.strip_prefix("# ")).unwrap_or_default();
@@ -208,6 +290,16 @@
     }
 }
 
+fn progress(requests: f64) -> Result<ProgressBar, Fault> {
+    let bar = ProgressBar::new(requests as u64);
+    bar.set_style(ProgressStyle::with_template("{bar:40} {pos} of about {len} requests, {elapsed}")?);
+    Ok(bar)
+}
+
+fn live() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()
+}
+
 fn run(plan: &Plan, path: &std::path::Path, out: &mut impl std::io::Write) -> Result<u64, Fault> {
     let days = plan.scenarios.len() * plan.seeds.len();
     let bar = ProgressBar::new(days as u64);
