Book the quota gate's decisions by plan, try and what the gateway was told just before

Need: the causes say that a quarter of the tries is refused with room and a fifth is sent beyond quotas, but not which gate did so: without a total, by a total, or by a timer.

--- a/emulator/src/books.rs
+++ b/emulator/src/books.rs
@@ -115,6 +115,20 @@
     pub p99_ms: f64,
 }
 
+/// How the quota's gate decided on tries of one kind: of a plan, fresh or repeated, with what its gateway was told
+/// just before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Gate {
+    /// First sent on inside the quota.
+    pub inside: u64,
+    /// First sent on beyond it.
+    pub beyond: u64,
+    /// Refused unsent although the quota had room.
+    pub refused_with_room: u64,
+    /// Refused unsent, and rightly.
+    pub refused: u64,
+}
+
 /// One second of the day.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Second {
@@ -155,6 +169,9 @@
     pub prices: BTreeMap<Price, f64>,
     /// Behaviour.
     pub figures: Figures,
+    /// Decisions of the quota's gate by plan, first try or repeat, and what came just before.
+    #[serde(default)]
+    pub gate: BTreeMap<String, Gate>,
     /// Refusals by what came just before, in tries.
     pub refusals: BTreeMap<String, u64>,
     /// The day by seconds.
@@ -271,6 +288,7 @@
             uneven_plans: goal.worst_plan * (share - worst_plan),
             prices,
             figures: figures(day, record),
+            gate: gate(day, record),
             refusals,
             seconds: by_second,
         }
@@ -359,6 +377,27 @@
     }
 }
 
+fn gate(day: &Day, record: &Record) -> BTreeMap<String, Gate> {
+    let mut all: BTreeMap<String, Gate> = BTreeMap::new();
+    for tried in &record.tries {
+        let plan = day.customers[day.roots[tried.root as usize].customer as usize].plan;
+        let order = if tried.number == 0 { "first" } else { "repeat" };
+        let (_, closed_on) = tried.closed.unwrap_or_default();
+        let trigger = if tried.inside.is_some() { tried.sent_on } else { closed_on };
+        let name = || format!("{} {order} {trigger:?}", day.settings.plans[plan].name);
+        match (tried.inside, tried.ended, tried.store) {
+            (Some(true), ..) => all.entry(name()).or_default().inside += 1,
+            (Some(false), ..) => all.entry(name()).or_default().beyond += 1,
+            (None, Ended::Refused, Some((held, open))) if held >= 1.0 && open => {
+                all.entry(name()).or_default().refused_with_room += 1;
+            }
+            (None, Ended::Refused, _) => all.entry(name()).or_default().refused += 1,
+            _ => {}
+        }
+    }
+    all
+}
+
 fn figures(day: &Day, record: &Record) -> Figures {
     let tries = record.tries.len().max(1) as f64;
     let refused = record.tries.iter().filter(|t| t.ended == Ended::Refused);
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -64,6 +64,9 @@
     Show {
         /// The results.
         file: PathBuf,
+        /// How the quota's gate decided, by plan, instead.
+        #[arg(long)]
+        gate: bool,
     },
     /// Makes one HTML page with plots of a file of results.
     Report {
@@ -234,12 +237,16 @@
             moved.iter().try_for_each(|moved| write_moved(moved, causes, &mut out))?;
             Ok(0)
         }
-        What::Show { file } => {
+        What::Show { file, gate } => {
             let results = Results::read(&file)?;
             if results.missing() > 0 {
                 writeln!(out, "{} of {} days are missing", results.missing(), results.head.days)?;
             }
-            table(&results.rows, &mut out)?;
+            if gate {
+                gate_table(&results.rows, &mut out)?
+            } else {
+                table(&results.rows, &mut out)?
+            }
             Ok(0)
         }
         What::Report { file, out: folder, old } => {
@@ -400,6 +407,27 @@
     Ok(())
 }
 
+/// The decisions of the quota's gate, summed up over all days of the decisions themselves.
+fn gate_table(rows: &[Row], out: &mut impl std::io::Write) -> std::io::Result<()> {
+    let mut all: std::collections::BTreeMap<(&str, &str), [u64; 4]> = Default::default();
+    for row in rows.iter().filter(|row| row.policy == "module") {
+        for (name, gate) in &row.books.gate {
+            let sum = all.entry((&row.scenario, name)).or_default();
+            let counts = [gate.inside, gate.beyond, gate.refused_with_room, gate.refused];
+            sum.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+        }
+    }
+    writeln!(
+        out,
+        "{:12}{:30}{:>10}{:>10}{:>12}{:>10}",
+        "scenario", "plan, try, told", "inside", "beyond", "ref. w. room", "refused"
+    )?;
+    for ((scenario, name), [inside, beyond, with_room, refused]) in all {
+        writeln!(out, "{scenario:12}{name:30}{inside:>10}{beyond:>10}{with_room:>12}{refused:>10}")?;
+    }
+    Ok(())
+}
+
 fn estimate(estimate: &Estimate) -> String {
     let within = estimate.within.map_or(String::new(), |within| format!(" ± {within:.4}"));
     format!("{:+.4}{within}", estimate.mean)
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -101,6 +101,8 @@
     pub closed: Option<(Micros, Trigger)>,
     /// Whether it was inside the quota when it was first sent on.
     pub inside: Option<bool>,
+    /// What its gateway was told just before that.
+    pub sent_on: Trigger,
     /// What its customer's store held, and whether its open quota had room, when it was ended unsent.
     pub store: Option<(f64, bool)>,
     /// Whether a call to the counter was made while it waited.
@@ -858,7 +860,7 @@
         let (now, life) = (self.now, self.gates[gateway].life);
         match action {
             Action::Send { id, backend, timeout, .. } => {
-                if let Some(unsent) = self.send(gateway, id, &backend, timeout) {
+                if let Some(unsent) = self.send(gateway, id, &backend, timeout, trigger) {
                     line.push_back(unsent);
                 }
             }
@@ -953,6 +955,7 @@
             taken: None,
             closed: None,
             inside: None,
+            sent_on: Trigger::Other,
             store: None,
             advice: 0,
             attempts: Vec::new(),
@@ -1094,7 +1097,9 @@
     // ---- Attempts ----
 
     /// Sends an attempt. Gives the end of one that is never sent.
-    fn send(&mut self, gateway: usize, id: u64, name: &Name, timeout: f64) -> Option<Event> {
+    fn send(
+        &mut self, gateway: usize, id: u64, name: &Name, timeout: f64, trigger: Trigger,
+    ) -> Option<Event> {
         let backend = self.backends.get(name).copied();
         let known = self.tries.get(id as usize).filter(|t| t.gateway == gateway && t.taken.is_some());
         let known = known.is_some();
@@ -1115,7 +1120,8 @@
                     store.held -= 1.0;
                 }
             }
-            self.tries[id as usize].inside = Some(inside);
+            let tried = &mut self.tries[id as usize];
+            (tried.inside, tried.sent_on) = (Some(inside), trigger);
             self.judge.draws(self.now, gateway, u64::from(id), customer, plan);
         }
         self.stores[customer].1 += 1;
--- a/emulator/tests/world.rs
+++ b/emulator/tests/world.rs
@@ -2,10 +2,11 @@
 
 mod helper;
 use doorcourse::{Action, CountOutcome, Event, Gateway, Outcome, Settings};
+use fennelscale_lab::books::Gate;
 use fennelscale_lab::decider::{BASELINES, Decider, Honest, Policy};
 use fennelscale_lab::draw::{Day, mix};
 use fennelscale_lab::experiment::{Plan, play as play_row, run};
-use fennelscale_lab::world::World;
+use fennelscale_lab::world::{Ended, World};
 use helper::*;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,12 @@
             assert!((zones - books.whole.earned).abs() < 1e-6);
             assert!((seconds - books.whole.offered).abs() < 1e-6);
             assert_eq!(record.served.len(), day.roots.len());
+            // Each try that was sent on or refused unsent is in one row of the gate.
+            let counted = |of: fn(&Gate) -> u64| books.gate.values().map(of).sum::<u64>() as usize;
+            let sent = record.tries.iter().filter(|t| t.inside.is_some()).count();
+            let refused = record.tries.iter().filter(|t| t.inside.is_none() && t.ended == Ended::Refused);
+            assert_eq!(counted(|gate| gate.inside + gate.beyond), sent, "{name}");
+            assert_eq!(counted(|gate| gate.refused + gate.refused_with_room), refused.count(), "{name}");
         }
     }
 }
