Decide without a total by the plan alone, give repeats no calls, ask of spent quotas sooner

Need: at full size a fifth of the tries was refused with room while a seventh of the sends was beyond a quota.

Repeats took a fifth of the calls, which only read.

Repeats make no calls. A window grants a third of the burst at once instead of three quarters. A spent quota is asked of within a fifth of the time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,19 +37,15 @@
 const EASE_STEP: f64 = 0.2;
 /// The least share of calls still made: who never asks never learns that the counter is back.
 const EASE_LEAST: f64 = 0.1;
-/// All first tries of thin customers are asked about at 1, all repeats of clients at this.
-const EASE_MOST: f64 = 2.0;
 /// A customer is thin where its burst leaves each of its gateways less than this part of a unit: a block in
 /// hand everywhere would be its whole quota many times over.
 const THIN: f64 = 0.5;
-/// What a thin customer's window grants at once, as a share of the burst; the rest comes with the rate.
-const THIN_START: f64 = 0.75;
-/// How far a thin customer is beyond its quota is told by what the rate and this share of the burst grant ...
-const THIN_ODDS: f64 = 0.25;
-/// ... and fades over this many turns.
-const THIN_FADE: f64 = 4.0;
-/// Gateways that may talk tell of customers of whom less than this share fits, and again when it falls so.
-const THIN_NEWS: f64 = 0.7;
+/// What a thin customer's window grants at once, as a share of the burst; the rest comes with the rate. Some
+/// of what is sent on is never counted, as no total came in time: it has the other part.
+const THIN_START: f64 = 0.35;
+/// One of many that was told that a quota is spent asks again within this share of the time in which the rate
+/// gives each of the customer's gateways a unit.
+const ASK_AGAIN: f64 = 0.2;
 /// A customer idle for this many turns has a full store again: it and its count are forgotten, which loses
 /// nothing and bounds the memory when many are seen once.
 const IDLE_TURNS: f64 = 2.0;
@@ -370,8 +366,7 @@
 pub struct Estate {
     customers: BTreeMap<Name, Customer>,
     backends: BTreeMap<Name, Backend>,
-    told: BTreeMap<u64, (f64, Millis)>,
-    plan_odds: Vec<[f64; 2]>,
+    plan_room: Vec<f64>,
     class_latency: Vec<f64>,
     ease: f64,
     late: f64,
@@ -392,10 +387,8 @@
     unanswered: BTreeMap<u64, Name>,
     /// The share of the calls wanted that the counter can bear, by how fast it answers.
     ease: f64,
-    /// The share of first totals with room left, for each plan: of first tries, and of clients' repeats.
-    plan_odds: Vec<[f64; 2]>,
-    /// Of thin customers: the share of tries that fits and when that was heard, here or by another gateway.
-    told: BTreeMap<u64, (f64, Millis)>,
+    /// The share of first totals with room left, for each plan.
+    plan_room: Vec<f64>,
     silences: u32,
     back_at: Millis,
     counter_heard: Millis,
@@ -432,9 +425,9 @@
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
         let class_seen = class_latency.clone();
-        let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
+        let plan_room = vec![1.0; settings.plans.len()];
         let (random, retries) = (mix(seed | 1), retry_most(&settings));
-        let learned = Self { plan_odds, class_latency, class_seen, ..Self::default() };
+        let learned = Self { plan_room, class_latency, class_seen, ..Self::default() };
         Ok(Self { settings, random, ease: 1.0, retries, ..learned })
     }
 
@@ -465,36 +458,35 @@
             Event::Timer { token: ENDING_TOKEN } => self.on_end(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
             Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
-            Event::PeerMessage { bytes, .. } => self.on_told(&bytes),
-            Event::StreamStarted { .. } | Event::ProbeEnded { .. } => {}
+            Event::PeerMessage { .. } | Event::StreamStarted { .. } | Event::ProbeEnded { .. } => {}
         }
     }
 
     /// Hands everything that can be used once over to another process. What still comes here finds no block
     /// and no slice in hand: the two are one gateway for every quota.
     pub fn hand_over(&mut self) -> Estate {
-        let (customers, told) = (self.customers.clone(), self.told.clone());
+        let customers = self.customers.clone();
         for customer in self.customers.values_mut() {
             (customer.lease, customer.owed, customer.added) = (0.0, 0.0, 0.0);
             customer.slice = Some((0.0, self.now));
         }
-        let (backends, plan_odds) = (self.backends.clone(), self.plan_odds.clone());
+        let (backends, plan_room) = (self.backends.clone(), self.plan_room.clone());
         let (class_latency, ease, late) = (self.class_latency.clone(), self.ease, self.late);
-        Estate { customers, backends, told, plan_odds, class_latency, ease, late }
+        Estate { customers, backends, plan_room, class_latency, ease, late }
     }
 
     /// Goes on where another process stopped, in its time; its list comes along, what operators detached is
     /// told anew.
     pub fn take_over(&mut self, estate: Estate, now: Millis) {
         self.now = now;
-        let Estate { mut customers, backends, told, plan_odds, class_latency, ease, late } = estate;
+        let Estate { mut customers, backends, plan_room, class_latency, ease, late } = estate;
         customers.retain(|_, customer| customer.plan < self.settings.plans.len());
-        (self.customers, self.told, self.late) = (customers, told, late);
-        self.ease = ease.clamp(EASE_LEAST, EASE_MOST);
+        (self.customers, self.late) = (customers, late);
+        self.ease = ease.clamp(EASE_LEAST, 1.0);
         self.backends = backends;
         self.backends.values_mut().for_each(|b| b.detached = false);
-        if plan_odds.len() == self.plan_odds.len() {
-            self.plan_odds = plan_odds;
+        if plan_room.len() == self.plan_room.len() {
+            self.plan_room = plan_room;
         }
         if class_latency.len() == self.class_latency.len() {
             self.class_latency = class_latency;
@@ -662,13 +654,12 @@
         true
     }
 
-    /// The gate of a thin customer. Its count sums what is asked: a try is added by chance, as far as the
-    /// counter bears, and weighs the more; without an add the odds last heard decide.
+    /// The gate of a thin customer. Its count sums what is asked: a first try is added by chance, as far as
+    /// the counter bears, and weighs the more. A client's repeat is worth no call: a first try would lack it.
     fn admit_thin(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let chance = self.chance();
         let Some(request) = self.requests.get(&id) else { return false };
-        let wanted = if request.repeat { self.ease - 1.0 } else { self.ease };
-        let calls = self.settings.counter && chance < wanted;
+        let calls = self.settings.counter && !request.repeat && chance < self.ease;
         let Some(customer) = self.customers.get(&request.customer) else { return false };
         if calls && customer.call.is_none() {
             return self.wait_for_total(id, out);
@@ -677,19 +668,16 @@
         false
     }
 
-    /// Decides for a thin customer's try without a total: by the odds last heard, fading to its plan's. Of
-    /// an unknown customer all is let in while that gains more than it costs.
+    /// Decides for a thin customer's try without a total, by what first totals of its plan said: all first
+    /// tries are let in while that gains more than it costs. What was heard of the customer itself decides
+    /// nothing: it is of a moment of much demand, and refused whom the quota had room for by then.
     fn by_odds(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let chance = self.chance();
         let Some(request) = self.requests.get(&id) else { return };
-        let Some(customer) = self.customers.get(&request.customer) else { return };
-        let plan = &self.settings.plans[customer.plan];
-        let usual = self.plan_odds[customer.plan][usize::from(request.repeat)];
-        let pays = usual > (1.0 - usual) * (plan.over_cost - plan.over_worth);
-        let usual = if pays { 1.0 } else { usual };
-        let (odds, at) = self.told.get(&customer.salt).copied().unwrap_or_default();
-        let age = (self.now - at) / Customer::turn(plan);
-        if chance < usual + (-age / THIN_FADE).exp() * (odds - usual) {
+        let plan = &self.settings.plans[request.plan];
+        let room = if request.repeat { 0.0 } else { self.plan_room[request.plan] };
+        let pays = room > (1.0 - room) * (plan.over_cost - plan.over_worth);
+        if pays || chance < room {
             self.requests.entry(id).and_modify(|r| r.blind = true);
             return self.place(id, out);
         }
@@ -701,38 +689,23 @@
         let now = self.now;
         let Some(customer) = self.customers.get_mut(name) else { return };
         let plan = &self.settings.plans[customer.plan];
-        let (rate, turn) = (plan.rate, Customer::turn(plan));
+        let rate = plan.rate;
         let since = rate * (now - customer.window_at(now, plan).1) / 1000.0;
         // A try that weighs more than itself stands for others by chance: one such is let by.
-        let luck = (block - block * self.ease.min(1.0)).max(0.0);
+        let luck = block - block * self.ease;
         let granted = (plan.burst * THIN_START + since).min(plan.burst) + luck;
-        let even = (plan.burst * THIN_ODDS + since + luck) / (asked + block);
-        let odds = if asked + block > granted { even.min(1.0) } else { 1.0 };
-        let (told, at) = self.told.insert(customer.salt, (odds, now)).unwrap_or((1.0, f64::NEG_INFINITY));
-        if self.settings.peers && odds < THIN_NEWS && (odds < told * THIN_NEWS || now > at + turn) {
-            let mut bytes = customer.salt.to_le_bytes();
-            bytes[7] = (odds * 255.0) as u8;
-            out.push(Action::Tell { bytes: bytes.to_vec() });
-        }
         let waiting = std::mem::take(&mut customer.waiting);
         if !std::mem::replace(&mut customer.known, true) {
-            let repeat = waiting.iter().any(|id| self.requests.get(id).is_some_and(|r| r.repeat));
-            let usual = &mut self.plan_odds[customer.plan][usize::from(repeat)];
-            *usual += NEWEST * (f64::from(u8::from(asked < granted)) - *usual);
+            let room = &mut self.plan_room[customer.plan];
+            *room += NEWEST * (f64::from(u8::from(asked < granted)) - *room);
         }
         for id in waiting {
-            asked += self.requests.get(&id).filter(|r| !r.repeat).map_or(0.0, |r| r.units);
+            asked += self.requests.get(&id).map_or(0.0, |r| r.units);
             let over = asked - granted;
             if over <= 0.0 { self.place(id, out) } else { self.over_quota(id, over, rate, out) }
         }
     }
 
-    fn on_told(&mut self, bytes: &[u8]) {
-        let Ok(mut bytes) = <[u8; 8]>::try_from(bytes) else { return };
-        let odds = f64::from(std::mem::take(&mut bytes[7])) / 255.0;
-        self.told.insert(u64::from_le_bytes(bytes), (odds, self.now));
-    }
-
     fn over_quota(&mut self, id: RequestId, short: f64, rate: f64, out: &mut Vec<Action>) {
         let wait = short / rate.max(1e-9) * 1000.0 * (1.0 + 0.5 * self.chance());
         self.refuse(id, wait, out);
@@ -1069,7 +1042,7 @@
     fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
         let (many, timeout) = (self.many(), self.settings.counter_timeout);
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let full = self.calls.len() as f64 >= (CALLS_MOST * self.ease.min(1.0)).max(1.0);
+        let full = self.calls.len() as f64 >= (CALLS_MOST * self.ease).max(1.0);
         let late_due = many && customer.late_due(self.now, timeout);
         if customer.call.is_some() || !self.settings.counter || full || late_due {
             return;
@@ -1078,8 +1051,7 @@
         customer.roll(self.now, plan);
         let waiting = customer.waiting.iter().filter_map(|id| self.requests.get(id));
         let block = if customer.thin(plan) {
-            let first: f64 = waiting.filter(|r| !r.repeat).map(|r| r.units).sum();
-            first / self.ease.min(1.0)
+            waiting.map(|r| r.units).sum::<f64>() / self.ease
         } else {
             let need: f64 = waiting.map(|r| r.units).sum();
             (customer.block(need.min(customer.store.max(1.0)), plan) - customer.lease).max(0.0)
@@ -1101,7 +1073,7 @@
         let quick = self.settings.counter_timeout * share;
         let slow = if matches!(outcome, CountOutcome::Total(_)) { latency / quick } else { f64::INFINITY };
         let step = EASE_STEP * (1.0 - slow).max(-2.0);
-        self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, EASE_MOST);
+        self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, 1.0);
         let CountOutcome::Total(total) = outcome else {
             return self.silent(count, name, outcome == CountOutcome::Unknown, out);
         };
@@ -1146,7 +1118,7 @@
         if many && customer.known {
             let spent = customer.store + customer.lease < 1.0;
             let share = customer.spread / self.settings.plans[customer.plan].rate.max(1e-9) * 1000.0;
-            customer.ask_from = if spent { self.now + luck * share } else { self.now };
+            customer.ask_from = if spent { self.now + luck * share * ASK_AGAIN } else { self.now };
         }
         let waiting = std::mem::take(&mut customer.waiting);
         let give_back = customer.owed <= -1.0;
@@ -1239,7 +1211,6 @@
         let now = self.now;
         let mut asking = Vec::new();
         let plans = &self.settings.plans;
-        self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
         let customers = &self.customers;
         self.unanswered.retain(|_, name| customers.get(name).is_some_and(|c| !c.doubts.is_empty()));
         self.customers.retain(|name, customer| {
