--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -582,7 +582,7 @@
 impl std::error::Error for ScenarioError {}
 
 /// The scenarios that come with the program, by name.
-pub const SHIPPED: [(&str, &str); 10] = [
+pub const SHIPPED: [(&str, &str); 12] = [
     ("calm", include_str!("../scenarios/calm.toml")),
     ("roll", include_str!("../scenarios/roll.toml")),
     ("herd", include_str!("../scenarios/herd.toml")),
@@ -593,6 +593,8 @@
     ("small-rough", include_str!("../scenarios/small-rough.toml")),
     ("small-crowd", include_str!("../scenarios/small-crowd.toml")),
     ("small-zone", include_str!("../scenarios/small-zone.toml")),
+    ("speed-30", include_str!("../scenarios/speed-30.toml")),
+    ("speed-300", include_str!("../scenarios/speed-300.toml")),
 ];
 const SHIPPED_SITE: &str = include_str!("../scenarios/plant.toml");
 
--- a/emulator/tests/scenario.rs
+++ b/emulator/tests/scenario.rs
@@ -70,7 +70,8 @@
     for (name, text) in SHIPPED {
         let scenario = Scenario::load(name).expect(name);
         assert_eq!(scenario.name, name);
-        assert!(name.starts_with("small") || scenario.gateways.least >= 270.0, "{name}");
+        let full_size = !name.starts_with("small") && name != "speed-30";
+        assert_eq!(full_size, scenario.gateways.least >= 270.0, "{name}");
         assert!(text.starts_with("# "), "{name} says not what it is");
     }
 }
