Emulator: one place resets free connections, the judge's known backends are a set

Need: read over once more, the world cleared a backend's free connections in two copies of a loop, kept whether an attempt's connection was new where nobody asked, and described a field wrongly; the judge kept a map without values.

Change: World::reset_free serves both, the unused field is gone, the comment says what stands there, the map is a set.

--- a/emulator/src/judge.rs
+++ b/emulator/src/judge.rs
@@ -5,7 +5,7 @@
 use crate::scenario::Rules;
 use doorcourse::Outcome;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Breaks kept word for word; more are only counted.
 const KEPT: usize = 200;
@@ -82,7 +82,7 @@
     cases: HashMap<u64, Case>,
     /// By gateway and backend: since when it is told to be unusable.
     unusable: HashMap<(usize, usize), Micros>,
-    known: HashMap<(usize, usize), ()>,
+    known: HashSet<(usize, usize)>,
     cold: HashMap<usize, Cold>,
     ceilings: HashMap<usize, Store>,
     /// How near any ceiling came to its break: 1 is at the rule.
@@ -100,7 +100,7 @@
             rules,
             cases: HashMap::new(),
             unusable: HashMap::new(),
-            known: HashMap::new(),
+            known: HashSet::new(),
             cold: HashMap::new(),
             ceilings: HashMap::new(),
             nearest_to_ceiling: 0.0,
@@ -130,7 +130,7 @@
     pub fn died(&mut self, gateway: usize) {
         self.cases.retain(|_, case| case.gateway != gateway);
         self.unusable.retain(|(at, _), _| *at != gateway);
-        self.known.retain(|(at, _), ()| *at != gateway);
+        self.known.retain(|(at, _)| *at != gateway);
     }
 
     /// The client has left: nothing is owed to it.
@@ -142,7 +142,7 @@
 
     /// A list told a gateway of a backend.
     pub fn told(&mut self, at: Micros, gateway: usize, backend: usize, usable: bool) {
-        self.known.insert((gateway, backend), ());
+        self.known.insert((gateway, backend));
         if usable {
             self.unusable.remove(&(gateway, backend));
         } else {
@@ -152,14 +152,14 @@
 
     /// A whole list does not name a backend: if the gateway knew it, it is gone.
     pub fn missing(&mut self, at: Micros, gateway: usize, backend: usize) {
-        if self.known.contains_key(&(gateway, backend)) {
+        if self.known.contains(&(gateway, backend)) {
             self.unusable.entry((gateway, backend)).or_insert(at);
         }
     }
 
     /// A gateway sends an attempt. False where the interface does not allow it: nothing is to be carried out.
     pub fn sent(&mut self, at: Micros, gateway: usize, request: u64, backend: Option<usize>) -> bool {
-        let Some(backend) = backend.filter(|b| self.known.contains_key(&(gateway, *b))) else {
+        let Some(backend) = backend.filter(|b| self.known.contains(&(gateway, *b))) else {
             self.broke(at, gateway, Some(request), Rule::Protocol, "sent to a backend of no list".into());
             return false;
         };
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -71,8 +71,6 @@
     pub backend: usize,
     /// When it was sent.
     pub sent: Micros,
-    /// Whether a connection was to be made first.
-    pub fresh: bool,
     /// The work of its answer.
     pub work: f64,
     /// Its end, once known at the gateway.
@@ -105,7 +103,7 @@
     pub sent_on: Trigger,
     /// What its customer's store held, and whether its open quota had room, when it was ended unsent.
     pub store: Option<(f64, bool)>,
-    /// Whether a call to the counter was made while it waited.
+    /// How long its gateway told the client to wait.
     pub advice: Micros,
     /// Its attempts.
     pub attempts: Vec<Attempt>,
@@ -585,17 +583,19 @@
                 let way = self.way(self.day.backends[backend].zone, self.gates[gateway].zone);
                 self.expect(self.now + way, Happens::Ends(id, number, Outcome::Broken));
             }
-            self.gates.iter_mut().for_each(|gate| {
-                if let Some(pool) = gate.pools.get_mut(backend) {
-                    pool.idle.clear();
-                }
-            });
+            self.reset_free(backend);
         }
         let discovery = &self.day.discovery;
         let notice = if life == Life::Down { discovery.notice } else { discovery.silent_notice };
         self.list(backend, notice);
     }
 
+    /// All free connections to a backend are gone.
+    fn reset_free(&mut self, backend: usize) {
+        let pools = self.gates.iter_mut().filter_map(|gate| gate.pools.get_mut(backend));
+        pools.for_each(|pool| pool.idle.clear());
+    }
+
     fn start_server(&mut self, backend: usize) {
         let server = &mut self.servers[backend];
         if server.life == Life::Up {
@@ -603,11 +603,7 @@
         }
         let (epoch, speed) = (server.epoch + 1, self.day.backends[backend].speed);
         *server = Server::restarted(speed, self.now, epoch);
-        self.gates.iter_mut().for_each(|gate| {
-            if let Some(pool) = gate.pools.get_mut(backend) {
-                pool.idle.clear();
-            }
-        });
+        self.reset_free(backend);
         self.judge.starts(backend);
         self.list(backend, self.day.discovery.add);
     }
@@ -1168,9 +1164,8 @@
             self.servers[backend].connections += 1;
         }
         let number = self.tries[id as usize].attempts.len() as u32;
-        let reached = pooled;
         let attempt =
-            Attempt { backend, sent: self.now, fresh: !pooled, work, end: None, reached, at_backend: false };
+            Attempt { backend, sent: self.now, work, end: None, reached: pooled, at_backend: false };
         self.tries[id as usize].attempts.push(attempt);
         match fails {
             Some(at) => self.expect(at, Happens::Ends(id, number, Outcome::ConnectFailed)),
