Add trials: many real processes, a relay on every link, faults between them, and a judge

Need: how gateways behave together when parts of the system fail could not be tested. The demo killed one process or silenced a whole stand-in; nothing dropped one link, cut it in one direction, stalled a process, or said whether what the fleet did meanwhile was right.

Change: emulator/src/trial/ and the command `fennelscale-lab trial`. Relays, one a directed link, with resets, holes, mute directions, delays, throttles and cuts after so many bytes; processes killed, stopped, restarted, handed over; schedules in TOML or drawn by seed in twelve shapes; one history on the tool's clock, and a judge that believes no gateway and names rule, time, parties and the faults in force; recovery as a figure; a timeline as SVG. Stand-ins and processes are shared with the demo. The load's customers now keep one plan each.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod report;
 pub mod results;
 pub mod scenario;
+pub mod trial;
 pub mod world;
--- a/emulator/src/live/load.rs
+++ b/emulator/src/live/load.rs
@@ -2,6 +2,7 @@
 //! the moment at which it should have left. So a gateway that stalls cannot hide by keeping its clients waiting
 //! (coordinated omission). Bounded in rate, time and requests out; loopback addresses only.
 
+use crate::live::history::{Ended, History, Seen};
 use crate::random::Random;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
@@ -11,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -24,6 +26,8 @@
 const MOST_OUT: usize = 2000;
 /// A gateway that could not be reached gets nothing for so long.
 const DOWN_FOR: Duration = Duration::from_millis(500);
+/// A client that has no answer in its time takes one for so much longer.
+const HALF: Duration = Duration::from_millis(500);
 /// Free connections kept to a gateway.
 const KEPT: usize = 64;
 
@@ -51,12 +55,33 @@
     pub seconds: u64,
     /// The classes.
     pub classes: Vec<Class>,
-    /// The plans, of which customers are drawn evenly.
+    /// The plans; customer n has plan n modulo their number.
     pub plans: Vec<String>,
-    /// Customers of each plan.
+    /// Customers.
     pub customers: u64,
+    /// The gateways of a customer's set; 0: all of them.
+    pub spread: usize,
+    /// Whether the first customers ask for far more than the last ones, instead of all for the same.
+    pub skewed: bool,
     /// The seed of all that is drawn.
     pub seed: u64,
+    /// Who writes down what becomes of each request, if anybody does.
+    pub watch: Option<Watch>,
+}
+
+/// What a load that is watched needs.
+#[derive(Clone)]
+pub struct Watch {
+    /// Where it is written down.
+    pub history: Arc<History>,
+    /// Whether the front sends to a gateway, by its place in [`Load::to`].
+    pub admitted: Arc<Vec<AtomicBool>>,
+}
+
+impl fmt::Debug for Watch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Watch")
+    }
 }
 
 /// A load that must not be made.
@@ -108,23 +133,16 @@
     }
 }
 
-enum End {
-    Served,
-    Refused,
-    Failed,
-    Unsent,
-}
-
 impl Tally {
-    fn add(&mut self, end: &End, took: Duration) {
+    fn add(&mut self, end: &Ended, took: Duration) {
         match end {
-            End::Served => {
+            Ended::Answered { status: 200, .. } => {
                 self.served += 1;
                 self.times.saturating_record(took.as_micros() as u64);
             }
-            End::Refused => self.refused += 1,
-            End::Failed => self.failed += 1,
-            End::Unsent => self.unsent += 1,
+            Ended::Answered { status: 429 | 503, .. } => self.refused += 1,
+            Ended::Answered { .. } | Ended::Broken { .. } | Ended::Silent => self.failed += 1,
+            Ended::Unsent => self.unsent += 1,
         }
     }
 
@@ -148,12 +166,12 @@
         self.down_until.lock().is_ok_and(|until| until.is_some_and(|until| now < until))
     }
 
-    /// A free connection, or a new one.
-    async fn connection(&self) -> Option<Sender> {
+    /// A free connection, or a new one, and whether it is new.
+    async fn connection(&self) -> Option<(Sender, bool)> {
         loop {
             let Some(free) = self.free.lock().ok()?.pop() else { break };
             if free.is_ready() {
-                return Some(free);
+                return Some((free, false));
             }
         }
         let connect = timeout(Duration::from_secs(1), TcpStream::connect(self.address));
@@ -167,28 +185,42 @@
         let _ = stream.set_nodelay(true);
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(connection);
-        Some(sender)
+        Some((sender, true))
     }
 
-    async fn ask(&self, request: Request<Empty<Bytes>>, until: Instant) -> Option<End> {
-        let mut connection = self.connection().await?;
-        let answered = async {
-            let answer = connection.send_request(request).await.ok()?;
+    /// Asks, and waits for the answer as long as a client does and half a second more. `sent` hears of each time
+    /// that the request is about to be written.
+    async fn ask(&self, mut request: Request<Empty<Bytes>>, waits: Duration, sent: impl Fn()) -> Ended {
+        loop {
+            let Some((mut connection, fresh)) = self.connection().await else { return Ended::Unsent };
+            sent();
+            let until = Instant::now() + waits + HALF;
+            let answer = match timeout_at(until, connection.try_send_request(request)).await {
+                Err(_) => return Ended::Silent,
+                Ok(Ok(answer)) => answer,
+                // Closed while nothing was written on it: another connection will do.
+                Ok(Err(mut error)) => match error.take_message() {
+                    Some(unwritten) if !fresh => {
+                        request = unwritten;
+                        continue;
+                    }
+                    _ => return Ended::Broken { fresh },
+                },
+            };
             let status = answer.status().as_u16();
-            answer.into_body().collect().await.ok()?;
-            Some(status)
-        };
-        let end = match timeout_at(until, answered).await {
-            Ok(Some(200)) => End::Served,
-            Ok(Some(429 | 503)) => End::Refused,
-            _ => return Some(End::Failed),
-        };
-        if let Ok(mut free) = self.free.lock()
-            && free.len() < KEPT
-        {
-            free.push(connection);
+            let body = match timeout_at(until, answer.into_body().collect()).await {
+                Err(_) => return Ended::Silent,
+                Ok(Err(_)) => return Ended::Broken { fresh },
+                Ok(Ok(body)) if status == 200 => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+                Ok(Ok(_)) => String::new(),
+            };
+            if let Ok(mut free) = self.free.lock()
+                && free.len() < KEPT
+            {
+                free.push(connection);
+            }
+            return Ended::Answered { status, body };
         }
-        Some(end)
     }
 }
 
@@ -252,28 +284,47 @@
                 lot < 0.0
             });
             let class = class.unwrap_or(0);
-            let plan = random.one_of(&self.plans).clone();
-            let customer = random.below(self.customers as usize);
-            let first = random.below(targets.len());
-            // The front passes over a gateway that could not be reached just now.
-            let target =
-                (0..targets.len()).map(|n| &targets[(first + n) % targets.len()]).find(|t| !t.is_down());
+            let lot = random.unit();
+            let lot = if self.skewed { lot * lot } else { lot };
+            let customer = (lot * self.customers as f64) as usize;
+            let spread = if self.spread == 0 { targets.len() } else { self.spread.min(targets.len()) };
+            let first = if self.spread == 0 { 0 } else { customer % targets.len() };
+            let begin = random.below(spread);
+            // The front passes over a gateway that could not be reached just now, or that is on its way out.
+            let set = (0..spread).map(|n| (first + (begin + n) % spread) % targets.len());
+            let open = |at: &usize| {
+                let watch = self.watch.as_ref();
+                !targets[*at].is_down() && watch.is_none_or(|w| w.admitted[*at].load(Ordering::Relaxed))
+            };
+            let target = set.into_iter().find(open);
             let place = out.clone().try_acquire_owned();
-            let (Some(target), Ok(place)) = (target.cloned(), place) else {
+            let id = format!("{:08x}{number:08x}", self.seed as u32);
+            if let Some(watch) = &self.watch {
+                watch.history.note_at(due.into_std(), Seen::Due { id: id.clone(), class });
+            }
+            let (Some(gateway), Ok(place)) = (target, place) else {
                 if let Ok(mut tally) = tallies[class].lock() {
-                    tally.add(&End::Unsent, Duration::ZERO);
+                    tally.add(&Ended::Unsent, Duration::ZERO);
                 }
                 continue;
             };
-            let spread = targets.len();
-            let Some(request) = self.request(class, number, &plan, customer, spread) else { continue };
-            let until = due + Duration::from_millis(self.classes[class].deadline_ms + 500);
-            let tallies = tallies.clone();
+            let Some(request) = self.request(class, &id, customer, (spread, first)) else { continue };
+            let (tallies, target, watch) = (tallies.clone(), targets[gateway].clone(), self.watch.clone());
+            let (deadline_ms, plans) = (self.classes[class].deadline_ms, self.plans.len());
             tokio::spawn(async move {
-                let end = target.ask(request, until).await.unwrap_or(End::Unsent);
+                let sent = || {
+                    if let Some(watch) = &watch {
+                        let (id, customer) = (id.clone(), (customer, customer % plans));
+                        watch.history.note(Seen::Sent { id, gateway, class, customer, deadline_ms });
+                    }
+                };
+                let end = target.ask(request, Duration::from_millis(deadline_ms), sent).await;
                 if let Ok(mut tally) = tallies[class].lock() {
                     tally.add(&end, due.elapsed());
                 }
+                if let Some(watch) = &watch {
+                    watch.history.note(Seen::Ended { id, how: end });
+                }
                 drop(place);
             });
         }
@@ -286,18 +337,18 @@
     }
 
     fn request(
-        &self, class: usize, number: u64, plan: &str, customer: usize, spread: usize,
+        &self, class: usize, id: &str, customer: usize, set: (usize, usize),
     ) -> Option<Request<Empty<Bytes>>> {
         let class = &self.classes[class];
         Request::builder()
             .method(if class.safe { Method::GET } else { Method::POST })
             .uri(format!("/{}", class.name))
             .header("Host", "service.internal")
-            .header("Req-Id", format!("{:08x}{number:08x}", self.seed as u32))
-            .header("Api-Plan", plan)
+            .header("Req-Id", id)
+            .header("Api-Plan", &self.plans[customer % self.plans.len()])
             .header("Api-Customer", format!("{:016x}", crate::draw::mix(customer as u64) % (1 << 33)))
             .header("Req-Deadline-Ms", class.deadline_ms)
-            .header("Api-Terms", format!("units=1,spread={spread},first=0"))
+            .header("Api-Terms", format!("units=1,spread={},first={}", set.0, set.1))
             .body(Empty::new())
             .ok()
     }
--- a/emulator/src/live/mod.rs
+++ b/emulator/src/live/mod.rs
@@ -1,30 +1,30 @@
 //! Real gateways on loopback sockets among stand-ins, with a steady load and, where wanted, a trouble in the midst.
 
+pub mod history;
 pub mod load;
+pub mod process;
 pub mod stand_ins;
 
 use load::{Class, Load, Tally};
+use process::{Process, free_address};
 use serde_json::{Value, json};
 use stand_ins::{Backend, Counter, Discovery};
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// How many gateways the demo starts, and backends in each zone.
 const GATEWAYS: usize = 3;
 const BACKENDS: usize = 3;
 const ZONES: [&str; 3] = ["north", "south", "east"];
-/// A gateway has this long to come up.
-const COMES_UP: Duration = Duration::from_secs(10);
+/// What a backend of the demo works on at once.
+const SLOTS: usize = 4;
 
 /// What happens in the midst of the demo, and is over before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -55,9 +55,9 @@
 /// A gateway's process.
 struct Gateway {
     name: String,
-    config: PathBuf,
+    folder: PathBuf,
     console: SocketAddr,
-    process: Child,
+    process: Process,
 }
 
 /// What a gateway's figures said at the end.
@@ -104,10 +104,10 @@
     ) -> Result<Outcome, Box<dyn std::error::Error + Send + Sync>> {
         let mut backends = Vec::new();
         for number in 0..ZONES.len() * BACKENDS {
-            backends.push(Backend::start(number, ZONES[number % ZONES.len()]).await?);
+            backends.push(Backend::start(number, ZONES[number % ZONES.len()], SLOTS, None).await?);
         }
-        let discovery = Discovery::start(hosts(&backends)).await?;
-        let counter = Counter::start().await?;
+        let discovery = Discovery::start(hosts(&backends), None).await?;
+        let counter = Counter::start(1, None).await?;
         let (mut gateways, mut addresses) = (Vec::new(), Vec::new());
         for number in 0..GATEWAYS {
             let (gateway, address) =
@@ -125,7 +125,10 @@
             ],
             plans: vec!["basic".into(), "large".into()],
             customers: 40,
+            spread: 0,
+            skewed: false,
             seed: 1,
+            watch: None,
         };
         let mut happened = Vec::new();
         let loaded = load.run(told);
@@ -183,8 +186,7 @@
             before + lasts,
             match trouble {
                 Trouble::Gateway => {
-                    let config = gateways[0].config.clone();
-                    gateways[0].process = spawn(&self.program, &config)?;
+                    gateways[0].process = started(&self.program, &gateways[0].folder).await?;
                     format!("gateway {} is started again", gateways[0].name)
                 }
                 Trouble::Zone => {
@@ -217,33 +219,17 @@
         .collect()
 }
 
-fn spawn(program: &Path, config: &Path) -> io::Result<Child> {
-    // What it writes down goes with the demo's own folder.
-    let folder = config.parent().unwrap_or(Path::new("."));
-    Command::new(program)
-        .env("TMPDIR", folder)
-        .env("NODE_CONFIG", config)
-        .env_remove("NODE_LISTEN")
-        .env_remove("NODE_DISCOVERY")
-        .env_remove("NODE_CONSOLE")
-        .env_remove("NODE_NAME")
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .kill_on_drop(true)
-        .spawn()
-}
-
-/// An address that nobody listens at just now.
-async fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0").await?.local_addr()
+/// Starts a gateway on the configuration in its folder.
+async fn started(program: &Path, folder: &Path) -> io::Result<Process> {
+    Process::start(program, &folder.join("config.json"), folder, &folder.join("tmp"), None).await
 }
 
 impl Gateway {
     async fn start(
         program: &Path, folder: &Path, number: usize, discovery: &Discovery, counter: SocketAddr,
     ) -> io::Result<(Self, SocketAddr)> {
-        let (listen, console) = (free_address().await?, free_address().await?);
+        let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let (listen, console) = (free_address(here).await?, free_address(here).await?);
         let name = format!("g{number}");
         let plan = |name: &str, rate: f64, burst: f64| json!({"name": name, "refill": rate, "burst": burst});
         let class = |name: &str, effect: &str, aim: f64, worth: f64| json!({"name": name, "effect": effect, "goal-time-ms": aim, "worth": worth});
@@ -257,39 +243,16 @@
                 "extra": {"has-counter": true, "count-limit-ms": 50, "units-top": 1},
                 "permissions": {"most-tries": 4, "may-cancel": true, "max-retry-after-ms": 1000},
                 "rules": {"cold-from": 0.2, "cold-ms": 10000, "overload-factor": 2.5, "fall-ms": 2000}}});
-        let path = folder.join(format!("{name}.json"));
-        std::fs::write(&path, config.to_string())?;
-        let mut process = spawn(program, &path)
-            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
-        let fault = |what: String| io::Error::other(format!("gateway {name}: {what}"));
-        let log = process.stderr.take().ok_or_else(|| fault("has no log".into()))?;
-        let mut lines = BufReader::new(log).lines();
-        let up = async {
-            let mut last = String::new();
-            while let Some(line) = lines.next_line().await? {
-                if line.contains(": listening at ") {
-                    return Ok(());
-                }
-                last = line;
-            }
-            Err(fault(format!("ended: {last}")))
-        };
-        timeout(COMES_UP, up).await.map_err(|_| fault("did not come up".into()))??;
-        // Whoever reads no log would fill its pipe.
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok((Self { name, config: path, console, process }, listen))
+        let folder = folder.join(&name);
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        let process = started(program, &folder).await?;
+        Ok((Self { name, folder, console, process }, listen))
     }
 
     /// What its figures say, if it answers.
     async fn cost(&self) -> Option<Cost> {
-        let read = async {
-            let mut stream = TcpStream::connect(self.console).await.ok()?;
-            stream.write_all(b"INFO\n").await.ok()?;
-            let mut text = String::new();
-            stream.take(1 << 20).read_to_string(&mut text).await.ok()?;
-            serde_json::from_str::<Value>(text.lines().next()?).ok()
-        };
-        let figures = timeout(Duration::from_secs(2), read).await.ok()??;
+        let figures = process::figures(self.console).await?;
         let cost = |name: &str| figures["cost"][name].as_u64().unwrap_or(0);
         Some(Cost {
             name: self.name.clone(),
--- a/emulator/src/live/stand_ins.rs
+++ b/emulator/src/live/stand_ins.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what a gateway meets, by the protocol's page, on loopback sockets: backends, discovery, counter.
 //! Each can be put in trouble while it runs. They are for trying the program out, and measure nothing.
 
+use crate::live::history::{Entry, History, Seen, gateway_at};
 use crate::random::Random;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -14,10 +15,10 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -64,39 +65,57 @@
     /// Its name.
     pub name: String,
     /// Its zone.
-    pub zone: &'static str,
+    pub zone: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// It takes requests and says nothing.
     pub silent: AtomicBool,
     /// It turns new requests away.
     pub draining: AtomicBool,
+    /// It fails this share of what it is sent, in thousandths.
+    pub failing: AtomicU64,
     /// Answers given.
     pub served: AtomicU64,
+    number: usize,
+    history: Option<Arc<History>>,
+    born: Mutex<Option<(Instant, u64)>>,
     slots: Semaphore,
     waiting: AtomicUsize,
     chance: Mutex<Random>,
 }
 
-/// Requests in work at once; and those that wait.
-const SLOTS: usize = 4;
+/// Requests that wait.
 const LINE: usize = 40;
+/// The share of its pace that a backend starts with, and how long it takes to reach all of it.
+pub const COLD: (f64, Duration) = (0.2, Duration::from_secs(10));
+
+/// The share of its pace that a backend has this long after its start.
+pub fn warmth(age: Duration) -> f64 {
+    let (share, warm) = COLD;
+    share + (1.0 - share) * (age.as_secs_f64() / warm.as_secs_f64()).min(1.0)
+}
 
 impl Backend {
     /// Starts one.
     ///
     /// # Errors
     /// When there is no address for it.
-    pub async fn start(number: usize, zone: &'static str) -> io::Result<Arc<Self>> {
+    pub async fn start(
+        number: usize, zone: &str, slots: usize, history: Option<Arc<History>>,
+    ) -> io::Result<Arc<Self>> {
         let (listener, address) = loopback().await?;
         let backend = Arc::new(Self {
             name: format!("b{number}"),
-            zone,
+            zone: zone.into(),
             address,
             silent: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            failing: AtomicU64::new(0),
             served: AtomicU64::new(0),
-            slots: Semaphore::new(SLOTS),
+            number,
+            history,
+            born: Mutex::new(None),
+            slots: Semaphore::new(slots),
             waiting: AtomicUsize::new(0),
             chance: Mutex::new(Random::new(number as u64, "backend", 0)),
         });
@@ -104,7 +123,8 @@
         serve(listener, move |stream| {
             let of = of.clone();
             async move {
-                let service = service_fn(move |request| of.clone().answer(request));
+                let from = stream.peer_addr().ok().map(|address| address.ip());
+                let service = service_fn(move |request| of.clone().answer(request, from));
                 let connection = hyper::server::conn::http1::Builder::new();
                 // A connection that breaks is its client's affair.
                 let _ = connection.serve_connection(TokioIo::new(stream), service).await;
@@ -113,33 +133,86 @@
         Ok(backend)
     }
 
+    /// Its process starts anew: it is cold.
+    pub fn starts(&self) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        if let Ok(mut born) = self.born.lock() {
+            *born = Some((Instant::now(), unix));
+        }
+        self.note(Seen::Born { backend: self.number, born_ms: unix });
+    }
+
+    /// Its last start, in ms of Unix time; 0: long ago.
+    pub fn born_ms(&self) -> u64 {
+        self.born.lock().ok().and_then(|born| *born).map_or(0, |(_, unix)| unix)
+    }
+
+    fn warmth(&self) -> f64 {
+        self.born.lock().ok().and_then(|born| *born).map_or(1.0, |(at, _)| warmth(at.elapsed()))
+    }
+
+    fn note(&self, seen: Seen) {
+        self.history.iter().for_each(|history| history.note(seen.clone()));
+    }
+
     async fn answer(
-        self: Arc<Self>, request: Request<Incoming>,
+        self: Arc<Self>, request: Request<Incoming>, from: Option<IpAddr>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let Some(id) = request.headers().get("Req-Id").cloned() else {
             return Ok(told(StatusCode::NOT_FOUND, ""));
         };
+        let id = id.to_str().unwrap_or("?").to_owned();
         let mean = if request.method() == Method::GET { 20.0 } else { 45.0 };
         if Limited::new(request.into_body(), LONGEST_BODY).collect().await.is_err() {
             return Ok(told(StatusCode::PAYLOAD_TOO_LARGE, ""));
         }
-        if self.silent.load(Ordering::Relaxed) {
+        let silent = self.silent.load(Ordering::Relaxed);
+        let full = self.waiting.load(Ordering::Relaxed) >= LINE;
+        let declines = !silent && (full || self.draining.load(Ordering::Relaxed));
+        let lot = |chance: &Mutex<Random>| {
+            chance.lock().map_or((1.0, 1.0), |mut chance| (chance.exponential(), chance.unit()))
+        };
+        let (work, luck) = lot(&self.chance);
+        let work_ms = work * mean;
+        let gateway = from.and_then(gateway_at);
+        let arrived =
+            Seen::Arrived { id: id.clone(), backend: self.number, gateway, work_ms, ran: !declines };
+        self.note(arrived);
+        if silent {
             std::future::pending::<()>().await;
         }
-        let full = self.waiting.load(Ordering::Relaxed) >= LINE;
-        if full || self.draining.load(Ordering::Relaxed) {
+        if declines {
             let mut declined = told(StatusCode::SERVICE_UNAVAILABLE, "");
             declined.headers_mut().insert("Srv-Declined", hyper::header::HeaderValue::from_static("1"));
             return Ok(declined);
         }
-        self.waiting.fetch_add(1, Ordering::Relaxed);
+        if luck * 1000.0 < self.failing.load(Ordering::Relaxed) as f64 {
+            return Ok(told(StatusCode::INTERNAL_SERVER_ERROR, ""));
+        }
+        let place = Place::take(&self.waiting);
         let slot = self.slots.acquire().await;
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
-        let work = self.chance.lock().map_or(1.0, |mut chance| chance.exponential()) * mean;
-        sleep(Duration::from_micros((work * 1000.0) as u64)).await;
+        drop(place);
+        sleep(Duration::from_secs_f64(work_ms / 1000.0 / self.warmth())).await;
         drop(slot);
         self.served.fetch_add(1, Ordering::Relaxed);
-        Ok(told(StatusCode::OK, &format!("{} by {}\n", id.to_str().unwrap_or("?"), self.name)))
+        self.note(Seen::Served { id: id.clone(), backend: self.number });
+        Ok(told(StatusCode::OK, &format!("{id} by {}\n", self.name)))
+    }
+}
+
+/// A place in a line, given back also when whoever holds it is dropped: its connection may break while it waits.
+struct Place<'a>(&'a AtomicUsize);
+
+impl<'a> Place<'a> {
+    fn take(line: &'a AtomicUsize) -> Self {
+        line.fetch_add(1, Ordering::Relaxed);
+        Self(line)
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -157,17 +230,18 @@
 }
 
 impl Discovery {
-    /// Starts it with a list.
+    /// Starts it with a list; it may be one gateway's alone, and write down what it tells it.
     ///
     /// # Errors
     /// When there is no address for it.
-    pub async fn start(hosts: Vec<Value>) -> io::Result<Self> {
+    pub async fn start(hosts: Vec<Value>, watched: Option<(usize, Arc<History>)>) -> io::Result<Self> {
         let (listener, address) = loopback().await?;
         let (list, listed) = watch::channel((1, hosts));
         serve(listener, move |stream| {
-            let listed = listed.clone();
+            let (listed, watched) = (listed.clone(), watched.clone());
             async move {
-                let service = service_fn(move |request| answer_list(listed.clone(), request));
+                let service =
+                    service_fn(move |request| answer_list(listed.clone(), watched.clone(), request));
                 let connection = hyper::server::conn::http1::Builder::new();
                 let _ = connection.serve_connection(TokioIo::new(stream), service).await;
             }
@@ -188,7 +262,8 @@
 }
 
 async fn answer_list(
-    mut listed: watch::Receiver<(u64, Vec<Value>)>, request: Request<Incoming>,
+    mut listed: watch::Receiver<(u64, Vec<Value>)>, watched: Option<(usize, Arc<History>)>,
+    request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     if request.uri().path() != "/discovery/hosts" {
         return Ok(told(StatusCode::NOT_FOUND, ""));
@@ -197,7 +272,11 @@
     let figure = |name: &str| -> Option<u64> {
         query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
+    let note = |seen: &dyn Fn(usize) -> Seen| {
+        watched.iter().for_each(|(gateway, history)| history.note(seen(*gateway)));
+    };
     if let Some(after) = figure("after") {
+        note(&|gateway| Seen::Asked { gateway, after });
         let wait = Duration::from_millis(figure("wait_ms").unwrap_or(0).min(60_000));
         let newer = timeout(wait, listed.wait_for(|list| list.0 > after)).await;
         if newer.is_err() {
@@ -205,9 +284,19 @@
         }
     }
     let list = listed.borrow();
+    note(&|gateway| Seen::Told { gateway, seq: list.0, hosts: entries(&list.1) });
     Ok(told(StatusCode::OK, &json!({"seq": list.0, "whole": true, "hosts": list.1}).to_string()))
 }
 
+fn entries(hosts: &[Value]) -> Vec<Entry> {
+    let entry = |host: &Value| {
+        let backend = host["host"].as_str()?.strip_prefix('b')?.parse().ok()?;
+        let usable = host["health"].as_str() == Some("in_service");
+        Some(Entry { backend, usable, born_ms: host["born_ms"].as_u64()? })
+    };
+    hosts.iter().filter_map(entry).collect()
+}
+
 /// The counter.
 pub struct Counter {
     /// Where it listens.
@@ -216,20 +305,27 @@
     pub silent: AtomicBool,
     /// Calls answered.
     pub calls: AtomicU64,
+    /// How many of its parts, from the first one on, turn calls away.
+    pub busy: AtomicUsize,
+    parts: usize,
+    history: Option<Arc<History>>,
     numbers: Mutex<HashMap<Vec<u8>, (f64, Instant)>>,
 }
 
 impl Counter {
-    /// Starts it, empty.
+    /// Starts it, empty, with so many parts.
     ///
     /// # Errors
     /// When there is no address for it.
-    pub async fn start() -> io::Result<Arc<Self>> {
+    pub async fn start(parts: usize, history: Option<Arc<History>>) -> io::Result<Arc<Self>> {
         let (listener, address) = loopback().await?;
         let counter = Arc::new(Self {
             address,
             silent: AtomicBool::new(false),
             calls: AtomicU64::new(0),
+            busy: AtomicUsize::new(0),
+            parts: parts.max(1),
+            history,
             numbers: Mutex::default(),
         });
         let of = counter.clone();
@@ -237,7 +333,27 @@
         Ok(counter)
     }
 
+    /// How many parts it has.
+    pub fn parts(&self) -> usize {
+        self.parts
+    }
+
+    /// The part that holds a name: names are spread over all of them.
+    fn part(&self, name: &[u8]) -> usize {
+        let sum =
+            name.iter().fold(0, |sum: u64, byte| crate::draw::mix(sum ^ u64::from(*byte)).wrapping_add(1));
+        (sum % self.parts as u64) as usize
+    }
+
+    /// Its first so many parts lose all numbers.
+    pub fn forget(&self, parts: usize) {
+        if let Ok(mut numbers) = self.numbers.lock() {
+            numbers.retain(|name, _| self.part(name) >= parts);
+        }
+    }
+
     async fn converse(self: Arc<Self>, mut stream: TcpStream) {
+        let gateway = stream.peer_addr().ok().and_then(|address| gateway_at(address.ip()));
         let mut held = Vec::new();
         let mut part = [0; 4096];
         while let Ok(count @ 1..) = stream.read(&mut part).await {
@@ -247,7 +363,7 @@
                 match decode(&held) {
                     Ok(Some((frame, used))) => {
                         held.drain(..used);
-                        self.answer(&frame, &mut replies);
+                        self.answer(&frame, gateway, &mut replies);
                     }
                     Ok(None) if held.len() <= LONGEST_CALL => break,
                     _ => return,
@@ -262,7 +378,7 @@
         }
     }
 
-    fn answer(&self, frame: &OwnedFrame, replies: &mut Vec<u8>) {
+    fn answer(&self, frame: &OwnedFrame, gateway: Option<usize>, replies: &mut Vec<u8>) {
         let OwnedFrame::Array(words) = frame else {
             return replies.extend_from_slice(b"-ERR no such call\r\n");
         };
@@ -280,12 +396,19 @@
                     return replies.extend_from_slice(b"-ERR no number\r\n");
                 };
                 self.calls.fetch_add(1, Ordering::Relaxed);
+                if self.part(word(1)) < self.busy.load(Ordering::Relaxed) {
+                    return replies.extend_from_slice(b"-BUSY\r\n");
+                }
                 let now = Instant::now();
                 numbers.retain(|_, (_, until)| *until > now);
                 let until = now + Duration::from_millis(life.clamp(1.0, 60_000.0) as u64);
                 let (total, _) = numbers.entry(word(1).to_vec()).or_insert((0.0, until));
                 *total += amount;
                 let text = total.to_string();
+                if let Some(history) = &self.history {
+                    let name = String::from_utf8_lossy(word(1)).into_owned();
+                    history.note(Seen::Added { name, amount, total: *total, gateway });
+                }
                 replies.extend_from_slice(format!("${}\r\n{text}\r\n", text.len()).as_bytes());
             }
             _ => replies.extend_from_slice(b"-ERR no such call\r\n"),
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -9,6 +9,7 @@
 use fennelscale_lab::report;
 use fennelscale_lab::results::{Results, Row};
 use fennelscale_lab::scenario::{SHIPPED, Scenario};
+use fennelscale_lab::trial::{self, schedule, schedule::Schedule};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::Write as _;
 use std::net::SocketAddr;
@@ -18,7 +19,11 @@
 
 /// The fleet in simulated time: plays days, compares versions.
 #[derive(Parser)]
-#[command(version, about, after_help = "Status: 0 done; 1 a rule was broken; 2 the input cannot be used.")]
+#[command(
+    version,
+    about,
+    after_help = "Status: 0 done; 1 a rule was broken; 2 the input cannot be used; 3 a trial without a verdict."
+)]
 struct Command {
     /// Days played side by side; 0: one for each core.
     #[arg(long, global = true, default_value_t = 0)]
@@ -107,6 +112,29 @@
         #[arg(long)]
         gateway: Option<PathBuf>,
     },
+    /// Plays trials: real gateways among stand-ins, faults between them, and a judge of what they did together.
+    Trial {
+        /// A shipped trial by name, or a file; without it, the shipped ones are listed.
+        name: Option<String>,
+        /// Seeds, as for `run`.
+        #[arg(long, default_value = "1", value_parser = seeds)]
+        seeds: Seeds,
+        /// For how long there is load, in seconds, instead of what the trial says.
+        #[arg(long)]
+        seconds: Option<f64>,
+        /// Where the history, logs and timeline of each go.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// Trials played side by side.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=16))]
+        side: u16,
+        /// The gateway's program; usually the one beside this program.
+        #[arg(long)]
+        gateway: Option<PathBuf>,
+        /// An older gateway's program, for faults that ask for it.
+        #[arg(long)]
+        old: Option<PathBuf>,
+    },
     /// Sends load to gateways that run already, at loopback addresses.
     Load {
         /// A gateway's address, as often as there are gateways.
@@ -170,6 +198,31 @@
     Ok(load::Class { name: bare.into(), safe: bare == name, share, deadline_ms })
 }
 
+/// A trial could not keep its own times: that is neither pass nor fail.
+#[derive(Debug)]
+struct NoVerdict;
+
+impl std::fmt::Display for NoVerdict {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("no verdict on some trials")
+    }
+}
+
+impl std::error::Error for NoVerdict {}
+
+/// The gateway's program, and the fault if there is none.
+fn program(given: Option<PathBuf>) -> Result<PathBuf, Fault> {
+    let program = match given {
+        Some(program) => program,
+        None => std::env::current_exe()?.with_file_name("fennelscale"),
+    };
+    if !program.exists() {
+        let told = "build it with: cargo build --release --workspace --locked";
+        return Err(format!("{}: there is no gateway; {told}", program.display()).into());
+    }
+    Ok(program)
+}
+
 /// What ends the program: a line for standard error.
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
@@ -190,7 +243,7 @@
                 return ExitCode::SUCCESS;
             }
             eprintln!("{fault}");
-            ExitCode::from(2)
+            ExitCode::from(if fault.is::<NoVerdict>() { 3 } else { 2 })
         }
     }
 }
@@ -263,14 +316,7 @@
             Ok(0)
         }
         What::Demo { seconds, rate, trouble, gateway } => {
-            let program = match gateway {
-                Some(program) => program,
-                None => std::env::current_exe()?.with_file_name("fennelscale"),
-            };
-            if !program.exists() {
-                let told = "build it with: cargo build --release --workspace --locked";
-                return Err(format!("{}: there is no gateway; {told}", program.display()).into());
-            }
+            let program = program(gateway)?;
             let demo = Demo { program, seconds, rate, trouble };
             let bar = progress(rate * seconds as f64)?;
             let outcome = live()?.block_on(demo.run(|| bar.inc(1)))?;
@@ -278,8 +324,45 @@
             write!(out, "{}", outcome.text())?;
             Ok(0)
         }
+        What::Trial { name: None, .. } => {
+            for (name, text) in schedule::SHIPPED {
+                let about = text.lines().find_map(|line| line.strip_prefix("# ")).unwrap_or_default();
+                writeln!(out, "{name:14}{about}")?;
+            }
+            Ok(0)
+        }
+        What::Trial { name: Some(name), seeds, seconds, keep, side, gateway, old } => {
+            let text = schedule::text(&name)?;
+            let all = seeds.0.iter().map(|seed| Schedule::read(&name, &text, *seed, seconds));
+            let all = all.collect::<Result<Vec<_>, _>>()?;
+            let options = trial::Options { program: program(gateway)?, old, keep };
+            let runtime = live()?;
+            let told = runtime.block_on(async {
+                let played = trial::report::several(&all, &options, side.into(), |text| {
+                    let _ = write!(out, "{text}");
+                });
+                let mut end = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+                tokio::select! {
+                    told = played => told,
+                    _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+                    _ = end.recv() => Err("told to end".into()),
+                }
+            });
+            // Whatever still runs goes before the answer is given.
+            drop(runtime);
+            fennelscale_lab::live::process::end_all();
+            let told = told?;
+            write!(out, "{}", told.text())?;
+            match (told.broken, told.void) {
+                (0, 0) => Ok(0),
+                (0, _) => Err(Box::new(NoVerdict)),
+                (broken, _) => Ok(broken),
+            }
+        }
         What::Load { to, seconds, rate, classes, plans, customers, seed } => {
-            let load = load::Load { to, rate, seconds, classes, plans, customers, seed };
+            let (spread, skewed, watch) = (0, false, None);
+            let load =
+                load::Load { to, rate, seconds, classes, plans, customers, spread, skewed, seed, watch };
             load.check()?;
             let bar = progress(rate * seconds as f64)?;
             let classes = live()?.block_on(load.run(|| bar.inc(1)))?;
--- a/emulator/tests/live.rs
+++ b/emulator/tests/live.rs
@@ -21,7 +21,10 @@
         classes: vec![Class { name: "reading".into(), safe: true, share: 1.0, deadline_ms: 1000 }],
         plans: vec!["basic".into()],
         customers: 3,
+        spread: 0,
+        skewed: false,
         seed: 7,
+        watch: None,
     }
 }
 
@@ -59,7 +62,7 @@
 
 #[tokio::test]
 async fn backends_serve_decline_and_fall_silent() {
-    let backend = Backend::start(1, "north").await.expect("started");
+    let backend = Backend::start(1, "north", 4, None).await.expect("started");
     let request = "GET /reading HTTP/1.1\r\nHost: b\r\nReq-Id: abc\r\n\r\n";
     let served = say(backend.address, request, "abc by b1").await;
     assert!(served.starts_with("HTTP/1.1 200 OK"), "{served}");
@@ -79,7 +82,7 @@
 
 #[tokio::test]
 async fn discovery_answers_watches_when_the_list_changes() {
-    let discovery = Discovery::start(vec![json!({"host": "b1"})]).await.expect("started");
+    let discovery = Discovery::start(vec![json!({"host": "b1"})], None).await.expect("started");
     let ask = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: d\r\n\r\n");
     let whole = say(discovery.address, &ask("/discovery/hosts"), "true}").await;
     assert!(whole.contains("\"seq\":1") && whole.contains("\"b1\""), "{whole}");
@@ -96,7 +99,7 @@
 
 #[tokio::test]
 async fn the_counter_adds_and_answers_in_order() {
-    let counter = Counter::start().await.expect("started");
+    let counter = Counter::start(1, None).await.expect("started");
     let call = |name: &str, amount: &str| {
         format!(
             "*4\r\n$6\r\nADDGET\r\n${}\r\n{name}\r\n${}\r\n{amount}\r\n$4\r\n4000\r\n",
