Sort the gateway's files into folders by part, and the list's types into a module of their own

Need: 17 flat files with a circle of imports (discovery, backends, engine) left no room for the wiring of a group.

Change: moves only. time, observe, wire, backends, control, clients, state, operators, each using only those before it; backends::list holds the list's types, which were discovery's, so that the pool of connections no longer imports what imports it. No behaviour is touched.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends/pool.rs
@@ -1,11 +1,11 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
-use crate::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
-use crate::budget::Budget;
-use crate::clock::millis;
-use crate::cost::{Cost, Use};
-use crate::discovery::{Host, List};
-use crate::link::{Link, Progress, Trace};
+use crate::backends::list::{Host, List};
+use crate::observe::cost::{Cost, Use};
+use crate::time::budget::Budget;
+use crate::time::clock::millis;
+use crate::wire::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
+use crate::wire::link::{Link, Progress, Trace};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients/front.rs
@@ -1,11 +1,11 @@
 //! The clients' side: takes requests in, reads their headers, writes their answers, drains at the end.
 
-use crate::backends::{Answer, Message, Payload, spawn};
-use crate::body::{ClientBody, Content, Cut, Ended, HELD, LARGEST, Upload};
-use crate::budget::Budget;
-use crate::cost::Use;
-use crate::engine::{Engine, Reply};
-use crate::figures::{Ending, Figures, Stage, Taken};
+use crate::backends::pool::{Answer, Message, Payload, spawn};
+use crate::control::engine::{Engine, Reply};
+use crate::observe::cost::Use;
+use crate::observe::figures::{Ending, Figures, Stage, Taken};
+use crate::time::budget::Budget;
+use crate::wire::body::{ClientBody, Content, Cut, Ended, HELD, LARGEST, Upload};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use hyper::body::{Body, Incoming};
--- /dev/null
+++ b/gateway/src/clients/mod.rs
@@ -0,0 +1,3 @@
+//! The clients' side.
+
+pub mod front;
--- a/gateway/src/config.rs
+++ b/gateway/src/control/config.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
-use crate::clock::span;
-use crate::discovery::{List, ListError};
+use crate::backends::list::{List, ListError};
+use crate::time::clock::span;
 use doorcourse::Settings;
 use doorcourse_simhost::settings::{self, Object};
 use serde::Deserialize;
--- a/gateway/src/counter.rs
+++ b/gateway/src/control/counter.rs
@@ -1,7 +1,7 @@
 //! The shared counter: pipelined RESP2 calls on a few connections.
 
-use crate::clock::millis;
-use crate::cost::{Cost, Use};
+use crate::observe::cost::{Cost, Use};
+use crate::time::clock::millis;
 use doorcourse::{CountOutcome, Millis};
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
--- a/gateway/src/engine.rs
+++ b/gateway/src/control/engine.rs
@@ -1,11 +1,11 @@
 //! The one place where the decisions are asked: events go in, actions come out and are carried out. It owns
 //! the tables of requests that have no final answer yet and of attempts that are out.
 
-use crate::backends::{Answer, Backends, CallOff, End, Message, spawn};
-use crate::clock::{Clock, millis, span};
-use crate::counter::Counter;
-use crate::figures::{Figures, Stage};
-use crate::link::Trace;
+use crate::backends::pool::{Answer, Backends, CallOff, End, Message, spawn};
+use crate::control::counter::Counter;
+use crate::observe::figures::{Figures, Stage};
+use crate::time::clock::{Clock, millis, span};
+use crate::wire::link::Trace;
 use doorcourse::{
     Action, Arrival, AttemptEnd, Estate, Event, Gateway, Millis, Name, Outcome, Pool, RequestId, Settings,
     SettingsError,
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -2,15 +2,15 @@
 
 #![forbid(unsafe_code)]
 
-use fennelscale::backends::{Backends, spawn};
-use fennelscale::clients::Front;
-use fennelscale::config::Config;
-use fennelscale::console::Console;
-use fennelscale::detached::Detached;
-use fennelscale::discovery;
-use fennelscale::engine::Engine;
-use fennelscale::figures::Figures;
-use fennelscale::handover::{self, Parts};
+use fennelscale::backends::pool::{Backends, spawn};
+use fennelscale::clients::front::Front;
+use fennelscale::control::config::Config;
+use fennelscale::control::discovery;
+use fennelscale::control::engine::Engine;
+use fennelscale::observe::figures::Figures;
+use fennelscale::operators::console::Console;
+use fennelscale::state::detached::Detached;
+use fennelscale::state::handover::{self, Parts};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/gateway/src/figures.rs
+++ b/gateway/src/observe/figures.rs
@@ -1,9 +1,9 @@
 //! The figures that operators read: plain counters, all zero when the process starts, kept where requests and
 //! attempts end.
 
-use crate::budget::Lateness;
-use crate::clock::millis;
-use crate::cost::Cost;
+use crate::observe::cost::Cost;
+use crate::time::budget::Lateness;
+use crate::time::clock::millis;
 use doorcourse::{Name, Pool, Settings};
 use serde_json::{Map, Value, json};
 use std::cell::Cell;
--- a/gateway/src/console.rs
+++ b/gateway/src/operators/console.rs
@@ -1,12 +1,12 @@
 //! The operators' side: a further address, at which each connection carries one call and its reply. Line, time
 //! and callers are bounded, so that nobody who connects can hold it up.
 
-use crate::backends::spawn;
-use crate::clients::Front;
-use crate::cost::Use;
-use crate::detached::Detached;
-use crate::engine::Engine;
-use crate::figures::Figures;
+use crate::backends::pool::spawn;
+use crate::clients::front::Front;
+use crate::control::engine::Engine;
+use crate::observe::cost::Use;
+use crate::observe::figures::Figures;
+use crate::state::detached::Detached;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
--- /dev/null
+++ b/gateway/src/operators/mod.rs
@@ -0,0 +1,3 @@
+//! The operators' side.
+
+pub mod console;
--- a/gateway/src/detached.rs
+++ b/gateway/src/state/detached.rs
@@ -1,8 +1,8 @@
 //! The backends that operators have taken out: told to the decisions, and kept in a file of `$TMPDIR`, so that they
 //! stay out when a new version takes over.
 
-use crate::backends::Backends;
-use crate::engine::Engine;
+use crate::backends::pool::Backends;
+use crate::control::engine::Engine;
 use doorcourse::{Event, Name};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/gateway/src/handover.rs
+++ b/gateway/src/state/handover.rs
@@ -2,11 +2,12 @@
 //! it, then its blocks, its list and what it has learned. One listener with one queue: nothing that waits at the
 //! door is reset. Until the old process has ended the two share the limits.
 
-use crate::backends::{Backends, spawn};
-use crate::clients::Front;
-use crate::detached::{Detached, place};
-use crate::discovery::{self, List};
-use crate::engine::Engine;
+use crate::backends::list::List;
+use crate::backends::pool::{Backends, spawn};
+use crate::clients::front::Front;
+use crate::control::discovery;
+use crate::control::engine::Engine;
+use crate::state::detached::{Detached, place};
 use doorcourse::Estate;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
--- a/gateway/src/body.rs
+++ b/gateway/src/wire/body.rs
@@ -1,7 +1,7 @@
 //! Bodies, both ways. What is short is held whole and can be sent again; what is long streams through bounded
 //! buffers: a reader that stalls stops the writer.
 
-use crate::clock::span;
+use crate::time::clock::span;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/gateway/src/link.rs
+++ b/gateway/src/wire/link.rs
@@ -1,9 +1,9 @@
 //! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
 //! twice, and is closed for certain the moment it is dropped.
 
-use crate::body::Outgoing;
-use crate::cost::{Cost, Held, Use};
-use crate::figures::Figures;
+use crate::observe::cost::{Cost, Held, Use};
+use crate::observe::figures::Figures;
+use crate::wire::body::Outgoing;
 use bytes::{Bytes, BytesMut};
 use hyper::Request;
 use hyper::body::{Body, Incoming};
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -2,9 +2,9 @@
 
 mod helper;
 
-use fennelscale::body::Outgoing;
-use fennelscale::cost::Use;
-use fennelscale::link::{Link, Progress};
+use fennelscale::observe::cost::Use;
+use fennelscale::wire::body::Outgoing;
+use fennelscale::wire::link::{Link, Progress};
 use helper::{Backend, Do, Gateway, Mood, Setup, World, list, ok, pause, request, row};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -96,10 +96,10 @@
 /// The gateway's own side of the counter, and all that it tells.
 fn lanes(
     at: std::net::SocketAddr, patience: Duration,
-) -> (fennelscale::counter::Counter, mpsc::UnboundedReceiver<(u64, CountOutcome)>) {
+) -> (fennelscale::control::counter::Counter, mpsc::UnboundedReceiver<(u64, CountOutcome)>) {
     let (tell, told) = mpsc::unbounded_channel();
     let report = move |name, outcome, _| tell.send((name, outcome)).expect("a listener");
-    (fennelscale::counter::Counter::start(at, patience, Rc::new(report), Rc::default()), told)
+    (fennelscale::control::counter::Counter::start(at, patience, Rc::new(report), Rc::default()), told)
 }
 
 /// The counter's end of all lanes.
@@ -111,7 +111,7 @@
 impl Peer {
     async fn accept(listener: &TcpListener) -> Self {
         let mut streams = Vec::new();
-        for _ in 0..fennelscale::counter::LANES {
+        for _ in 0..fennelscale::control::counter::LANES {
             streams.push(soon("a lane", listener.accept()).await.expect("a connection").0);
         }
         let texts = vec![Vec::new(); streams.len()];
@@ -141,7 +141,7 @@
 /// Makes a call that gets no answer. A lane may not have noticed yet that it is up: such a call is told as not
 /// added, and made again.
 async fn call_in_vain(
-    counter: &fennelscale::counter::Counter, told: &mut mpsc::UnboundedReceiver<(u64, CountOutcome)>,
+    counter: &fennelscale::control::counter::Counter, told: &mut mpsc::UnboundedReceiver<(u64, CountOutcome)>,
 ) {
     loop {
         counter.add(7, 5.0, 1000.0);
--- a/gateway/tests/retry.rs
+++ b/gateway/tests/retry.rs
@@ -1,6 +1,6 @@
 //! How often a fleet comes back to a discovery that turns it away.
 
-use fennelscale::discovery::retry;
+use fennelscale::control::discovery::retry;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
