Add the group: sessions, duties with fences and leases, turns, on openraft and redb

Need: gateways share nothing but a counter that adds and forgets, so nothing could be decided by one for all.

Change: the crate group/. Voters run consensus by openraft 0.9 on a thread of the group's own, their log and vote synced in redb before they are answered; a lost, damaged or foreign disk is set aside and the voter draws a new number, so that its old votes count for nobody. Members hold sessions through any voter, renewed without a write by one confirmation of the leader's majority; duties have fences that only grow, also above what members remember of a group that lost all; guards answer by the clock that counts suspended time; turns bound who is away at once; the last voter can go on alone when the others are named as lost.

--- /dev/null
+++ b/group/src/machine.rs
@@ -0,0 +1,290 @@
+//! What the group agrees on: sessions, duties with their fences, turns, and records written under fences. A pure
+//! function of the log: it has no clock and no chance, so that every voter comes to the same state.
+//!
+//! Invariants: a duty has one holder at most, and that has a session; each grant of a duty has a higher fence than
+//! every one before, also than those that members remember of a group that was lost; a record is written only under
+//! its duty's present fence; turns are at most as many as was asked for, each of a different name.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The number of a session, drawn by who opens it.
+pub type SessionId = u64;
+
+/// Bounds of the state: sessions, duties, records and their bytes, letters of a name.
+pub const MOST_SESSIONS: usize = 1000;
+const MOST_DUTIES: usize = crate::lease::MOST_DUTIES;
+const MOST_RECORDS: usize = 256;
+const MOST_VALUE: usize = 8 * 1024;
+const MOST_NAME: usize = 64;
+
+/// One process's presence in the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Session {
+    /// The process's name, the same after a restart.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// The version of its program.
+    pub version: String,
+}
+
+/// A duty that one session holds at a time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// The fence of the last grant.
+    pub fence: u64,
+    /// Who holds it.
+    pub holder: Option<SessionId>,
+}
+
+/// A value written under a duty's fence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The duty.
+    pub duty: String,
+    /// The fence that it was written under.
+    pub fence: u64,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Raised with each change but that of a session alone.
+    pub revision: u64,
+    /// Who is there.
+    pub sessions: BTreeMap<SessionId, Session>,
+    /// The duties that were ever asked for.
+    pub duties: BTreeMap<String, Duty>,
+    /// What was written.
+    pub records: BTreeMap<String, Record>,
+    /// Who is away by leave: names, with the session that asked.
+    pub turns: BTreeMap<String, SessionId>,
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A process comes. `seen` are the fences that it has seen, of whatever group.
+    Open {
+        /// The number it drew.
+        session: SessionId,
+        /// Who it is.
+        of: Session,
+        /// Fences by duty.
+        seen: Vec<(String, u64)>,
+    },
+    /// A process goes, by its own word.
+    Close {
+        /// Which session.
+        session: SessionId,
+    },
+    /// The leader ends a session. Void in another term: whoever led in between may have renewed it.
+    Expire {
+        /// Which session.
+        session: SessionId,
+        /// The leader's term.
+        term: u64,
+    },
+    /// A session wants a duty.
+    Claim {
+        /// Who.
+        session: SessionId,
+        /// Which duty.
+        duty: String,
+    },
+    /// A holder gives a duty up, or to another session at once.
+    Give {
+        /// Who.
+        session: SessionId,
+        /// Which duty.
+        duty: String,
+        /// The fence that it holds it under.
+        fence: u64,
+        /// To the process of this name; none, and it is free.
+        to: Option<String>,
+    },
+    /// A holder writes a record.
+    Write {
+        /// Who.
+        session: SessionId,
+        /// For which duty.
+        duty: String,
+        /// Under which fence.
+        fence: u64,
+        /// The record's name.
+        key: String,
+        /// Its value.
+        value: Vec<u8>,
+    },
+    /// A process wants to be away for a while, with at most so many others.
+    Leave {
+        /// Who.
+        session: SessionId,
+        /// The most that are away at once.
+        most: u32,
+    },
+    /// The time of a turn is over although its asker did not come back. Void in another term.
+    Lapse {
+        /// Whose.
+        name: String,
+        /// The leader's term.
+        term: u64,
+    },
+}
+
+/// What came of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// It was done.
+    Done,
+    /// The duty is held under this fence.
+    Held(u64),
+    /// Another one holds it, or nobody does.
+    NotHeld {
+        /// Who.
+        holder: Option<SessionId>,
+        /// The present fence.
+        fence: u64,
+    },
+    /// There is no such session, or none of that name: it has ended, or never was.
+    NoSession,
+    /// So many are away already.
+    Later(u32),
+    /// A bound of the state is reached, or a name is too long.
+    Full,
+}
+
+impl State {
+    /// Applies one entry of the log, committed in a term.
+    pub fn apply(&mut self, term: u64, command: &Command) -> Reply {
+        match command {
+            Command::Open { session, of, seen } => self.open(*session, of, seen),
+            Command::Close { session } => self.end(*session),
+            Command::Expire { session, term: in_term } if *in_term == term => self.end(*session),
+            Command::Lapse { name, term: in_term } if *in_term == term => {
+                self.revision += u64::from(self.turns.remove(name).is_some());
+                Reply::Done
+            }
+            Command::Expire { .. } | Command::Lapse { .. } => Reply::Done,
+            Command::Claim { session, duty } => self.claim(*session, duty),
+            Command::Give { session, duty, fence, to } => self.give(*session, duty, *fence, to.as_deref()),
+            Command::Write { session, duty, fence, key, value } => {
+                self.write(*session, duty, *fence, key, value)
+            }
+            Command::Leave { session, most } => self.leave(*session, *most),
+        }
+    }
+
+    fn open(&mut self, session: SessionId, of: &Session, seen: &[(String, u64)]) -> Reply {
+        let long = [&of.name, &of.zone, &of.version].iter().any(|text| text.len() > MOST_NAME);
+        let new = !self.sessions.contains_key(&session);
+        if long || (new && self.sessions.len() >= MOST_SESSIONS) {
+            return Reply::Full;
+        }
+        self.sessions.insert(session, of.clone());
+        // Who is back has no turn any more.
+        if self.turns.get(&of.name).is_some_and(|asked_by| *asked_by != session) {
+            self.turns.remove(&of.name);
+            self.revision += 1;
+        }
+        // A group that lost its state goes on above what its members remember. Whoever holds a duty lower goes on
+        // holding it, higher: it may still be acting, so nobody else can have it.
+        for (duty, fence) in seen {
+            let full = self.duties.len() >= MOST_DUTIES && !self.duties.contains_key(duty);
+            if full || duty.len() > MOST_NAME {
+                continue;
+            }
+            let known = self.duties.entry(duty.clone()).or_default();
+            if known.fence < *fence {
+                known.fence = fence.saturating_add(u64::from(known.holder.is_some()));
+                self.revision += 1;
+            }
+        }
+        Reply::Done
+    }
+
+    fn end(&mut self, session: SessionId) -> Reply {
+        if self.sessions.remove(&session).is_none() {
+            return Reply::NoSession;
+        }
+        for duty in self.duties.values_mut().filter(|duty| duty.holder == Some(session)) {
+            duty.holder = None;
+            self.revision += 1;
+        }
+        Reply::Done
+    }
+
+    fn claim(&mut self, session: SessionId, name: &str) -> Reply {
+        if !self.sessions.contains_key(&session) {
+            return Reply::NoSession;
+        }
+        if name.len() > MOST_NAME || (self.duties.len() >= MOST_DUTIES && !self.duties.contains_key(name)) {
+            return Reply::Full;
+        }
+        let duty = self.duties.entry(name.to_owned()).or_default();
+        match duty.holder {
+            // Asked again, because the first answer was lost.
+            Some(holder) if holder == session => Reply::Held(duty.fence),
+            Some(_) => Reply::NotHeld { holder: duty.holder, fence: duty.fence },
+            None => {
+                duty.fence += 1;
+                duty.holder = Some(session);
+                self.revision += 1;
+                Reply::Held(duty.fence)
+            }
+        }
+    }
+
+    fn give(&mut self, session: SessionId, name: &str, fence: u64, to: Option<&str>) -> Reply {
+        let to = to.map(|to| self.sessions.iter().find(|(id, of)| of.name == to && **id != session));
+        if to == Some(None) {
+            return Reply::NoSession;
+        }
+        let to = to.flatten().map(|(id, _)| *id);
+        let Some(duty) = self.duties.get_mut(name) else { return Reply::NotHeld { holder: None, fence: 0 } };
+        if duty.holder != Some(session) || duty.fence != fence {
+            return Reply::NotHeld { holder: duty.holder, fence: duty.fence };
+        }
+        duty.holder = to;
+        duty.fence += u64::from(to.is_some());
+        self.revision += 1;
+        Reply::Done
+    }
+
+    fn write(&mut self, session: SessionId, name: &str, fence: u64, key: &str, value: &[u8]) -> Reply {
+        let duty = self.duties.get(name).cloned().unwrap_or_default();
+        if duty.holder != Some(session) || duty.fence != fence {
+            return Reply::NotHeld { holder: duty.holder, fence: duty.fence };
+        }
+        let full = self.records.len() >= MOST_RECORDS && !self.records.contains_key(key);
+        if full || value.len() > MOST_VALUE || key.len() > MOST_NAME {
+            return Reply::Full;
+        }
+        let record = Record { duty: name.to_owned(), fence, value: value.to_vec() };
+        self.records.insert(key.to_owned(), record);
+        self.revision += 1;
+        Reply::Done
+    }
+
+    fn leave(&mut self, session: SessionId, most: u32) -> Reply {
+        let Some(of) = self.sessions.get(&session) else { return Reply::NoSession };
+        let away = self.turns.len() as u32;
+        if self.turns.contains_key(&of.name) {
+            return Reply::Done;
+        }
+        if away >= most {
+            return Reply::Later(away);
+        }
+        self.turns.insert(of.name.clone(), session);
+        self.revision += 1;
+        Reply::Done
+    }
+
+    /// The names of those away by leave whose sessions have ended: they are gone, and not back yet.
+    pub fn away(&self) -> impl Iterator<Item = &String> {
+        self.turns.iter().filter(|(_, by)| !self.sessions.contains_key(by)).map(|(name, _)| name)
+    }
+}
--- /dev/null
+++ b/group/src/run.rs
@@ -0,0 +1,196 @@
+//! The group's thread: a voter if this process is one, and a member in any case. The rest of the process talks to it
+//! through a [`Handle`], and never waits for it where a request would.
+
+use crate::clock::Clock;
+use crate::lease::Guard;
+use crate::machine::Session;
+use crate::member::{Held, Me, Member, Order, Ordered, Standing, Want};
+use crate::store::Store;
+use crate::voter::{Answer, Node, Times, Voter};
+use crate::wire::serve;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+/// Orders that wait.
+const WAITING: usize = 64;
+/// Threads that may block: the disk's.
+const DISK: usize = 2;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// What a process brings to its group.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The group's name.
+    pub group: String,
+    /// Who this process is.
+    pub session: Session,
+    /// Duties that it would do.
+    pub wants: Vec<Want>,
+    /// The voters that the group is formed of, and those to ask.
+    pub voters: Vec<Node>,
+    /// The life of a session.
+    pub life: Duration,
+    /// Where a voter listens, and the folder of its disk; none for a member alone.
+    pub voter: Option<(SocketAddr, PathBuf)>,
+}
+
+/// Why a group's part cannot run.
+#[derive(Debug)]
+pub struct StartError(String);
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// The way from the rest of the process to its part of the group.
+pub struct Handle {
+    orders: mpsc::Sender<Ordered>,
+    standing: watch::Receiver<Standing>,
+    held: Held,
+    clock: Clock,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Handle {
+    /// The guard of a duty, if this process holds it.
+    pub fn guard(&self, duty: &str) -> Option<Guard> {
+        self.held.guard(duty)
+    }
+
+    /// The guards of all duties that this process holds.
+    pub fn held(&self) -> Vec<Guard> {
+        self.held.all()
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing.borrow().clone()
+    }
+
+    /// News of how it stands.
+    pub fn news(&self) -> watch::Receiver<Standing> {
+        self.standing.clone()
+    }
+
+    /// How long ago the group last said that this session goes on.
+    pub fn contact_age(&self) -> Option<Duration> {
+        let contact = self.standing.borrow().contact;
+        contact.map(|at| self.clock.now().saturating_sub(at))
+    }
+
+    /// Gives an order, and waits for its answer; there is one within a third of a session's life or so.
+    pub async fn order(&self, order: Order) -> Answer {
+        let (asker, answer) = oneshot::channel();
+        // A group that does not keep up is as good as one that cannot be reached.
+        if self.orders.try_send((order, asker)).is_err() {
+            return Answer::Nobody;
+        }
+        answer.await.unwrap_or(Answer::Nobody)
+    }
+
+    /// Leaves the group: duties are given up and the session ends, if the group can be told.
+    pub async fn close(mut self) {
+        self.order(Order::Close).await;
+        drop(self.orders);
+        if let Some(thread) = self.thread.take() {
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+    }
+}
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
+/// Starts the thread. `tell` hears what belongs in the log.
+///
+/// # Errors
+/// When a voter cannot listen or has no folder that it may write to.
+pub fn start(
+    settings: Settings, clock: Clock, tell: impl Fn(String) + Clone + Send + 'static,
+) -> Result<Handle, StartError> {
+    let (orders, ordered) = mpsc::channel(WAITING);
+    let (ready, started) = std::sync::mpsc::channel();
+    let held = Held::default();
+    let (parts, of) = (held.clone(), clock.clone());
+    let run = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .max_blocking_threads(DISK)
+            .thread_keep_alive(Duration::from_secs(60))
+            .build();
+        let runtime = match runtime {
+            Ok(runtime) => runtime,
+            Err(error) => return drop(ready.send(Err(StartError(error.to_string())))),
+        };
+        let local = LocalSet::new();
+        local.block_on(&runtime, async {
+            if let Err(error) = set_up(&settings, &of, &tell).await {
+                return drop(ready.send(Err(error)));
+            }
+            let Settings { group, session, wants, voters, life, .. } = settings;
+            // Its own voter first: that one is nearest.
+            let mut voters = voters;
+            voters.sort_by_key(|node| node.name != session.name);
+            let me = Me { session, wants, voters, life };
+            let (member, standing) = Member::new(me, &group, of, parts);
+            let _ = ready.send(Ok(standing));
+            member.run(ordered).await;
+        });
+        // What still waits for others is not waited for.
+        runtime.shutdown_background();
+    };
+    let thread = std::thread::Builder::new().name("group".into()).spawn(run);
+    let thread = thread.map_err(|error| StartError(error.to_string()))?;
+    let standing = started.recv().unwrap_or_else(|_| Err(StartError("it ended at its start".into())))?;
+    Ok(Handle { orders, standing, held, clock, thread: Some(thread) })
+}
+
+/// Starts the voter, if this process is one.
+async fn set_up(
+    settings: &Settings, clock: &Clock, tell: &(impl Fn(String) + Clone + Send + 'static),
+) -> Result<(), StartError> {
+    let Some((at, folder)) = &settings.voter else { return Ok(()) };
+    let (name, group) = (&settings.session.name, &settings.group);
+    let failed = |what: &str, error: &dyn fmt::Display| StartError(format!("group {group}: {what}: {error}"));
+    let listener = listen(*at).map_err(|e| failed(&format!("cannot listen at {at}"), &e))?;
+    let store = Store::open(folder, name, group, tell).map_err(|e| failed("no store", &e))?;
+    if counts_as_memory(folder) {
+        tell(format!(
+            "group {group}: {} counts as memory: what this voter knows goes with it",
+            folder.display()
+        ));
+    }
+    let node = settings.voters.iter().find(|node| node.name == *name).cloned();
+    let node = node.unwrap_or(Node { name: name.clone(), address: at.to_string() });
+    let times = Times::of_life(settings.life);
+    let voter = Voter::start(store, node, group, times, clock.clone(), &settings.voters).await;
+    let voter = voter.map_err(|e| failed("voter", &e))?;
+    tell(format!("group {group}: voter {name} has number {} and listens at {at}", voter.number()));
+    tokio::task::spawn_local(serve(listener, voter.clone()));
+    let (voters, tell) = (settings.voters.clone(), tell.clone());
+    tokio::task::spawn_local(async move { voter.join(&voters, tell).await });
+    Ok(())
+}
+
+/// Whether a folder's file system is kept in memory.
+fn counts_as_memory(folder: &std::path::Path) -> bool {
+    /// The number of the kernel's file system in memory.
+    const TMPFS: i64 = 0x0102_1994;
+    rustix::fs::statfs(folder).is_ok_and(|found| found.f_type == TMPFS)
+}
--- /dev/null
+++ b/group/src/wire.rs
@@ -0,0 +1,256 @@
+//! What the processes of a group say to each other: HTTP/1.1, bodies in `postcard`. Each call names the form, the
+//! group and, for consensus, the voter it is meant for; anything else is answered 4xx and closed. Bounded in bytes,
+//! connections and time.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+/// The form of the calls.
+const FORM: &str = "1";
+const HEADERS: [&str; 3] = ["group-form", "group-name", "group-target"];
+/// The longest body.
+const LONGEST: usize = 4 << 20;
+/// Connections held at once: every member's two, and the other voters'.
+const CONNECTIONS: usize = 1024;
+/// A connection without a request for this long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// Free connections kept to one address.
+const KEPT: usize = 4;
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Consensus: entries of the log.
+    Append,
+    /// Consensus: an election.
+    Vote,
+    /// Consensus: a part of a snapshot.
+    Snapshot,
+    /// A member's question, or another voter's on its behalf.
+    Ask,
+    /// Waiting for news.
+    Watch,
+    /// Who a voter is.
+    Who,
+}
+
+const PATHS: [(Kind, &str); 6] = [
+    (Kind::Append, "/append"),
+    (Kind::Vote, "/vote"),
+    (Kind::Snapshot, "/snapshot"),
+    (Kind::Ask, "/ask"),
+    (Kind::Watch, "/watch"),
+    (Kind::Who, "/who"),
+];
+
+/// A call without a usable answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection, or it broke: the call may have arrived or not.
+    Broken(String),
+    /// No answer in time: it may have arrived or not.
+    Late,
+    /// It was refused.
+    Refused(StatusCode),
+    /// The answer cannot be read.
+    Malformed,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(what) => f.write_str(what),
+            Self::Late => f.write_str("no answer in time"),
+            Self::Refused(status) => write!(f, "refused: {status}"),
+            Self::Malformed => f.write_str("an answer that cannot be read"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// The way to one address.
+pub struct Way {
+    address: SocketAddr,
+    group: Rc<str>,
+    free: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+}
+
+impl Way {
+    /// A way without a connection yet.
+    pub fn new(address: SocketAddr, group: Rc<str>) -> Self {
+        Self { address, group, free: RefCell::default() }
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls, and waits for the answer. `target` is the voter meant, 0 for whoever is there.
+    ///
+    /// # Errors
+    /// When there is no usable answer in time.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self, kind: Kind, target: u64, question: &Q, within: Duration,
+    ) -> Result<A, CallError> {
+        let body = postcard::to_stdvec(question).map_err(|_| CallError::Malformed)?;
+        timeout(within, self.exchange(kind, target, body))
+            .await
+            .unwrap_or(Err(CallError::Late))
+            .and_then(|bytes| postcard::from_bytes(&bytes).map_err(|_| CallError::Malformed))
+    }
+
+    async fn exchange(&self, kind: Kind, target: u64, body: Vec<u8>) -> Result<Bytes, CallError> {
+        let broken = |error: &dyn fmt::Display| CallError::Broken(error.to_string());
+        let free = {
+            let mut free = self.free.borrow_mut();
+            free.retain(SendRequest::is_ready);
+            free.pop()
+        };
+        let mut connection = match free {
+            Some(free) => free,
+            None => {
+                let stream = TcpStream::connect(self.address).await.map_err(|e| broken(&e))?;
+                stream.set_nodelay(true).map_err(|e| broken(&e))?;
+                let io = TokioIo::new(stream);
+                let (sender, connection) =
+                    hyper::client::conn::http1::handshake(io).await.map_err(|e| broken(&e))?;
+                tokio::task::spawn_local(async move {
+                    // Whoever waits for its answer hears of the end.
+                    let _ = connection.await;
+                });
+                sender
+            }
+        };
+        let path = PATHS.iter().find(|(of, _)| *of == kind).map_or("/", |(_, path)| path);
+        let [form, name, to] = HEADERS;
+        let request = Request::post(path)
+            .header("Host", self.address.to_string())
+            .header(form, FORM)
+            .header(name, &*self.group)
+            .header(to, target)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| broken(&e))?;
+        let answer = connection.send_request(request).await.map_err(|e| broken(&e))?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(|e| broken(&e))?;
+        let mut free = self.free.borrow_mut();
+        if free.len() < KEPT {
+            free.push(connection);
+        }
+        if status == StatusCode::OK { Ok(body.to_bytes()) } else { Err(CallError::Refused(status)) }
+    }
+}
+
+/// What a call is answered: bytes, or a status.
+pub type Answered = Pin<Box<dyn Future<Output = Result<Vec<u8>, StatusCode>>>>;
+
+/// Who answers calls.
+pub trait Answers: 'static {
+    /// The group's name.
+    fn group(&self) -> &str;
+    /// The number of this voter.
+    fn id(&self) -> u64;
+    /// The answer to one call.
+    fn answer(self: Rc<Self>, kind: Kind, body: Bytes) -> Answered;
+}
+
+/// Reads a question.
+///
+/// # Errors
+/// A status that says so, when it cannot be read.
+pub fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, StatusCode> {
+    postcard::from_bytes(body).map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+/// Writes an answer.
+///
+/// # Errors
+/// A status that says so, when it cannot be written.
+pub fn written<T: Serialize>(value: &T) -> Result<Vec<u8>, StatusCode> {
+    postcard::to_stdvec(value).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+/// Answers calls at a listener, for ever.
+pub async fn serve(listener: TcpListener, by: Rc<impl Answers>) {
+    let free = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(place) = free.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let by = by.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| one(by.clone(), request));
+            let mut http = hyper::server::conn::http1::Builder::new();
+            http.timer(TokioTimer::new()).header_read_timeout(IDLE);
+            // A connection that breaks is its caller's affair.
+            let _ = http.serve_connection(TokioIo::new(stream), service).await;
+            drop(place);
+        });
+    }
+}
+
+async fn one(by: Rc<impl Answers>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let answered = match admitted(&*by, &request) {
+        Err(status) => Err(status),
+        Ok(kind) => match Limited::new(request.into_body(), LONGEST).collect().await {
+            Err(_) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Ok(body) => by.answer(kind, body.to_bytes()).await,
+        },
+    };
+    let mut response = Response::new(Full::default());
+    match answered {
+        Ok(bytes) => *response.body_mut() = Full::new(Bytes::from(bytes)),
+        Err(status) => {
+            *response.status_mut() = status;
+            // Who says what is not understood is not listened to any longer.
+            if status.is_client_error() {
+                let close = hyper::header::HeaderValue::from_static("close");
+                response.headers_mut().insert(hyper::header::CONNECTION, close);
+            }
+        }
+    }
+    Ok(response)
+}
+
+/// What a call is for, if it is one of this group's and meant for this voter.
+fn admitted(by: &impl Answers, request: &Request<Incoming>) -> Result<Kind, StatusCode> {
+    let header = |at: usize| request.headers().get(HEADERS[at]).and_then(|value| value.to_str().ok());
+    let kind = PATHS.iter().find(|(_, path)| *path == request.uri().path());
+    let (kind, _) = kind.ok_or(StatusCode::NOT_FOUND)?;
+    if request.method() != hyper::Method::POST {
+        return Err(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    if header(0) != Some(FORM) || header(1) != Some(by.group()) {
+        return Err(StatusCode::FORBIDDEN);
+    }
+    let target: u64 = header(2).and_then(|id| id.parse().ok()).ok_or(StatusCode::BAD_REQUEST)?;
+    let consensus = matches!(kind, Kind::Append | Kind::Vote | Kind::Snapshot);
+    // A voter that lost its disk is not the one that was elected or that has the log.
+    if (consensus || target != 0) && target != by.id() {
+        return Err(StatusCode::CONFLICT);
+    }
+    Ok(*kind)
+}
