Wire the group into the gateway: configuration, GROUP calls, figures, end of the process

Need: the group's part has to start, show itself and end with a gateway, and never stand in its way.

Off without `group` in the configuration: no thread and no descriptor then. SIGTERM gives duties away first and counts as away.

--- a/gateway/src/control/config.rs
+++ b/gateway/src/control/config.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
 use crate::backends::list::{List, ListError};
+use crate::group::settings as group;
 use crate::time::clock::span;
 use doorcourse::Settings;
 use doorcourse_simhost::settings::{self, Object};
@@ -36,7 +37,7 @@
     Grace,
     /// The list of backends in it cannot be used.
     Known(ListError),
-    /// The settings cannot be used.
+    /// The settings, or those of the group, cannot be used.
     Settings(String),
 }
 
@@ -68,6 +69,7 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
+    group: Option<Value>,
     #[serde(default)]
     known: Value,
     settings: Value,
@@ -106,6 +108,8 @@
     pub backend_idle: Duration,
     /// What the decisions are made by.
     pub settings: Settings,
+    /// The gateway's part in a group, if it has one.
+    pub group: Option<group::Settings>,
 }
 
 impl Config {
@@ -156,8 +160,11 @@
         let counter = settings.counter.then(|| address(file.counter, "counter")).transpose()?;
         let console = variable("NODE_CONSOLE").or(file.console);
         let console = console.map(|text| address(Some(text), "NODE_CONSOLE")).transpose()?;
+        let name = variable("NODE_NAME").unwrap_or(file.name);
+        let group = file.group.map(|value| group::read(&value, &name, &settings.zone));
+        let group = group.transpose().map_err(ConfigError::Settings)?;
         Ok(Self {
-            name: variable("NODE_NAME").unwrap_or(file.name),
+            name,
             listen: address(variable("NODE_LISTEN").or(file.listen), "NODE_LISTEN")?,
             discovery: address(variable("NODE_DISCOVERY").or(file.discovery), "NODE_DISCOVERY")?,
             counter,
@@ -169,6 +176,7 @@
             connect_timeout: time("dial-timeout-ms", CONNECT_TIMEOUT)?,
             backend_idle: time("keepalive-ms", BACKEND_IDLE)?,
             settings,
+            group,
         })
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backends;
 pub mod clients;
 pub mod control;
+pub mod group;
 pub mod observe;
 pub mod operators;
 pub mod state;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -2,11 +2,13 @@
 
 #![forbid(unsafe_code)]
 
+use clap::Parser as _;
 use fennelscale::backends::pool::{Backends, spawn};
 use fennelscale::clients::front::Front;
 use fennelscale::control::config::Config;
 use fennelscale::control::discovery;
 use fennelscale::control::engine::Engine;
+use fennelscale::group::{self, Group};
 use fennelscale::observe::figures::Figures;
 use fennelscale::operators::console::Console;
 use fennelscale::state::detached::Detached;
@@ -28,11 +30,25 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
+/// The quota gateway. Without options it serves, by the file that NODE_CONFIG names.
+#[derive(clap::Parser)]
+#[command(version, about)]
+struct Options {
+    /// Makes a group of one out of this voter's disk when all other voters are lost for good: their names, with
+    /// commas. The gateway must not be running.
+    #[arg(long, value_name = "NAMES", value_delimiter = ',')]
+    rescue_group: Vec<String>,
+}
+
 fn main() -> ExitCode {
+    let options = Options::parse();
     let config = match Config::from_environment() {
         Ok(config) => config,
         Err(error) => return unusable(&error),
     };
+    if !options.rescue_group.is_empty() {
+        return rescue(&config, &options.rescue_group);
+    }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return unusable(&error),
@@ -45,6 +61,17 @@
     ExitCode::from(2)
 }
 
+fn rescue(config: &Config, lost: &[String]) -> ExitCode {
+    let Some(group) = &config.group else { return unusable(&"this gateway is in no group") };
+    match group.rescue(lost) {
+        Ok(told) => {
+            println!("{told}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => unusable(&error),
+    }
+}
+
 async fn run(config: Config) -> ExitCode {
     let (mut terminate, mut interrupt, hangup) = match (
         signal(SignalKind::terminate()),
@@ -72,7 +99,8 @@
     let listener = Rc::new(listener);
     let settings = config.settings;
     let figures = Figures::new(&settings);
-    let (most_clients, most_open) = shares(config.sockets, 0);
+    let sockets = config.sockets.saturating_sub(config.group.as_ref().map_or(0, |_| group::DESCRIPTORS));
+    let (most_clients, most_open) = shares(sockets, 0);
     let backends = Backends::new(
         config.connect_timeout,
         config.backend_idle,
@@ -89,18 +117,20 @@
     };
     let front = Front::new(engine.clone(), &settings, most_clients, config.grace, figures.clone());
     discovery::tell(config.known, &backends, &engine);
+    let group = config.group.map(Group::start);
     if let Some(operators) = operators {
         if let Ok(address) = operators.local_addr() {
             eprintln!("fennelscale {}: console at {address}", config.name);
         }
         let detached = Detached::new(&config.name, engine.clone(), backends.clone());
         let (front, engine, backends) = (front.clone(), engine.clone(), backends.clone());
-        let console = Console { front, engine, figures: figures.clone(), detached: detached.clone() };
+        let (figures, detached_ones) = (figures.clone(), detached.clone());
+        let console = Console { front, engine, figures, detached: detached_ones, group: group.clone() };
         let (front, engine) = (console.front.clone(), console.engine.clone());
         spawn(Rc::new(console).serve(operators));
         let parts = Parts { name: config.name.clone(), front, engine, backends, detached };
         if let Some(predecessor) = predecessor {
-            let (front, backends, sockets) = (parts.front.clone(), parts.backends.clone(), config.sockets);
+            let (front, backends, sockets) = (parts.front.clone(), parts.backends.clone(), sockets);
             let share = move |held| {
                 let (most_clients, most_open) = shares(sockets, held);
                 front.limit(most_clients);
@@ -120,13 +150,20 @@
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
     }
+    let leaving = group.clone();
     let end = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        if let Some(group) = leaving {
+            spawn(async move { group.drains().await });
+        }
     };
     front.serve(listener, end).await;
+    if let Some(group) = group {
+        group.close().await;
+    }
     ExitCode::SUCCESS
 }
 
--- a/gateway/src/observe/figures.rs
+++ b/gateway/src/observe/figures.rs
@@ -141,8 +141,8 @@
         count.set(count.get() + 1);
     }
 
-    /// All figures, as one line of JSON.
-    pub fn line(&self, pool: Pool) -> String {
+    /// All figures, as one line of JSON; those of the group where there is one.
+    pub fn line(&self, pool: Pool, group: Option<Value>) -> String {
         let classes = |of: fn(&Row) -> Value| {
             let pairs = self.classes.iter().map(|(name, row)| (name.to_string(), of(row)));
             Value::Object(pairs.collect::<Map<_, _>>())
@@ -155,7 +155,7 @@
             Value::Object(pairs.collect::<Map<_, _>>())
         };
         let (late, latest) = self.lateness.told();
-        json!({
+        let mut all = json!({
             "ok": classes(|row| row.ok.get().into()),
             "shed": classes(|row| row.shed.get().into()),
             "errors": classes(|row| row.errors.get().into()),
@@ -173,8 +173,11 @@
             "pool_ejected": pool.ejected,
             "config_applied": self.applied.get(),
             "config_rejected": self.rejected.get(),
-        })
-        .to_string()
+        });
+        if let Some(group) = group {
+            all["group"] = group;
+        }
+        all.to_string()
     }
 }
 
--- a/gateway/src/operators/console.rs
+++ b/gateway/src/operators/console.rs
@@ -4,6 +4,7 @@
 use crate::backends::pool::spawn;
 use crate::clients::front::Front;
 use crate::control::engine::Engine;
+use crate::group::Group;
 use crate::observe::cost::Use;
 use crate::observe::figures::Figures;
 use crate::state::detached::Detached;
@@ -41,6 +42,8 @@
     pub figures: Rc<Figures>,
     /// The backends that are out by hand.
     pub detached: Rc<Detached>,
+    /// This gateway's part in a group, if it has one.
+    pub group: Option<Rc<Group>>,
 }
 
 impl Console {
@@ -76,7 +79,10 @@
 
     async fn hear(&self, mut stream: TcpStream) -> io::Result<()> {
         let reply = match timeout(PATIENCE, line(&mut stream)).await {
-            Ok(line) => line?.map_or_else(|fault| format!("NO {fault}\n"), |line| self.answer(&line)),
+            Ok(line) => match line? {
+                Ok(line) => self.answer(&line).await,
+                Err(fault) => format!("NO {fault}\n"),
+            },
             Err(_) => "NO call came in time\n".into(),
         };
         timeout(REPLY, async {
@@ -90,12 +96,22 @@
     }
 
     /// The reply to a call.
-    fn answer(&self, line: &str) -> String {
+    async fn answer(&self, line: &str) -> String {
+        if let Some(("GROUP", rest)) = line.split_once(char::is_whitespace).or(Some((line.trim(), ""))) {
+            let words: Vec<&str> = rest.split_ascii_whitespace().collect();
+            return match &self.group {
+                Some(group) => group.call(&words).await + "\n",
+                None => "NO this gateway is in no group\n".into(),
+            };
+        }
         let mut words = line.split_ascii_whitespace();
         let reply = match (words.next(), words.next(), words.next()) {
             (Some("PING"), None, _) if self.front.is_ready() => "YES ready to serve".into(),
             (Some("PING"), None, _) => "NO this process takes no clients, yet or any more".into(),
-            (Some("INFO"), None, _) => format!("{}\nEND", self.figures.line(self.engine.pool())),
+            (Some("INFO"), None, _) => {
+                let group = self.group.as_ref().map(|group| group.figures());
+                format!("{}\nEND", self.figures.line(self.engine.pool(), group))
+            }
             (Some("LAMEDUCK"), None, _) => {
                 self.front.set_lame_duck(true);
                 "YES clients are sent away".into()
@@ -109,7 +125,9 @@
             (Some("PING" | "INFO" | "LAMEDUCK" | "REJOIN" | "DETACH" | "ATTACH"), ..) => {
                 "NO too many words for this call".into()
             }
-            (Some(_), ..) => "NO such call: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK or REJOIN".into(),
+            (Some(_), ..) => {
+                "NO such call: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN or GROUP".into()
+            }
             (None, ..) => "NO call came".into(),
         };
         reply + "\n"
