Trials of a group: gateways reach each other through relays, and fences are judged

Need: duties have to be seen to have one holder while links and processes fail.

Change: `[group]` in schedules; relays between gateways; each gateway's acts, dated by the machine's clock, are judged: a fence never falls and is one gateway's. How long nobody did a duty is a figure. Each trial has a runtime of its own: 173 trials in one process had used up its descriptors, which the trial took for lost service; a relay that fails itself is no verdict now.

--- a/emulator/src/live/history.rs
+++ b/emulator/src/live/history.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The most that is kept: some minutes of the greatest load. A history that is full gives no verdict.
 const MOST: usize = 2_000_000;
@@ -156,6 +156,15 @@
         /// How it ended.
         status: String,
     },
+    /// A gateway's guard of a duty said yes, as the gateway's own file of acts has it.
+    Acted {
+        /// Which gateway.
+        gateway: usize,
+        /// Which duty.
+        duty: String,
+        /// Under which fence.
+        fence: u64,
+    },
     /// What a gateway's process holds.
     Holds {
         /// Which gateway.
@@ -181,12 +190,20 @@
 /// The history of one trial.
 pub struct History {
     begun: Instant,
+    /// The same moment on the machine's clock that counts suspended time.
+    boot: Duration,
     lines: Mutex<(Vec<Line>, bool)>,
 }
 
+fn boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let part = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(u64::try_from(time.tv_sec).unwrap_or_default(), part)
+}
+
 impl Default for History {
     fn default() -> Self {
-        Self { begun: Instant::now(), lines: Mutex::new((Vec::new(), false)) }
+        Self { begun: Instant::now(), boot: boot(), lines: Mutex::new((Vec::new(), false)) }
     }
 }
 
@@ -216,6 +233,12 @@
         }
     }
 
+    /// Writes down what a process of this machine has dated by the clock that counts suspended time, in us.
+    pub fn note_boot(&self, boot_us: u64, seen: Seen) {
+        let since = Duration::from_micros(boot_us).saturating_sub(self.boot);
+        self.note_at(self.begun + since, seen);
+    }
+
     /// All lines by time, and whether there were more than are kept.
     pub fn take(&self) -> (Vec<Line>, bool) {
         let mut lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/emulator/src/trial/judge.rs
+++ b/emulator/src/trial/judge.rs
@@ -98,6 +98,8 @@
     Crash,
     /// A process holds more than it may.
     Limit,
+    /// A duty was done under a lower fence than one before, or under one fence by two.
+    Fence,
 }
 
 /// One break of a rule.
@@ -151,6 +153,23 @@
     pub worth: Vec<(f64, f64)>,
     /// By fault.
     pub through: Vec<Through>,
+    /// Each time that a duty was done by another one, or again after a while.
+    pub passed: Vec<Passed>,
+}
+
+/// A duty passed on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Passed {
+    /// Which duty.
+    pub duty: String,
+    /// By whom it was done before, and after.
+    pub from: usize,
+    /// See `from`.
+    pub to: usize,
+    /// When it was done again, in seconds since the trial began.
+    pub at: f64,
+    /// For how many seconds nobody did it.
+    pub gap: f64,
 }
 
 /// A store that fills at a rate up to a burst.
@@ -323,6 +342,7 @@
     backends(&mut judge, lines, &cases);
     customers(&mut judge, lines, &cases);
     processes(&mut judge, lines);
+    duties(&mut judge, lines);
     service(&mut judge, lines, &cases);
     judge.verdict.breaks.sort_by(|a, b| a.at.total_cmp(&b.at));
     judge.verdict
@@ -618,6 +638,26 @@
     }
 }
 
+/// Duties: fences only grow, each is one gateway's, and how long nobody acted.
+fn duties(judge: &mut Judge<'_>, lines: &[Line]) {
+    let mut last: HashMap<&str, (u64, usize, u64)> = HashMap::new();
+    for line in lines {
+        let Seen::Acted { gateway, duty, fence } = &line.seen else { continue };
+        let Some((at, by, before)) = last.insert(duty, (line.at, *gateway, *fence)) else { continue };
+        let gap = (line.at - at) as f64 / 1e6;
+        if *fence < before || (*fence == before && *gateway != by) {
+            let what =
+                format!("{duty} done under fence {fence}, {:.0} ms after g{by} under {before}", gap * 1e3);
+            judge.broke(Rule::Fence, line.at, &[Party::Gateway(*gateway), Party::Gateway(by)], None, what);
+            // The higher fence goes on to count.
+            last.insert(duty, (at, by, before));
+        } else if *fence != before {
+            let passed = Passed { duty: duty.clone(), from: by, to: *gateway, at: line.at as f64 / 1e6, gap };
+            judge.verdict.passed.push(passed);
+        }
+    }
+}
+
 /// Served worth by the time at which it was due, through the faults and after them.
 fn service(judge: &mut Judge<'_>, lines: &[Line], cases: &HashMap<&str, Case>) {
     let Some(last) = cases.values().map(|case| case.due).max() else { return };
--- a/emulator/src/trial/mod.rs
+++ b/emulator/src/trial/mod.rs
@@ -24,6 +24,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// In a gateway's folder: the disk of a voter, and the file of its acts.
+const DISK: &str = "disk";
+const ACTS: &str = "acts";
 /// What a backend works on at once.
 const SLOTS: usize = 1;
 /// Customers, and gateways of each one's set.
@@ -140,6 +143,10 @@
             process.kill().await?;
         }
     }
+    for node in &stage.nodes {
+        let node = node.lock().await;
+        acted(&stage.history, node.number, &node.folder.join(ACTS))?;
+    }
     let (lines, full) = stage.history.take();
     let late = Duration::from_micros(late.load(Ordering::Relaxed));
     let faulty = stage.faulty.lock().unwrap_or_else(PoisonError::into_inner).join("; ");
@@ -147,6 +154,8 @@
         Some("the history is full".into())
     } else if late > MOST_LATE {
         Some(format!("the tool itself was {} ms late", late.as_millis()))
+    } else if stage.net.failed() > 0 {
+        Some(format!("the tool's own relays failed {} times", stage.net.failed()))
     } else if !faulty.is_empty() {
         Some(faulty)
     } else {
@@ -160,6 +169,25 @@
     Ok(verdict)
 }
 
+/// Reads what a gateway has written down of its acts; a last line that is not whole was never written.
+fn acted(history: &History, gateway: usize, path: &Path) -> io::Result<()> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+        Err(error) => return Err(error),
+    };
+    let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+    for line in whole.lines() {
+        let mut words = line.split(' ');
+        let (Some(at), Some(duty), Some(fence)) = (words.next(), words.next(), words.next()) else {
+            continue;
+        };
+        let (Ok(at), Ok(fence)) = (at.parse(), fence.parse()) else { continue };
+        history.note_boot(at, Seen::Acted { gateway, duty: duty.to_owned(), fence });
+    }
+    Ok(())
+}
+
 /// A trial's name as a folder's.
 fn plain(name: &str) -> String {
     let stem = Path::new(name).file_stem().unwrap_or_default().to_string_lossy();
@@ -216,6 +244,10 @@
             backends.push(Backend::start(number, zone, SLOTS, Some(history.clone())).await?);
         }
         let counter = Counter::start(fleet.counter_parts, Some(history.clone())).await?;
+        let mut groups = Vec::new();
+        for voter in 0..fleet.group.as_ref().map_or(0, |plan| plan.voters) {
+            groups.push(free_address(addresses.listen(voter)).await?);
+        }
         let (mut discovery, mut nodes, mut to) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..fleet.gateways {
             let me = Party::Gateway(number);
@@ -227,7 +259,7 @@
             let told = Discovery::start(hosts, Some((number, history.clone()))).await?;
             let ip = addresses.listen(number);
             let (listen, console) = (free_address(ip).await?, free_address(ip).await?);
-            let finds = json!({
+            let mut finds = json!({
                 "name": format!("g{number}"), "listen": listen.to_string(), "console": console.to_string(),
                 "seed": format!("{:x}", crate::draw::mix(schedule.seed ^ number as u64)),
                 "discovery": net.way(me, Party::Discovery, told.address, true)?.to_string(),
@@ -236,6 +268,23 @@
                 "known": told.known(), "settings": settings(schedule, number)});
             let folder = place.0.join(format!("g{number}"));
             std::fs::create_dir_all(&folder)?;
+            if let Some(plan) = &fleet.group {
+                let known = (0..plan.voters).map(|voter| match voter == number {
+                    true => Ok(groups[voter]),
+                    false => net.way(me, Party::Gateway(voter), groups[voter], false),
+                });
+                let known = known.collect::<io::Result<Vec<_>>>()?;
+                let voters = known.iter().enumerate();
+                let voters: Vec<Value> = voters
+                    .map(|(n, at)| json!({"name": format!("g{n}"), "address": at.to_string()}))
+                    .collect();
+                finds["group"] = json!({"name": "trial", "voters": voters, "life_ms": plan.life_ms,
+                    "duties": plan.duties, "acts": folder.join(ACTS)});
+                if number < plan.voters {
+                    finds["group"]["listen"] = json!(groups[number].to_string());
+                    finds["group"]["dir"] = json!(folder.join(DISK));
+                }
+            }
             let config = folder.join("config.json");
             std::fs::write(&config, finds.to_string())?;
             to.push(net.way(Party::Clients, me, listen, false)?);
@@ -253,16 +302,18 @@
         let (options, faulty) = (options.clone(), Mutex::default());
         let stage = Self { history, net, options, nodes, backends, discovery, counter, admitted, faulty };
         for node in &stage.nodes {
-            stage.start(&mut *node.lock().await, Tmp::Empty, false).await?;
+            stage.start(&mut *node.lock().await, Tmp::Empty, Tmp::Empty, false).await?;
         }
         Ok((stage, to))
     }
 
     /// Starts a gateway's process and lets clients in.
-    async fn start(&self, node: &mut Node, tmp: Tmp, old: bool) -> io::Result<()> {
+    async fn start(&self, node: &mut Node, tmp: Tmp, disk: Tmp, old: bool) -> io::Result<()> {
         let kept = node.folder.join("tmp");
-        if tmp == Tmp::Empty {
-            let _ = std::fs::remove_dir_all(&kept);
+        for (folder, _) in
+            [(&kept, tmp), (&node.folder.join(DISK), disk)].iter().filter(|(_, f)| *f == Tmp::Empty)
+        {
+            let _ = std::fs::remove_dir_all(folder);
         }
         let program = self.options.old.as_ref().filter(|_| old).unwrap_or(&self.options.program);
         let process = Process::start(program, &node.config, &node.folder, &kept, None).await?;
@@ -350,7 +401,7 @@
                 for gateway in gateways() {
                     let mut node = self.nodes[gateway].lock().await;
                     if node.process.is_none() {
-                        self.start(&mut node, fault.tmp, fault.old).await?;
+                        self.start(&mut node, fault.tmp, fault.disk, fault.old).await?;
                     }
                 }
             }
@@ -435,7 +486,7 @@
         node.asked = by_itself;
         let told = if by_itself { "" } else { ", killed: it had not ended after SIGTERM" };
         self.ended(&node, pid, &format!("{status}{told}"));
-        self.start(&mut node, fault.tmp, fault.old).await
+        self.start(&mut node, fault.tmp, fault.disk, fault.old).await
     }
 
     /// A second process takes over; the first one is told to end once the second says that it serves.
--- a/emulator/src/trial/relay.rs
+++ b/emulator/src/trial/relay.rs
@@ -135,6 +135,8 @@
     target: SocketAddr,
     /// Whether the target's process listens; otherwise connections are refused.
     up: watch::Sender<bool>,
+    /// How often the relay itself failed, for want of descriptors or ports: a trial with such has no verdict.
+    failed: Arc<AtomicU64>,
     /// Holds the port while nobody listens at it.
     _place: TcpSocket,
 }
@@ -163,12 +165,13 @@
     /// When there is no address for it.
     pub fn start(
         source: IpAddr, target: SocketAddr, there: Arc<Link>, back: Arc<Link>, up: bool,
+        failed: Arc<AtomicU64>,
     ) -> io::Result<Arc<Self>> {
         // The port is held by a socket that never listens, so that it can be closed and opened again.
         let place = bound(SocketAddr::new(source, 0))?;
         let address = place.local_addr()?;
         let up = watch::Sender::new(up);
-        let relay = Arc::new(Self { address, there, back, source, target, up, _place: place });
+        let relay = Arc::new(Self { address, there, back, source, target, up, failed, _place: place });
         let first = relay.listen()?;
         tokio::spawn(relay.clone().run(first));
         Ok(relay)
@@ -212,6 +215,7 @@
                         continue;
                     }
                     Err(_) => {
+                        self.failed.fetch_add(1, Ordering::Relaxed);
                         tokio::time::sleep(Duration::from_millis(20)).await;
                         continue;
                     }
@@ -240,7 +244,10 @@
             tokio::select! {
                 accepted = accepted => match accepted {
                     Ok((stream, _)) => drop(tokio::spawn(self.clone().pass_on(stream))),
-                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                    Err(_) => {
+                        self.failed.fetch_add(1, Ordering::Relaxed);
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
                 },
                 _ = changes.0.changed() => {}
                 _ = changes.1.changed() => {}
@@ -369,6 +376,7 @@
 #[derive(Default)]
 pub struct Net {
     addresses: Addresses,
+    failed: Arc<AtomicU64>,
     links: Mutex<std::collections::BTreeMap<(Party, Party), Arc<Link>>>,
     relays: Mutex<Vec<(Party, Party, Arc<Relay>)>>,
 }
@@ -391,7 +399,8 @@
     /// When there is no address for the relay.
     pub fn way(&self, from: Party, to: Party, target: SocketAddr, up: bool) -> io::Result<SocketAddr> {
         let source = from.source(self.addresses);
-        let relay = Relay::start(source, target, self.link(from, to), self.link(to, from), up)?;
+        let relay =
+            Relay::start(source, target, self.link(from, to), self.link(to, from), up, self.failed.clone())?;
         let address = relay.address;
         self.relays.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((from, to, relay));
         Ok(address)
@@ -403,6 +412,11 @@
         relays.iter().filter(|(_, to, _)| *to == party).for_each(|(_, _, relay)| relay.set_up(up));
     }
 
+    /// How often relays themselves have failed.
+    pub fn failed(&self) -> u64 {
+        self.failed.load(Ordering::Relaxed)
+    }
+
     /// All links that there are, by who writes and who reads.
     pub fn links(&self) -> Vec<(Party, Party)> {
         let links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/emulator/src/trial/report.rs
+++ b/emulator/src/trial/report.rs
@@ -6,9 +6,13 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
-use tokio::sync::Semaphore;
+use tokio::runtime::Builder;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
+/// Threads of one trial.
+const WORKERS: usize = 3;
+
 /// Served worth while a fault held, and seconds until service was back (none: never).
 type Through = (Option<f64>, Option<f64>);
 
@@ -22,6 +26,8 @@
     /// Trials without a verdict.
     pub void: usize,
     through: BTreeMap<String, Vec<Through>>,
+    /// Seconds in which nobody did a duty, each time that it passed on.
+    passed: Vec<f64>,
     nearest: f64,
     beyond: (u64, u64),
     held: (u64, u64),
@@ -36,11 +42,24 @@
 ) -> Result<Sum, TrialError> {
     let (mut sum, places) = (Sum::default(), Arc::new(Semaphore::new(side.max(1))));
     let mut all = JoinSet::new();
+    // Whoever waits no longer for the trials drops this, and they end.
+    let (_wanted, wanted) = watch::channel(());
     for schedule in trials {
         let (schedule, options, places) = (schedule.clone(), options.clone(), places.clone());
+        let mut wanted = wanted.clone();
         all.spawn(async move {
             let _place = places.acquire_owned().await;
-            play(&schedule, &options).await.map(|verdict| (schedule, verdict))
+            // On a runtime of its own: with it go the trial's listeners, relays and all that waits on them.
+            let played = tokio::task::spawn_blocking(move || {
+                let runtime = Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build()?;
+                runtime.block_on(async {
+                    tokio::select! {
+                        verdict = play(&schedule, &options) => verdict.map(|verdict| (schedule, verdict)),
+                        _ = wanted.changed() => Err("given up".into()),
+                    }
+                })
+            });
+            played.await?
         });
     }
     while let Some(played) = all.join_next().await {
@@ -83,6 +102,13 @@
             broke.faults.join(", ")
         );
     }
+    for passed in &verdict.passed {
+        let _ = writeln!(
+            text,
+            "  {} passed from g{} to g{} at {:.2} s, not done for {:.2} s",
+            passed.duty, passed.from, passed.to, passed.at, passed.gap
+        );
+    }
     for through in &verdict.through {
         let part = |value: Option<f64>, unit: &str| value.map_or("-".into(), |v| format!("{v:.2}{unit}"));
         let _ = writeln!(
@@ -96,6 +122,12 @@
     text
 }
 
+/// A quantile of what stands in order.
+fn at(of: &[f64], share: f64) -> String {
+    let place = (of.len() as f64 * share).ceil().max(1.0) as usize - 1;
+    of.get(place.min(of.len().saturating_sub(1))).map_or("-".into(), |value| format!("{value:.2}"))
+}
+
 impl Sum {
     fn add(&mut self, verdict: &Verdict) {
         self.trials += 1;
@@ -107,6 +139,7 @@
         self.nearest = self.nearest.max(verdict.nearest_to_ceiling);
         self.beyond = (self.beyond.0 + verdict.beyond.0, self.beyond.1 + verdict.beyond.1);
         self.held = (self.held.0.max(verdict.most_held.0), self.held.1.max(verdict.most_held.1));
+        self.passed.extend(verdict.passed.iter().map(|passed| passed.gap));
         for through in &verdict.through {
             let kind = through.fault.split(' ').next().unwrap_or_default().to_owned();
             self.through.entry(kind).or_default().push((through.during, through.back_after));
@@ -126,6 +159,18 @@
             self.held.0,
             self.held.1
         );
+        if !self.passed.is_empty() {
+            let mut gaps = self.passed.clone();
+            gaps.sort_by(f64::total_cmp);
+            let _ = writeln!(
+                text,
+                "duties passed on {} times, not done for {} s (p50), {} s (p90), {} s at most",
+                gaps.len(),
+                at(&gaps, 0.5),
+                at(&gaps, 0.9),
+                at(&gaps, 1.0)
+            );
+        }
         if !self.through.is_empty() {
             let _ = writeln!(
                 text,
@@ -138,10 +183,6 @@
             let mut back: Vec<f64> = all.iter().filter_map(|(_, back)| *back).collect();
             during.sort_by(f64::total_cmp);
             back.sort_by(f64::total_cmp);
-            let at = |of: &[f64], share: f64| {
-                let place = (of.len() as f64 * share).ceil().max(1.0) as usize - 1;
-                of.get(place.min(of.len().saturating_sub(1))).map_or("-".into(), |v| format!("{v:.2}"))
-            };
             let _ = writeln!(
                 text,
                 "{kind:12}{:>7} | {:>8}{:>8} | {:>8}{:>8}{:>8}{:>7}",
--- a/emulator/src/trial/schedule.rs
+++ b/emulator/src/trial/schedule.rs
@@ -10,7 +10,7 @@
 use toml::Spanned;
 
 /// The trials that come with the program.
-pub const SHIPPED: [(&str, &str); 7] = [
+pub const SHIPPED: [(&str, &str); 9] = [
     ("calm", include_str!("../../trials/calm.toml")),
     ("zone-cut", include_str!("../../trials/zone-cut.toml")),
     ("stall", include_str!("../../trials/stall.toml")),
@@ -18,6 +18,8 @@
     ("rolling", include_str!("../../trials/rolling.toml")),
     ("handover", include_str!("../../trials/handover.toml")),
     ("nemesis", include_str!("../../trials/nemesis.toml")),
+    ("group", include_str!("../../trials/group.toml")),
+    ("group-nemesis", include_str!("../../trials/group-nemesis.toml")),
 ];
 
 /// The longest trial, in seconds.
@@ -112,10 +114,28 @@
     share: Option<f64>,
     #[serde(default)]
     tmp: Tmp,
+    #[serde(default = "old")]
+    disk: Tmp,
     #[serde(default)]
     old: bool,
 }
 
+fn old() -> Tmp {
+    Tmp::Old
+}
+
+/// The group of a trial's gateways, as it is written: the first so many are its voters.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct GroupPlan {
+    /// 1, 3 or 5.
+    pub voters: usize,
+    /// The life of a session, in ms.
+    pub life_ms: u64,
+    /// Duties that all would do.
+    pub duties: Vec<String>,
+}
+
 /// A trial as it is written.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -129,6 +149,8 @@
     counter_parts: usize,
     /// The zone that the counter is in; none: in no zone that can be cut.
     counter_zone: Option<Spanned<String>>,
+    /// Without it the gateways do not know of each other.
+    group: Option<Spanned<GroupPlan>>,
     #[serde(default)]
     fault: Vec<Spanned<Row>>,
     /// Shapes of faults, of which each seed draws one or two.
@@ -187,8 +209,10 @@
     pub flow: Flow,
     /// A share: of answers or of parts.
     pub share: f64,
-    /// What a new process finds.
+    /// What a new process finds in its `$TMPDIR`, and a voter of a group on its disk.
     pub tmp: Tmp,
+    /// See `tmp`.
+    pub disk: Tmp,
     /// Whether the new process is of the older program.
     pub old: bool,
     /// All of it in words.
@@ -208,6 +232,8 @@
     pub counter_parts: usize,
     /// The counter's zone.
     pub counter_zone: Option<usize>,
+    /// The gateways' group.
+    pub group: Option<GroupPlan>,
 }
 
 impl Fleet {
@@ -257,7 +283,10 @@
     /// Whether two parties talk, and who of them connects.
     pub fn talk(from: Party, to: Party) -> bool {
         use Party::{Backend, Clients, Counter, Discovery, Gateway};
-        matches!((from, to), (Clients, Gateway(_)) | (Gateway(_), Backend(_) | Discovery | Counter))
+        match (from, to) {
+            (Gateway(from), Gateway(to)) => from != to,
+            _ => matches!((from, to), (Clients, Gateway(_)) | (Gateway(_), Backend(_) | Discovery | Counter)),
+        }
     }
 
     /// The links between two groups, in the direction from the one to the other and, unless `one_way`, back. Where
@@ -350,12 +379,19 @@
             },
             None => None,
         };
+        let group = file.group.as_ref().map(Spanned::get_ref).cloned();
+        if let (Some(of), Some(plan)) = (&file.group, &group)
+            && !([1, 3, 5].contains(&plan.voters) && plan.voters <= *file.gateways.get_ref())
+        {
+            return bad(of.span(), "1, 3 or 5 voters, which are gateways".into());
+        }
         let fleet = Fleet {
             gateways: *file.gateways.get_ref(),
             backends: *file.backends.get_ref(),
             zones: zones.clone(),
             counter_parts: file.counter_parts,
             counter_zone,
+            group,
         };
         let mut faults = Vec::new();
         for row in &file.fault {
@@ -383,7 +419,7 @@
 
 /// Checks one fault against the fleet.
 fn fault(fleet: &Fleet, row: &Row, seconds: f64) -> Result<Fault, String> {
-    let Row { at, lasts, fault: kind, one_way, tmp, old, .. } = *row;
+    let Row { at, lasts, fault: kind, one_way, tmp, disk, old, .. } = *row;
     if !(at.is_finite() && at >= 0.0 && lasts.is_finite() && lasts >= 0.0 && at + lasts <= seconds) {
         return Err(format!("a fault lies within the {seconds} seconds of the trial"));
     }
@@ -439,7 +475,7 @@
         }
         text = format!("{text} {}", row.on.as_deref().unwrap_or("counter"));
     }
-    Ok(Fault { at, lasts, kind, links, on, flow, share, tmp, old, text })
+    Ok(Fault { at, lasts, kind, links, on, flow, share, tmp, disk, old, text })
 }
 
 /// The first and last moment of drawn faults, as shares of the time: before is what service is held against, and
@@ -471,6 +507,7 @@
         bytes: None,
         share: None,
         tmp: Tmp::Empty,
+        disk: Tmp::Old,
         old: false,
     }
 }
@@ -542,7 +579,11 @@
                         let gateways = (0..fleet.gateways).filter(|g| g % zones == a);
                         let gateways: Vec<String> = gateways.map(|g| format!("g{g}")).collect();
                         let backends = (0..fleet.backends).filter(|number| number % zones == b);
-                        let backends: Vec<String> = backends.map(|number| format!("b{number}")).collect();
+                        let others = (0..fleet.gateways).filter(|g| fleet.group.is_some() && g % zones == b);
+                        let backends: Vec<String> = backends
+                            .map(|number| format!("b{number}"))
+                            .chain(others.map(|g| format!("g{g}")))
+                            .collect();
                         if apart && !gateways.is_empty() && !backends.is_empty() {
                             rows.push(between(
                                 at,
