--- a/emulator/src/live/mod.rs
+++ b/emulator/src/live/mod.rs
@@ -9,18 +9,25 @@
 use process::{Process, free_address};
 use serde_json::{Value, json};
 use stand_ins::{Backend, Counter, Discovery};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
 use std::net::{IpAddr, Ipv4Addr};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// How many gateways the demo starts, and backends in each zone.
+/// How many gateways the demo starts, alone or in a group of so many voters, and backends in each zone.
 const GATEWAYS: usize = 3;
+const GROUP: (usize, usize) = (5, 3);
+/// The life of a session in the demo's group, in ms, and its duties.
+const LIFE: u64 = 2000;
+const DUTIES: [&str; 2] = ["lamp", "horn"];
+/// How often it is looked at who has them.
+const LOOKS: Duration = Duration::from_millis(50);
 const BACKENDS: usize = 3;
 const ZONES: [&str; 3] = ["north", "south", "east"];
 /// What a backend of the demo works on at once.
@@ -50,6 +57,8 @@
     pub rate: f64,
     /// What happens.
     pub trouble: Option<Trouble>,
+    /// Whether the gateways form a group; one that has a duty is killed then.
+    pub group: bool,
 }
 
 /// A gateway's process.
@@ -109,9 +118,16 @@
         let discovery = Discovery::start(hosts(&backends), None).await?;
         let counter = Counter::start(1, None).await?;
         let (mut gateways, mut addresses) = (Vec::new(), Vec::new());
-        for number in 0..GATEWAYS {
-            let (gateway, address) =
-                Gateway::start(&self.program, folder, number, &discovery, counter.address).await?;
+        let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let mut voters = Vec::new();
+        for number in 0..if self.group { GROUP.1 } else { 0 } {
+            let address = free_address(here).await?.to_string();
+            voters.push(json!({"name": format!("g{number}"), "address": address}));
+        }
+        let fleet = if self.group { GROUP.0 } else { GATEWAYS };
+        for number in 0..fleet {
+            let rest = (fleet, &discovery, counter.address, voters.as_slice());
+            let (gateway, address) = Gateway::start(&self.program, folder, number, rest).await?;
             gateways.push(gateway);
             addresses.push(address);
         }
@@ -130,11 +146,18 @@
             seed: 1,
             watch: None,
         };
+        let consoles: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.console).collect();
         let mut happened = Vec::new();
         let loaded = load.run(told);
         let troubled = self.troubled(&mut gateways, &backends, &discovery, &counter, &mut happened);
-        let (classes, troubled) = tokio::join!(loaded, troubled);
+        let passed = Mutex::default();
+        let (classes, troubled) = tokio::select! {
+            both = async { tokio::join!(loaded, troubled) } => both,
+            () = watched(&consoles, &passed) => return Err("the group cannot be watched".into()),
+        };
         troubled?;
+        happened.extend(passed.into_inner().unwrap_or_default());
+        happened.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut costs = Vec::new();
         for gateway in &mut gateways {
             costs.extend(gateway.cost().await);
@@ -148,9 +171,18 @@
         &self, gateways: &mut [Gateway], backends: &[Arc<Backend>], discovery: &Discovery, counter: &Counter,
         happened: &mut Vec<(f64, String)>,
     ) -> io::Result<()> {
-        let Some(trouble) = self.trouble else { return Ok(()) };
+        let trouble = self.trouble.or(self.group.then_some(Trouble::Gateway));
+        let Some(trouble) = trouble else { return Ok(()) };
         let (before, lasts) = (self.seconds as f64 * 0.4, self.seconds as f64 * 0.3);
         sleep(Duration::from_secs_f64(before)).await;
+        // In a group, one that has a duty.
+        let mut victim = 0;
+        for (number, gateway) in gateways.iter().enumerate().filter(|_| self.group) {
+            let figures = process::figures(gateway.console).await.unwrap_or_default();
+            if figures["group"]["held"].as_object().is_some_and(|held| !held.is_empty()) {
+                victim = number;
+            }
+        }
         let zone = |silent: bool| {
             for backend in backends.iter().filter(|backend| backend.zone == ZONES[1]) {
                 backend.silent.store(silent, Ordering::Relaxed);
@@ -164,8 +196,8 @@
             before,
             match trouble {
                 Trouble::Gateway => {
-                    gateways[0].process.kill().await?;
-                    format!("gateway {} is killed", gateways[0].name)
+                    gateways[victim].process.kill().await?;
+                    format!("gateway {} is killed", gateways[victim].name)
                 }
                 Trouble::Zone => {
                     zone(true);
@@ -186,8 +218,8 @@
             before + lasts,
             match trouble {
                 Trouble::Gateway => {
-                    gateways[0].process = started(&self.program, &gateways[0].folder).await?;
-                    format!("gateway {} is started again", gateways[0].name)
+                    gateways[victim].process = started(&self.program, &gateways[victim].folder).await?;
+                    format!("gateway {} is started again", gateways[victim].name)
                 }
                 Trouble::Zone => {
                     zone(false);
@@ -219,6 +251,30 @@
         .collect()
 }
 
+/// Writes down which duties pass to whom, for ever.
+async fn watched(consoles: &[SocketAddr], passed: &Mutex<Vec<(f64, String)>>) {
+    let begun = Instant::now();
+    let mut known = BTreeMap::new();
+    loop {
+        sleep(LOOKS).await;
+        for (number, console) in consoles.iter().enumerate() {
+            let Some(figures) = process::figures(*console).await else { continue };
+            for (duty, held) in figures["group"]["held"].as_object().into_iter().flatten() {
+                let fence = held["fence"].as_u64();
+                let left = held["left_ms"].as_u64().unwrap_or(0);
+                if left == 0 || known.get(duty).is_some_and(|before| *before >= fence) {
+                    continue;
+                }
+                known.insert(duty.clone(), fence);
+                let told = format!("gateway g{number} has the duty {duty}, fence {}", fence.unwrap_or(0));
+                if let Ok(mut passed) = passed.lock() {
+                    passed.push((begun.elapsed().as_secs_f64(), told));
+                }
+            }
+        }
+    }
+}
+
 /// Starts a gateway on the configuration in its folder.
 async fn started(program: &Path, folder: &Path) -> io::Result<Process> {
     Process::start(program, &folder.join("config.json"), folder, &folder.join("tmp"), None).await
@@ -226,18 +282,19 @@
 
 impl Gateway {
     async fn start(
-        program: &Path, folder: &Path, number: usize, discovery: &Discovery, counter: SocketAddr,
+        program: &Path, folder: &Path, number: usize, rest: (usize, &Discovery, SocketAddr, &[Value]),
     ) -> io::Result<(Self, SocketAddr)> {
+        let (fleet, discovery, counter, voters) = rest;
         let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let (listen, console) = (free_address(here).await?, free_address(here).await?);
         let name = format!("g{number}");
         let plan = |name: &str, rate: f64, burst: f64| json!({"name": name, "refill": rate, "burst": burst});
         let class = |name: &str, effect: &str, aim: f64, worth: f64| json!({"name": name, "effect": effect, "goal-time-ms": aim, "worth": worth});
-        let config = json!({
+        let mut config = json!({
             "name": name, "listen": listen.to_string(), "console": console.to_string(), "seed": format!("{:x}", number + 1),
             "discovery": discovery.address.to_string(), "counter": counter.to_string(), "known": discovery.known(),
             "settings": {
-                "fleet-size": GATEWAYS, "my-number": number, "locality": ZONES[number % ZONES.len()], "period-ms": 2,
+                "fleet-size": fleet, "my-number": number, "locality": ZONES[number % ZONES.len()], "period-ms": 2,
                 "classes": [class("reading", "idempotent", 600.0, 2.0), class("setpoint", "at_most_once", 1000.0, 5.0)],
                 "plans": [plan("basic", 3.0, 9.0), plan("large", 8.0, 24.0)],
                 "extra": {"has-counter": true, "count-limit-ms": 50, "units-top": 1},
@@ -245,6 +302,13 @@
                 "rules": {"cold-from": 0.2, "cold-ms": 10000, "overload-factor": 2.5, "fall-ms": 2000}}});
         let folder = folder.join(&name);
         std::fs::create_dir_all(&folder)?;
+        if !voters.is_empty() {
+            config["group"] = json!({"name": "demo", "voters": voters, "life_ms": LIFE, "duties": DUTIES});
+            if let Some(voter) = voters.get(number) {
+                config["group"]["listen"] = voter["address"].clone();
+                config["group"]["dir"] = json!(folder.join("disk"));
+            }
+        }
         std::fs::write(folder.join("config.json"), config.to_string())?;
         let process = started(program, &folder).await?;
         Ok((Self { name, folder, console, process }, listen))
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -108,6 +108,9 @@
         /// What goes wrong in the midst.
         #[arg(long)]
         trouble: Option<Trouble>,
+        /// Five gateways in a group of three voters, with duties; one that has a duty is killed.
+        #[arg(long)]
+        group: bool,
         /// The gateway's program; usually the one beside this program.
         #[arg(long)]
         gateway: Option<PathBuf>,
@@ -315,9 +318,9 @@
             draw(&Day::draw(&Arc::new(Scenario::load(&scenario)?), seed), requests, &mut out)?;
             Ok(0)
         }
-        What::Demo { seconds, rate, trouble, gateway } => {
+        What::Demo { seconds, rate, trouble, group, gateway } => {
             let program = program(gateway)?;
-            let demo = Demo { program, seconds, rate, trouble };
+            let demo = Demo { program, seconds, rate, trouble, group };
             let bar = progress(rate * seconds as f64)?;
             let outcome = live()?.block_on(demo.run(|| bar.inc(1)))?;
             bar.finish_and_clear();
