--- a/emulator/build.rs
+++ b/emulator/build.rs
@@ -1,7 +1,7 @@
 //! Names the commit and the decisions that the program is built with, for the results it writes.
 
 use sha2::{Digest as _, Sha256};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 
 fn git(args: &[&str]) -> Option<String> {
@@ -9,15 +9,20 @@
     Some(String::from_utf8_lossy(&out.stdout).trim().to_string())
 }
 
+fn files_below(folder: &Path, files: &mut Vec<PathBuf>) {
+    for path in std::fs::read_dir(folder).into_iter().flatten().flatten().map(|entry| entry.path()) {
+        if path.is_dir() { files_below(&path, files) } else { files.push(path) }
+    }
+}
+
 fn main() {
     let decisions = Path::new("../src");
     println!("cargo::rerun-if-changed=../src");
     if let Some(head) = git(&["rev-parse", "--git-path", "logs/HEAD"]) {
         println!("cargo::rerun-if-changed={head}");
     }
-    let mut files: Vec<_> = std::fs::read_dir(decisions)
-        .map(|folder| folder.filter_map(|entry| Some(entry.ok()?.path())).collect())
-        .unwrap_or_default();
+    let mut files = Vec::new();
+    files_below(decisions, &mut files);
     files.sort();
     let mut sum = Sha256::new();
     for file in files {
