--- a/emulator/src/live/mod.rs
+++ b/emulator/src/live/mod.rs
@@ -6,7 +6,7 @@
 pub mod stand_ins;
 
 use load::{Class, Load, Tally};
-use process::{Process, free_address};
+use process::{Process, free_addresses};
 use serde_json::{Value, json};
 use stand_ins::{Backend, Counter, Discovery};
 use std::collections::BTreeMap;
@@ -119,11 +119,10 @@
         let counter = Counter::start(1, None).await?;
         let (mut gateways, mut addresses) = (Vec::new(), Vec::new());
         let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let mut voters = Vec::new();
-        for number in 0..if self.group { GROUP.1 } else { 0 } {
-            let address = free_address(here).await?.to_string();
-            voters.push(json!({"name": format!("g{number}"), "address": address}));
-        }
+        let seats = free_addresses::<{ GROUP.1 }>(here).await?;
+        let voters = seats.iter().enumerate().take(if self.group { GROUP.1 } else { 0 });
+        let voters: Vec<Value> =
+            voters.map(|(n, at)| json!({"name": format!("g{n}"), "address": at.to_string()})).collect();
         let fleet = if self.group { GROUP.0 } else { GATEWAYS };
         for number in 0..fleet {
             let rest = (fleet, &discovery, counter.address, voters.as_slice());
@@ -286,7 +285,7 @@
     ) -> io::Result<(Self, SocketAddr)> {
         let (fleet, discovery, counter, voters) = rest;
         let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let (listen, console) = (free_address(here).await?, free_address(here).await?);
+        let [listen, console] = free_addresses(here).await?;
         let name = format!("g{number}");
         let plan = |name: &str, rate: f64, burst: f64| json!({"name": name, "refill": rate, "burst": burst});
         let class = |name: &str, effect: &str, aim: f64, worth: f64| json!({"name": name, "effect": effect, "goal-time-ms": aim, "worth": worth});
--- a/emulator/src/live/process.rs
+++ b/emulator/src/live/process.rs
@@ -178,12 +178,19 @@
     }
 }
 
-/// An address that nobody listens at just now.
+/// Addresses that nobody listens at just now, each another one: all are held until the last is found.
 ///
 /// # Errors
-/// When there is none.
-pub async fn free_address(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::new(ip, 0)).await?.local_addr()
+/// When there are none.
+pub async fn free_addresses<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
+    let mut held = Vec::new();
+    let mut found = [SocketAddr::new(ip, 0); N];
+    for address in &mut found {
+        let listener = TcpListener::bind(*address).await?;
+        *address = listener.local_addr()?;
+        held.push(listener);
+    }
+    Ok(found)
 }
 
 /// What a gateway's console answers to a call: its first line.
--- a/emulator/src/trial/mod.rs
+++ b/emulator/src/trial/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::live::history::{Addresses, History, Seen};
 use crate::live::load::{Class, Load, Watch};
-use crate::live::process::{self, Process, free_address};
+use crate::live::process::{self, Process, free_addresses};
 use crate::live::stand_ins::{Backend, COLD, Counter, Discovery};
 use judge::{CLASSES, FALL, LIMITS, PLANS, Verdict};
 use relay::{Flow, Net, Party};
@@ -244,9 +244,10 @@
             backends.push(Backend::start(number, zone, SLOTS, Some(history.clone())).await?);
         }
         let counter = Counter::start(fleet.counter_parts, Some(history.clone())).await?;
-        let mut groups = Vec::new();
-        for voter in 0..fleet.group.as_ref().map_or(0, |plan| plan.voters) {
-            groups.push(free_address(addresses.listen(voter)).await?);
+        // Where each gateway listens: for clients, operators and its group.
+        let mut places: Vec<[SocketAddr; 3]> = Vec::new();
+        for number in 0..fleet.gateways {
+            places.push(free_addresses(addresses.listen(number)).await?);
         }
         let (mut discovery, mut nodes, mut to) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..fleet.gateways {
@@ -257,8 +258,7 @@
             }
             let hosts = hosts(&backends, &dials);
             let told = Discovery::start(hosts, Some((number, history.clone()))).await?;
-            let ip = addresses.listen(number);
-            let (listen, console) = (free_address(ip).await?, free_address(ip).await?);
+            let [listen, console, group_at] = places[number];
             let mut finds = json!({
                 "name": format!("g{number}"), "listen": listen.to_string(), "console": console.to_string(),
                 "seed": format!("{:x}", crate::draw::mix(schedule.seed ^ number as u64)),
@@ -270,8 +270,8 @@
             std::fs::create_dir_all(&folder)?;
             if let Some(plan) = &fleet.group {
                 let known = (0..plan.voters).map(|voter| match voter == number {
-                    true => Ok(groups[voter]),
-                    false => net.way(me, Party::Gateway(voter), groups[voter], false),
+                    true => Ok(group_at),
+                    false => net.way(me, Party::Gateway(voter), places[voter][2], false),
                 });
                 let known = known.collect::<io::Result<Vec<_>>>()?;
                 let voters = known.iter().enumerate();
@@ -281,7 +281,7 @@
                 finds["group"] = json!({"name": "trial", "voters": voters, "life_ms": plan.life_ms,
                     "duties": plan.duties, "acts": folder.join(ACTS)});
                 if number < plan.voters {
-                    finds["group"]["listen"] = json!(groups[number].to_string());
+                    finds["group"]["listen"] = json!(group_at.to_string());
                     finds["group"]["dir"] = json!(folder.join(DISK));
                 }
             }
@@ -495,7 +495,7 @@
         if node.process.is_none() {
             return Ok(());
         }
-        let console = free_address(node.console.ip()).await?;
+        let [console] = free_addresses(node.console.ip()).await?;
         let (program, tmp) = (&self.options.program, node.folder.join("tmp"));
         let new = Process::start(program, &node.config, &node.folder, &tmp, Some(console)).await?;
         self.history.note(Seen::Up { gateway, pid: new.pid });
