Rescue of the last voter: its terms go on above all that it has seen

Cause: in a checks run the rescued voter ended with `vote T1-N2923761775025950:committed must GE last_leader_log_id.last() [T1-N6380554542776483-7]`. It began at term 0 under a number drawn anew, so that its first election was for term 1, the term of its own log; whether its number was above the lost leader's was chance (group/src/store.rs, rescue). The test that rescues a voter found it in one run of ten or so.

Change: it keeps a vote one term above the highest of its old vote and its log.

--- a/group/src/store.rs
+++ b/group/src/store.rs
@@ -308,6 +308,9 @@
     if others != named {
         return Err(RescueError::Names(others));
     }
+    // Terms go on above all that this voter has seen: in an older one its new number could be below the last leader's.
+    let term = |vote: Vote<NodeId>| vote.leader_id().term;
+    let seen = old.vote()?.map_or(0, term).max(kept.meta.last_log_id.map_or(0, |last| last.leader_id.term));
     drop(old);
     set_aside(&path).map_err(store)?;
     let new = Store::make(&path, name, group)?;
@@ -316,6 +319,7 @@
     kept.meta.last_membership = StoredMembership::new(kept.meta.last_log_id, alone);
     kept.meta.snapshot_id = format!("rescued-{id}");
     new.keep(&kept)?;
+    new.put("vote", &Vote::new(seen + 1, id))?;
     new.remove(.., kept.meta.last_log_id)?;
     Ok(id)
 }
