Scouts: what one gateway finds out of a backend is told to all, by a duty

Need: each gateway learns of a dead backend by its own failures.

Change: the decisions say what they find out (Action::Judged) and hear words (Event::Word): nothing is sent there for a fifth of the cold time, or at once again; who has just had an answer believes its own eyes, and no word takes out more than half. In the gateway, reports go to the zone's scout, a duty, as notes that the leader holds; the scout writes them as one record under its fence. Without a group nothing changes.

--- a/emulator/src/books.rs
+++ b/emulator/src/books.rs
@@ -101,6 +101,9 @@
     pub calls_unanswered: f64,
     /// Attempts a try.
     pub attempts: f64,
+    /// Connections begun to backends that cannot be reached, a second over the fleet.
+    #[serde(default)]
+    pub vain: f64,
     /// Attempts in the gateway's own zone, of all.
     pub same_zone: f64,
     /// Tries refused of those with room, of the dearest plan and of the cheapest.
@@ -429,6 +432,7 @@
     };
     let totals = &record.totals;
     let attempts = record.tries.iter().map(|t| t.attempts.len()).sum::<usize>();
+    let length = (day.length as f64 / 1e6).max(1e-6);
     Figures {
         tries: tries / day.roots.len().max(1) as f64,
         refused: refused.count() as f64 / tries,
@@ -437,6 +441,7 @@
         calls: totals.calls as f64 / tries,
         calls_unanswered: totals.calls_unanswered as f64 / totals.calls.max(1) as f64,
         attempts: attempts as f64 / tries,
+        vain: totals.vain as f64 / length,
         same_zone: 1.0 - totals.crossings as f64 / attempts.max(1) as f64,
         shed_dear: shed(dear),
         shed_cheap: shed(cheap),
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -8,7 +8,7 @@
 use fennelscale_lab::live::{Demo, Trouble, load, table as table_of_load};
 use fennelscale_lab::report;
 use fennelscale_lab::results::{Results, Row};
-use fennelscale_lab::scenario::{SHIPPED, Scenario};
+use fennelscale_lab::scenario::{SHIPPED, Scenario, Span};
 use fennelscale_lab::trial::{self, schedule, schedule::Schedule};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::Write as _;
@@ -51,6 +51,9 @@
         /// Keeps the baselines' rows beside.
         #[arg(long)]
         baselines: bool,
+        /// Gateways tell each other of backends, as in a group: each word takes 50 to 350 ms.
+        #[arg(long)]
+        words: bool,
     },
     /// Pairs two files of results by scenario and seed.
     Compare {
@@ -164,6 +167,10 @@
     },
 }
 
+/// How long a word of a backend takes from one gateway to another, in ms: a report, up to a fifth of a second until
+/// it is collected, an entry of the log, a watch that ends.
+const WORDS: Span = Span { least: 50.0, most: 350.0 };
+
 #[derive(Clone, Debug)]
 struct Seeds(Vec<u64>);
 
@@ -255,9 +262,11 @@
 fn carry_out(what: What) -> Result<u64, Fault> {
     let mut out = std::io::stdout().lock();
     match what {
-        What::Run { scenarios, seeds, out: path, score, baselines } => {
-            let scenarios = scenarios.iter().map(|name| Scenario::load(name).map(Arc::new));
-            let scenarios = scenarios.collect::<Result<Vec<_>, _>>()?;
+        What::Run { scenarios, seeds, out: path, score, baselines, words } => {
+            let words_ms = words.then_some(WORDS);
+            let load = |name: &String| Ok(Arc::new(Scenario { words_ms, ..Scenario::load(name)? }));
+            let scenarios = scenarios.iter().map(load);
+            let scenarios = scenarios.collect::<Result<Vec<_>, Fault>>()?;
             let plan = Plan { scenarios, seeds: seeds.0, score, baselines };
             run(&plan, &path, &mut out)
         }
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -563,6 +563,8 @@
     pub rates: Span,
     /// What goes wrong.
     pub troubles: Vec<Trouble>,
+    /// Gateways tell each other of backends in a group, within so many ms; none: they have no way to.
+    pub words_ms: Option<Span>,
     /// The site.
     pub site: Site,
     /// The first 16 hex digits of the checksum over both texts.
@@ -680,6 +682,7 @@
             pace: file.pace.0,
             rates: file.rates.0,
             troubles: file.trouble,
+            words_ms: None,
             site,
             digest,
         })
--- a/emulator/src/world/event.rs
+++ b/emulator/src/world/event.rs
@@ -54,6 +54,8 @@
     Probed(usize, u32, usize, bool),
     /// A client sends a try, its n-th: it reaches the gateway.
     Asks(u32),
+    /// Another gateway's word of a backend reaches a gateway in this life of it.
+    Word(usize, u32, usize, bool),
     /// A gateway's timer.
     Timer(usize, u32, u64),
     /// An attempt's time is up.
@@ -87,7 +89,7 @@
             | Self::CallReaches(_)
             | Self::CallServed(..) => 3,
             Self::List(..) | Self::WholeList(..) | Self::AskList(..) => 4,
-            Self::Ends(..) | Self::CallAnswered(_) | Self::Probed(..) => 5,
+            Self::Word(..) | Self::Ends(..) | Self::CallAnswered(_) | Self::Probed(..) => 5,
             Self::Asks(_) | Self::Leaves(_) => 6,
             Self::Timer(..) => 7,
             Self::Limit(..) | Self::CallGivenUp(_) => 8,
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -168,6 +168,8 @@
     pub fallen: u64,
     /// Lines written to the log.
     pub log_lines: u64,
+    /// Connections begun to backends that cannot be reached.
+    pub vain: u64,
 }
 
 /// A look at the backends, for plots.
@@ -214,6 +216,7 @@
     net: Random,
     client: Random,
     work: Random,
+    words: Random,
     next_root: usize,
     gates: Vec<Gate>,
     servers: Vec<Server>,
@@ -274,6 +277,7 @@
             net: Random::new(day.seed, "net", 0),
             client: Random::new(day.seed, "client", 0),
             work: Random::new(day.seed, "work", 0),
+            words: Random::new(day.seed, "words", 0),
             next_root: 0,
             gates: gates.collect(),
             servers: servers.collect(),
@@ -412,6 +416,11 @@
             Happens::CallAnswered(call) => self.call_answered(call),
             Happens::CallGivenUp(call) => self.call_given_up(call),
             Happens::Ends(id, number, outcome) => self.end(id, number, outcome),
+            Happens::Word(gateway, life, backend, down) if self.gates[gateway].life == life => {
+                let backend = self.day.backends[backend].name.clone();
+                self.tell(gateway, Event::Word { backend, down });
+            }
+            Happens::Word(..) => {}
             Happens::Probed(gateway, life, backend, up) => {
                 if self.lives(gateway, life) {
                     let outcome = if up { Outcome::Served } else { Outcome::ConnectFailed };
@@ -899,10 +908,26 @@
             }
             Action::Count { name, amount, keep } => self.count(gateway, name, amount, keep),
             Action::Log(_) => self.totals.log_lines += 1,
+            Action::Judged { backend, down, .. } => self.word(gateway, &backend, down),
             Action::Tell { .. } | Action::WatchBackends => {}
         }
     }
 
+    /// A gateway has found something out of a backend, and a group passes it on: to each gateway that a cut does not
+    /// part from this one, after a drawn time of its own for report, record and watch. A group that has lost its
+    /// majority, and the bounds on reports, are not modelled.
+    fn word(&mut self, gateway: usize, backend: &Name, down: bool) {
+        let Some(delay) = self.day.scenario_of.words_ms else { return };
+        let Some(number) = self.backends.get(backend).copied() else { return };
+        for other in (0..self.gates.len()).filter(|other| *other != gateway) {
+            let parted = self.cut(self.gates[gateway].zone, self.gates[other].zone);
+            if self.gates[other].up && !parted {
+                let at = self.now + (self.words.within(delay) * 1000.0) as Micros;
+                self.expect(at, Happens::Word(other, self.gates[other].life, number, down));
+            }
+        }
+    }
+
     // ---- Requests ----
 
     /// A client sends its first try, or comes again.
@@ -1150,6 +1175,7 @@
             self.totals.handshakes += 1;
             let rtt = way + self.way(there, here);
             let life = self.servers[backend].life;
+            self.totals.vain += u64::from(cut || life != Life::Up);
             if cut || life == Life::Silent {
                 fails = Some(self.now + machine.connect_timeout);
             } else if life == Life::Down || self.servers[backend].connections >= machine.connections {
--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -127,6 +127,7 @@
                 Action::Log(line) => println!("{now:>5} ms  log: {line}"),
                 Action::CallOff { .. }
                 | Action::Probe { .. }
+                | Action::Judged { .. }
                 | Action::Tell { .. }
                 | Action::WatchBackends => {}
             }
--- a/gateway/src/control/engine.rs
+++ b/gateway/src/control/engine.rs
@@ -10,7 +10,7 @@
     Action, Arrival, AttemptEnd, Estate, Event, Gateway, Millis, Name, Outcome, Pool, RequestId, Settings,
     SettingsError,
 };
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -62,9 +62,13 @@
     state: RefCell<State>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
+    judged: OnceCell<Judged>,
     me: Weak<Self>,
 }
 
+/// Who hears what the decisions find out of a backend: its name, its zone, whether it gives no sign.
+pub type Judged = Box<dyn Fn(Name, &str, bool)>;
+
 impl Engine {
     /// An engine with nothing to do yet.
     ///
@@ -95,6 +99,7 @@
                 state: RefCell::new(state),
                 events: RefCell::default(),
                 running: Cell::new(false),
+                judged: OnceCell::new(),
                 me: me.clone(),
             }
         }))
@@ -110,6 +115,11 @@
         self.figures.lateness().now()
     }
 
+    /// Somebody else hears from now on what the decisions find out of backends; the first one who asks.
+    pub fn tell_judged(&self, to: Judged) {
+        let _ = self.judged.set(to);
+    }
+
     /// The process ends at this moment at the latest.
     pub fn ending(&self, by: Instant) {
         self.post(Event::Ending { by: self.at(by) });
@@ -243,6 +253,11 @@
                     latency: 0.0,
                 }),
             },
+            Action::Judged { backend, zone, down } => {
+                if let Some(judged) = self.judged.get() {
+                    judged(backend, &zone, down);
+                }
+            }
             Action::Log(text) => eprintln!("{text}"),
             // No peers to tell here, and the list is watched all the time.
             Action::Tell { .. } | Action::WatchBackends => {}
--- a/gateway/src/group/mod.rs
+++ b/gateway/src/group/mod.rs
@@ -1,6 +1,7 @@
 //! This gateway's part in the group: started and ended with the process, shown in `INFO`, asked by operators. It owns
 //! the handle of the group's thread and nothing else; whatever goes wrong in it, the gateway serves on.
 
+pub mod scout;
 pub mod settings;
 
 use fennelscale_group::clock::Clock;
@@ -11,7 +12,7 @@
 use fennelscale_group::voter::{Answer, Ask, Node};
 use serde_json::{Value, json};
 use settings::Settings;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::rc::Rc;
@@ -33,13 +34,15 @@
 pub struct Group {
     settings: Settings,
     handle: RefCell<Option<Rc<Handle>>>,
+    /// Words about backends that were passed on to the decisions, and reports made.
+    told: Cell<(u64, u64)>,
 }
 
 impl Group {
     /// Starts it beside everything else: the gateway serves meanwhile, and by itself for as long as it does not come
     /// up. A voter whose predecessor still runs has neither its address nor its disk before that one has ended.
     pub fn start(settings: Settings) -> Rc<Self> {
-        let group = Rc::new(Self { settings, handle: RefCell::default() });
+        let group = Rc::new(Self { settings, handle: RefCell::default(), told: Cell::default() });
         tokio::task::spawn_local(group.clone().come_up());
         group
     }
@@ -68,6 +71,11 @@
         self.follow().await;
     }
 
+    /// Whether this gateway takes part in telling of backends.
+    pub fn scouts(&self) -> bool {
+        self.settings.scout
+    }
+
     fn handle(&self) -> Option<Rc<Handle>> {
         self.handle.borrow().clone()
     }
@@ -144,6 +152,8 @@
             "held": held.collect::<serde_json::Map<_, _>>(),
             "duties": duties.collect::<serde_json::Map<_, _>>(),
             "away": view.away,
+            "words": self.told.get().0,
+            "reports": self.told.get().1,
         })
     }
 
@@ -177,7 +187,7 @@
             Answer::Reply(Reply::NotHeld { .. }) => "NO this gateway no longer has that duty".into(),
             Answer::No(why) => format!("NO {why}"),
             Answer::Nobody => "NO answer from the group: it may have been done or not".into(),
-            Answer::Gone | Answer::Renewed | Answer::Reply(_) => {
+            Answer::Gone | Answer::Renewed | Answer::Notes(_) | Answer::Reply(_) => {
                 "NO the group does not know this gateway".into()
             }
         }
--- a/gateway/src/group/settings.rs
+++ b/gateway/src/group/settings.rs
@@ -1,5 +1,6 @@
 //! What the configuration says of the group: `group`, an object. Without it there is none.
 
+use super::scout::duty;
 use fennelscale_group::machine::Session;
 use fennelscale_group::member::Want;
 use fennelscale_group::voter::Node;
@@ -32,6 +33,12 @@
     duties: Vec<String>,
     away_at_once: Option<f64>,
     acts: Option<PathBuf>,
+    #[serde(default = "yes")]
+    scout: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 #[derive(Deserialize)]
@@ -47,6 +54,8 @@
     pub run: run::Settings,
     /// The share of the fleet that may be away by leave at once.
     pub away_at_once: f64,
+    /// Whether words about backends are told and heard.
+    pub scout: bool,
     /// Where each act under a duty is written down, for trials.
     pub acts: Option<PathBuf>,
 }
@@ -103,13 +112,14 @@
         (Some(Err(_)), _) => return bad("listen: an unusable address"),
         _ => return bad("listen, group.dir: a voter needs both, and another gateway neither"),
     };
-    let wants = file.duties.iter().map(|duty| Want { duty: duty.clone(), rank: 0 }).collect();
+    let scout = (file.scout && !zone.is_empty()).then(|| duty(zone));
+    let wants = file.duties.into_iter().chain(scout).map(|duty| Want { duty, rank: 0 }).collect();
     let voters = file.voters.into_iter().map(|v| Node { name: v.name, address: v.address }).collect();
     let session =
         Session { name: me.to_owned(), zone: zone.to_owned(), version: env!("CARGO_PKG_VERSION").to_owned() };
     let life = Duration::from_millis(life);
     let run = run::Settings { group: file.name, session, wants, voters, life, voter };
-    Ok(Settings { run, away_at_once, acts: file.acts })
+    Ok(Settings { run, away_at_once, scout: file.scout, acts: file.acts })
 }
 
 #[cfg(test)]
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -3,11 +3,13 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser as _;
+use doorcourse::Event;
 use fennelscale::backends::pool::{Backends, spawn};
 use fennelscale::clients::front::Front;
 use fennelscale::control::config::Config;
 use fennelscale::control::discovery;
 use fennelscale::control::engine::Engine;
+use fennelscale::group::scout::Scout;
 use fennelscale::group::{self, Group};
 use fennelscale::observe::figures::Figures;
 use fennelscale::operators::console::Console;
@@ -118,6 +120,12 @@
     let front = Front::new(engine.clone(), &settings, most_clients, config.grace, figures.clone());
     discovery::tell(config.known, &backends, &engine);
     let group = config.group.map(Group::start);
+    if let Some(group) = group.clone().filter(|group| group.scouts()) {
+        let told = engine.clone();
+        let tell = move |backend, down| told.post(Event::Word { backend, down });
+        let scout = Scout::start(group, &settings.zone, tell);
+        engine.tell_judged(Box::new(move |backend, zone, down| scout.judged(backend, zone, down)));
+    }
     if let Some(operators) = operators {
         if let Ok(address) = operators.local_addr() {
             eprintln!("fennelscale {}: console at {address}", config.name);
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -308,6 +308,10 @@
     pub grace_ms: u64,
     /// Where the gateway's processes find what they share; a console is opened along with it.
     pub place: Option<Place>,
+    /// How long a backend is cold.
+    pub cold_ms: u64,
+    /// Its group, as JSON; empty: none. It is named g and its number then.
+    pub group: String,
 }
 
 impl Setup {
@@ -322,6 +326,8 @@
             sockets: 1024,
             grace_ms: 3700,
             place: None,
+            cold_ms: 1000,
+            group: String::new(),
         }
     }
 
@@ -370,10 +376,12 @@
 
 impl Gateway {
     fn text(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> String {
-        let Setup { rate, burst, gateways, number, known, sockets, grace_ms, place } = setup;
+        let Setup { rate, burst, gateways, number, known, sockets, grace_ms, place, cold_ms, group } = setup;
+        let name = if group.is_empty() { "t".to_owned() } else { format!("g{number}") };
+        let group = if group.is_empty() { String::new() } else { format!(r#""group":{group},"#) };
         let console = if place.is_some() { r#""console":"127.0.0.1:0","# } else { "" };
         format!(
-            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",{console}
+            r#"{{"name":"{name}",{group}"listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",{console}
             "seed":"{number}7f","limits":{{"sockets":{sockets},"grace_ms":{grace_ms}}},"known":{known},"settings":{{
             "fleet-size":{gateways},"my-number":{number},"period-ms":4,"locality":"z","classes":[
             {{"name":"look","effect":"idempotent","goal-time-ms":800,"worth":1}},
@@ -382,7 +390,7 @@
             "plans":[{{"name":"p","refill":{rate},"burst":{burst},"worth-factor":1}}],
             "extra":{{"has-counter":true,"count-limit-ms":50,"units-top":1}},
             "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000}},
-            "rules":{{"cold-from":0.2,"cold-ms":1000}}}}}}"#
+            "rules":{{"cold-from":0.2,"cold-ms":{cold_ms}}}}}}}"#
         )
     }
 
--- a/group/src/member.rs
+++ b/group/src/member.rs
@@ -75,6 +75,10 @@
     Give(String, Option<String>),
     /// Writes a record under a duty that is held: duty, key, value.
     Write(String, String, Vec<u8>),
+    /// Tells whoever has a duty; it may be lost.
+    Report(String, Vec<u8>),
+    /// Fetches what was told to the holder of a duty that is held here.
+    Collect(String),
     /// Wants to be away, with at most so many others.
     Leave(u32),
     /// Takes duties, or (draining, starved) gives up those it has and takes none.
@@ -376,6 +380,17 @@
                 };
                 nobody(self.ask(Ask::Do(Command::Write { session, duty, fence, key, value }), within).await)
             }
+            Order::Report(duty, note) => match self.session_id() {
+                Some(session) => nobody(self.ask(Ask::Report { session, duty, note }, within).await),
+                None => Answer::Nobody,
+            },
+            Order::Collect(duty) => {
+                let guard = self.held.guard(&duty);
+                let Some((fence, session)) = guard.and_then(|g| g.may_act()).zip(self.session_id()) else {
+                    return Answer::No(format!("{duty} is not held here"));
+                };
+                nobody(self.ask(Ask::Collect { session, duty, fence }, within).await)
+            }
             Order::Leave(most) => match self.session_id() {
                 Some(session) => nobody(self.ask(Ask::Do(Command::Leave { session, most }), within).await),
                 None => Answer::Nobody,
--- a/group/src/voter.rs
+++ b/group/src/voter.rs
@@ -23,7 +23,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::Cursor;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,6 +60,9 @@
 const SNAPSHOT_EVERY: u64 = 2000;
 /// Renewals that wait for one confirmation: each session's one.
 const MOST_WAITING: usize = crate::machine::MOST_SESSIONS;
+/// Notes kept for one duty, and the longest of them.
+const MOST_NOTES: usize = 512;
+const LONGEST_NOTE: usize = 256;
 /// The longest wait of a watch.
 const LONGEST_WATCH: Duration = Duration::from_secs(20);
 /// A turn whose asker is not back after this is over.
@@ -72,6 +75,24 @@
     Do(Command),
     /// A session goes on.
     Renew(SessionId),
+    /// A note for whoever has a duty. It is kept by the leader alone, for a while, and may be lost.
+    Report {
+        /// Who says it.
+        session: SessionId,
+        /// For which duty's holder.
+        duty: String,
+        /// What.
+        note: Vec<u8>,
+    },
+    /// The notes for a duty, to its holder.
+    Collect {
+        /// Who has the duty.
+        session: SessionId,
+        /// The duty.
+        duty: String,
+        /// Under which fence.
+        fence: u64,
+    },
     /// A voter is taken in: its name and address. One of that name that is a voter already goes.
     Add(Node),
     /// A voter is let go.
@@ -93,6 +114,8 @@
     Gone,
     /// It was done.
     Done,
+    /// Notes, the oldest first.
+    Notes(Vec<Vec<u8>>),
     /// There is no leader, or no majority, within reach: it may have been done or not.
     Nobody,
     /// It cannot be done.
@@ -392,6 +415,8 @@
     turns: RefCell<BTreeMap<String, Moment>>,
     renewals: RefCell<Vec<Renewal>>,
     renew: Notify,
+    /// Notes by duty, while this voter leads.
+    notes: RefCell<BTreeMap<String, VecDeque<Vec<u8>>>>,
 }
 
 /// A voter that cannot run.
@@ -432,6 +457,7 @@
             turns: RefCell::default(),
             renewals: RefCell::default(),
             renew: Notify::new(),
+            notes: RefCell::default(),
         });
         tokio::task::spawn_local(voter.clone().confirm());
         tokio::task::spawn_local(voter.clone().reckon());
@@ -552,6 +578,7 @@
             self.note(self.leads());
             let Some((term, over)) = self.deadlines.borrow().over(self.clock.now()) else {
                 self.turns.borrow_mut().clear();
+                self.notes.borrow_mut().clear();
                 continue;
             };
             let mut ends: Vec<Command> =
@@ -624,11 +651,39 @@
                     Err(_) => Answer::Nobody,
                 }
             }
+            Ask::Report { session, duty, note } => self.noted(session, duty, note),
+            Ask::Collect { session, duty, fence } => {
+                let held = self.applied.borrow().state.duties.get(&duty).cloned().unwrap_or_default();
+                if held.holder != Some(session) || held.fence != fence {
+                    return Answer::No(format!("{duty} is not held under fence {fence}"));
+                }
+                let notes = self.notes.borrow_mut().remove(&duty).unwrap_or_default();
+                Answer::Notes(notes.into())
+            }
             Ask::Add(node) => self.add(node).await,
             Ask::Remove(name) => self.remove(&name).await,
         }
     }
 
+    /// Keeps a note; of too many the oldest go.
+    fn noted(&self, session: SessionId, duty: String, note: Vec<u8>) -> Answer {
+        let applied = self.applied.borrow();
+        let held = applied.state.duties.get(&duty).is_some_and(|duty| duty.holder.is_some());
+        if !applied.state.sessions.contains_key(&session) {
+            return Answer::Gone;
+        }
+        if !held || note.len() > LONGEST_NOTE {
+            return Answer::No("nobody has that duty, or the note is too long".into());
+        }
+        let mut notes = self.notes.borrow_mut();
+        let line = notes.entry(duty).or_default();
+        if line.len() >= MOST_NOTES {
+            line.pop_front();
+        }
+        line.push_back(note);
+        Answer::Done
+    }
+
     fn voters(&self) -> Vec<(NodeId, Node)> {
         let metrics = self.raft.metrics();
         let metrics = metrics.borrow();
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -337,6 +337,8 @@
         }
         Action::Tell { bytes } => writeln!(reply, "SHARE\t{i}\tall\t{}", STANDARD.encode(bytes)),
         Action::WatchBackends => writeln!(reply, "WATCH\t{i}\t1"),
+        // The simulator's gateways have nobody to tell.
+        Action::Judged { .. } => Ok(()),
         Action::Log(text) => writeln!(reply, "SAY_LOG\t{i}\t{}", text.replace(['\n', '\t'], " ")),
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -359,6 +359,13 @@
         /// Which one.
         backend: Name,
     },
+    /// The gateway whose duty it is to try the backends of a zone says how one of them is.
+    Word {
+        /// Which one.
+        backend: Name,
+        /// Whether it gives no sign; else it answers again.
+        down: bool,
+    },
     /// A message from another gateway.
     PeerMessage {
         /// The sender's number.
@@ -429,6 +436,16 @@
     },
     /// Ask for changes to the list of backends from now on.
     WatchBackends,
+    /// This gateway's own evidence of a backend: it gives no sign, or answers again after that. For whoever has to
+    /// tell the other gateways; nothing has to be done with it.
+    Judged {
+        /// Which one.
+        backend: Name,
+        /// Its zone.
+        zone: Name,
+        /// Whether it gives no sign.
+        down: bool,
+    },
     /// Write a line to the log.
     Log(String),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -214,6 +214,7 @@
             }
             Event::Detach { backend } => self.on_detach(backend, true, out),
             Event::Attach { backend } => self.on_detach(backend, false, out),
+            Event::Word { backend, down } => self.on_word(&backend, down, out),
             Event::ClientLeft { id } => self.forget(id),
             Event::Ending { by } => self.on_ending(by, out),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
--- a/src/logic/backends.rs
+++ b/src/logic/backends.rs
@@ -23,21 +23,21 @@
 pub(super) const TAKE_SLOPE: f64 = 2.0;
 pub(super) const TAKE_LEAST: f64 = 0.05;
 pub(super) const BLIND_RANK: f64 = 40.0;
+/// The word of another gateway, whose duty it is to try backends, holds for this share of the cold time.
+pub(super) const WORD_SHARE: f64 = 0.2;
 /// A backend that failed is tried again after this share of the cold time for each failure in a row ...
 pub(super) const EJECT_SHARE: f64 = 0.02;
 /// ... and the log tells of it at this many.
 pub(super) const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 pub(super) const ZONE_BIAS: f64 = 5.0;
-/// One of many gateways keeps to this many backends of its own, others look `STRANGE` times further: guards
-/// against full connection tables, and it hears more of each.
+/// One of many keeps to so many backends of its own, others look `STRANGE` times further: connections are few.
 pub(super) const OWN_BACKENDS: usize = 5;
 pub(super) const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
 /// more than they can do, so all gateways together stay under the multiple that fells it.
 pub(super) const COLD_MULTIPLE: f64 = 0.8;
-/// Of many gateways a cold one gets as much for its capacity as a warm one, at most this part of the multiple
-/// that fells it: chance does the rest. Warm ones must not be crushed after a mass return.
+/// Of many a cold one gets as much for its capacity as a warm one, at most this part of what fells it.
 pub(super) const COLD_PART_MANY: f64 = 0.5;
 /// A backend that operators gave back gets its first request after this many ms at the latest.
 pub(super) const UNUSED_MOST: Millis = 2500.0;
@@ -53,6 +53,10 @@
         }
     }
 
+    pub(super) fn judged(&self, name: &Name, down: bool) -> Action {
+        Action::Judged { backend: name.clone(), zone: self.zone.clone(), down }
+    }
+
     pub(super) fn ready(&self) -> bool {
         self.state == BackendState::Ready && !self.detached
     }
@@ -125,6 +129,21 @@
         self.drain_queue(out);
     }
 
+    /// Another gateway, whose duty it is to try backends, says that one is down, or that it answers again. Who
+    /// has just had an answer believes its own eyes, and no word takes out more than half of all.
+    pub(super) fn on_word(&mut self, name: &Name, down: bool, out: &mut Vec<Action>) {
+        let (now, holds) = (self.now, self.settings.cold_time * WORD_SHARE);
+        let ready = self.backends.values().filter(|b| b.ready());
+        let most = ready.clone().filter(|b| now < b.eject_until).count() * 2 >= ready.count();
+        let Some(backend) = self.backends.get_mut(name) else { return };
+        if !down {
+            (backend.failures, backend.eject_until) = (0, now);
+        } else if !most && now > backend.heard + holds {
+            backend.eject_until = backend.eject_until.max(now + holds);
+        }
+        self.drain_queue(out);
+    }
+
     /// What the operators are shown of the backends at this time.
     pub fn pool(&self, now: Millis) -> Pool {
         let listed = self.backends.values().filter(|b| b.state != BackendState::Gone);
@@ -210,6 +229,7 @@
             Outcome::Served => {
                 if backend.failures >= EJECT_TOLD {
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
+                    out.push(backend.judged(name, false));
                 }
                 backend.failures = 0;
                 let seen = &mut self.class_seen[class];
@@ -233,5 +253,9 @@
         if lost && backend.failed(now, latency, &self.settings) {
             out.push(Action::Log(format!("backend {name} ejected: {EJECT_TOLD} failures in a row")));
         }
+        // Full or failing it runs, and others may fare better there.
+        if lost && backend.failures >= EJECT_TOLD && !matches!(end.outcome, Outcome::Full | Outcome::Error) {
+            out.push(backend.judged(name, true));
+        }
     }
 }
--- a/src/logic/counter.rs
+++ b/src/logic/counter.rs
@@ -2,12 +2,6 @@
 
 use super::*;
 
-/// From when on the rate's gifts are told by a window's count: with few gateways, which know their customers,
-/// and after a silence, in which the count may have been emptied, from now on.
-pub(super) fn given_since(many: bool, back_at: Millis, began: Millis, now: Millis) -> Millis {
-    if many && back_at < began { began } else { now }
-}
-
 impl Gateway {
     /// Adds a block to the customer's count: one call out for each name, and a bound on all.
     pub(super) fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
@@ -76,8 +70,7 @@
         }
         customer.heard = self.now;
         if window == customer.window {
-            let since = given_since(many, self.back_at, customer.window_at(self.now, plan).1, self.now);
-            customer.learn(total, block, owed, plan, since);
+            customer.learn(total, block, owed, plan, many.then_some(self.back_at));
         }
         self.serve_waiting(name, out);
     }
@@ -125,8 +118,7 @@
                 customer.added += amount;
                 (customer.lease, customer.store) = (customer.lease + block, customer.store + owed);
             } else {
-                let since = given_since(many, self.back_at, customer.window_at(self.now, plan).1, self.now);
-                customer.learn(total, block, owed, plan, since);
+                customer.learn(total, block, owed, plan, many.then_some(self.back_at));
             }
             if many {
                 self.serve_waiting(&name, out);
--- a/src/logic/quota.rs
+++ b/src/logic/quota.rs
@@ -23,25 +23,21 @@
 pub(super) const SILENT_AFTER: f64 = 3.0;
 /// The most counter calls out at once from one gateway while the counter is at ease.
 pub(super) const CALLS_MOST: f64 = 12.0;
-/// Counter calls should be answered within this share of their time-out: slower, and fewer are made. Many
-/// gateways, who wait for late answers, go by the larger one.
+/// Within this share of their time-out calls should be answered; many gateways, who wait on, take the larger.
 pub(super) const EASE_SHARE: f64 = 0.3;
 pub(super) const EASE_SHARE_MANY: f64 = 0.5;
 /// By how much an instant answer raises the share of calls made; a late one lowers it by up to twice that.
 pub(super) const EASE_STEP: f64 = 0.2;
 /// The least share of calls still made: who never asks never learns that the counter is back.
 pub(super) const EASE_LEAST: f64 = 0.1;
-/// A customer is thin where its burst leaves each of its gateways less than this part of a unit: a block in
-/// hand everywhere would be its whole quota many times over.
+/// A customer is thin where its burst leaves each of its gateways less of a unit: blocks would be too much.
 pub(super) const THIN: f64 = 0.5;
 /// What a thin customer's window grants at once, as a share of the burst; the rest comes with the rate. Some
 /// of what is sent on is never counted, as no total came in time: it has the other part.
 pub(super) const THIN_START: f64 = 0.35;
-/// One of many that was told that a quota is spent asks again within this share of the time in which the rate
-/// gives each of the customer's gateways a unit.
+/// Told that a quota is spent, one of many asks again in this share of the time in which all have a unit.
 pub(super) const ASK_AGAIN: f64 = 0.2;
-/// A customer idle for this many turns has a full store again: it and its count are forgotten, which loses
-/// nothing and bounds the memory when many are seen once.
+/// A customer idle for this many turns has a full store: forgetting it loses nothing and bounds the memory.
 pub(super) const IDLE_TURNS: f64 = 2.0;
 /// No count and no word of a customer is kept for more than this many ms.
 pub(super) const KEEP_MOST: Millis = 60_000.0;
@@ -71,8 +67,7 @@
         (number as u64, number * length - shift)
     }
 
-    /// Whether a call was given up just now: its answer may still come, and to ask again would crowd the
-    /// counter with the same question.
+    /// Whether a call was given up just now: its answer may still come, and asking again crowds the counter.
     pub(super) fn late_due(&self, now: Millis, timeout: Millis) -> bool {
         self.doubts.last().is_some_and(|(_, _, at)| now < at + timeout * SILENT_AFTER)
     }
@@ -105,9 +100,11 @@
         need.max(want.floor()).max(0.0)
     }
 
-    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest. What
-    /// the rate has given since `since` belongs to an unknown customer too.
-    pub(super) fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan, since: Millis) {
+    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest. With many
+    /// gateways and no silence since, an unknown customer has what the rate gave in the window as well.
+    pub(super) fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan, back_at: Option<Millis>) {
+        let began = self.window_at(self.store_at, plan).1;
+        let since = if back_at.is_some_and(|back| back < began) { began } else { self.store_at };
         self.added += block + owed;
         if !self.known {
             let given = plan.rate * (self.store_at - since) / 1000.0;
--- a/src/logic/requests.rs
+++ b/src/logic/requests.rs
@@ -37,9 +37,9 @@
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
         let answer_by = arrival.deadline - LAST_TICKS * self.settings.tick;
         let answer_by = answer_by.min(self.ends.unwrap_or(f64::INFINITY));
-        let (customer, repeat, rest) = (name.clone(), arrival.repeat, Request::default());
-        let rest = Request { arrived: now, answer_by, ..rest };
-        self.requests.insert(id, Request { customer, plan, class, units, repeat, ..rest });
+        let (customer, repeat, arrived, rest) = (name.clone(), arrival.repeat, now, Request::default());
+        let request = Request { customer, plan, class, units, repeat, arrived, answer_by, ..rest };
+        self.requests.insert(id, request);
         let customer = self.customers.entry(name.clone()).or_insert_with(|| {
             let (salt, store) = (hash(&name) >> 8, Customer::start_of(&self.settings.plans[plan]));
             Customer { plan, salt, store, store_at: now, demand_at: now, ..Customer::default() }
@@ -105,13 +105,12 @@
     }
 
     pub(super) fn on_hold_over(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let over = self.now + 1e-6 >= request.hold_until;
-        match request.stage {
-            Stage::Queue if over => self.give_up(id, out),
-            Stage::Block if over => self.by_slice(id, out),
-            Stage::Out if over => self.on_stall(id, out),
-            _ => {}
+        let over = |request: &&Request| self.now + 1e-6 >= request.hold_until;
+        match self.requests.get(&id).filter(over).map(|request| request.stage) {
+            Some(Stage::Queue) => self.give_up(id, out),
+            Some(Stage::Block) => self.by_slice(id, out),
+            Some(Stage::Out) => self.on_stall(id, out),
+            None => {}
         }
     }
 
@@ -184,8 +183,7 @@
         again.then(|| share(time))
     }
 
-    /// Until when another try's answer is worth the load: while many are late, nobody is loaded for one after
-    /// the aim.
+    /// Until when another try's answer is worth the load: while many are late, only up to the aim.
     pub(super) fn useful_by(&self, request: &Request) -> Millis {
         let aim = request.arrived + self.settings.classes[request.class].aim;
         if self.take() < 1.0 { aim.min(request.answer_by) } else { request.answer_by }
@@ -260,10 +258,8 @@
             (Some((sent, _)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed
-            && !request.spent
-            && request.answer_by > self.now
-            && request.attempts < self.settings.most_attempts
+        let left = request.attempts < self.settings.most_attempts && request.answer_by > self.now;
+        allowed && left && !request.spent
     }
 
     /// The process has little time left: so has each request, and none outlives it.
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -60,7 +60,8 @@
                     self.calls.push(name);
                     assert!(self.calls.len() <= 64, "calls are bounded");
                 }
-                Action::Probe { .. } | Action::Tell { .. } | Action::WatchBackends | Action::Log(_) => {}
+                Action::Judged { .. } | Action::Probe { .. } | Action::Tell { .. } => {}
+                Action::WatchBackends | Action::Log(_) => {}
             }
         }
     }
