--- a/src/logic/backends.rs
+++ b/src/logic/backends.rs
@@ -23,7 +23,7 @@
 pub(super) const TAKE_SLOPE: f64 = 2.0;
 pub(super) const TAKE_LEAST: f64 = 0.05;
 pub(super) const BLIND_RANK: f64 = 40.0;
-/// The word of another gateway, whose duty it is to try backends, holds for this share of the cold time.
+/// The word of another gateway, whose duty it is to tell, holds for this share of the cold time.
 pub(super) const WORD_SHARE: f64 = 0.2;
 /// A backend that failed is tried again after this share of the cold time for each failure in a row ...
 pub(super) const EJECT_SHARE: f64 = 0.02;
@@ -31,7 +31,7 @@
 pub(super) const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 pub(super) const ZONE_BIAS: f64 = 5.0;
-/// One of many keeps to so many backends of its own, others look `STRANGE` times further: connections are few.
+/// One of many keeps to so many own backends, others look `STRANGE` times further: connections are few.
 pub(super) const OWN_BACKENDS: usize = 5;
 pub(super) const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
@@ -129,8 +129,8 @@
         self.drain_queue(out);
     }
 
-    /// Another gateway, whose duty it is to try backends, says that one is down, or that it answers again. Who
-    /// has just had an answer believes its own eyes, and no word takes out more than half of all.
+    /// Another gateway, whose duty it is to tell, says that a backend is down, or answers again. Who has just
+    /// had an answer believes its own eyes, and no word takes out more than half of all.
     pub(super) fn on_word(&mut self, name: &Name, down: bool, out: &mut Vec<Action>) {
         let (now, holds) = (self.now, self.settings.cold_time * WORD_SHARE);
         let ready = self.backends.values().filter(|b| b.ready());
--- a/src/logic/quota.rs
+++ b/src/logic/quota.rs
@@ -100,8 +100,8 @@
         need.max(want.floor()).max(0.0)
     }
 
-    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest. With many
-    /// gateways and no silence since, an unknown customer has what the rate gave in the window as well.
+    /// Learns the store from a total of the window's count: keeps what fits of the block, owes the rest. With
+    /// many gateways and no silence since, an unknown customer has what the rate gave in the window too.
     pub(super) fn learn(&mut self, total: f64, block: f64, owed: f64, plan: &Plan, back_at: Option<Millis>) {
         let began = self.window_at(self.store_at, plan).1;
         let since = if back_at.is_some_and(|back| back < began) { began } else { self.store_at };
