--- a/emulator/src/live/mod.rs
+++ b/emulator/src/live/mod.rs
@@ -8,7 +8,7 @@
 use load::{Class, Load, Tally};
 use process::{Process, free_addresses};
 use serde_json::{Value, json};
-use stand_ins::{Backend, Counter, Discovery};
+use stand_ins::{Backend, Counter, Discovery, addresses_of, hosts};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
@@ -115,7 +115,8 @@
         for number in 0..ZONES.len() * BACKENDS {
             backends.push(Backend::start(number, ZONES[number % ZONES.len()], SLOTS, None).await?);
         }
-        let discovery = Discovery::start(hosts(&backends), None).await?;
+        let dials = addresses_of(&backends);
+        let discovery = Discovery::start(hosts(&backends, &dials), None).await?;
         let counter = Counter::start(1, None).await?;
         let (mut gateways, mut addresses) = (Vec::new(), Vec::new());
         let here = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -187,9 +188,10 @@
                 backend.silent.store(silent, Ordering::Relaxed);
             }
         };
+        let dials = addresses_of(backends);
         let drain = |draining: bool| {
             backends[0].draining.store(draining, Ordering::Relaxed);
-            discovery.change(hosts(backends));
+            discovery.change(hosts(backends, &dials));
         };
         happened.push((
             before,
@@ -238,18 +240,6 @@
     }
 }
 
-fn hosts(backends: &[Arc<Backend>]) -> Vec<Value> {
-    backends
-        .iter()
-        .enumerate()
-        .map(|(number, backend)| {
-            let health = if backend.draining.load(Ordering::Relaxed) { "terminating" } else { "in_service" };
-            json!({"host": backend.name, "dial": backend.address.to_string(), "site": backend.zone,
-                "class": "demo", "block": number / 3, "health": health, "share": 1.0, "born_ms": 0})
-        })
-        .collect()
-}
-
 /// Writes down which duties pass to whom, for ever.
 async fn watched(consoles: &[SocketAddr], passed: &Mutex<Vec<(f64, String)>>) {
     let begun = Instant::now();
--- a/emulator/src/live/stand_ins.rs
+++ b/emulator/src/live/stand_ins.rs
@@ -222,6 +222,21 @@
     response
 }
 
+/// Where backends listen themselves.
+pub fn addresses_of(backends: &[Arc<Backend>]) -> Vec<SocketAddr> {
+    backends.iter().map(|backend| backend.address).collect()
+}
+
+/// The list of backends, each at the address where whoever is told finds it.
+pub fn hosts(backends: &[Arc<Backend>], dials: &[SocketAddr]) -> Vec<Value> {
+    let entry = |(number, (backend, dial)): (usize, (&Arc<Backend>, &SocketAddr))| {
+        let health = if backend.draining.load(Ordering::Relaxed) { "terminating" } else { "in_service" };
+        json!({"host": backend.name, "dial": dial.to_string(), "site": backend.zone, "class": "stand-in",
+            "block": number / 3, "health": health, "share": 1.0, "born_ms": backend.born_ms()})
+    };
+    backends.iter().zip(dials).enumerate().map(entry).collect()
+}
+
 /// Discovery: the whole list, and watches that answer when it changes.
 pub struct Discovery {
     /// Where it listens.
--- a/emulator/src/trial/mod.rs
+++ b/emulator/src/trial/mod.rs
@@ -10,7 +10,7 @@
 use crate::live::history::{Addresses, History, Seen};
 use crate::live::load::{Class, Load, Watch};
 use crate::live::process::{self, Process, free_addresses};
-use crate::live::stand_ins::{Backend, COLD, Counter, Discovery};
+use crate::live::stand_ins::{Backend, COLD, Counter, Discovery, hosts};
 use judge::{CLASSES, FALL, LIMITS, PLANS, Verdict};
 use relay::{Flow, Net, Party};
 use rustix::process::Signal;
@@ -517,16 +517,6 @@
     }
 }
 
-/// The list of backends as one gateway finds them.
-fn hosts(backends: &[Arc<Backend>], dials: &[SocketAddr]) -> Vec<Value> {
-    let entry = |(number, (backend, dial)): (usize, (&Arc<Backend>, &SocketAddr))| {
-        let health = if backend.draining.load(Ordering::Relaxed) { "terminating" } else { "in_service" };
-        json!({"host": backend.name, "dial": dial.to_string(), "site": backend.zone, "class": "trial",
-            "block": number / 3, "health": health, "share": 1.0, "born_ms": backend.born_ms()})
-    };
-    backends.iter().zip(dials).enumerate().map(entry).collect()
-}
-
 /// What a gateway is told of the site.
 fn settings(schedule: &Schedule, number: usize) -> Value {
     let fleet = &schedule.fleet;
--- a/group/src/machine.rs
+++ b/group/src/machine.rs
@@ -282,9 +282,4 @@
         self.revision += 1;
         Reply::Done
     }
-
-    /// The names of those away by leave whose sessions have ended: they are gone, and not back yet.
-    pub fn away(&self) -> impl Iterator<Item = &String> {
-        self.turns.iter().filter(|(_, by)| !self.sessions.contains_key(by)).map(|(name, _)| name)
-    }
 }
--- a/group/src/wire.rs
+++ b/group/src/wire.rs
@@ -100,11 +100,6 @@
         Self { address, group, free: RefCell::default() }
     }
 
-    /// Where it leads.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Calls, and waits for the answer. `target` is the voter meant, 0 for whoever is there.
     ///
     /// # Errors
