--- /dev/null
+++ b/harbour/programs/src/main.rs
@@ -0,0 +1,5 @@
+//! The programs of the system.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/hawser/src/lib.rs
@@ -0,0 +1,4 @@
+//! What ties a gateway to sockets and time, for the program in service and for the system.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
