--- /dev/null
+++ b/harbour/tally/src/cache.rs
@@ -0,0 +1,564 @@
+//! The data plane's side: a gateway's blocks of each tenant's count.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::{Draw, Grant, Millis, Quota, SILENT_AFTER, Share, Terms, Want};
+
+/// The weight of the newest window in smoothed demand.
+const NEWEST: f64 = 0.4;
+/// A block covers this much of the demand expected until the window's end: demand comes unevenly.
+const AMPLE: f64 = 1.15;
+/// A block is renewed when less than this share of the demand until the window's end is left of it.
+const RENEW: f64 = 0.35;
+/// Tenants with less demand than this in a window are asked for as requests come: blocks taken ahead would mostly end
+/// unused.
+const AHEAD: f64 = 1.0;
+/// A tenant without requests for this long is forgotten and starts anew.
+const IDLE: Millis = 20_000.0;
+/// Slices stop this long after the last word of any holder: by then the fleet's size is anyone's guess.
+const SLICES_FOR: Millis = 30_000.0;
+/// While the holder is silent, it is asked this often.
+const PROBE: Millis = 200.0;
+/// A draw without an answer is given up after this long, unless the host gives it up before.
+const GIVE_UP: Millis = 1000.0;
+/// A draw on its way keeps its tenants from asking again; so few are needed.
+const DRAWS_MOST: usize = 8;
+/// Requests that may wait, for one tenant and in all.
+const WAIT_MOST: usize = 512;
+const WAIT_MOST_ALL: usize = 4096;
+/// Refused requests are told to come back after the window's end, spread over this share of a window.
+const SPREAD: f64 = 0.25;
+
+/// The answer to a request that asks to be admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// The request may run.
+    Granted,
+    /// A block was asked for; the verdict comes from `granted` or `tick`, at the latest at this time.
+    Wait {
+        /// By when the request has its verdict.
+        until: Millis,
+    },
+    /// Block and count are spent.
+    Refused {
+        /// The span after which it is worth trying again.
+        retry_after: Millis,
+    },
+}
+
+/// What a tenant's cache says to operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TenantFigures {
+    /// The tenant's name.
+    pub tenant: String,
+    /// Units of the block in hand.
+    pub block: u32,
+    /// Smoothed requests per window.
+    pub demand: f64,
+    /// Requests that wait for a block.
+    pub waiting: usize,
+    /// Requests granted since the tenant was configured.
+    pub granted: u64,
+    /// Requests refused since then.
+    pub refused: u64,
+    /// Of those granted, how many by slices.
+    pub by_slice: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tenant {
+    /// None sets no limit.
+    terms: Option<Terms>,
+    burst: f64,
+    block: u32,
+    window: u64,
+    /// Until when the block holds and what the holder said of the window counts.
+    ends_at: Millis,
+    /// Units got and spent of the block's window.
+    got: u32,
+    spent: u32,
+    /// What the window's count had left when last heard.
+    left: u32,
+    waiting: VecDeque<(u64, Millis)>,
+    in_flight: Option<u64>,
+    wanted: bool,
+    back: u32,
+    /// A holder that grants nothing yet has left the gateway its slices until then.
+    slices_until: Millis,
+    slice: f64,
+    slice_ends: Millis,
+    slice_used: u32,
+    known: bool,
+    demand: f64,
+    asked: f64,
+    demand_from: Millis,
+    asked_at: Millis,
+    granted: u64,
+    refused: u64,
+    by_slice: u64,
+}
+
+#[derive(Debug)]
+struct Sent {
+    number: u64,
+    at: Millis,
+}
+
+/// The leases of all tenants at one gateway.
+#[derive(Debug)]
+pub struct Cache {
+    tenants: BTreeMap<String, Tenant>,
+    gateways: f64,
+    seed: u64,
+    numbers: u64,
+    epoch: u64,
+    sent: Vec<Sent>,
+    last_word: Option<Millis>,
+    silent: bool,
+    next_probe: Millis,
+    waiting: usize,
+}
+
+impl Tenant {
+    /// Ends a block whose window is over and learns from the demand of windows gone by.
+    fn roll(&mut self, now: Millis) {
+        let Some(terms) = self.terms else { return };
+        if now >= self.ends_at {
+            self.back = self.back.saturating_add(std::mem::take(&mut self.block));
+            (self.got, self.spent) = (0, 0);
+        }
+        let windows = ((now - self.demand_from) / terms.window).floor();
+        if windows >= 1.0 {
+            let first =
+                if self.known { NEWEST * self.asked + (1.0 - NEWEST) * self.demand } else { self.asked };
+            self.demand = first * (1.0 - NEWEST).powf((windows - 1.0).min(64.0));
+            self.known |= self.asked > 0.0;
+            self.asked = 0.0;
+            self.demand_from += windows * terms.window;
+        }
+        if self.known && now > self.asked_at + IDLE {
+            (self.known, self.demand, self.back) = (false, 0.0, 0);
+        }
+    }
+
+    /// The demand until the block's window ends; of a whole window if none is open.
+    fn ahead(&self, now: Millis) -> f64 {
+        let window = self.terms.map_or(1.0, |t| t.window);
+        if now < self.ends_at { self.demand * ((self.ends_at - now) / window).min(1.0) } else { self.demand }
+    }
+
+    fn spent_out(&self, now: Millis) -> bool {
+        now < self.ends_at && self.left < 1 && self.block < 1
+    }
+
+    fn spend(&mut self) -> bool {
+        let fits = self.block > 0;
+        if fits {
+            self.block -= 1;
+            self.spent += 1;
+            self.granted += 1;
+        }
+        fits
+    }
+
+    /// Opens the slice of the present window. Whole units end with their window; fractions stay, so that gateways
+    /// whose slice is less than a unit have one every few windows. Each starts from a fraction by lot: all together
+    /// then have what the window allows, neither all nor none of them a unit at once.
+    fn open_slice(&mut self, now: Millis, gateways: f64, lot: f64) {
+        let Some(terms) = self.terms else { return };
+        if now < self.slice_ends {
+            return;
+        }
+        let fresh = now >= self.slice_ends + terms.window;
+        let part = if fresh { lot } else { self.slice.fract() };
+        let mine = terms.refill / gateways;
+        self.slice_used = 0;
+        if now < self.ends_at {
+            self.slice_ends = self.ends_at;
+            self.slice = part + (mine - f64::from(self.got)).max(0.0);
+            return;
+        }
+        let begin = if !fresh { self.slice_ends } else { now };
+        let begin = if now < self.ends_at + terms.window { begin.max(self.ends_at) } else { begin };
+        self.slice_ends = begin + terms.window;
+        self.slice = part + mine;
+    }
+
+    fn spend_slice(&mut self) -> bool {
+        let fits = self.slice >= 1.0;
+        if fits {
+            self.slice -= 1.0;
+            self.slice_used += 1;
+            self.granted += 1;
+            self.by_slice += 1;
+        }
+        fits
+    }
+
+    fn refuse(&mut self, now: Millis, lot: f64) -> Verdict {
+        self.refused += 1;
+        let window = self.terms.map_or(1000.0, |t| t.window);
+        let end = if now < self.ends_at { self.ends_at } else { self.slice_ends };
+        let rest = if now < end { end - now } else { window * 0.5 };
+        Verdict::Refused { retry_after: rest + window * SPREAD * lot }
+    }
+}
+
+impl Cache {
+    /// An empty cache. The seed spreads what is left to lots.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            tenants: BTreeMap::new(),
+            gateways: 1.0,
+            seed,
+            numbers: 0,
+            epoch: 0,
+            sent: Vec::new(),
+            last_word: None,
+            silent: false,
+            next_probe: 0.0,
+            waiting: 0,
+        }
+    }
+
+    /// Takes a configuration. Blocks that are out end with their windows; tenants that are gone are dropped, and the
+    /// requests that waited for them are refused at the next `tick`.
+    pub fn quotas(&mut self, now: Millis, quotas: Vec<Quota>) {
+        let mut old = std::mem::take(&mut self.tenants);
+        for quota in quotas {
+            let mut tenant =
+                old.remove(&quota.tenant).unwrap_or_else(|| Tenant { demand_from: now, ..Tenant::default() });
+            tenant.terms = Terms::of(&quota);
+            tenant.burst = quota.burst.max(0.0);
+            self.tenants.insert(quota.tenant, tenant);
+        }
+        // Waiting requests need their verdict: their tenants stay, without a limit or a unit, until they have it.
+        for (name, mut tenant) in old.into_iter().filter(|(_, t)| !t.waiting.is_empty()) {
+            tenant.gone(now);
+            self.tenants.insert(name, tenant);
+        }
+    }
+
+    /// Takes the number of gateways in all.
+    pub fn fleet(&mut self, gateways: u32) {
+        self.gateways = f64::from(gateways.max(1));
+    }
+
+    /// A holder was heard of otherwise than by a grant: slices may go on.
+    pub fn word(&mut self, now: Millis) {
+        self.last_word = Some(now);
+    }
+
+    /// A request asks for a unit of its tenant.
+    pub fn ask(&mut self, now: Millis, request: u64, tenant: &str, wait_at_most: Millis) -> Verdict {
+        let lot = self.lot();
+        let (gateways, slices) = (self.gateways, self.may_slice(now));
+        let silent = self.is_silent(now);
+        let full = self.waiting >= WAIT_MOST_ALL;
+        let Some(t) = self.tenants.get_mut(tenant) else { return Verdict::Refused { retry_after: 1000.0 } };
+        if t.terms.is_none() {
+            t.granted += 1;
+            return Verdict::Granted;
+        }
+        t.roll(now);
+        t.asked += 1.0;
+        t.asked_at = now;
+        if t.waiting.is_empty() && t.spend() {
+            let ahead = t.ahead(now);
+            t.wanted |= t.left > 0 && ahead >= AHEAD && f64::from(t.block) < ahead * RENEW;
+            return Verdict::Granted;
+        }
+        if t.spent_out(now) {
+            return t.refuse(now, lot);
+        }
+        if silent || now < t.slices_until {
+            t.wanted |= now >= t.slices_until;
+            if slices {
+                t.open_slice(now, gateways, lot);
+            }
+            return if slices && t.spend_slice() { Verdict::Granted } else { t.refuse(now, lot) };
+        }
+        if full || t.waiting.len() >= WAIT_MOST {
+            return t.refuse(now, lot);
+        }
+        t.wanted = true;
+        let until = now + wait_at_most.max(0.0);
+        t.waiting.push_back((request, until));
+        self.waiting += 1;
+        Verdict::Wait { until }
+    }
+
+    /// A waiting request is gone; it needs no verdict.
+    pub fn left(&mut self, request: u64) {
+        for t in self.tenants.values_mut() {
+            if let Some(at) = t.waiting.iter().position(|(r, _)| *r == request) {
+                t.waiting.remove(at);
+                self.waiting -= 1;
+                return;
+            }
+        }
+    }
+
+    /// A request that was granted has not been run. Its unit can be spent again in its own window only; later it goes
+    /// back to the count, which knows how much a window may hold.
+    pub fn give_back(&mut self, now: Millis, tenant: &str) {
+        let Some(t) = self.tenants.get_mut(tenant) else { return };
+        t.roll(now);
+        if t.spent > 0 {
+            t.spent -= 1;
+            t.block += 1;
+        } else if now < t.slice_ends && t.slice_used > 0 {
+            t.slice_used -= 1;
+            t.slice += 1.0;
+        } else {
+            t.back = t.back.saturating_add(1);
+        }
+    }
+
+    /// What is to be sent to the holder now.
+    pub fn draw(&mut self, now: Millis) -> Option<Draw> {
+        if self.sent.len() >= DRAWS_MOST || self.is_silent(now) && now < self.next_probe {
+            return None;
+        }
+        let number = self.numbers + 1;
+        let mut wants = Vec::new();
+        let mut asks = false;
+        for (name, t) in &mut self.tenants {
+            let Some(terms) = t.terms else { continue };
+            t.roll(now);
+            if t.in_flight.is_some() || now < t.slices_until {
+                continue;
+            }
+            // Every window begins with an empty hand; who will need a block has it before the first request.
+            let fresh = now >= t.ends_at && t.ends_at > 0.0 && t.demand >= AHEAD;
+            if !std::mem::take(&mut t.wanted) && !fresh || t.spent_out(now) {
+                if t.back > 0 {
+                    wants.push(Want { tenant: name.clone(), need: 0, add: 0, back: t.back });
+                }
+                continue;
+            }
+            let need = t.waiting.len() as u32;
+            let target = if t.known {
+                (t.ahead(now) * AMPLE + 0.5).floor()
+            } else {
+                (t.burst / self.gateways).max(1.0)
+            };
+            let target = target.min(terms.most) as u32;
+            let add = target.saturating_sub(t.block).max(need);
+            if add > 0 {
+                asks = true;
+                t.in_flight = Some(number);
+                wants.push(Want { tenant: name.clone(), need, add, back: t.back });
+            }
+        }
+        // Units that go back are worth no message of their own.
+        if !asks {
+            return None;
+        }
+        for want in &wants {
+            if let Some(t) = self.tenants.get_mut(&want.tenant) {
+                t.back = 0;
+            }
+        }
+        self.numbers = number;
+        self.sent.push(Sent { number, at: now });
+        self.next_probe = now + PROBE;
+        Some(Draw { number, epoch: self.epoch, wants })
+    }
+
+    /// A holder's answer. That of a former holder, or to a draw given up, is ignored: its units stay counted until
+    /// their window ends, and nobody spends them.
+    pub fn granted(&mut self, now: Millis, grant: Grant, out: &mut Vec<(u64, Verdict)>) {
+        let Some(at) = self.sent.iter().position(|s| s.number == grant.number) else { return };
+        if grant.epoch < self.epoch {
+            return self.silent(now, grant.number);
+        }
+        let sent = self.sent.swap_remove(at);
+        if grant.epoch > self.epoch {
+            self.epoch = grant.epoch;
+            self.tenants.values_mut().for_each(|t| t.back = 0);
+        }
+        self.last_word = Some(now);
+        // A call that is late does not speak for the holder once a later one was answered.
+        self.silent = false;
+        let gateways = self.gateways;
+        for share in grant.shares {
+            let lot = self.lot();
+            let Some(t) = self.tenants.get_mut(&share.tenant).filter(|t| t.in_flight == Some(grant.number))
+            else {
+                continue;
+            };
+            t.in_flight = None;
+            t.take(now, sent.at, &share);
+            let before = t.waiting.len();
+            t.serve(now, gateways, lot, out);
+            self.waiting -= before - t.waiting.len();
+        }
+        self.free_flights(grant.number);
+    }
+
+    /// A draw is given up: its answer is not waited for any more, and the holder counts as silent until it answers.
+    pub fn silent(&mut self, now: Millis, number: u64) {
+        if let Some(at) = self.sent.iter().position(|s| s.number == number) {
+            self.sent.swap_remove(at);
+            self.silent = true;
+            self.next_probe = self.next_probe.max(now + PROBE * 0.5);
+            self.free_flights(number);
+        }
+    }
+
+    /// Time has passed: requests that have waited long enough get their verdict.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<(u64, Verdict)>) {
+        while let Some(late) = self.sent.iter().find(|s| now >= s.at + GIVE_UP).map(|s| s.number) {
+            self.silent(now, late);
+        }
+        let silent = self.is_silent(now);
+        let (gateways, slices) = (self.gateways, self.may_slice(now));
+        let mut seed = self.seed;
+        for t in self.tenants.values_mut().filter(|t| !t.waiting.is_empty()) {
+            t.roll(now);
+            let before = t.waiting.len();
+            let mut waiting = std::mem::take(&mut t.waiting);
+            waiting.retain(|(request, until)| {
+                let lot = lot(&mut seed);
+                if t.spend() {
+                    out.push((*request, Verdict::Granted));
+                    return false;
+                }
+                if !silent && now < *until {
+                    return true;
+                }
+                // The answer is late: the even slice is lent, and comes off the next block if one comes.
+                if slices && !t.spent_out(now) {
+                    t.open_slice(now, gateways, lot);
+                    if t.spend_slice() {
+                        out.push((*request, Verdict::Granted));
+                        return false;
+                    }
+                }
+                out.push((*request, t.refuse(now, lot)));
+                false
+            });
+            t.waiting = waiting;
+            self.waiting -= before - t.waiting.len();
+        }
+        self.seed = seed;
+    }
+
+    /// When `tick` and `draw` have something to do at the latest, if nothing comes before.
+    pub fn next_due(&self) -> Option<Millis> {
+        let mut due = f64::INFINITY;
+        for s in &self.sent {
+            due = due.min(s.at + if self.silent { GIVE_UP } else { SILENT_AFTER });
+        }
+        for t in self.tenants.values() {
+            due = t.waiting.iter().fold(due, |d, (_, until)| d.min(*until));
+            if t.in_flight.is_none() && t.terms.is_some() {
+                if t.wanted {
+                    due = due.min(if self.silent { self.next_probe } else { t.slices_until });
+                }
+                if t.ends_at > 0.0 && t.demand >= AHEAD {
+                    let from = t.ends_at.max(t.slices_until);
+                    due = due.min(if self.silent { from.max(self.next_probe) } else { from });
+                }
+            }
+        }
+        due.is_finite().then_some(due)
+    }
+
+    /// What operators see of each tenant.
+    pub fn figures(&self) -> Vec<TenantFigures> {
+        let one = |(tenant, t): (&String, &Tenant)| TenantFigures {
+            tenant: tenant.clone(),
+            block: t.block,
+            demand: t.demand,
+            waiting: t.waiting.len(),
+            granted: t.granted,
+            refused: t.refused,
+            by_slice: t.by_slice,
+        };
+        self.tenants.iter().map(one).collect()
+    }
+
+    fn free_flights(&mut self, number: u64) {
+        for t in self.tenants.values_mut().filter(|t| t.in_flight == Some(number)) {
+            t.in_flight = None;
+            t.wanted |= !t.waiting.is_empty();
+        }
+    }
+
+    fn is_silent(&mut self, now: Millis) -> bool {
+        self.silent |= self.sent.iter().any(|s| now >= s.at + SILENT_AFTER);
+        self.silent
+    }
+
+    fn may_slice(&self, now: Millis) -> bool {
+        self.last_word.is_some_and(|at| now < at + SLICES_FOR)
+    }
+
+    fn lot(&mut self) -> f64 {
+        lot(&mut self.seed)
+    }
+}
+
+impl Tenant {
+    fn gone(&mut self, now: Millis) {
+        self.roll(now);
+        (self.block, self.left, self.ends_at) = (0, 0, f64::INFINITY);
+        self.waiting.iter_mut().for_each(|(_, until)| *until = now);
+    }
+
+    /// Takes a share. The window's end is counted from when the draw was sent: it comes early rather than late.
+    fn take(&mut self, now: Millis, sent: Millis, share: &Share) {
+        let ends_at = sent + share.ends_in;
+        if share.slices {
+            self.slices_until = ends_at.max(now + PROBE * 0.25);
+            return;
+        }
+        if now >= ends_at {
+            self.back = self.back.saturating_add(share.granted);
+            return;
+        }
+        if share.window != self.window || now >= self.ends_at {
+            self.back = self.back.saturating_add(std::mem::take(&mut self.block));
+            (self.got, self.spent, self.ends_at) = (0, 0, ends_at);
+        }
+        self.window = share.window;
+        self.ends_at = self.ends_at.max(ends_at);
+        self.left = share.left;
+        // Slices of the present window were lent from this block.
+        let lent = if now < self.slice_ends { share.granted.min(self.slice_used) } else { 0 };
+        self.slice_used -= lent;
+        self.slice = self.slice.fract();
+        self.got = self.got.saturating_add(share.granted);
+        self.spent = self.spent.saturating_add(lent);
+        self.block = self.block.saturating_add(share.granted - lent);
+    }
+
+    fn serve(&mut self, now: Millis, gateways: f64, lot: f64, out: &mut Vec<(u64, Verdict)>) {
+        while let Some((request, _)) = self.waiting.front().copied() {
+            let verdict = if self.spend() {
+                Verdict::Granted
+            } else if now < self.slices_until {
+                self.open_slice(now, gateways, lot);
+                if self.spend_slice() { Verdict::Granted } else { self.refuse(now, lot) }
+            } else if self.spent_out(now) {
+                self.refuse(now, lot)
+            } else {
+                self.wanted = true;
+                return;
+            };
+            self.waiting.pop_front();
+            out.push((request, verdict));
+        }
+    }
+}
+
+/// A number in 0 to 1 (splitmix64).
+fn lot(seed: &mut u64) -> f64 {
+    *seed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mut z = *seed;
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/harbour/tally/src/holder.rs
@@ -0,0 +1,227 @@
+//! The control plane's side: the count of each tenant's window.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{Draw, Grant, HEARD_FOR, Millis, Quota, SILENT_AFTER, Share, Terms, Want};
+
+/// A draw this close before a window's end is served from the next one: gateways count the end from when they asked,
+/// so their first draw for a new window is often a moment early.
+const EARLY: Millis = 20.0;
+/// A removed tenant's count is remembered this long, longer than the judged span, in case it is put back.
+const REMEMBERED: Millis = 10_000.0;
+/// Gateways remembered by name at most; further ones are served, but count as silent.
+const GATEWAYS_MOST: usize = 4096;
+/// Of what is left, one gateway's block takes the even part over this.
+const EVEN_OVER: f64 = 1.5;
+/// The least even part, as a share of the refill over the gateways: else a busy tenant's blocks dwindle without end.
+const LEAST_PART: f64 = 0.2;
+/// Windows rolled one by one; after a longer rest the count is full anyway.
+const ROLLS_MOST: u32 = 64;
+
+#[derive(Debug)]
+struct Count {
+    terms: Option<Terms>,
+    /// A changed quota comes into force with the next window.
+    next: Option<Terms>,
+    window: u64,
+    end: Millis,
+    /// What may still be granted, the even slices of silent gateways not yet taken off.
+    free: f64,
+    granted: f64,
+    /// The largest part of the gateways that was silent at some time of this window.
+    silent: f64,
+    shut_until: Millis,
+    gone_at: Option<Millis>,
+}
+
+/// What a count says to operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CountFigures {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The present window's number.
+    pub window: u64,
+    /// Units granted in it.
+    pub granted: f64,
+    /// Units left in it.
+    pub left: f64,
+}
+
+/// Holds the counts of all tenants under one epoch.
+#[derive(Debug)]
+pub struct Holder {
+    epoch: u64,
+    office: Millis,
+    first: bool,
+    configured: bool,
+    known: u32,
+    heard: HashMap<String, Millis>,
+    counts: BTreeMap<String, Count>,
+}
+
+impl Holder {
+    /// Takes office under an epoch. Unless no holder was there before (`first`), nothing is granted for one window of
+    /// each tenant: by then every block of the former holder has ended.
+    pub fn take_office(epoch: u64, first: bool, now: Millis) -> Self {
+        let (heard, counts) = (HashMap::new(), BTreeMap::new());
+        Self { epoch, office: now, first, configured: false, known: 1, heard, counts }
+    }
+
+    /// The epoch of this office.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Takes a configuration. New figures count from a tenant's next window.
+    pub fn quotas(&mut self, now: Millis, quotas: &[Quota]) {
+        for count in self.counts.values_mut() {
+            count.gone_at = count.gone_at.or(Some(now));
+        }
+        for quota in quotas {
+            let terms = Terms::of(quota);
+            if let Some(count) = self.counts.get_mut(&quota.tenant) {
+                count.gone_at = None;
+                count.next = terms;
+                // A limit where there was none has nothing that it could wait for.
+                if count.terms.is_none() || terms.is_none() {
+                    count.terms = terms;
+                    count.end = now;
+                    count.free = 0.0;
+                }
+                continue;
+            }
+            let window = terms.map_or(0.0, |t| t.window);
+            let shut = !self.first && (!self.configured || now < self.office + window);
+            let shut_until = if shut { self.office + window } else { now };
+            let free = if shut { 0.0 } else { terms.map_or(0.0, |t| t.most) };
+            let end = if shut { shut_until } else { self.grid_end(now, window) };
+            let count = Count {
+                terms,
+                next: terms,
+                window: 0,
+                end,
+                free,
+                granted: 0.0,
+                silent: 0.0,
+                shut_until,
+                gone_at: None,
+            };
+            self.counts.insert(quota.tenant.clone(), count);
+        }
+        self.configured = true;
+        self.counts.retain(|_, c| c.gone_at.is_none_or(|at| now < at + REMEMBERED));
+    }
+
+    /// Takes the number of gateways in all, those included that may be cut off and spend their slices.
+    pub fn fleet(&mut self, _now: Millis, known: u32) {
+        self.known = known.max(1);
+    }
+
+    /// A gateway was heard, by a draw or otherwise.
+    pub fn heard(&mut self, now: Millis, gateway: &str) {
+        if let Some(at) = self.heard.get_mut(gateway) {
+            *at = at.max(now);
+        } else if self.heard.len() < GATEWAYS_MOST {
+            self.heard.insert(gateway.to_owned(), now);
+        }
+    }
+
+    /// Answers a gateway's draw.
+    pub fn draw(&mut self, now: Millis, gateway: &str, draw: &Draw) -> Grant {
+        self.forget_silent(now);
+        self.heard(now, gateway);
+        let same = draw.epoch == self.epoch;
+        let shares = draw.wants.iter().map(|want| self.share(now, want, same)).collect();
+        Grant { number: draw.number, epoch: self.epoch, shares }
+    }
+
+    /// What operators see of each tenant.
+    pub fn figures(&self) -> Vec<CountFigures> {
+        let one = |(tenant, c): (&String, &Count)| CountFigures {
+            tenant: tenant.clone(),
+            window: c.window,
+            granted: c.granted,
+            left: c.free,
+        };
+        self.counts.iter().filter(|(_, c)| c.gone_at.is_none()).map(one).collect()
+    }
+
+    /// Gateways not heard lately are silent. They may have spent slices since soon after their last word, while the
+    /// counts still granted their part to others: that comes off now.
+    fn forget_silent(&mut self, now: Millis) {
+        let before = self.heard.len();
+        self.heard.retain(|_, at| now < *at + HEARD_FOR);
+        let lost = (before - self.heard.len()) as f64 / f64::from(self.known);
+        if lost > 0.0 {
+            for count in self.counts.values_mut() {
+                let Some(terms) = count.terms else { continue };
+                let spent = terms.refill / terms.window * (HEARD_FOR - SILENT_AFTER) * lost.min(1.0);
+                count.free = (count.free - spent).max(-terms.most);
+            }
+        }
+    }
+
+    fn grid_end(&self, now: Millis, window: Millis) -> Millis {
+        if window <= 0.0 {
+            return now;
+        }
+        self.office + (((now - self.office) / window).floor() + 1.0) * window
+    }
+
+    fn roll(&mut self, now: Millis, tenant: &str) {
+        let silent = f64::from(self.known.saturating_sub(self.heard.len() as u32)) / f64::from(self.known);
+        let Some(mut count) = self.counts.remove(tenant) else { return };
+        let mut rolls = 0;
+        while let Some(terms) = count.terms.filter(|t| now + EARLY.min(t.window * 0.05) >= count.end) {
+            // Slices of a closed window came from gateways that had nothing else: no count gave them.
+            if count.end > count.shut_until {
+                count.free -= terms.refill * count.silent;
+            }
+            count.terms = count.next;
+            let Some(terms) = count.next else { break };
+            let begin = if rolls >= ROLLS_MOST { now.max(count.end) } else { count.end };
+            rolls += 1;
+            count.end = self.grid_end(begin + 1e-6, terms.window);
+            let part = ((count.end - begin) / terms.window).clamp(0.0, 1.0);
+            count.free = (count.free + terms.refill * part).clamp(-terms.most, terms.most);
+            count.window += 1;
+            count.granted = 0.0;
+            count.silent = silent;
+        }
+        count.silent = count.silent.max(silent);
+        self.counts.insert(tenant.to_owned(), count);
+    }
+
+    fn share(&mut self, now: Millis, want: &Want, same: bool) -> Share {
+        self.roll(now, &want.tenant);
+        let active = (self.heard.len() as f64).max(1.0);
+        let mut share =
+            Share { tenant: want.tenant.clone(), window: 0, granted: 0, left: 0, ends_in: 0.0, slices: true };
+        // A tenant that this holder has not heard of may be one of a configuration on its way.
+        let Some(count) = self.counts.get_mut(&want.tenant).filter(|c| c.gone_at.is_none()) else {
+            return share;
+        };
+        share.window = count.window;
+        share.ends_in = (count.end - now).max(0.0);
+        let Some(terms) = count.terms else {
+            return Share { granted: want.add, left: u32::MAX, ends_in: 1000.0, slices: false, ..share };
+        };
+        if now + EARLY < count.shut_until {
+            share.ends_in = (count.shut_until - now).max(0.0);
+            return share;
+        }
+        if same {
+            let most_back = (terms.most - count.free - count.granted).max(0.0);
+            count.free += f64::from(want.back).min(most_back);
+        }
+        let free = (count.free - terms.refill * count.silent).max(0.0).floor();
+        let even = (free / (EVEN_OVER * active)).max(LEAST_PART * terms.refill / active);
+        let granted = f64::from(want.add).min(even.floor()).max(f64::from(want.need)).min(free);
+        count.free -= granted;
+        count.granted += granted;
+        share.granted = granted as u32;
+        share.left = (free - granted) as u32;
+        share.slices = false;
+        share
+    }
+}
--- a/harbour/tally/src/lib.rs
+++ b/harbour/tally/src/lib.rs
@@ -1,4 +1,79 @@
 //! Counts of tenants and the lease caches that draw on them: state machines without I/O or clock.
+//!
+//! The leader of the control plane has a [`Holder`] with the count of each tenant's window; each gateway of the data
+//! plane has a [`Cache`] of blocks taken from these counts. Both are told the time by their hosts, each by its own
+//! steady clock: over the wire go spans only.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod cache;
+mod holder;
+mod terms;
+
+pub use cache::{Cache, TenantFigures, Verdict};
+pub use holder::{CountFigures, Holder};
+pub use terms::{Quota, Terms};
+
+use bitcode::{Decode, Encode};
+
+/// Milliseconds: a point of the own steady clock or a span.
+pub type Millis = f64;
+
+/// The cache counts a holder as silent when a draw had no answer for this long; the holder charges the even slice of
+/// a gateway that falls silent from this long after its last word.
+pub const SILENT_AFTER: Millis = 300.0;
+/// The holder counts a gateway as heard for this long after its last word.
+pub const HEARD_FOR: Millis = 1500.0;
+
+/// What a gateway wants of the counts: one message for all its tenants.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Draw {
+    /// The cache's own number for this draw; the answer repeats it.
+    pub number: u64,
+    /// The highest epoch the cache has seen: units go back only to the holder that gave them.
+    pub epoch: u64,
+    /// What each tenant wants.
+    pub wants: Vec<Want>,
+}
+
+/// What one tenant wants at one gateway.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Want {
+    /// The tenant's name.
+    pub tenant: String,
+    /// Requests that wait for a unit now.
+    pub need: u32,
+    /// Units to add to the count, those needed now among them.
+    pub add: u32,
+    /// Units of ended blocks that were never run.
+    pub back: u32,
+}
+
+/// A holder's answer to a draw.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Grant {
+    /// The draw's number.
+    pub number: u64,
+    /// The epoch of the holder.
+    pub epoch: u64,
+    /// What each tenant got.
+    pub shares: Vec<Share>,
+}
+
+/// What one tenant got for one gateway.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Share {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The number of the window that the units belong to.
+    pub window: u64,
+    /// Units that the gateway may spend until the window ends.
+    pub granted: u32,
+    /// Units of the window's allowance that are still free.
+    pub left: u32,
+    /// The span from the holder's answer to the window's end.
+    pub ends_in: Millis,
+    /// The holder grants nothing yet: until the end the gateway has its even slice.
+    pub slices: bool,
+}
--- /dev/null
+++ b/harbour/tally/src/terms.rs
@@ -0,0 +1,66 @@
+//! What follows from a quota: the length of its windows and what each may grant.
+
+use crate::Millis;
+
+/// A tenant's quota as configured.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Quota {
+    /// The tenant's name.
+    pub tenant: String,
+    /// Requests a second; zero sets no limit.
+    pub rate_per_s: f64,
+    /// Requests at once on top.
+    pub burst: f64,
+}
+
+/// The span over which a quota is judged.
+const JUDGED: Millis = 5000.0;
+/// The shares of the judged bound and of its fixed slack that the counts may use; the rest is for changes of holder.
+const EXCESS: f64 = 1.08;
+const SLACK: f64 = 18.0;
+/// Requests reach their backends up to about this much later than others, so a judged span sees a bit more of time.
+const STRAY: Millis = 150.0;
+/// The shortest window: below it, a round trip is a good part of the window and calls outnumber requests.
+const SHORTEST: Millis = 400.0;
+/// How often the shortest window may be doubled. Lengths are powers of two of one grid, so that windows of several
+/// tenants end together and one message renews them all. Longer ones would let two whole windows into a short span.
+const DOUBLINGS: u32 = 2;
+/// Units above the burst, where the slack has room: blocks hold some units that nobody spends.
+const EASE: f64 = 4.0;
+
+/// What the counts go by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Length of a window.
+    pub window: Millis,
+    /// Units that each window adds.
+    pub refill: f64,
+    /// The most that a window may grant, with what former ones left.
+    pub most: f64,
+}
+
+impl Terms {
+    /// The terms of a quota; none if it sets no limit.
+    ///
+    /// A judged span sees the units of the window in which it begins (`most`) and the refills of those that begin in
+    /// it. Where burst over rate is below the shortest window, a whole refill above the burst would be granted at
+    /// once; `refill` is then cut to what the judged bound allows.
+    pub fn of(quota: &Quota) -> Option<Self> {
+        let (rate, burst) = (quota.rate_per_s, quota.burst.max(0.0));
+        if rate.is_nan() || rate <= 0.0 || !rate.is_finite() || !burst.is_finite() {
+            return None;
+        }
+        let half = burst / rate * 500.0;
+        let mut window = SHORTEST;
+        for _ in 0..DOUBLINGS {
+            if window * 2.0 <= half {
+                window *= 2.0;
+            }
+        }
+        let begins = ((JUDGED + STRAY) / window).floor() + 1.0;
+        let bound = (rate * JUDGED / 1000.0 + burst) * EXCESS + SLACK;
+        let refill = (rate * window / 1000.0).min(bound / (begins + 1.0));
+        let most = (bound - begins * refill).min(burst.max(refill) + EASE).max(refill);
+        Some(Self { window, refill, most })
+    }
+}
