Logbook: the elected log as a state machine without I/O, and its disk

Need: control changes are to be ordered and kept by voters that lose power, disks and links. Weighed: a library for agreement is ruled out; a state machine that is handed the clock can be tried in a drawn world.

--- /dev/null
+++ b/harbour/logbook/src/election.rs
@@ -0,0 +1,158 @@
+//! Elections: a round that binds nobody, then votes that do.
+
+use crate::node::Node;
+use crate::replication::Lead;
+use crate::types::{Message, Millis, Output, VoterId, What};
+
+/// A round of asking for votes.
+#[derive(Debug)]
+pub(crate) struct Canvass {
+    /// Whether this is the election itself, not the sounding out before it.
+    pub(crate) binding: bool,
+    granted: Vec<VoterId>,
+}
+
+impl Node {
+    /// Nothing was heard of a leader for too long.
+    pub(crate) fn look_for_leader(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.draw_election(now);
+        self.leader = None;
+        self.canvass = None;
+        // Who is not on the list would only disturb those who are.
+        if !self.is_voter() {
+            return;
+        }
+        self.rounds += 1;
+        self.canvass = Some(Canvass { binding: false, granted: Vec::new() });
+        let message = Message::Sound {
+            round: self.rounds,
+            term: self.term + 1,
+            last_index: self.log.last(),
+            last_term: self.log.last_term(),
+        };
+        for to in self.others() {
+            out.push(Output::Send { to, message: message.clone() });
+        }
+        self.count_vote(now, self.me.clone(), out);
+    }
+
+    fn stand(&mut self, now: Millis) {
+        self.draw_election(now);
+        self.term += 1;
+        self.vote = Some(self.me.clone());
+        self.verified = 0;
+        self.unsaved.ballot = true;
+        // The own vote counts like any other: once it is on disk.
+        self.unsaved.own_vote = Some(self.term);
+        self.canvass = Some(Canvass { binding: true, granted: Vec::new() });
+        let message =
+            Message::Stand { term: self.term, last_index: self.log.last(), last_term: self.log.last_term() };
+        for to in self.others() {
+            self.answer(to, message.clone());
+        }
+    }
+
+    fn others(&self) -> Vec<VoterId> {
+        self.members().iter().filter(|member| **member != self.me).cloned().collect()
+    }
+
+    /// Whether a vote now could break a lease that a leader may still count on.
+    fn bound(&self, now: Millis) -> bool {
+        if self.faults.fickle {
+            return false;
+        }
+        match &self.lead {
+            Some(_) => self.quorum_at(now).saturating_add(self.timing.election) > now,
+            None => now < self.bound_until,
+        }
+    }
+
+    /// Whether a log that ends there has all that could be committed in this one.
+    fn as_new(&self, (term, index): (u64, u64)) -> bool {
+        (term, index) >= (self.log.last_term(), self.log.last())
+    }
+
+    /// The asker need not be on the list known here: this list may be the older one.
+    pub(crate) fn sounded_out(
+        &mut self, now: Millis, from: VoterId, round: u64, term: u64, end: (u64, u64), out: &mut Vec<Output>,
+    ) {
+        let granted = term > self.term && self.as_new(end) && !self.bound(now);
+        let message = Message::Sounded { round, term: self.term, granted };
+        out.push(Output::Send { to: from, message });
+    }
+
+    pub(crate) fn sounded(
+        &mut self, now: Millis, from: VoterId, round: u64, term: u64, granted: bool, out: &mut Vec<Output>,
+    ) {
+        if !self.is_member(&from) || round != self.rounds {
+            return;
+        }
+        let sounding = self.canvass.as_ref().is_some_and(|canvass| !canvass.binding);
+        if granted && sounding {
+            self.count_vote(now, from, out);
+        } else if sounding {
+            self.see_term(now, term, out);
+        }
+    }
+
+    pub(crate) fn asked_to_vote(
+        &mut self, now: Millis, from: VoterId, term: u64, end: (u64, u64), out: &mut Vec<Output>,
+    ) {
+        // Whoever is bound does not even take the newer term: that would end a leader that works.
+        if !self.bound(now) {
+            self.see_term(now, term, out);
+        }
+        let free = self.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted =
+            term == self.term && free && self.as_new(end) && self.lead.is_none() && !self.bound(now);
+        if granted && self.vote.is_none() {
+            self.vote = Some(from.clone());
+            self.unsaved.ballot = true;
+            // Gives the one voted for the time to win.
+            self.canvass = None;
+            self.draw_election(now);
+        }
+        self.answer(from, Message::Voted { term: self.term, granted });
+    }
+
+    pub(crate) fn voted(
+        &mut self, now: Millis, from: VoterId, term: u64, granted: bool, out: &mut Vec<Output>,
+    ) {
+        if !self.is_member(&from) {
+            return;
+        }
+        self.see_term(now, term, out);
+        if granted && term == self.term && self.canvass.as_ref().is_some_and(|canvass| canvass.binding) {
+            self.count_vote(now, from, out);
+        }
+    }
+
+    pub(crate) fn count_vote(&mut self, now: Millis, from: VoterId, out: &mut Vec<Output>) {
+        let Some(canvass) = &mut self.canvass else { return };
+        if !canvass.granted.contains(&from) {
+            canvass.granted.push(from);
+        }
+        let binding = canvass.binding;
+        let granted = &self.canvass.as_ref().map(|canvass| canvass.granted.clone()).unwrap_or_default();
+        let votes =
+            self.members().iter().filter(|member| granted.iter().any(|one| self.same(member, one))).count();
+        if votes <= self.members().len() / 2 {
+            return;
+        }
+        if binding {
+            self.take_the_lead(now, out);
+        } else {
+            self.stand(now);
+        }
+    }
+
+    fn take_the_lead(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.canvass = None;
+        self.leader = Some(self.me.clone());
+        self.lead = Some(Lead::new(now));
+        self.follow_members(now);
+        self.write(What::Nothing);
+        self.pulse(now, out);
+        self.pump_all(now, out);
+    }
+}
--- a/harbour/logbook/src/lib.rs
+++ b/harbour/logbook/src/lib.rs
@@ -1,4 +1,19 @@
 //! The elected log of control changes: a state machine without I/O or clock, and its disk.
+//!
+//! [`Node`] is the state machine: it is handed what happened together with the host's steady clock, and says what is to
+//! be done. [`store`] keeps what must outlive the process. The host carries messages, calls the disk and tells when a
+//! [`Save`] is on it; whatever depends on that save is held back until then.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod election;
+mod log;
+mod members;
+mod node;
+mod replication;
+pub mod store;
+mod types;
+
+pub use node::{Faults, Node};
+pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
--- /dev/null
+++ b/harbour/logbook/src/node.rs
@@ -0,0 +1,372 @@
+//! The state machine: what is common to all roles, and how what depends on the disk is held back.
+
+use std::collections::VecDeque;
+
+use crate::election::Canvass;
+use crate::log::Log;
+use crate::replication::Lead;
+use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
+
+/// Faults that tests plant to see that they are found. All off in service.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Votes are not written to disk.
+    pub vote_unsaved: bool,
+    /// Entries of older terms count as committed once a majority has them.
+    pub old_terms_count: bool,
+    /// A voter that lost its disk is taken for the one that it was.
+    pub any_birth: bool,
+    /// Voters vote although they hear a leader, and right after a start.
+    pub fickle: bool,
+    /// Answers do not wait for the disk.
+    pub hasty: bool,
+}
+
+/// What waits for a save.
+#[derive(Debug)]
+struct Waiting {
+    ticket: u64,
+    /// Up to where the log is on disk with it.
+    upto: u64,
+    term: u64,
+    answers: Vec<Output>,
+    /// The term in which the own vote for itself is on disk with it.
+    own_vote: Option<u64>,
+}
+
+/// What one input has changed of what must be on disk.
+#[derive(Debug, Default)]
+pub(crate) struct Unsaved {
+    pub(crate) ballot: bool,
+    pub(crate) truncate: Option<u64>,
+    pub(crate) first_entry: Option<u64>,
+    pub(crate) snapshot: bool,
+    pub(crate) own_vote: Option<u64>,
+}
+
+/// One voter, or one that wants to become one.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) me: VoterId,
+    pub(crate) timing: Timing,
+    pub(crate) faults: Faults,
+    pub(crate) term: u64,
+    pub(crate) vote: Option<VoterId>,
+    pub(crate) log: Log,
+    pub(crate) commit: u64,
+    pub(crate) leader: Option<VoterId>,
+    /// Present while this node leads.
+    pub(crate) lead: Option<Lead>,
+    /// Present while it asks for votes.
+    pub(crate) canvass: Option<Canvass>,
+    pub(crate) rounds: u64,
+    pub(crate) election_due: Millis,
+    /// Until then no vote is given: a leader's lease may rest on what this node answered.
+    pub(crate) bound_until: Millis,
+    /// Up to where the log is surely that of this term's leader.
+    pub(crate) verified: u64,
+    /// Up to where the log is on disk.
+    pub(crate) durable: u64,
+    pub(crate) durable_term: u64,
+    tickets: u64,
+    waiting: VecDeque<Waiting>,
+    pub(crate) unsaved: Unsaved,
+    answers: Vec<Output>,
+    told: Role,
+    random: u64,
+}
+
+impl Node {
+    /// A node with what its disk has. The host has restored its own state from the snapshot.
+    pub fn start(saved: Saved, timing: Timing, seed: u64, now: Millis) -> Node {
+        let Saved { me, term, vote, snapshot, entries, founders } = saved;
+        let first_start = term == 0 && entries.is_empty() && snapshot.is_none() && !founders.is_empty();
+        let log = Log::new(founders, snapshot, entries);
+        let mut node = Node {
+            me,
+            timing,
+            faults: Faults::default(),
+            term,
+            vote,
+            commit: log.base(),
+            leader: None,
+            lead: None,
+            canvass: None,
+            rounds: 0,
+            election_due: 0,
+            // What it answered before it went down is forgotten, so it keeps still for as long as that could count.
+            bound_until: if first_start { now } else { now.saturating_add(timing.election) },
+            verified: 0,
+            durable: log.last(),
+            durable_term: term,
+            log,
+            tickets: 0,
+            waiting: VecDeque::new(),
+            unsaved: Unsaved::default(),
+            answers: Vec::new(),
+            told: Role::Follower { term, leader: None },
+            random: seed,
+        };
+        node.draw_election(now);
+        if first_start {
+            let half = timing.election / 2;
+            node.election_due = now + half / 4 + node.draw(half - half / 4);
+        }
+        node
+    }
+
+    #[doc(hidden)]
+    pub fn plant(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Takes one input and says what is to be done.
+    pub fn handle(&mut self, now: Millis, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Heard { from, message } => self.heard(now, from, message, out),
+            Input::Tick => {}
+            Input::Propose { token, change } => self.propose(now, token, change, out),
+            Input::AddVoter(voter) => self.add_voter(now, voter, out),
+            Input::RemoveVoter(voter) => self.remove_voter(now, &voter, out),
+            Input::Saved { ticket } => self.on_disk(now, ticket, out),
+            Input::Compact { index, state } => self.compact(index, state),
+        }
+        self.tick(now, out);
+        self.flush(out);
+        self.tell_role(out);
+    }
+
+    /// Whether this node leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Who leads, as far as known.
+    pub fn leader(&self) -> Option<&VoterId> {
+        self.leader.as_ref()
+    }
+
+    /// The newest term seen.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Up to where the log is committed, as far as known.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// The voters, as of the newest list in the log.
+    pub fn members(&self) -> &[VoterId] {
+        self.log.members()
+    }
+
+    /// Who this node is.
+    pub fn me(&self) -> &VoterId {
+        &self.me
+    }
+
+    /// Whether it is a voter itself.
+    pub fn is_voter(&self) -> bool {
+        self.is_member(&self.me)
+    }
+
+    /// When `Tick` is wanted next.
+    pub fn next_due(&self) -> Millis {
+        self.lead.as_ref().map_or(self.election_due, |lead| lead.pulse_due)
+    }
+
+    fn heard(&mut self, now: Millis, from: VoterId, message: Message, out: &mut Vec<Output>) {
+        if from == self.me {
+            return;
+        }
+        match message {
+            Message::Sound { round, term, last_index, last_term } => {
+                self.sounded_out(now, from, round, term, (last_term, last_index), out);
+            }
+            Message::Sounded { round, term, granted } => self.sounded(now, from, round, term, granted, out),
+            Message::Stand { term, last_index, last_term } => {
+                self.asked_to_vote(now, from, term, (last_term, last_index), out);
+            }
+            Message::Voted { term, granted } => self.voted(now, from, term, granted, out),
+            Message::Pulse { term, echo, commit } => self.pulse_came(now, from, term, echo, commit, out),
+            Message::Pulsed { term, echo, matched } => {
+                self.pulse_answered(now, from, term, echo, matched, out)
+            }
+            Message::Append { term, prev_index, prev_term, entries, commit } => {
+                if let Some(matched) =
+                    self.append_came(now, &from, term, (prev_index, prev_term), entries, commit, out)
+                {
+                    self.answer(from, matched);
+                }
+            }
+            Message::Replace { term, snapshot } => self.replace_came(now, from, term, snapshot, out),
+            Message::Matched { term, index } => self.matched(now, from, term, index, out),
+            Message::Missing { term, prev_index, hint } => {
+                self.missing(now, from, term, prev_index, hint, out)
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if self.lead.is_some() {
+            self.lead_on(now, out);
+        } else if now >= self.election_due {
+            self.look_for_leader(now, out);
+        }
+    }
+
+    fn on_disk(&mut self, now: Millis, ticket: u64, out: &mut Vec<Output>) {
+        while self.waiting.front().is_some_and(|waiting| waiting.ticket <= ticket) {
+            let Some(waiting) = self.waiting.pop_front() else { break };
+            self.durable = self.durable.max(waiting.upto);
+            self.durable_term = self.durable_term.max(waiting.term);
+            out.extend(waiting.answers);
+            if waiting.own_vote.is_some_and(|term| term == self.term) {
+                self.count_vote(now, self.me.clone(), out);
+            }
+        }
+        self.advance_commit(now, out);
+    }
+
+    fn compact(&mut self, index: u64, state: Vec<u8>) {
+        if index <= self.log.base() || index > self.commit {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else { return };
+        let (members, _) = self.log.members_as_of(index);
+        self.log.replace(crate::types::Snapshot { index, term, members, state });
+        self.unsaved.snapshot = true;
+    }
+
+    /// An answer that depends on what this node has promised: it leaves once all of that is on disk.
+    pub(crate) fn answer(&mut self, to: VoterId, message: Message) {
+        self.answers.push(Output::Send { to, message });
+    }
+
+    /// One save for all that an input has changed, and what waits for it.
+    fn flush(&mut self, out: &mut Vec<Output>) {
+        let answers = std::mem::take(&mut self.answers);
+        let unsaved = std::mem::take(&mut self.unsaved);
+        let any =
+            unsaved.ballot || unsaved.truncate.is_some() || unsaved.first_entry.is_some() || unsaved.snapshot;
+        if any {
+            self.tickets += 1;
+            let entries = unsaved
+                .first_entry
+                .map(|from| self.log.slice(from, usize::MAX, usize::MAX))
+                .unwrap_or_default();
+            let vote = if self.faults.vote_unsaved { None } else { self.vote.clone() };
+            out.push(Output::Save(Save {
+                ticket: self.tickets,
+                term: self.term,
+                vote,
+                truncate: unsaved.truncate,
+                entries,
+                snapshot: if unsaved.snapshot { self.log.snapshot().cloned() } else { None },
+            }));
+            self.waiting.push_back(Waiting {
+                ticket: self.tickets,
+                upto: self.log.last(),
+                term: self.term,
+                answers: Vec::new(),
+                own_vote: unsaved.own_vote,
+            });
+        }
+        match self.waiting.back_mut() {
+            // A stuck disk must not make an endless queue; who asks again is answered again.
+            Some(waiting) if !self.faults.hasty => {
+                waiting.answers.extend(answers);
+                let surplus = waiting.answers.len().saturating_sub(MOST_ANSWERS);
+                waiting.answers.drain(..surplus);
+            }
+            _ => out.extend(answers),
+        }
+    }
+
+    fn tell_role(&mut self, out: &mut Vec<Output>) {
+        let term = self.term;
+        let role = if self.lead.is_some() {
+            Role::Leader { term }
+        } else if self.canvass.as_ref().is_some_and(|canvass| canvass.binding) {
+            Role::Candidate { term }
+        } else {
+            Role::Follower { term, leader: self.leader.clone() }
+        };
+        if role != self.told {
+            self.told = role.clone();
+            out.push(Output::Role(role));
+        }
+    }
+
+    /// A newer term ends whatever this node was in the old one.
+    pub(crate) fn see_term(&mut self, now: Millis, term: u64, out: &mut Vec<Output>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.verified = 0;
+            self.unsaved.ballot = true;
+            self.stop(now, out);
+        }
+    }
+
+    /// Neither leads nor stands any longer, and knows of no leader.
+    pub(crate) fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
+        self.canvass = None;
+        self.leader = None;
+        if let Some(lead) = self.lead.take() {
+            out.extend(lead.tokens.into_iter().map(|accepted| Output::Unclear { token: accepted.token }));
+            self.draw_election(now);
+        }
+    }
+
+    pub(crate) fn write(&mut self, what: What) -> u64 {
+        let index = self.log.last() + 1;
+        self.unsaved.first_entry.get_or_insert(index);
+        self.log.push(Entry { index, term: self.term, what });
+        index
+    }
+
+    /// Entries from this index on go away, in memory and on disk.
+    pub(crate) fn cut(&mut self, from: u64) {
+        self.log.truncate(from);
+        let last = from.saturating_sub(1);
+        self.durable = self.durable.min(last);
+        // A save under way may still bring entries to disk that the one after it takes away.
+        self.waiting.iter_mut().for_each(|waiting| waiting.upto = waiting.upto.min(last));
+        self.unsaved.truncate = Some(self.unsaved.truncate.map_or(from, |before| before.min(from)));
+    }
+
+    pub(crate) fn commit_to(&mut self, index: u64, out: &mut Vec<Output>) {
+        while self.commit < index {
+            let Some(entry) = self.log.get(self.commit + 1) else { return };
+            self.commit += 1;
+            out.push(Output::Committed { entry: entry.clone() });
+        }
+    }
+
+    pub(crate) fn is_member(&self, voter: &VoterId) -> bool {
+        self.members().iter().any(|member| self.same(member, voter))
+    }
+
+    pub(crate) fn same(&self, one: &VoterId, other: &VoterId) -> bool {
+        one == other || (self.faults.any_birth && one.address == other.address)
+    }
+
+    pub(crate) fn draw_election(&mut self, now: Millis) {
+        let least = self.timing.election;
+        self.election_due = now.saturating_add(least).saturating_add(self.draw(least));
+    }
+
+    /// A number below `limit` (splitmix64): all it must do is to differ between nodes.
+    fn draw(&mut self, limit: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % limit.max(1)
+    }
+}
+
+const MOST_ANSWERS: usize = 256;
--- /dev/null
+++ b/harbour/logbook/src/replication.rs
@@ -0,0 +1,439 @@
+//! How the leader's log gets to the others, and how a leader knows that it still is one.
+
+use std::collections::VecDeque;
+
+use crate::node::Node;
+use crate::types::{Entry, Message, Millis, Output, Snapshot, VoterId, What};
+
+/// Bounds of one `Append`; one entry always fits.
+const MOST_ENTRIES: usize = 64;
+const MOST_BYTES: usize = 1 << 20;
+/// How many of them may be under way to one follower.
+const MOST_UNDER_WAY: usize = 4;
+/// How many accepted entries may wait for their commitment, and how large a change may be.
+const MOST_UNCOMMITTED: u64 = 1024;
+const MOST_UNCOMMITTED_BYTES: usize = 16 << 20;
+const LARGEST_CHANGE: usize = 4 << 20;
+/// How many of the newest pulses can still be answered.
+const MOST_ECHOES: usize = 256;
+/// Pulses after which entries, or a snapshot, count as lost on the way.
+const PATIENCE: u64 = 3;
+const PATIENCE_SNAPSHOT: u64 = 20;
+
+/// What a leader keeps.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    pub(crate) since: Millis,
+    pub(crate) pulse_due: Millis,
+    pub(crate) peers: Vec<Peer>,
+    /// Proposals that wait for their commitment.
+    pub(crate) tokens: VecDeque<Accepted>,
+    echo: u64,
+    /// When the newest pulses were sent.
+    echoes: VecDeque<(u64, Millis)>,
+}
+
+impl Lead {
+    pub(crate) fn new(now: Millis) -> Lead {
+        Lead {
+            since: now,
+            pulse_due: now,
+            peers: Vec::new(),
+            tokens: VecDeque::new(),
+            echo: 0,
+            echoes: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn peer(&mut self, id: &VoterId) -> Option<&mut Peer> {
+        self.peers.iter_mut().find(|peer| peer.id == *id)
+    }
+}
+
+/// A proposal in the leader's log.
+#[derive(Debug)]
+pub(crate) struct Accepted {
+    index: u64,
+    pub(crate) token: u64,
+    size: usize,
+}
+
+/// What a leader knows of another node.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) id: VoterId,
+    /// Up to where its disk has this log.
+    pub(crate) matched: u64,
+    next: u64,
+    /// Whether `next` is a guess: one message at a time then.
+    probing: bool,
+    under_way: VecDeque<UnderWay>,
+    /// When the newest pulse was sent that it has answered.
+    answered: Option<Millis>,
+    /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
+    pub(crate) until: Millis,
+    pub(crate) wanted: bool,
+}
+
+#[derive(Debug)]
+struct UnderWay {
+    prev: u64,
+    last: u64,
+    lost_at: Millis,
+}
+
+impl Peer {
+    pub(crate) fn new(id: VoterId, next: u64) -> Peer {
+        Peer {
+            id,
+            matched: 0,
+            next,
+            probing: true,
+            under_way: VecDeque::new(),
+            answered: None,
+            until: 0,
+            wanted: false,
+        }
+    }
+}
+
+/// What a majority has reached: of each voter's figure, the highest that more than half have.
+fn majority<T: Ord + Copy>(mut figures: Vec<T>) -> Option<T> {
+    figures.sort_unstable_by(|one, other| other.cmp(one));
+    figures.get(figures.len() / 2).copied()
+}
+
+impl Node {
+    /// Whether this leader is surely the only one now: a majority, itself counted, has answered a pulse that was sent
+    /// within `lease` before now, and an entry of its own term is committed.
+    pub fn holds_lease(&self, now: Millis) -> bool {
+        let own = self.log.term_at(self.commit) == Some(self.term);
+        let answered = self.answered_at(now);
+        self.lead.is_some() && own && answered.is_some_and(|at| at.saturating_add(self.timing.lease) > now)
+    }
+
+    /// When the newest pulse was sent that a majority has answered.
+    fn answered_at(&self, now: Millis) -> Option<Millis> {
+        let lead = self.lead.as_ref()?;
+        let figure = |member: &VoterId| {
+            if *member == self.me {
+                return Some(now);
+            }
+            lead.peers
+                .iter()
+                .filter(|peer| self.same(&peer.id, member))
+                .map(|peer| peer.answered)
+                .max()
+                .flatten()
+        };
+        majority(self.members().iter().map(figure).collect()).flatten()
+    }
+
+    /// As above, but a new leader has the benefit of the doubt.
+    pub(crate) fn quorum_at(&self, now: Millis) -> Millis {
+        let since = self.lead.as_ref().map_or(0, |lead| lead.since);
+        self.answered_at(now).unwrap_or(0).max(since)
+    }
+
+    pub(crate) fn lead_on(&mut self, now: Millis, out: &mut Vec<Output>) {
+        // Whoever reaches no majority gives way, so that its clients look elsewhere.
+        if self.quorum_at(now).saturating_add(self.timing.election * 2) < now {
+            self.stop(now, out);
+            return;
+        }
+        if self.lead.as_ref().is_some_and(|lead| now >= lead.pulse_due) {
+            self.forget_strangers(now);
+            self.pulse(now, out);
+        }
+    }
+
+    pub(crate) fn pulse(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let (term, commit) = (self.term, self.commit);
+        let Some(lead) = &mut self.lead else { return };
+        lead.pulse_due = now + self.timing.pulse.max(1);
+        lead.echo += 1;
+        lead.echoes.push_back((lead.echo, now));
+        if lead.echoes.len() > MOST_ECHOES {
+            lead.echoes.pop_front();
+        }
+        for peer in &lead.peers {
+            let message = Message::Pulse { term, echo: lead.echo, commit };
+            out.push(Output::Send { to: peer.id.clone(), message });
+        }
+    }
+
+    pub(crate) fn propose(&mut self, now: Millis, token: u64, change: Vec<u8>, out: &mut Vec<Output>) {
+        let size = change.len();
+        let bytes: usize = self.lead.iter().flat_map(|lead| &lead.tokens).map(|accepted| accepted.size).sum();
+        let full = self.log.last() - self.commit >= MOST_UNCOMMITTED
+            || size > LARGEST_CHANGE
+            || bytes + size > MOST_UNCOMMITTED_BYTES;
+        if self.lead.is_none() || full {
+            out.push(Output::Refused { token, leader: self.leader.clone() });
+            return;
+        }
+        let index = self.write(What::Change(change));
+        if let Some(lead) = &mut self.lead {
+            lead.tokens.push_back(Accepted { index, token, size });
+        }
+        out.push(Output::Accepted { token, index, term: self.term });
+        self.pump_all(now, out);
+    }
+
+    pub(crate) fn pump_all(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let ids: Vec<VoterId> =
+            self.lead.iter().flat_map(|lead| &lead.peers).map(|peer| peer.id.clone()).collect();
+        for id in ids {
+            self.pump(now, &id, out);
+        }
+    }
+
+    /// Sends a follower what it lacks, as far as its window allows.
+    pub(crate) fn pump(&mut self, now: Millis, id: &VoterId, out: &mut Vec<Output>) {
+        let (term, commit, last, pulse) = (self.term, self.commit, self.log.last(), self.timing.pulse.max(1));
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+        loop {
+            let most = if peer.probing { 1 } else { MOST_UNDER_WAY };
+            let lacks = peer.next <= last || (peer.probing && peer.matched < last);
+            if peer.under_way.len() >= most || !lacks {
+                return;
+            }
+            let prev = peer.next - 1;
+            let (message, upto, patience) = match (self.log.term_at(prev), self.log.snapshot()) {
+                (Some(prev_term), _) => {
+                    let entries = self.log.slice(peer.next, MOST_ENTRIES, MOST_BYTES);
+                    let upto = prev + entries.len() as u64;
+                    (Message::Append { term, prev_index: prev, prev_term, entries, commit }, upto, PATIENCE)
+                }
+                (None, Some(snapshot)) => {
+                    peer.probing = true;
+                    let message = Message::Replace { term, snapshot: snapshot.clone() };
+                    (message, snapshot.index, PATIENCE_SNAPSHOT)
+                }
+                (None, None) => return,
+            };
+            peer.under_way.push_back(UnderWay { prev, last: upto, lost_at: now + pulse * patience });
+            peer.next = upto + 1;
+            out.push(Output::Send { to: id.clone(), message });
+        }
+    }
+
+    pub(crate) fn pulse_answered(
+        &mut self, now: Millis, from: VoterId, term: u64, echo: u64, matched: u64, out: &mut Vec<Output>,
+    ) {
+        if !self.answer_counts(now, &from, term, out) {
+            return;
+        }
+        let faults = self.faults;
+        let Some(lead) = &mut self.lead else { return };
+        let sent = lead.echoes.iter().find(|(number, _)| *number == echo).map(|(_, sent)| *sent);
+        let found =
+            |peer: &&mut Peer| peer.id == from || (faults.any_birth && peer.id.address == from.address);
+        let Some(peer) = lead.peers.iter_mut().find(found) else { return };
+        peer.answered = peer.answered.max(sent);
+        let id = peer.id.clone();
+        // It lives, so what it has not answered by now was lost. Nothing is repeated to one that is silent.
+        if peer.under_way.front().is_some_and(|first| first.lost_at <= now) {
+            peer.under_way.clear();
+            peer.probing = true;
+            peer.next = peer.matched.max(matched) + 1;
+        }
+        self.has_up_to(now, &id, matched, out);
+    }
+
+    pub(crate) fn matched(
+        &mut self, now: Millis, from: VoterId, term: u64, index: u64, out: &mut Vec<Output>,
+    ) {
+        if self.answer_counts(now, &from, term, out) {
+            if let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(&from)) {
+                peer.probing = false;
+            }
+            self.has_up_to(now, &from, index, out);
+        }
+    }
+
+    fn has_up_to(&mut self, now: Millis, id: &VoterId, index: u64, out: &mut Vec<Output>) {
+        if index > self.log.last() {
+            return;
+        }
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+        peer.matched = peer.matched.max(index);
+        peer.next = peer.next.max(peer.matched + 1);
+        peer.under_way.retain(|one| one.last > peer.matched);
+        let wanted = peer.wanted;
+        self.pump(now, id, out);
+        self.advance_commit(now, out);
+        if wanted {
+            self.take_in(now, id, out);
+        }
+    }
+
+    pub(crate) fn missing(
+        &mut self, now: Millis, from: VoterId, term: u64, prev_index: u64, hint: u64, out: &mut Vec<Output>,
+    ) {
+        if !self.answer_counts(now, &from, term, out) {
+            return;
+        }
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(&from)) else { return };
+        // Of several messages under way that do not fit, only the first one's answer starts a new try.
+        if !peer.under_way.iter().any(|one| one.prev == prev_index) {
+            return;
+        }
+        peer.under_way.clear();
+        peer.probing = true;
+        peer.next = (hint + 1).min(prev_index).max(peer.matched + 1);
+        self.pump(now, &from, out);
+    }
+
+    /// Whether an answer is meant for this leader, in this term, by one that it knows.
+    fn answer_counts(&mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>) -> bool {
+        let known = self.is_member(from)
+            || self.lead.as_ref().is_some_and(|lead| lead.peers.iter().any(|peer| peer.id == *from));
+        if !known {
+            return false;
+        }
+        self.see_term(now, term, out);
+        term == self.term && self.lead.is_some()
+    }
+
+    pub(crate) fn advance_commit(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let Some(lead) = &self.lead else { return };
+        let figure = |member: &VoterId| {
+            if *member == self.me {
+                return self.durable;
+            }
+            let same = lead.peers.iter().filter(|peer| peer.id == *member);
+            same.map(|peer| peer.matched).max().unwrap_or(0)
+        };
+        let Some(index) = majority(self.members().iter().map(figure).collect()) else { return };
+        // An entry of an older term can be on a majority and still be overwritten: it counts with one of this term.
+        let own = self.log.term_at(index) == Some(self.term) || self.faults.old_terms_count;
+        if index <= self.commit || !own {
+            return;
+        }
+        self.commit_to(index, out);
+        if let Some(lead) = &mut self.lead {
+            // The others learn of it soon, and of several in one go.
+            lead.pulse_due = lead.pulse_due.min(now + self.timing.pulse / 8);
+            while lead.tokens.front().is_some_and(|accepted| accepted.index <= index) {
+                lead.tokens.pop_front();
+            }
+        }
+        // A leader that is off the list has done its work once that is committed.
+        if !self.is_voter() && self.log.members_index() <= self.commit {
+            self.stop(now, out);
+        }
+    }
+
+    /// Whether the sender leads in the term that counts here; if so, this node follows it.
+    fn follows(&mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>) -> bool {
+        if term < self.term {
+            return false;
+        }
+        self.see_term(now, term, out);
+        if self.lead.is_some() {
+            return false;
+        }
+        self.canvass = None;
+        self.leader = Some(from.clone());
+        self.bound_until = self.bound_until.max(now.saturating_add(self.timing.election));
+        self.draw_election(now);
+        true
+    }
+
+    pub(crate) fn pulse_came(
+        &mut self, now: Millis, from: VoterId, term: u64, echo: u64, commit: u64, out: &mut Vec<Output>,
+    ) {
+        if self.follows(now, &from, term, out) {
+            self.commit_to(commit.min(self.verified), out);
+        } else if term >= self.term {
+            return;
+        }
+        // This one does not wait for the disk: it promises only what this node keeps in mind, and after a start it
+        // keeps still for as long. So it names only what is on disk already.
+        let kept = self.durable_term == self.term;
+        let matched = if kept { self.verified.min(self.durable) } else { 0 };
+        out.push(Output::Send { to: from, message: Message::Pulsed { term: self.term, echo, matched } });
+    }
+
+    #[allow(clippy::too_many_arguments)] // The fields of one message.
+    pub(crate) fn append_came(
+        &mut self, now: Millis, from: &VoterId, term: u64, (prev_index, prev_term): (u64, u64),
+        entries: Vec<Entry>, commit: u64, out: &mut Vec<Output>,
+    ) -> Option<Message> {
+        if !self.follows(now, from, term, out) {
+            return (term < self.term).then_some(Message::Missing { term: self.term, prev_index, hint: 0 });
+        }
+        if !well_formed(prev_index, prev_term, &entries, term) {
+            return None;
+        }
+        // What is committed here is in every leader's log, so all up to the snapshot fits without a look.
+        let base = self.log.base();
+        let fits = prev_index < base || self.log.term_at(prev_index) == Some(prev_term);
+        if !fits {
+            let hint = self.hint(prev_index);
+            return Some(Message::Missing { term: self.term, prev_index, hint });
+        }
+        let upto = prev_index + entries.len() as u64;
+        for entry in entries.into_iter().filter(|entry| entry.index > base) {
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                // Never: a leader without a committed entry can't be elected. If it does come, it is not followed.
+                Some(_) if entry.index <= self.commit => return None,
+                Some(_) => self.cut(entry.index),
+                None => {}
+            }
+            self.unsaved.first_entry.get_or_insert(entry.index);
+            self.log.push(entry);
+        }
+        self.verified = self.verified.max(upto);
+        self.commit_to(commit.min(self.verified), out);
+        Some(Message::Matched { term: self.term, index: upto })
+    }
+
+    /// Up to where the logs may agree: not the entries of a term that the leader has not at that place.
+    fn hint(&self, prev_index: u64) -> u64 {
+        let mut hint = prev_index.saturating_sub(1).min(self.log.last());
+        if let Some(odd) = self.log.term_at(prev_index) {
+            while hint > self.commit && self.log.term_at(hint) == Some(odd) {
+                hint -= 1;
+            }
+        }
+        hint
+    }
+
+    pub(crate) fn replace_came(
+        &mut self, now: Millis, from: VoterId, term: u64, snapshot: Snapshot, out: &mut Vec<Output>,
+    ) {
+        if !self.follows(now, &from, term, out) {
+            if term < self.term {
+                let prev_index = snapshot.index;
+                self.answer(from, Message::Missing { term: self.term, prev_index, hint: 0 });
+            }
+            return;
+        }
+        let index = snapshot.index;
+        if index > self.commit {
+            if self.log.term_at(index) != Some(snapshot.term) {
+                self.cut(self.log.base() + 1);
+            }
+            self.log.replace(snapshot.clone());
+            self.unsaved.snapshot = true;
+            self.commit = index;
+            out.push(Output::Install { snapshot });
+        }
+        self.verified = self.verified.max(index);
+        self.answer(from, Message::Matched { term: self.term, index });
+    }
+}
+
+/// Whether these entries can stand in a log behind that one, written in this term or before.
+fn well_formed(prev_index: u64, prev_term: u64, entries: &[Entry], term: u64) -> bool {
+    let mut before = (prev_index, prev_term);
+    entries.iter().all(|entry| {
+        let follows =
+            before.0.checked_add(1) == Some(entry.index) && entry.term >= before.1 && entry.term <= term;
+        before = (entry.index, entry.term);
+        follows
+    })
+}
--- /dev/null
+++ b/harbour/logbook/src/store.rs
@@ -0,0 +1,301 @@
+//! The disk of a node: one `redb` file. A save is one transaction, durable when it returns.
+
+use std::path::{Path, PathBuf};
+
+use bitcode::{DecodeOwned, Encode};
+use miette::Diagnostic;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+
+use crate::types::{Entry, Save, Saved, Snapshot, VoterId};
+
+/// Rises with each change of what is written here.
+const SCHEMA: u64 = 1;
+/// A small cache: what is needed often is in the node's memory.
+const CACHE: usize = 1 << 20;
+/// Snapshots are cut into pieces, so that the file can reuse the room of an old one piece by piece.
+const PIECE: usize = 48 << 10;
+/// A file that is longer than this is made smaller when it is opened.
+const LONG: u64 = 24 << 20;
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+const SNAPSHOT: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshot");
+
+/// The disk of a node.
+#[derive(Debug)]
+pub struct Store {
+    db: Database,
+    path: PathBuf,
+}
+
+/// Why the disk did not do what was asked.
+#[derive(Debug, Diagnostic)]
+pub enum StoreError {
+    /// The file, or the disk under it, failed.
+    #[diagnostic(code(logbook::store::failed), help("look at the disk: its room, its rights, its errors"))]
+    Failed {
+        /// What was being done.
+        step: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// What the disk said.
+        cause: Box<redb::Error>,
+    },
+    /// What is in the file is not what was written.
+    #[diagnostic(code(logbook::store::damaged), help("set the file aside and join as a new voter"))]
+    Damaged {
+        /// What is damaged.
+        what: String,
+        /// The file.
+        path: PathBuf,
+    },
+    /// The file was written by another version of this program.
+    #[diagnostic(
+        code(logbook::store::schema),
+        help("start the version that wrote it, or set the file aside")
+    )]
+    Schema {
+        /// The version of its contents.
+        found: u64,
+        /// The file.
+        path: PathBuf,
+    },
+    /// A file that already belongs to a node was to be created again.
+    #[diagnostic(code(logbook::store::taken))]
+    Taken {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The file could not be moved out of the way.
+    #[diagnostic(code(logbook::store::set_aside))]
+    SetAside {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        cause: std::io::Error,
+    },
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StoreError::Failed { step, path, cause } => write!(f, "{step} of {}: {cause}", path.display()),
+            StoreError::Damaged { what, path } => write!(f, "{} is damaged: {what}", path.display()),
+            StoreError::Schema { found, path } => {
+                write!(f, "{} has contents of version {found}, not {SCHEMA}", path.display())
+            }
+            StoreError::Taken { path } => write!(f, "{} already belongs to a node", path.display()),
+            StoreError::SetAside { path, cause } => {
+                write!(f, "{} stays where it is: {cause}", path.display())
+            }
+        }
+    }
+}
+
+impl std::error::Error for StoreError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            StoreError::Failed { cause, .. } => Some(cause.as_ref()),
+            StoreError::SetAside { cause, .. } => Some(cause),
+            _ => None,
+        }
+    }
+}
+
+impl StoreError {
+    /// Whether the host can treat the disk as lost: set the file aside and join as a new voter.
+    pub fn is_lost(&self) -> bool {
+        matches!(self, StoreError::Damaged { .. })
+    }
+}
+
+impl Store {
+    /// Opens the file, or makes an empty one, and checks all that is in it. An empty one has nothing saved yet: see
+    /// [`Store::create`].
+    pub fn open(path: impl AsRef<Path>) -> Result<(Store, Option<Saved>), StoreError> {
+        let path = path.as_ref().to_path_buf();
+        let db = Database::builder().set_cache_size(CACHE).create(&path).map_err(fail(&path, "opening"))?;
+        let mut store = Store { db, path };
+        let saved = store.read()?;
+        let long = std::fs::metadata(&store.path).is_ok_and(|data| data.len() > LONG);
+        if long {
+            // Room that is free inside the file goes back to the disk, which is small.
+            store.db.compact().map_err(fail(&store.path, "making smaller"))?;
+        }
+        Ok((store, saved))
+    }
+
+    /// Writes who this node is. `founders` are the voters at birth, none for a node that joins.
+    pub fn create(&self, me: VoterId, founders: Vec<VoterId>) -> Result<Saved, StoreError> {
+        if self.read()?.is_some() {
+            return Err(StoreError::Taken { path: self.path.clone() });
+        }
+        let ballot: (u64, Option<VoterId>) = (0, None);
+        self.write("creating", |tables| {
+            tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
+            tables.meta.insert("me", sealed(&me).as_slice())?;
+            tables.meta.insert("founders", sealed(&founders).as_slice())?;
+            tables.meta.insert("ballot", sealed(&ballot).as_slice())?;
+            Ok(())
+        })?;
+        Ok(Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders })
+    }
+
+    /// Writes a save: it is on disk when this returns.
+    pub fn save(&self, save: &Save) -> Result<(), StoreError> {
+        self.write("saving", |tables| {
+            tables.meta.insert("ballot", sealed(&(save.term, save.vote.clone())).as_slice())?;
+            if let Some(from) = save.truncate {
+                tables.entries.retain_in(from.., |_, _| false)?;
+            }
+            for entry in &save.entries {
+                tables.entries.insert(entry.index, sealed(entry).as_slice())?;
+            }
+            if let Some(snapshot) = &save.snapshot {
+                let bytes = sealed(snapshot);
+                tables.snapshot.retain(|_, _| false)?;
+                for (number, piece) in bytes.chunks(PIECE).enumerate() {
+                    tables.snapshot.insert(number as u64, piece)?;
+                }
+                // As many bytes must come back: a lost piece would otherwise only show in the sum.
+                tables.meta.insert("snapshot", (bytes.len() as u64).to_be_bytes().as_slice())?;
+                tables.entries.retain_in(..=snapshot.index, |_, _| false)?;
+            }
+            Ok(())
+        })
+    }
+
+    /// Moves the file out of the way, as `<name>.damaged`, over a former one: the disk has no room for many.
+    pub fn set_aside(path: impl AsRef<Path>) -> Result<PathBuf, StoreError> {
+        let path = path.as_ref();
+        let mut name = path.as_os_str().to_owned();
+        name.push(".damaged");
+        let aside = PathBuf::from(name);
+        std::fs::rename(path, &aside)
+            .map_err(|cause| StoreError::SetAside { path: path.to_path_buf(), cause })?;
+        Ok(aside)
+    }
+
+    fn write(
+        &self, step: &'static str, work: impl FnOnce(&mut Tables<'_>) -> Result<(), redb::StorageError>,
+    ) -> Result<(), StoreError> {
+        let mut transaction = self.db.begin_write().map_err(fail(&self.path, step))?;
+        transaction.set_durability(Durability::Immediate).map_err(fail(&self.path, step))?;
+        {
+            let mut tables = Tables {
+                meta: transaction.open_table(META).map_err(fail(&self.path, step))?,
+                entries: transaction.open_table(ENTRIES).map_err(fail(&self.path, step))?,
+                snapshot: transaction.open_table(SNAPSHOT).map_err(fail(&self.path, step))?,
+            };
+            work(&mut tables).map_err(fail(&self.path, step))?;
+        }
+        transaction.commit().map_err(fail(&self.path, step))
+    }
+
+    fn read(&self) -> Result<Option<Saved>, StoreError> {
+        let transaction = self.db.begin_read().map_err(fail(&self.path, "reading"))?;
+        let meta = match transaction.open_table(META) {
+            Err(TableError::TableDoesNotExist(_)) => return Ok(None),
+            opened => opened.map_err(fail(&self.path, "reading"))?,
+        };
+        let bytes = |key: &str| -> Result<Option<Vec<u8>>, StoreError> {
+            let value = meta.get(key).map_err(fail(&self.path, "reading"))?;
+            Ok(value.map(|value| value.value().to_vec()))
+        };
+        let needed = |key: &str| bytes(key)?.ok_or_else(|| self.damaged(format!("it has no {key}")));
+        let schema = self.number("schema", &needed("schema")?)?;
+        if schema != SCHEMA {
+            return Err(StoreError::Schema { found: schema, path: self.path.clone() });
+        }
+        let me: VoterId = self.unseal("me", &needed("me")?)?;
+        let founders: Vec<VoterId> = self.unseal("founders", &needed("founders")?)?;
+        let (term, vote): (u64, Option<VoterId>) = self.unseal("ballot", &needed("ballot")?)?;
+
+        let mut snapshot: Option<Snapshot> = None;
+        if let Some(length) = bytes("snapshot")? {
+            let length = self.number("snapshot", &length)?;
+            let pieces = transaction.open_table(SNAPSHOT).map_err(fail(&self.path, "reading"))?;
+            let mut whole = Vec::new();
+            for piece in pieces.iter().map_err(fail(&self.path, "reading"))? {
+                let (_, piece) = piece.map_err(fail(&self.path, "reading"))?;
+                whole.extend_from_slice(piece.value());
+            }
+            if whole.len() as u64 != length {
+                return Err(self.damaged(format!("the snapshot has {} of {length} bytes", whole.len())));
+            }
+            snapshot = Some(self.unseal("snapshot", &whole)?);
+        }
+
+        let (base, mut before) = snapshot.as_ref().map_or((0, 0), |kept| (kept.index, kept.term));
+        let mut entries: Vec<Entry> = Vec::new();
+        let table = transaction.open_table(ENTRIES).map_err(fail(&self.path, "reading"))?;
+        for row in table.iter().map_err(fail(&self.path, "reading"))? {
+            let (key, value) = row.map_err(fail(&self.path, "reading"))?;
+            let due = base + 1 + entries.len() as u64;
+            if key.value() != due {
+                return Err(self.damaged(format!("entry {} stands where entry {due} should", key.value())));
+            }
+            let entry: Entry = self.unseal(&format!("entry {due}"), value.value())?;
+            if entry.index != due || entry.term < before || entry.term > term {
+                return Err(
+                    self.damaged(format!("entry {due} has index {} and term {}", entry.index, entry.term))
+                );
+            }
+            before = entry.term;
+            entries.push(entry);
+        }
+        Ok(Some(Saved { me, term, vote, snapshot, entries, founders }))
+    }
+
+    fn damaged(&self, what: String) -> StoreError {
+        StoreError::Damaged { what, path: self.path.clone() }
+    }
+
+    fn number(&self, what: &str, bytes: &[u8]) -> Result<u64, StoreError> {
+        let bytes = bytes.try_into().map_err(|_| self.damaged(format!("{what} is no number")))?;
+        Ok(u64::from_be_bytes(bytes))
+    }
+
+    fn unseal<T: DecodeOwned>(&self, what: &str, bytes: &[u8]) -> Result<T, StoreError> {
+        let Some((sum, body)) = bytes.split_first_chunk::<8>() else {
+            return Err(self.damaged(format!("{what} is too short")));
+        };
+        if u64::from_be_bytes(*sum) != checksum(body) {
+            return Err(self.damaged(format!("{what} does not have its checksum")));
+        }
+        bitcode::decode(body).map_err(|cause| self.damaged(format!("{what} can't be read: {cause}")))
+    }
+}
+
+struct Tables<'t> {
+    meta: redb::Table<'t, &'static str, &'static [u8]>,
+    entries: redb::Table<'t, u64, &'static [u8]>,
+    snapshot: redb::Table<'t, u64, &'static [u8]>,
+}
+
+fn sealed<T: Encode>(value: &T) -> Vec<u8> {
+    let body = bitcode::encode(value);
+    let mut bytes = Vec::with_capacity(body.len() + 8);
+    bytes.extend_from_slice(&checksum(&body).to_be_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
+/// FNV-1a over 64 bits: `redb` looks at its own sums only after it was not closed properly.
+fn checksum(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// A failure of the file, told as damage where that is what `redb` says.
+fn fail<E: Into<redb::Error>>(path: &Path, step: &'static str) -> impl FnOnce(E) -> StoreError {
+    let path = path.to_path_buf();
+    move |cause| match cause.into() {
+        redb::Error::Corrupted(what) => StoreError::Damaged { what, path },
+        redb::Error::Io(cause) if cause.kind() == std::io::ErrorKind::InvalidData => {
+            StoreError::Damaged { what: cause.to_string(), path }
+        }
+        cause => StoreError::Failed { step, path, cause: Box::new(cause) },
+    }
+}
