Manifest: settings declared once by a macro, configurations read whole with every fault

Need: a process has to read what it is told, and the control plane has to know which configurations are invalid, with words from which an operator finds the place.

Weighed: serde's derive would stop at the first fault and keep the last of two entries of one name, so the JSON is read into a tree that keeps all entries and then walked with a cursor that knows its way. The digest is taken over that tree and not over the bytes: the same JSON in another order or spacing is the same configuration. For routes, a look-up for each distinct length of a host's prefixes rather than for each slash of the path, since clients choose the slashes.

Change: settings (one macro for Settings, Bounds and Tuning: struct, reader, list for a help command; faults all at once), config (typed, checked, indexed by host and key, at most 20 lines of faults), differ (lines for operators, keys never shown).

--- /dev/null
+++ b/harbour/manifest/src/kind.rs
@@ -0,0 +1,188 @@
+//! The types that a setting can have.
+//!
+//! Those that stand for a type are never built: they name, in a declaration, how a value is read.
+
+use std::collections::BTreeMap;
+use std::marker::PhantomData;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toml::Value;
+
+/// A type of setting: how a value of the file becomes a value of the program.
+pub trait Kind {
+    type Out;
+    const NAME: &'static str;
+
+    fn read(value: &Value) -> Option<Self::Out>;
+
+    /// What holds where nothing is said and `empty` is declared.
+    fn empty() -> Option<Self::Out> {
+        None
+    }
+}
+
+pub struct Text;
+impl Kind for Text {
+    type Out = Arc<str>;
+    const NAME: &'static str = "a text";
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        value.as_str().map(Arc::from)
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(Arc::from(""))
+    }
+}
+
+pub struct Flag;
+impl Kind for Flag {
+    type Out = bool;
+    const NAME: &'static str = "true or false";
+
+    fn read(value: &Value) -> Option<bool> {
+        value.as_bool()
+    }
+}
+
+/// A finite number.
+pub struct Figure;
+impl Kind for Figure {
+    type Out = f64;
+    const NAME: &'static str = "a number";
+
+    fn read(value: &Value) -> Option<f64> {
+        let figure = value.as_float().or_else(|| value.as_integer().map(|whole| whole as f64))?;
+        figure.is_finite().then_some(figure)
+    }
+}
+
+/// A whole number from 0 that fits into the type.
+pub struct Whole<T>(PhantomData<T>);
+impl<T: TryFrom<u64>> Kind for Whole<T> {
+    type Out = T;
+    const NAME: &'static str = "a whole number from 0";
+
+    fn read(value: &Value) -> Option<T> {
+        // Whoever writes the file from figures of another language may write `4100.0`.
+        let whole = match value.as_float() {
+            Some(figure) if figure.fract() == 0.0 && (0.0..1e15).contains(&figure) => figure as u64,
+            _ => u64::try_from(value.as_integer()?).ok()?,
+        };
+        T::try_from(whole).ok()
+    }
+}
+
+pub struct Millis;
+impl Kind for Millis {
+    type Out = Duration;
+    const NAME: &'static str = "milliseconds";
+
+    fn read(value: &Value) -> Option<Duration> {
+        Duration::try_from_secs_f64(Figure::read(value)? / 1000.0).ok()
+    }
+}
+
+pub struct Seconds;
+impl Kind for Seconds {
+    type Out = Duration;
+    const NAME: &'static str = "seconds";
+
+    fn read(value: &Value) -> Option<Duration> {
+        Duration::try_from_secs_f64(Figure::read(value)?).ok()
+    }
+}
+
+/// A text that the type itself knows how to read.
+pub struct Parsed<T>(PhantomData<T>);
+
+macro_rules! parsed {
+    ($($type:ty: $name:literal),+) => {$(
+        impl Kind for Parsed<$type> {
+            type Out = $type;
+            const NAME: &'static str = $name;
+
+            fn read(value: &Value) -> Option<$type> {
+                value.as_str()?.parse().ok()
+            }
+        }
+    )+};
+}
+
+parsed!(SocketAddr: "an address with a port", IpAddr: "an IP address", PathBuf: "a path");
+
+/// The first and the last port of a range.
+pub struct Ports;
+impl Kind for Ports {
+    type Out = (u16, u16);
+    const NAME: &'static str = "a pair of ports";
+
+    fn read(value: &Value) -> Option<(u16, u16)> {
+        let [first, last] = value.as_array()?.as_slice() else { return None };
+        Some((Whole::read(first)?, Whole::read(last)?))
+    }
+}
+
+/// Something that may be left out; an empty text leaves it out as well.
+pub struct Maybe<K>(PhantomData<K>);
+impl<K: Kind> Kind for Maybe<K> {
+    type Out = Option<K::Out>;
+    const NAME: &'static str = K::NAME;
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        if value.as_str().is_some_and(str::is_empty) { Some(None) } else { K::read(value).map(Some) }
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(None)
+    }
+}
+
+pub struct Texts;
+impl Kind for Texts {
+    type Out = Vec<Arc<str>>;
+    const NAME: &'static str = "a list of texts";
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        value.as_array()?.iter().map(Text::read).collect()
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(Vec::new())
+    }
+}
+
+pub struct Addresses;
+impl Kind for Addresses {
+    type Out = Vec<SocketAddr>;
+    const NAME: &'static str = "a list of addresses with ports";
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        value.as_array()?.iter().map(Parsed::<SocketAddr>::read).collect()
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(Vec::new())
+    }
+}
+
+pub struct Names;
+impl Kind for Names {
+    type Out = BTreeMap<Arc<str>, Arc<str>>;
+    const NAME: &'static str = "a table of texts";
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        value
+            .as_table()?
+            .iter()
+            .map(|(name, value)| Some((name.as_str().into(), Text::read(value)?)))
+            .collect()
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(BTreeMap::new())
+    }
+}
--- /dev/null
+++ b/harbour/manifest/tests/config.rs
@@ -0,0 +1,195 @@
+//! The operator's configuration: what is refused and where, which route is chosen, and what a change looks like.
+
+use std::time::Duration;
+
+use manifest::{Config, ConfigFault, Version, diff};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const BODY: &str = include_str!("data/config.json");
+
+fn body() -> Value {
+    serde_json::from_str(BODY).unwrap()
+}
+
+/// The example with one value set, or taken out where there is none.
+fn with(pointer: &str, value: Option<Value>) -> Vec<u8> {
+    let mut body = body();
+    let (table, name) = pointer.rsplit_once('/').unwrap();
+    let table = body.pointer_mut(table).unwrap().as_object_mut().unwrap();
+    match value {
+        Some(value) => table.insert(name.to_owned(), value),
+        None => table.remove(name),
+    };
+    body.to_string().into_bytes()
+}
+
+fn parse(value: &Value) -> Config {
+    Config::parse(value.to_string().as_bytes()).unwrap()
+}
+
+#[test]
+fn the_whole_body_is_read() {
+    let config = Config::parse(BODY.as_bytes()).unwrap();
+    assert_eq!((config.version, config.version.to_string()), (Version(7), "r7".to_owned()));
+    let route = config.route("ficu95.example", "/lohu930/2f").unwrap();
+    assert!(&*route.label == "r-y35ieis" && route.pure && !route.public);
+    assert_eq!((route.deadline, route.goal), (Duration::from_millis(2500), Duration::from_millis(400)));
+    assert_eq!((route.rank, route.max_tries), (2, 2));
+    assert_eq!(route.targets, [("huvo11a".into(), 90), ("wuno96b".into(), 10)]);
+    assert_eq!((config.services["wuno96b"].max_conns, config.limits.max_header_bytes), (140, 16384));
+    let tenant = config.tenant("s989anu6wsjnbanfqasn").unwrap();
+    assert!(&*tenant.label == "huka270" && tenant.rank == Some(1) && tenant.rate_per_s == 146.0);
+    assert!(config.asks_for_keys() && config.tenant("other").is_none());
+}
+
+#[parameterized(
+    no_generation = { "/generation", None, "generation: is missing" },
+    no_routes = { "/route_table", None, "route_table: is missing" },
+    no_limits = { "/limits", None, "limits: is missing" },
+    no_limit = { "/limits/header_wait_ms", None, "limits.header_wait_ms: is missing" },
+    version = { "/generation", Some(json!("r-7")), "generation: a version is written" },
+    version_kind = { "/generation", Some(json!(7)), "generation: wants a text and has a number" },
+    list = { "/route_table", Some(json!([])), "route_table: wants a table and has a list" },
+    route = { "/route_table/r-puxsr7i", Some(json!("x")), "route_table.r-puxsr7i: wants a table and has a text" },
+    target = { "/route_table/r-puxsr7i/target", Some(json!("x")), "route_table.r-puxsr7i.target: names a service" },
+    no_target = { "/route_table/r-puxsr7i/target", None, "route_table.r-puxsr7i.target: is missing" },
+    both = { "/route_table/r-y35ieis/target", Some(json!("huvo11a")), "route_table.r-y35ieis: has both" },
+    weighted = { "/route_table/r-y35ieis/weighted", Some(json!([{"target": "x", "share": 1}])),
+        "route_table.r-y35ieis.weighted[0].target: names a service" },
+    no_shares = { "/route_table/r-y35ieis/weighted", Some(json!([{"target": "huvo11a", "share": 0}])),
+        "route_table.r-y35ieis.weighted: has shares that add up to 0" },
+    no_weights = { "/route_table/r-y35ieis/weighted", Some(json!([])), "route_table.r-y35ieis.weighted: has shares" },
+    share = { "/route_table/r-y35ieis/weighted", Some(json!([{"target": "huvo11a", "share": -1}])),
+        "route_table.r-y35ieis.weighted[0].share: wants a whole number from 0 and has -1" },
+    deadline = { "/route_table/r-y35ieis/deadline_ms", Some(json!(0)), "route_table.r-y35ieis.deadline_ms: is 0" },
+    long = { "/route_table/r-y35ieis/deadline_ms", Some(json!(600_001)),
+        "route_table.r-y35ieis.deadline_ms: is over ten minutes" },
+    goal = { "/route_table/r-y35ieis/goal_ms", Some(json!(62_500)), "route_table.r-y35ieis.goal_ms: lies a minute" },
+    authority = { "/route_table/r-y35ieis/authority", Some(json!("")), "route_table.r-y35ieis.authority: is empty" },
+    prefix = { "/route_table/r-y35ieis/path_prefix", Some(json!("/a")), "route_table.r-y35ieis.path_prefix: does not" },
+    same = { "/route_table/r-y35ieis/path_prefix", Some(json!("/pufi791/")), "route_table.r-y35ieis: has the host" },
+    variant = { "/route_table/r-y35ieis/variant", Some(json!("odd")), "route_table.r-y35ieis.variant: is neither" },
+    public = { "/route_table/r-y35ieis/public", Some(json!("no")), "route_table.r-y35ieis.public: wants true or" },
+    conns = { "/service_table/huvo11a/max_conns", Some(json!(1.5)), "service_table.huvo11a.max_conns: wants a whole" },
+    large = { "/service_table/huvo11a/max_conns", Some(json!(5e9)), "service_table.huvo11a.max_conns: is too large" },
+    rate = { "/tenant_table/huka270/rate_per_s", Some(json!(-0.5)), "tenant_table.huka270.rate_per_s: wants a number" },
+    shared = { "/tenant_table/other", Some(json!({"api_keys": ["y", "2b9wu3fexd9dnn2ctnfz"]})),
+        "tenant_table.other.api_keys[1]: is a key of tenant `huka270` as well" },
+    no_keys = { "/tenant_table/other", Some(json!({})), "tenant_table.other.api_keys: is missing" },
+)]
+fn invalid(pointer: &str, value: Option<Value>, says: &str) {
+    let fault = Config::parse(&with(pointer, value)).unwrap_err();
+    assert!(fault.to_string().starts_with(says), "{fault}");
+    assert_eq!(fault.to_string().lines().count(), 1, "{fault}");
+}
+
+#[parameterized(
+    edge_of_deadline = { "/route_table/r-y35ieis/deadline_ms", Some(json!(600_000)) },
+    edge_of_goal = { "/route_table/r-y35ieis/goal_ms", Some(json!(62_499)) },
+    own_key_twice = { "/tenant_table/huka270/api_keys", Some(json!(["a", "a"])) },
+    no_quota = { "/tenant_table/other", Some(json!({"api_keys": [], "rank": null})) },
+    no_rank = { "/route_table/r-y35ieis/rank", None },
+    not_public = { "/route_table/r-y35ieis/public", None },
+    no_tenants = { "/tenant_table", None },
+    no_routes = { "/route_table", Some(json!({})) },
+    float = { "/limits/max_body_bytes", Some(json!(1e6)) },
+    unknown = { "/limits/later", Some(json!([{}])) },
+)]
+fn valid(pointer: &str, value: Option<Value>) {
+    Config::parse(&with(pointer, value)).unwrap();
+}
+
+#[parameterized(
+    cut = { &BODY[..BODY.len() - 4], "(document): cannot be read whole" },
+    trailing = { &format!("{BODY} x"), "(document): cannot be read whole" },
+    nothing = { "", "(document): cannot be read whole" },
+    too_deep = { &"[".repeat(100_000), "(document): cannot be read whole" },
+    infinite = { &BODY.replace("\"rate_per_s\": 146", "\"rate_per_s\": 1e999"), "(document): cannot be read whole" },
+    no_services = { &BODY.replace("service_table", "later"), "service_table: is missing" },
+    no_table = { "[]", "(document): wants a table and has a list" },
+    twice = { &BODY.replace("wuno96b\": {", "huvo11a\": {"), "service_table.huvo11a: stands twice in its table" },
+    field_twice = { &BODY.replacen("\"rank\"", "\"rank\": 0, \"rank\"", 1), "route_table.r-y35ieis.rank: stands twice" },
+)]
+fn unreadable(body: &str, says: &str) {
+    let fault = Config::parse(body.as_bytes()).unwrap_err();
+    assert!(fault.to_string().starts_with(says), "{fault}");
+}
+
+#[test]
+fn many_faults_are_bounded() {
+    let routes: serde_json::Map<_, _> = (0..90).map(|n| (format!("r{n}"), json!([]))).collect();
+    let Err(ConfigFault::Invalid { lines, more }) = Config::parse(&with("/route_table", Some(routes.into())))
+    else {
+        panic!("taken");
+    };
+    assert_eq!((lines.len(), more), (20, 70));
+}
+
+#[parameterized(
+    longest = { "a.example", "/x/y/z", Some("/x/y/") },
+    shorter = { "a.example", "/x/yy", Some("/x/") },
+    root = { "a.example", "/x", Some("/") },
+    exact = { "a.example", "/x/y/", Some("/x/y/") },
+    case_and_port = { "A.Example:8405", "/x/y/z", Some("/x/y/") },
+    case_of_path = { "a.example", "/X/y/z", Some("/") },
+    query = { "a.example", "/x?/x/y/", Some("/") },
+    other_letters = { "a.example", "/\u{e9}\u{e9}\u{e9}", Some("/") },
+    other_host = { "b.example", "/x/", None },
+    bracketed = { "[::1]:80", "/v/6", Some("/v/") },
+    no_host = { "", "/", None },
+    no_path = { "a.example", "", None },
+)]
+fn routes(host: &str, path: &str, prefix: Option<&str>) {
+    let route = |host: &str, prefix: &str| {
+        json!({"authority": host, "path_prefix": prefix, "variant": "pure", "deadline_ms": 1, "goal_ms": 1,
+            "target": "huvo11a", "max_tries": 1})
+    };
+    let table = json!({"1": route("A.example", "/"), "2": route("a.example", "/x/"), "3": route("a.example", "/x/y/"),
+        "4": route("[::1]", "/v/")});
+    let config = Config::parse(&with("/route_table", Some(table))).unwrap();
+    assert_eq!(config.route(host, path).map(|route| &*route.path_prefix), prefix);
+}
+
+#[test]
+fn a_repetition_is_known_by_what_it_says() {
+    let digest = |body: &[u8]| Config::parse(body).unwrap().digest();
+    let first = digest(BODY.as_bytes());
+    assert_eq!(first, digest(body().to_string().as_bytes()));
+    assert_eq!(first, digest(BODY.replace("146", "146.0").replace("huka270", "h\\u0075ka270").as_bytes()));
+    assert_ne!(first, digest(&with("/later", Some(json!(1)))));
+    assert_ne!(first, digest(&with("/tenant_table/huka270/burst_size", Some(json!(147)))));
+}
+
+#[parameterized(
+    written = { "r12", Some(12) },
+    base_of_the_first = { "0", Some(0) },
+    sign = { "r+1", None },
+    nothing = { "r", None },
+    too_large = { "r99999999999999999999", None },
+)]
+fn versions(text: &str, version: Option<u64>) {
+    assert_eq!(text.parse::<Version>().ok(), version.map(Version));
+}
+
+#[test]
+fn a_change_is_told_in_lines() {
+    let before = parse(&body());
+    let mut changed = body();
+    changed["generation"] = json!("r9");
+    changed["route_table"]["r-new"] = changed["route_table"]["r-puxsr7i"].take();
+    changed["route_table"].as_object_mut().unwrap().remove("r-puxsr7i");
+    changed["route_table"]["r-y35ieis"]["goal_ms"] = json!(500);
+    changed["service_table"]["huvo11a"]["max_conns"] = json!(9);
+    changed["tenant_table"]["huka270"]["api_keys"][0] = json!("n");
+    let expected = [
+        "version: r7 -> r9",
+        "route r-puxsr7i removed",
+        "route r-new added",
+        "route r-y35ieis changed: goal 400ms -> 500ms",
+        "service huvo11a changed: max_conns 140 -> 9",
+        "tenant huka270 changed: api_keys 1 added, 1 removed",
+    ];
+    assert_eq!(diff(&before, &parse(&changed)), expected);
+    assert_eq!(diff(&before, &before), [""; 0]);
+}
--- /dev/null
+++ b/harbour/manifest/tests/settings.rs
@@ -0,0 +1,108 @@
+//! The settings file: what is read from it and what is said of its faults.
+
+use std::time::Duration;
+
+use manifest::settings::declared;
+use manifest::{Settings, SettingsFault};
+use yare::parameterized;
+
+const FILE: &str = include_str!("data/settings.toml");
+
+#[test]
+fn the_whole_file_is_read() {
+    let settings = Settings::parse(FILE).unwrap();
+    assert_eq!(&*settings.node_name, "edge-kelaniya-hall-1");
+    assert!(settings.serves("edge") && settings.serves("control") && !settings.serves("cellar"));
+    assert_eq!(settings.port_range, (7660, 7675));
+    assert_eq!(settings.seed_list.len(), 3);
+    assert!(settings.bootstrap && settings.in_quorum);
+    assert_eq!(settings.data_path.unwrap().to_str(), Some("/data/my-edge"));
+    assert_eq!(settings.beat_interval, Duration::from_millis(1300));
+    assert_eq!(&*settings.zones["wattala-hall"], "western-prov");
+    assert_eq!(settings.control.unwrap().port(), 8407);
+    assert_eq!((settings.cpu_share, settings.memory_mb, settings.machine_losses), (0.35, 260, 1));
+    assert_eq!(settings.bounds.drain, Duration::from_secs(2));
+    assert_eq!((settings.bounds.retry_ratio, settings.bounds.retry_slack), (0.2, 66.0));
+    assert_eq!((settings.tuning.lease, &*settings.tuning.log_level), (Duration::from_millis(450), "info"));
+}
+
+/// The least that a file may say.
+const LEAST: &str = "
+node_name = 'n'
+serves = []
+ip = '::1'
+zone = 'z'
+port_range = [7, 7]
+seed_list = []
+";
+
+#[test]
+fn what_is_not_required_may_be_left_out() {
+    let rest = "data_path = ''\nlater = { field = 1 }\nbound_table = 'drain_ms=1500.5, seed_lag_s=1,later=x'";
+    let settings = Settings::parse(&format!("{LEAST}{rest}")).unwrap();
+    assert_eq!((settings.data_path, settings.front), (None, None));
+    assert_eq!(settings.bounds.drain, Duration::from_micros(1_500_500));
+    assert_eq!(settings.bounds.seed_lag, Duration::from_secs(1));
+    assert_eq!(settings.bounds.quota_window, Duration::from_secs(5));
+}
+
+#[parameterized(
+    missing = { "zone = \"kelaniya-hall\"", "", "zone: is missing" },
+    kind = { "bootstrap = true", "bootstrap = 1", "bootstrap: wants true or false and has 1" },
+    empty = { "\"edge-kelaniya-hall-1\"", "\"\"", "node_name: is empty" },
+    address = { "10.1.0.5:8406", "10.1.0.5", "bind.readiness: wants an address with a port and has \"10.1.0.5\"" },
+    seed = { "10.2.0.3:8407", "seed", "seed_list: wants a list of addresses with ports and has [" },
+    range = { "[7660,7675]", "[7675,7660]", "port_range: wants a first port above 0" },
+    pair = { "[7660,7675]", "[7660]", "port_range: wants a pair of ports and has [7660]" },
+    port = { "[7660,7675]", "[7660,70000]", "port_range: wants a pair of ports" },
+    share = { "cpu_share = 0.35", "cpu_share = nan", "limits.cpu_share: wants a number and has nan" },
+    negative = { "memory_mb = 260", "memory_mb = -1", "limits.memory_mb: wants a whole number from 0 and has -1" },
+    zero = { "memory_mb = 260", "memory_mb = 0", "limits.memory_mb: wants at least 1" },
+    not_a_table = { "[limits]", "[[limits]]", "" },
+    bound = { "drain_ms=2000", "drain_ms=soon", "bound_table.drain_ms: wants milliseconds and has \"soon\"" },
+    bound_sign = { "grace_s=6", "grace_s=-6", "bound_table.grace_s: wants seconds and has -6" },
+    bound_ratio = { "retry_ratio=0.2", "retry_ratio=-1", "bound_table.retry_ratio: is negative" },
+    no_bound = { "seed_lag_s=3", "seed_lag_s", "bound_table[0]: wants a text name=value and has \"seed_lag_s\"" },
+    lease = { "[zones]", "[reachlb]\nlease_ms = 600\n[zones]", "reachlb.lease_ms: has to be below reachlb.election_ms" },
+    pulse = { "[zones]", "[reachlb]\npulse_ms = 450\n[zones]", "reachlb.pulse_ms: has to be below reachlb.lease_ms" },
+    level = { "[zones]", "[reachlb]\nlog_level = 'loud'\n[zones]", "reachlb.log_level: wants off, error" },
+    toml = { "[limits]", "[limits", "(document): is not TOML" },
+)]
+fn faults_name_their_key(from: &str, to: &str, says: &str) {
+    assert!(FILE.contains(from));
+    match Settings::parse(&FILE.replacen(from, to, 1)) {
+        Err(fault) => assert!(!says.is_empty() && fault.to_string().starts_with(says), "{fault}"),
+        // A field of another shape than its table is as unknown as one with another name.
+        Ok(settings) => assert!(says.is_empty() && settings.memory_mb == 256),
+    }
+}
+
+#[test]
+fn all_faults_come_at_once() {
+    let Err(SettingsFault::Invalid(faults)) = Settings::parse("bootstrap = 2\n[limits]\nmax_fds = 'x'")
+    else {
+        panic!("taken");
+    };
+    let keys: Vec<_> = faults.iter().map(|fault| &*fault.key).collect();
+    let missing = ["node_name", "serves", "ip", "zone", "port_range", "seed_list"];
+    assert_eq!(keys, [&missing[..], &["bootstrap", "limits.max_fds"]].concat());
+    assert!(matches!(Settings::read("/nowhere/at/all"), Err(SettingsFault::File { .. })));
+}
+
+#[test]
+fn every_default_passes_its_own_check() {
+    let values = declared().filter(|setting| !["required", "empty"].contains(&setting.default));
+    for setting in values {
+        let (table, key) = setting.key.split_once('.').unwrap_or(("", setting.key));
+        let text = match table {
+            "" => format!("{LEAST}{key} = {}", setting.default),
+            "bound_table" => format!("{LEAST}bound_table = ['{key}={}']", setting.default),
+            _ => format!("{LEAST}[{table}]\n{key} = {}", setting.default),
+        };
+        assert_eq!(Settings::parse(&text).unwrap(), Settings::parse(LEAST).unwrap(), "{setting}");
+    }
+    assert_eq!(
+        declared().find(|setting| setting.key == "reachlb.pulse_ms").unwrap().to_string(),
+        "reachlb.pulse_ms (milliseconds; 150): How often a leader and whoever has news to tell give a sign of life."
+    );
+}
