Control plane: beats, the operator's calls, the log's driver, counts and news

The users need the list of backends, the configuration and the counts from us now. One owner has all tables and works through a queue of commands; calls are declared in one table; the disk of a voter has a thread of its own, since a sync must not hold up the log's pulse. Followers keep one connection and leave it when it falls silent or behind.

Ruled out: redirects to the leader (a caller cut off from it could not follow), one task a connection with shared tables (nobody could say in which order changes came), whole lists from a master that has just started (its followers would drop every backend it has not heard yet).

--- a/harbour/buoys/src/lib.rs
+++ b/harbour/buoys/src/lib.rs
@@ -1,4 +1,17 @@
-//! Who is there: backends by their beats, gateways by those that watch them.
+//! Who is there: backends by their beats, quays by those that hear them.
+//!
+//! Both tables are state machines without I/O or clock. What different processes know of one backend is merged by rules
+//! that don't depend on order or repeats: a life's phase only goes forward, and of two words of one life the one with
+//! more calls is newer.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod fleet;
+mod register;
+
+pub use fleet::Fleet;
+pub use register::{Judgement, Register};
+
+/// Milliseconds of the host's steady clock.
+pub type Millis = u64;
--- a/harbour/flags/src/lib.rs
+++ b/harbour/flags/src/lib.rs
@@ -91,3 +91,145 @@
     let message = bitcode::decode(body).map_err(|_| Garbled::Undecodable)?;
     Ok(Some((message, length + 4)))
 }
+
+/// What kind of process speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Plane {
+    /// It carries requests.
+    Quay,
+    /// It serves control.
+    Master,
+}
+
+/// The first message on each connection: who has connected.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Hail {
+    /// The name of its machine.
+    pub name: String,
+    /// Drawn at its start: tells one life of a process from the next.
+    pub life: u64,
+    /// What it does.
+    pub plane: Plane,
+    /// Where it takes the connections of other processes, `ip:port`.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it has a disk that counts.
+    pub quorum: bool,
+    /// The number drawn when its disk was empty, once it is known; of a process with a disk that counts.
+    pub birth: Option<u64>,
+}
+
+/// A process that serves control, as others know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct MasterCard {
+    /// Where it takes the connections of other processes, `ip:port`.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// A configuration as it was sent.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Sheet {
+    /// Its version.
+    pub version: u64,
+    /// The operator's body, byte for byte.
+    pub body: Vec<u8>,
+}
+
+/// What a process that serves control says of the harbour at this moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Pulse {
+    /// Where the leader of the log takes connections, as far as the sender knows.
+    pub leader: Option<String>,
+    /// The leader's term.
+    pub epoch: u64,
+    /// Whether the sender has heard the leader just now: what it tells is the newest then.
+    pub fresh: bool,
+    /// The newest version that the sender has.
+    pub version: u64,
+    /// How many quays there are.
+    pub fleet: u32,
+    /// Which of them, from 0, the receiver is.
+    pub number: u32,
+}
+
+/// A call of the operator on its way to the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Order {
+    /// Take a configuration that was made on top of a version.
+    Replace {
+        /// The version that it builds on.
+        base: u64,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Give the newest one.
+    Read,
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Flag {
+    /// Who speaks; the first on each connection.
+    Hail(Hail),
+    /// The answer to it by a process that serves control, who it is itself.
+    Welcome(Hail),
+    /// Between voters: a message of the log, encoded, and the sender's birth.
+    Log {
+        /// The sender's birth.
+        birth: u64,
+        /// The message.
+        message: Vec<u8>,
+    },
+    /// The processes that serve control, as far as the sender knows.
+    Masters(Vec<MasterCard>),
+    /// Asks for all news from now on.
+    Follow {
+        /// The newest version that the asker has; 0 for none.
+        have: u64,
+    },
+    /// A configuration.
+    Sheet(Sheet),
+    /// Backends: what changed, or with `whole` all there are.
+    Berths {
+        /// Whether there are no others.
+        whole: bool,
+        /// The backends.
+        berths: Vec<Berth>,
+    },
+    /// Backends that have been heard since the last such word: id and number of calls.
+    Heard(Vec<(String, u64)>),
+    /// Quays that the sender hears: name and life.
+    Quays(Vec<(String, u64)>),
+    /// How things stand.
+    Pulse(Pulse),
+    /// A quay can reach the holder of the counts, and has nothing to ask.
+    Here,
+    /// A quay wants units of tenants.
+    Draw(tally::Draw),
+    /// It gets them.
+    Grant(tally::Grant),
+    /// The holder of the counts is another process.
+    NotHolder {
+        /// The number of the draw.
+        number: u64,
+    },
+    /// A call of the operator for the leader.
+    Ask {
+        /// Chosen by the asker.
+        token: u64,
+        /// The call.
+        order: Order,
+    },
+    /// The leader's answer.
+    Told {
+        /// The asker's token.
+        token: u64,
+        /// The status for the operator.
+        status: u16,
+        /// The body of the answer.
+        body: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/calls.rs
@@ -0,0 +1,268 @@
+//! The calls of backends and operators, declared in one table, and the socket that takes them.
+
+use crate::master::Command;
+use bytes::{Bytes, BytesMut};
+use flags::{Berth, Order, Phase};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Callers move on after a second of silence: whoever has no answer by then gets a plain word instead.
+const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// A caller has this long for its head, and for each part of a body.
+const SLOW: Duration = Duration::from_secs(3);
+/// A change of the operator may be large, and its answer waits for disks.
+const CHANGE_WITHIN: Duration = Duration::from_millis(2500);
+/// A failed accept is tried again after this: descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What a call asks for.
+#[derive(Debug)]
+pub enum Call {
+    /// A backend beats.
+    Beat(Berth),
+    /// A backend ends.
+    Departure(String),
+    /// The operator's.
+    Order(Order),
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Its status.
+    pub status: u16,
+    /// Its body, JSON.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// An answer that says why.
+    pub fn why(status: u16, why: &str) -> Self {
+        Self { status, body: serde_json::json!({ "error": why }).to_string().into_bytes() }
+    }
+
+    /// Done, nothing to say.
+    pub fn done() -> Self {
+        Self { status: 200, body: b"{}".to_vec() }
+    }
+}
+
+/// One kind of call.
+pub struct Declared {
+    /// Its method.
+    pub method: Method,
+    /// Its path; an id follows where it takes one.
+    pub path: &'static str,
+    /// Whether an id follows.
+    pub takes_id: bool,
+    /// The longest body, in bytes.
+    pub longest: usize,
+    /// How long its answer may take.
+    pub within: Duration,
+    /// Reads it.
+    pub read: fn(&str, &HeaderMap, &[u8]) -> Result<Call, Reply>,
+}
+
+/// All calls.
+pub const CALLS: [Declared; 4] = [
+    Declared {
+        method: Method::POST,
+        path: "/Backends.Heartbeat/",
+        takes_id: true,
+        longest: 16 * 1024,
+        within: ANSWER_WITHIN,
+        read: beat,
+    },
+    Declared {
+        method: Method::POST,
+        path: "/Backends.Departure/",
+        takes_id: true,
+        longest: 16 * 1024,
+        within: ANSWER_WITHIN,
+        read: |id, _, _| Ok(Call::Departure(id.to_owned())),
+    },
+    Declared {
+        method: Method::POST,
+        path: "/Config.Replace",
+        takes_id: false,
+        longest: 4 * 1024 * 1024,
+        within: CHANGE_WITHIN,
+        read: replace,
+    },
+    Declared {
+        method: Method::GET,
+        path: "/Config.Read",
+        takes_id: false,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        read: |_, _, _| Ok(Call::Order(Order::Read)),
+    },
+];
+
+#[derive(Deserialize)]
+struct BeatBody {
+    address: String,
+    summary: Summary,
+    condition: Condition,
+}
+
+#[derive(Deserialize)]
+struct Summary {
+    target: String,
+    #[serde(default)]
+    generation: String,
+    #[serde(default)]
+    zone: String,
+    capacity: u32,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    phase: String,
+    call_count: u64,
+    #[serde(default)]
+    warmup_left_ms: f64,
+}
+
+fn beat(id: &str, _: &HeaderMap, body: &[u8]) -> Result<Call, Reply> {
+    let unread = |why: String| Reply::why(400, &format!("beat of {id}: {why}"));
+    let beat: BeatBody = serde_json::from_slice(body).map_err(|error| unread(error.to_string()))?;
+    let phase = match beat.condition.phase.as_str() {
+        "serving" => Phase::Serving,
+        "draining" => Phase::Draining,
+        other => return Err(unread(format!("condition.phase: {other:?} is neither serving nor draining"))),
+    };
+    if beat.address.parse::<std::net::SocketAddr>().is_err() {
+        return Err(unread(format!("address: {:?} is no ip:port", beat.address)));
+    }
+    Ok(Call::Beat(Berth {
+        id: id.to_owned(),
+        service: beat.summary.target,
+        address: beat.address,
+        zone: beat.summary.zone,
+        generation: beat.summary.generation,
+        capacity: beat.summary.capacity.max(1),
+        phase,
+        warmup_left_ms: beat.condition.warmup_left_ms.clamp(0.0, 600_000.0) as u32,
+        call_count: beat.condition.call_count,
+        overdue: false,
+    }))
+}
+
+fn replace(_: &str, headers: &HeaderMap, body: &[u8]) -> Result<Call, Reply> {
+    let base = headers.get("x-base-version").and_then(|v| v.to_str().ok()).unwrap_or("0").trim();
+    let number = base.strip_prefix('r').unwrap_or(base).parse::<u64>();
+    let base = number
+        .map_err(|_| Reply::why(400, &format!("X-Base-Version: {base:?} is no version such as r12")))?;
+    Ok(Call::Order(Order::Replace { base, body: body.to_vec() }))
+}
+
+/// Takes calls until the program ends.
+pub async fn serve(listener: TcpListener, commands: mpsc::Sender<Command>, most: usize) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if open.get() < most => {
+                let (commands, open) = (commands.clone(), open.clone());
+                tideway::spawn(async move {
+                    open.set(open.get() + 1);
+                    connection(stream, commands).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            // Whoever finds no room is turned away at once and tries the next gateway.
+            Ok(_) => {}
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, commands: mpsc::Sender<Command>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let commands = commands.clone();
+        async move { Ok::<_, Infallible>(answer(request, commands).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(Duration::from_secs(20)).max_buf_size(32 * 1024);
+    // Errors of one caller's connection concern that caller alone.
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn answer(request: Request<Incoming>, commands: mpsc::Sender<Command>) -> Response<Full<Bytes>> {
+    let begun = Instant::now();
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let fits = |call: &&Declared| {
+        if call.takes_id {
+            path.len() > call.path.len() && path.starts_with(call.path)
+        } else {
+            path == call.path
+        }
+    };
+    let Some(call) = CALLS.iter().find(fits) else { return respond(Reply::why(404, "no such call")) };
+    if head.method != call.method {
+        return respond(Reply::why(405, "another method is wanted"));
+    }
+    let body = match read_body(body, call.longest).await {
+        Ok(body) => body,
+        Err(reply) => return respond(reply),
+    };
+    let id = path.strip_prefix(call.path).unwrap_or_default();
+    let call_read = match (call.read)(id, &head.headers, &body) {
+        Ok(read) => read,
+        Err(reply) => return respond(reply),
+    };
+    let (reply, told) = oneshot::channel();
+    if commands.send(Command::Call { call: call_read, reply }).await.is_err() {
+        return respond(Reply::why(503, "this process ends"));
+    }
+    let left = call.within.saturating_sub(begun.elapsed());
+    match timeout(left, told).await {
+        Ok(Ok(reply)) => respond(reply),
+        _ => respond(Reply::why(503, "no answer in time: ask again, here or at another gateway")),
+    }
+}
+
+async fn read_body(mut body: Incoming, longest: usize) -> Result<Bytes, Reply> {
+    let mut whole = BytesMut::new();
+    if body.size_hint().lower() > longest as u64 {
+        return Err(Reply::why(413, "the body is too long"));
+    }
+    while !body.is_end_stream() {
+        match timeout(SLOW, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    whole.extend_from_slice(data);
+                }
+            }
+            Ok(None) => break,
+            Ok(Some(Err(_))) => return Err(Reply::why(400, "the body broke off")),
+            Err(_) => return Err(Reply::why(408, "the body did not come in time")),
+        }
+        if whole.len() > longest {
+            return Err(Reply::why(413, "the body is too long"));
+        }
+    }
+    Ok(whole.freeze())
+}
+
+fn respond(reply: Reply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/disk.rs
@@ -0,0 +1,98 @@
+//! The disk of a voter: a thread of its own, since whoever syncs waits for the disk, and the log's pulse must not.
+
+use crate::master::Command;
+use logbook::store::Store;
+use logbook::{Save, Saved, VoterId};
+use miette::Diagnostic;
+use std::path::Path;
+use std::sync::mpsc as threads;
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// Why the log's file is of no use.
+#[derive(Debug, Error, Diagnostic)]
+pub enum DiskError {
+    /// The folder or the file.
+    #[error("{step} {path}: {why}")]
+    Unusable {
+        /// What was being done.
+        step: &'static str,
+        /// Where.
+        path: String,
+        /// Why it failed.
+        why: String,
+    },
+}
+
+/// The way to the disk.
+pub struct Disk {
+    saves: threads::Sender<Save>,
+}
+
+impl Disk {
+    /// Opens the log in a folder, or begins one as this voter. A file that is damaged is set aside: its voter is lost,
+    /// and who starts here is another one.
+    ///
+    /// # Errors
+    /// When the folder can't be written.
+    pub fn open(
+        folder: &Path, newcomer: impl FnOnce(bool) -> (VoterId, Vec<VoterId>),
+        commands: mpsc::Sender<Command>,
+    ) -> Result<(Self, Saved), DiskError> {
+        let unusable = |step: &'static str, path: &Path, why: String| DiskError::Unusable {
+            step,
+            path: path.display().to_string(),
+            why,
+        };
+        std::fs::create_dir_all(folder).map_err(|e| unusable("make the folder", folder, e.to_string()))?;
+        let path = folder.join("log.redb");
+        let (store, saved, damaged) = match Store::open(&path) {
+            Ok((store, saved)) => (store, saved, false),
+            Err(error) if error.is_lost() => {
+                spdlog::error!("the log's file is damaged and set aside: {}", error, kv: { step = "open" });
+                Store::set_aside(&path).map_err(|e| unusable("set aside", &path, e.to_string()))?;
+                let (store, saved) =
+                    Store::open(&path).map_err(|e| unusable("open", &path, e.to_string()))?;
+                (store, saved, true)
+            }
+            Err(error) => return Err(unusable("open", &path, error.to_string())),
+        };
+        let saved = match saved {
+            Some(saved) => saved,
+            None => {
+                let (me, founders) = newcomer(damaged);
+                store.create(me, founders).map_err(|e| unusable("begin", &path, e.to_string()))?
+            }
+        };
+        let (saves, queue) = threads::channel::<Save>();
+        let (done, mut tickets) = mpsc::channel(64);
+        tideway::spawn(async move {
+            while let Some(ticket) = tickets.recv().await {
+                if commands.send(Command::Saved { ticket }).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let thread = std::thread::Builder::new().name("disk".into()).stack_size(256 * 1024);
+        let run = move || {
+            while let Ok(first) = queue.recv() {
+                let ticket = first.ticket;
+                if let Err(error) = store.save(&first) {
+                    // A voter that can't write has to be seen as gone: it must neither vote nor acknowledge.
+                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save" });
+                    return;
+                }
+                if done.blocking_send(ticket).is_err() {
+                    return;
+                }
+            }
+        };
+        thread.spawn(run).map_err(|e| unusable("start the thread for", &path, e.to_string()))?;
+        Ok((Self { saves }, saved))
+    }
+
+    /// Queues a write; its ticket comes back as [`Command::Saved`].
+    pub fn save(&self, save: Save) {
+        let _ = self.saves.send(save);
+    }
+}
--- a/harbour/harbourmaster/src/lib.rs
+++ b/harbour/harbourmaster/src/lib.rs
@@ -1,4 +1,19 @@
 //! The control plane of the system: configurations, backends, counts, and the news of them.
+//!
+//! One owner has all tables ([`Master`]) and works through a queue of commands: calls from the control socket, frames
+//! from other processes, words of the disk's thread, and time. Nothing else changes a table.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod calls;
+mod disk;
+mod ledger;
+mod lines;
+mod master;
+
+pub use calls::{CALLS, Call, Declared, Reply, serve};
+pub use disk::{Disk, DiskError};
+pub use ledger::{Change, Ledger, Verdict};
+pub use lines::listen;
+pub use master::{Command, Master, MasterSettings};
--- /dev/null
+++ b/harbour/programs/src/logs.rs
@@ -0,0 +1,24 @@
+//! Logs: JSON lines on standard error.
+
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::StdStreamSink;
+use spdlog::{Level, LevelFilter, Logger};
+use std::sync::Arc;
+
+/// Writes what is at this level or above from now on.
+///
+/// # Errors
+/// When the library can't be set up.
+pub fn start(level: &str) -> Result<(), spdlog::Error> {
+    let level = match level {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        _ => Level::Info,
+    };
+    let sink = StdStreamSink::builder().stderr().formatter(JsonFormatter::new()).build()?;
+    let logger =
+        Logger::builder().sink(Arc::new(sink)).level_filter(LevelFilter::MoreSevereEqual(level)).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -1,5 +1,76 @@
-//! The programs of the system.
+//! `reachlb`: one binary, a program for each plane.
 
 #![forbid(unsafe_code)]
 
-fn main() {}
+mod logs;
+mod master;
+mod start;
+
+use gumdrop::Options;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The variable that says where the settings file is.
+const SETTINGS: &str = "REACHLB_BOOT";
+
+/// reachlb: an API gateway that needs nobody else's services.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help
+    help: bool,
+    /// the settings file; without it, the one that REACHLB_BOOT names
+    #[options(meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// serve control: backends' beats, the operator's calls, the log, the counts
+    Harbourmaster(Nothing),
+}
+
+#[derive(Debug, Options)]
+struct Nothing {
+    /// print this help
+    help: bool,
+}
+
+/// The arguments, or a settings file, can't be used.
+const UNUSABLE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(command) = arguments.command else {
+        eprintln!("no command\n\n{}", Arguments::usage());
+        return ExitCode::from(UNUSABLE);
+    };
+    let path = arguments.settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
+    let Some(path) = path else {
+        eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
+        return ExitCode::from(UNUSABLE);
+    };
+    let settings = match manifest::Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("{}: {fault}", path.display());
+            return ExitCode::from(UNUSABLE);
+        }
+    };
+    if let Err(error) = logs::start(&settings.tuning.log_level) {
+        eprintln!("logs: {error}");
+        return ExitCode::from(UNUSABLE);
+    }
+    let done = match command {
+        Command::Harbourmaster(_) => start::run(master::run(settings, path)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            spdlog::critical!("{:?}", report);
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/harbour/programs/src/master.rs
@@ -0,0 +1,101 @@
+//! The program that serves control.
+
+use crate::start;
+use flags::{Hail, Plane};
+use harbourmaster::{Disk, Master, MasterSettings};
+use logbook::{Timing, VoterId};
+use manifest::Settings;
+use miette::{Result, miette};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// So many commands wait for the owner of the tables.
+const COMMANDS: usize = 1024;
+/// Descriptors kept for files, listeners and other processes.
+const KEPT: usize = 400;
+
+/// Runs until the platform ends it.
+///
+/// # Errors
+/// When settings lack something, or a socket or the disk can't be had.
+pub async fn run(settings: Settings, path: PathBuf) -> Result<()> {
+    let life = start::draw();
+    let address = SocketAddr::new(settings.ip, start::peer_port(&settings));
+    let control = settings.control.ok_or_else(|| miette!("settings: bind.control is missing"))?;
+    let control = start::listen("control", control)?;
+    let peers = start::listen("other processes", address)?;
+    let (commands, queue) = mpsc::channel(COMMANDS);
+    let folder = settings.data_path.clone().filter(|_| settings.in_quorum);
+    let log = match &folder {
+        Some(folder) => {
+            // Who was here at the first start is among the founders with all seeds that are; who comes to an empty
+            // disk later is somebody else than the one whose disk it was.
+            let seeds: Vec<_> = start::seeds(&settings).iter().map(SocketAddr::to_string).collect();
+            let founder = settings.bootstrap && seeds.contains(&address.to_string());
+            let newcomer = |damaged: bool| {
+                let at_birth = founder && !damaged;
+                let birth = if at_birth { 0 } else { start::draw() | 1 };
+                let founders = seeds.iter().map(|a| VoterId { address: a.clone(), birth: 0 });
+                let founders = if at_birth { founders.collect() } else { Vec::new() };
+                (VoterId { address: address.to_string(), birth }, founders)
+            };
+            Some(Disk::open(folder, newcomer, commands.clone())?)
+        }
+        None => None,
+    };
+    let me = Hail {
+        name: settings.node_name.to_string(),
+        life,
+        plane: Plane::Master,
+        address: address.to_string(),
+        zone: settings.zone.to_string(),
+        quorum: log.is_some(),
+        birth: log.as_ref().map(|(_, saved)| saved.me.birth),
+    };
+    let master = MasterSettings {
+        me,
+        address,
+        seeds: start::seeds(&settings),
+        beat_interval: millis(settings.beat_interval),
+        timing: Timing {
+            pulse: millis(settings.tuning.pulse),
+            election: millis(settings.tuning.election),
+            lease: millis(settings.tuning.lease),
+        },
+        seed: life,
+    };
+    let numbers = Rc::new(Cell::new(0));
+    let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
+        numbers.set(numbers.get() + 1);
+        numbers.get()
+    });
+    spdlog::info!("serves control", kv: { step = "start", life, quorum = folder.is_some() });
+    let master = Master::new(master, log, commands.clone(), numbers.clone());
+    tokio::task::spawn_local(harbourmaster::listen(peers, commands.clone(), move || numbers()));
+    let callers = (settings.max_fds as usize).saturating_sub(KEPT).clamp(64, 4096);
+    tokio::task::spawn_local(harbourmaster::serve(control, commands.clone(), callers));
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
+    let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
+    tokio::task::spawn_local(master.run(queue));
+    loop {
+        tokio::select! {
+            _ = end.recv() => return Ok(()),
+            _ = hangup.recv() => match Settings::read(&path) {
+                Ok(settings) => {
+                    let seeds = start::seeds(&settings);
+                    let _ = commands.send(harbourmaster::Command::Seeds(seeds)).await;
+                }
+                Err(fault) => spdlog::error!("settings not taken: {}", fault, kv: { step = "hangup" }),
+            }
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
--- /dev/null
+++ b/harbour/programs/src/start.rs
@@ -0,0 +1,50 @@
+//! What both programs need at their start.
+
+use manifest::Settings;
+use miette::{IntoDiagnostic, Result, WrapErr};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// A number that no other process draws: the standard library seeds its hashers from the system's randomness.
+pub fn draw() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
+/// Runs a program on this one thread.
+///
+/// # Errors
+/// Those of the program, and when the runtime can't be set up.
+pub fn run(program: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    tokio::task::LocalSet::new().block_on(&runtime, program)
+}
+
+/// Where processes that serve control take each other's connections: the first of the ports that are theirs.
+pub fn peer_port(settings: &Settings) -> u16 {
+    settings.port_range.0
+}
+
+/// Where the seeds take connections of other processes: settings name their control sockets, all machines of a harbour
+/// have the same ports.
+pub fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    settings.seed_list.iter().map(|seed| SocketAddr::new(seed.ip(), peer_port(settings))).collect()
+}
+
+/// Listens, with a queue that bears a herd.
+///
+/// # Errors
+/// When the address can't be had.
+pub fn listen(what: &str, address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(1024)
+    };
+    open().into_diagnostic().wrap_err_with(|| format!("listen for {what} at {address}"))
+}
--- /dev/null
+++ b/harbour/tideway/src/lib.rs
@@ -0,0 +1,18 @@
+//! How news travels between the system's processes: connections, and who follows whom.
+//!
+//! Everything runs on one thread of a `LocalSet`; what is queued for a peer is bounded, and a peer that doesn't read
+//! loses its connection: it comes back and is told everything anew.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod line;
+mod pilot;
+
+pub use line::{Line, LineError, Reader, attach, dial};
+pub use pilot::{Follows, News, Pilot, PilotSettings};
+
+/// Runs a task for as long as the program runs.
+pub fn spawn(task: impl Future<Output = ()> + 'static) {
+    tokio::task::spawn_local(task);
+}
