--- a/harbour/logbook/tests/drawn.rs
+++ b/harbour/logbook/tests/drawn.rs
@@ -18,14 +18,26 @@
     cuts: u64,
     /// How many saves, and messages, of a hundred take long.
     slow: (u64, u64),
+    /// In how many steps of a hundred there are proposals.
+    busy: u64,
+    /// Whether it starts with an entry of a former term on two of five, and a newer one in its place on a third.
+    torn: bool,
 }
 
-const ALL: Weather = Weather { often: 20, kills: 25, wipes: 8, freezes: 15, cuts: 30, slow: (2, 3) };
-const POWER: Weather = Weather { often: 40, kills: 60, wipes: 0, freezes: 0, cuts: 20, slow: (40, 10) };
-const LINKS: Weather = Weather { often: 60, kills: 5, wipes: 0, freezes: 30, cuts: 30, slow: (2, 3) };
+const ALL: Weather =
+    Weather { often: 20, kills: 25, wipes: 8, freezes: 15, cuts: 30, slow: (2, 3), busy: 100, torn: false };
+const POWER: Weather =
+    Weather { often: 40, kills: 60, wipes: 0, freezes: 0, cuts: 20, slow: (40, 10), busy: 100, torn: false };
+const LINKS: Weather =
+    Weather { often: 25, kills: 0, wipes: 0, freezes: 60, cuts: 25, slow: (2, 3), busy: 3, torn: false };
+const ELECTIONS: Weather =
+    Weather { often: 40, kills: 45, wipes: 0, freezes: 0, cuts: 30, slow: (20, 40), busy: 3, torn: true };
 
 fn live(seed: u64, size: usize, weather: Weather, faults: Faults) -> Result<World, String> {
     let mut world = World::new(seed, size, faults);
+    if weather.torn && size == 5 {
+        [(0, 2), (1, 2), (4, 3)].into_iter().for_each(|(at, term)| world.preset(at, term));
+    }
     world.slow = weather.slow;
     let mut wiped = 0;
     let end = world.now + TROUBLE;
@@ -34,12 +46,17 @@
         let pause = 10 + world.draw.below(60);
         world.run_until(world.now + pause)?;
         world.chores()?;
+        let proposes = world.draw.chance(weather.busy);
         let at = world.draw.below(size as u64) as usize;
         let token = world.now;
-        world.input(at, Input::Propose { token, change: token.to_be_bytes().to_vec() })?;
+        if proposes {
+            world.input(at, Input::Propose { token, change: token.to_be_bytes().to_vec() })?;
+        }
         if let Some(leader) = world.leader() {
-            world.input(leader, Input::Propose { token, change: vec![7; 20] })?;
-            if world.strangers().is_empty() {
+            if proposes {
+                world.input(leader, Input::Propose { token, change: vec![7; 20] })?;
+            }
+            if world.settled() {
                 wiped = 0;
             }
         }
@@ -148,7 +165,7 @@
 
 #[parameterized(
     vote_unsaved = { Faults { vote_unsaved: true, ..UNGUARDED }, POWER, TWO_LEADERS },
-    old_terms_count = { Faults { old_terms_count: true, ..UNGUARDED }, POWER, LOST },
+    old_terms_count = { Faults { old_terms_count: true, ..UNGUARDED }, ELECTIONS, LOST },
     any_birth = { Faults { any_birth: true, ..Faults::default() }, ALL, LOST },
     fickle = { Faults { fickle: true, ..Faults::default() }, LINKS, TWO_LEASES },
     hasty_votes = { Faults { hasty: true, ..UNGUARDED }, POWER, TWO_LEADERS },
@@ -158,3 +175,14 @@
     let (seed, fault) = find(faults, weather, what).expect("no world finds it");
     println!("seed {seed}: {fault}");
 }
+
+/// What was found above is not there without the fault, also with the guards off.
+#[parameterized(power = { POWER }, links = { LINKS }, elections = { ELECTIONS })]
+fn nothing_is_found_where_nothing_is_planted(weather: Weather) {
+    let unguarded = Faults { fickle: false, ..UNGUARDED };
+    for (seed, faults) in (0..60).flat_map(|seed| [(seed, Faults::default()), (seed, unguarded)]) {
+        let mut world = live(seed, 3 + seed as usize % 2 * 2, weather, faults)
+            .unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+        heal(&mut world).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+    }
+}
--- a/harbour/logbook/tests/world/mod.rs
+++ b/harbour/logbook/tests/world/mod.rs
@@ -149,6 +149,14 @@
         };
     }
 
+    /// Starts a node anew with one entry of that term on its disk.
+    pub fn preset(&mut self, at: usize, term: u64) {
+        let entry = Entry { index: 1, term, what: What::Nothing };
+        let disk = &mut self.hosts[at].disk;
+        (disk.term, disk.vote, disk.entries) = (3, Some(voter(4, 0)), vec![entry]);
+        self.restart(at);
+    }
+
     /// Power goes: of what was being saved, some first part may be on disk.
     pub fn kill(&mut self, at: usize, back_after: Millis) {
         let kept = self.draw.below(self.hosts[at].saves.len() as u64 + 1);
@@ -188,6 +196,16 @@
         leaders.filter(|(node, _)| node.is_leader()).max_by_key(|(node, _)| node.term()).map(|(_, at)| at)
     }
 
+    /// Whether all are up, on the list, and have what is committed: only then has a lost disk been made up for.
+    pub fn settled(&self) -> bool {
+        let Some(leader) = self.leader().and_then(|at| self.hosts[at].node.as_ref()) else { return false };
+        leader.holds_lease(self.now)
+            && self.hosts.iter().all(|host| {
+                let Some(node) = &host.node else { return false };
+                node.term() == leader.term() && node.is_voter() && node.commit() == leader.commit()
+            })
+    }
+
     /// Hosts that are up and not on the newest leader's list.
     pub fn strangers(&self) -> Vec<VoterId> {
         let Some(leader) = self.leader() else { return Vec::new() };
