Logbook: no number from a peer can make a count overflow

Need: what peers send must not end the process, and overflow does in checked builds. Weighed: saturating sums everywhere; a bound where messages come in is one place. Seen: all tests pass as before.

--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -180,7 +180,8 @@
     }
 
     fn heard(&mut self, now: Millis, from: VoterId, message: Message, out: &mut Vec<Output>) {
-        if from == self.me {
+        // No harbour gets to such a term; counting on from there would overflow.
+        if from == self.me || message.term() > u64::MAX / 2 {
             return;
         }
         match message {
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -225,6 +225,7 @@
             return;
         }
         let faults = self.faults;
+        let matched = matched.min(self.log.last());
         let Some(lead) = &mut self.lead else { return };
         let sent = lead.echoes.iter().find(|(number, _)| *number == echo).map(|(_, sent)| *sent);
         let found =
@@ -281,7 +282,7 @@
         }
         peer.under_way.clear();
         peer.probing = true;
-        peer.next = (hint + 1).min(prev_index).max(peer.matched + 1);
+        peer.next = hint.saturating_add(1).min(prev_index).max(peer.matched + 1);
         self.pump(now, &from, out);
     }
 
@@ -413,6 +414,10 @@
             return;
         }
         let index = snapshot.index;
+        // No log gets that far; counting on from there would overflow.
+        if index > u64::MAX / 2 {
+            return;
+        }
         if index > self.commit {
             if self.log.term_at(index) != Some(snapshot.term) {
                 self.cut(self.log.base() + 1);
--- a/harbour/logbook/src/types.rs
+++ b/harbour/logbook/src/types.rs
@@ -189,6 +189,23 @@
     },
 }
 
+impl Message {
+    pub(crate) fn term(&self) -> u64 {
+        match self {
+            Message::Sound { term, .. }
+            | Message::Sounded { term, .. }
+            | Message::Stand { term, .. }
+            | Message::Voted { term, .. }
+            | Message::Pulse { term, .. }
+            | Message::Pulsed { term, .. }
+            | Message::Append { term, .. }
+            | Message::Replace { term, .. }
+            | Message::Matched { term, .. }
+            | Message::Missing { term, .. } => *term,
+        }
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
