--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -21,6 +21,8 @@
     pub fickle: bool,
     /// Answers do not wait for the disk.
     pub hasty: bool,
+    /// Elections without a sounding before them. Not wrong in itself, but it hides other faults.
+    pub unsounded: bool,
 }
 
 /// What waits for a save.
@@ -178,7 +180,8 @@
     }
 
     fn heard(&mut self, now: Millis, from: VoterId, message: Message, out: &mut Vec<Output>) {
-        if from == self.me {
+        // No harbour gets to such a term; counting on from there would overflow.
+        if from == self.me || message.term() > u64::MAX / 2 {
             return;
         }
         match message {
