Whom to follow becomes a state machine of its own; status and check for operators

The choice was part of the task that moves bytes, so that no test could play it. Found on the way: with all of control dead, followers dialed in a circle without a pause.

--- a/harbour/harbourmaster/src/calls.rs
+++ b/harbour/harbourmaster/src/calls.rs
@@ -37,6 +37,8 @@
     Departure(String),
     /// The operator's.
     Order(Order),
+    /// How this process and what it knows stand.
+    Status,
 }
 
 /// The answer to a call.
@@ -77,7 +79,7 @@
 }
 
 /// All calls.
-pub const CALLS: [Declared; 4] = [
+pub const CALLS: [Declared; 5] = [
     Declared {
         method: Method::POST,
         path: "/Backends.Heartbeat/",
@@ -110,6 +112,14 @@
         within: ANSWER_WITHIN,
         read: |_, _, _| Ok(Call::Order(Order::Read)),
     },
+    Declared {
+        method: Method::GET,
+        path: "/Harbour.Status",
+        takes_id: false,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        read: |_, _, _| Ok(Call::Status),
+    },
 ];
 
 #[derive(Deserialize)]
--- /dev/null
+++ b/harbour/programs/src/check.rs
@@ -0,0 +1,47 @@
+//! Checks a file as a process would read it.
+
+use crate::UNUSABLE;
+use manifest::{Config, ConfigFault, Settings, SettingsFault};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Status 0 when the file can be used, 2 when not.
+pub fn run(file: &Path) -> ExitCode {
+    let json = file.extension().is_some_and(|extension| extension == "json");
+    let faults = if json { configuration(file) } else { settings(file) };
+    for fault in &faults {
+        println!("{}: {fault}", file.display());
+    }
+    if faults.is_empty() {
+        println!("{}: usable", file.display());
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::from(UNUSABLE)
+}
+
+fn configuration(file: &Path) -> Vec<String> {
+    let body = match std::fs::read(file) {
+        Ok(body) => body,
+        Err(error) => return vec![error.to_string()],
+    };
+    match Config::parse(&body) {
+        Ok(_) => Vec::new(),
+        Err(ConfigFault::Invalid { lines, more }) => {
+            let mut faults: Vec<_> =
+                lines.iter().map(|line| format!("{}: {}", line.place, line.wrong)).collect();
+            if more > 0 {
+                faults.push(format!("and {more} more"));
+            }
+            faults
+        }
+        Err(fault) => vec![fault.to_string()],
+    }
+}
+
+fn settings(file: &Path) -> Vec<String> {
+    match Settings::read(file) {
+        Ok(_) => Vec::new(),
+        Err(SettingsFault::Invalid(faults)) => faults.iter().map(ToString::to_string).collect(),
+        Err(fault) => vec![fault.to_string()],
+    }
+}
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod check;
 mod logs;
 mod master;
 mod start;
@@ -29,6 +30,16 @@
 enum Command {
     /// serve control: backends' beats, the operator's calls, the log, the counts
     Harbourmaster(Nothing),
+    /// check a settings file (TOML) or a configuration (JSON), every fault on a line of its own
+    Check(Check),
+}
+
+#[derive(Debug, Options)]
+struct Check {
+    /// print this help
+    help: bool,
+    #[options(free, required)]
+    file: PathBuf,
 }
 
 #[derive(Debug, Options)]
@@ -38,7 +49,11 @@
 }
 
 /// The arguments, or a settings file, can't be used.
-const UNUSABLE: u8 = 2;
+pub(crate) const UNUSABLE: u8 = 2;
+
+enum Program {
+    Harbourmaster,
+}
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
@@ -46,6 +61,10 @@
         eprintln!("no command\n\n{}", Arguments::usage());
         return ExitCode::from(UNUSABLE);
     };
+    let program = match command {
+        Command::Check(Check { file, .. }) => return check::run(&file),
+        Command::Harbourmaster(_) => Program::Harbourmaster,
+    };
     let path = arguments.settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
     let Some(path) = path else {
         eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
@@ -62,8 +81,8 @@
         eprintln!("logs: {error}");
         return ExitCode::from(UNUSABLE);
     }
-    let done = match command {
-        Command::Harbourmaster(_) => start::run(master::run(settings, path)),
+    let done = match program {
+        Program::Harbourmaster => start::run(master::run(settings, path)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/harbour/tideway/src/course.rs
@@ -0,0 +1,162 @@
+//! Whom to follow: a state machine without I/O or clock.
+
+use flags::Pulse;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+/// Milliseconds of the host's steady clock.
+pub type Millis = u64;
+
+/// Who is followed says something at least this often; a silence of that long is the end of it.
+const SILENT: Millis = 1300;
+/// Who has lost the leader is left after this long, if there is anybody else.
+const BEHIND: Millis = 900;
+/// Who failed is not asked again for this long, while others are there.
+const AVOIDED: Millis = 1500;
+/// While all have failed, each is asked again after this long: whoever is dead refuses at once, and asking in a circle
+/// would cost the processor time that its return needs.
+const AGAIN: Millis = 200;
+/// A process that knows nothing takes what is perhaps not the newest only after this long.
+const PATIENCE: Millis = 8000;
+/// Processes that serve control are some dozens; more are somebody's fault.
+const MOST: usize = 256;
+
+/// The one that is followed.
+#[derive(Clone, Debug)]
+struct Leading {
+    to: SocketAddr,
+    heard: Millis,
+    fresh_at: Millis,
+    fresh: bool,
+}
+
+/// What a follower knows of those that serve control, and whom it follows.
+#[derive(Debug)]
+pub struct Course {
+    name: String,
+    zone: String,
+    own: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    masters: BTreeMap<SocketAddr, String>,
+    /// When those failed that are not to be asked again yet.
+    failed: BTreeMap<SocketAddr, Millis>,
+    following: Option<Leading>,
+    leader: Option<SocketAddr>,
+    epoch: u64,
+    started: Millis,
+}
+
+impl Course {
+    /// A follower of this name and zone, itself at `own` if it serves control, that knows some seeds.
+    pub fn new(now: Millis, name: &str, zone: &str, own: Option<SocketAddr>, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            own,
+            seeds,
+            masters: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            following: None,
+            leader: None,
+            epoch: 0,
+            started: now,
+        }
+    }
+
+    /// The settings name other seeds.
+    pub fn seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Who serves control, and in which zone.
+    pub fn masters(&mut self, masters: impl IntoIterator<Item = (SocketAddr, String)>) {
+        self.masters = masters.into_iter().take(MOST).collect();
+    }
+
+    /// Who is followed now.
+    pub fn following(&self) -> Option<SocketAddr> {
+        self.following.as_ref().map(|f| f.to)
+    }
+
+    /// Where the holder of the counts is, as far as known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader
+    }
+
+    /// Who is to be dialed now, if nobody is followed.
+    pub fn choose(&mut self, now: Millis) -> Option<SocketAddr> {
+        if self.following.is_some() {
+            return None;
+        }
+        let to = self.best(now)?;
+        self.following = Some(Leading { to, heard: now, fresh_at: now, fresh: false });
+        Some(to)
+    }
+
+    /// The next one: not one that just failed, of the own zone first, then by a hash of both names, so that each
+    /// follower has an order of its own and all together spread evenly.
+    fn best(&self, now: Millis) -> Option<SocketAddr> {
+        let seeds = self.seeds.iter().map(|seed| (*seed, ""));
+        let known = self.masters.iter().map(|(address, zone)| (*address, zone.as_str()));
+        let rank = |(address, zone): &(SocketAddr, &str)| {
+            let mut hasher = DefaultHasher::new();
+            (&self.name, address).hash(&mut hasher);
+            (self.failed_at(address, now), *zone != self.zone, hasher.finish())
+        };
+        let others = known.chain(seeds).filter(|(address, _)| Some(*address) != self.own);
+        let (best, _) = others.min_by_key(rank)?;
+        self.failed_at(&best, now).is_none_or(|at| now >= at + AGAIN).then_some(best)
+    }
+
+    fn failed_at(&self, address: &SocketAddr, now: Millis) -> Option<Millis> {
+        self.failed.get(address).copied().filter(|at| now < at + AVOIDED)
+    }
+
+    /// Nothing was to be had from the one that is followed.
+    pub fn failed(&mut self, now: Millis) {
+        if let Some(following) = self.following.take() {
+            self.failed.insert(following.to, now);
+            self.failed.retain(|_, at| now < *at + AVOIDED);
+        }
+    }
+
+    /// The one that is followed said something.
+    pub fn heard(&mut self, now: Millis) {
+        if let Some(following) = &mut self.following {
+            following.heard = now;
+        }
+    }
+
+    /// The one that is followed says how things stand.
+    pub fn pulse(&mut self, now: Millis, pulse: &Pulse) {
+        let leader = pulse.leader.as_ref().and_then(|l| l.parse().ok());
+        // One that is cut off may go on naming a leader of old.
+        if pulse.fresh && pulse.epoch >= self.epoch || self.leader.is_none() {
+            self.leader = leader;
+            self.epoch = self.epoch.max(pulse.epoch);
+        }
+        if let Some(following) = &mut self.following {
+            if pulse.fresh {
+                following.fresh_at = now;
+            }
+            following.fresh = pulse.fresh;
+        }
+    }
+
+    /// Whether the one that is followed is to be left.
+    pub fn is_over(&self, now: Millis) -> bool {
+        let Some(following) = &self.following else { return false };
+        let spared = |address: &SocketAddr| self.failed_at(address, now).is_none();
+        let others = self.masters.keys().chain(&self.seeds);
+        let others = others.filter(|a| **a != following.to && Some(**a) != self.own).any(spared);
+        let behind = !following.fresh && now > following.fresh_at + BEHIND;
+        now > following.heard + SILENT || behind && others
+    }
+
+    /// Whether a configuration that comes now may be taken by a process that has none yet: one that is behind would
+    /// bring an old one into force again.
+    pub fn may_begin(&self, now: Millis) -> bool {
+        self.following.as_ref().is_some_and(|f| f.fresh) || now > self.started + PATIENCE
+    }
+}
--- a/harbour/tideway/src/lib.rs
+++ b/harbour/tideway/src/lib.rs
@@ -6,9 +6,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod course;
 mod line;
 mod pilot;
 
+pub use course::Course;
 pub use line::{Line, LineError, Reader, attach, dial};
 pub use pilot::{Follows, News, Pilot, PilotSettings};
 
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -1,12 +1,11 @@
 //! Follows the news: one process that serves control at a time, another one when that falls silent or behind; and a
 //! connection to the holder of the counts.
 
+use crate::course::Course;
 use crate::line::{Line, LineError, Reader, dial};
 use crate::spawn;
 use flags::{Berth, Flag, Hail, MasterCard, Pulse, Sheet};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,14 +14,6 @@
 
 /// How often things are looked after.
 const TICK: Duration = Duration::from_millis(200);
-/// Who is followed says something at least this often; a silence of that long is the end of it.
-const SILENT: Duration = Duration::from_millis(1300);
-/// Who has lost the leader is left after this long, if there is anybody else.
-const BEHIND: Duration = Duration::from_millis(900);
-/// Who failed is not asked again for this long, while others are there.
-const AVOIDED: Duration = Duration::from_millis(1500);
-/// A process that knows nothing takes what is perhaps not the newest only after this long.
-const PATIENCE: Duration = Duration::from_secs(8);
 /// A sign of life goes out this often.
 const SIGN: Duration = Duration::from_millis(800);
 /// A draw that has no answer by then gets none.
@@ -85,7 +76,7 @@
     pub fn start(settings: PilotSettings, news: impl FnMut(News) + 'static) -> Self {
         let (orders, queue) = mpsc::channel(64);
         let follows = Rc::new(RefCell::new(Follows::default()));
-        spawn(Helm::new(settings, Box::new(news), follows.clone()).run(queue));
+        spawn(Helm::run(settings, Box::new(news), follows.clone(), queue));
         Self { orders, follows }
     }
 
@@ -113,25 +104,26 @@
     to: SocketAddr,
     /// Nothing while it comes up.
     line: Option<Line>,
-    heard: Instant,
-    fresh_at: Instant,
-    fresh: bool,
+}
+
+impl Voyage {
+    fn is_lost(&self) -> bool {
+        self.line.as_ref().is_some_and(Line::is_lost)
+    }
 }
 
 struct Helm {
     settings: PilotSettings,
     news: Box<dyn FnMut(News)>,
     follows: Rc<RefCell<Follows>>,
-    masters: BTreeMap<SocketAddr, String>,
-    avoided: BTreeMap<SocketAddr, Instant>,
+    course: Course,
+    began: Instant,
     numbers: u64,
     master: Option<Voyage>,
     holder: Option<Voyage>,
-    leader: Option<SocketAddr>,
     have: u64,
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<Sheet>,
-    started: Instant,
     signed: Instant,
     drawn: Option<(u64, Instant)>,
     events: mpsc::Sender<Event>,
@@ -139,49 +131,50 @@
 }
 
 impl Helm {
-    fn new(settings: PilotSettings, news: Box<dyn FnMut(News)>, follows: Rc<RefCell<Follows>>) -> Self {
-        let now = Instant::now();
-        Self {
+    async fn run(
+        settings: PilotSettings, news: Box<dyn FnMut(News)>, follows: Rc<RefCell<Follows>>,
+        mut orders: mpsc::Receiver<Order>,
+    ) {
+        let (events, mut inbox) = mpsc::channel(256);
+        let (lines, mut up) = mpsc::channel(8);
+        let (me, began) = (&settings.me, Instant::now());
+        let course = Course::new(0, &me.name, &me.zone, me.address.parse().ok(), settings.seeds.clone());
+        let mut helm = Self {
             settings,
             news,
             follows,
-            masters: BTreeMap::new(),
-            avoided: BTreeMap::new(),
+            course,
+            began,
             numbers: 0,
             master: None,
             holder: None,
-            leader: None,
             have: 0,
             doubtful: None,
-            started: now,
-            signed: now,
+            signed: began,
             drawn: None,
-            // Replaced as soon as it runs.
-            events: mpsc::channel(1).0,
-            lines: mpsc::channel(1).0,
-        }
-    }
-
-    async fn run(mut self, mut orders: mpsc::Receiver<Order>) {
-        let (events, mut inbox) = mpsc::channel(256);
-        let (lines, mut up) = mpsc::channel(8);
-        (self.events, self.lines) = (events, lines);
+            events,
+            lines,
+        };
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                Some((number, line)) = up.recv() => self.on_up(number, line),
-                Some((number, event)) = inbox.recv() => self.on_event(number, event),
+                Some((number, line)) = up.recv() => helm.on_up(number, line),
+                Some((number, event)) = inbox.recv() => helm.on_event(number, event),
                 order = orders.recv() => match order {
-                    Some(Order::Draw(draw)) => self.on_draw(draw),
-                    Some(Order::Seeds(seeds)) => self.settings.seeds = seeds,
+                    Some(Order::Draw(draw)) => helm.on_draw(draw),
+                    Some(Order::Seeds(seeds)) => helm.course.seeds(seeds),
                     None => return,
                 },
-                _ = tick.tick() => self.on_tick(),
+                _ = tick.tick() => helm.on_tick(),
             }
         }
     }
 
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
     fn voyage(&mut self, to: SocketAddr) -> Voyage {
         self.numbers += 1;
         let (number, events, lines) = (self.numbers, self.events.clone(), self.lines.clone());
@@ -206,58 +199,27 @@
                 }
             }
         });
-        let now = Instant::now();
-        Voyage { number, to, line: None, heard: now, fresh_at: now, fresh: false }
+        Voyage { number, to, line: None }
     }
 
-    /// The next one to follow: of the own zone first, then by a hash of both names, so that each quay has an order of
-    /// its own and all together spread evenly.
-    fn choose(&self) -> Option<SocketAddr> {
-        let now = Instant::now();
-        let me = &self.settings.me;
-        let seeds = self.settings.seeds.iter().map(|seed| (*seed, ""));
-        let known = self.masters.iter().map(|(address, zone)| (*address, zone.as_str()));
-        let rank = |(address, zone): &(SocketAddr, &str)| {
-            let mut hasher = DefaultHasher::new();
-            (&me.name, address).hash(&mut hasher);
-            let avoided = self.avoided.get(address).filter(|until| now < **until);
-            let itself = address.to_string() == me.address;
-            (itself, avoided.is_some(), avoided.copied(), *zone != me.zone, hasher.finish())
-        };
-        let best = known.chain(seeds).min_by_key(rank)?;
-        (best.0.to_string() != me.address).then_some(best.0)
-    }
-
-    fn leave(&mut self, after: Duration) {
-        if let Some(voyage) = self.master.take() {
-            self.avoided.insert(voyage.to, Instant::now() + after);
-            self.avoided.retain(|_, until| Instant::now() < *until);
-        }
+    fn leave(&mut self) {
+        let now = self.now();
+        self.course.failed(now);
+        self.master = None;
         self.follows.borrow_mut().master = None;
     }
 
     fn on_tick(&mut self) {
-        let now = Instant::now();
-        if let Some(voyage) = &self.master {
-            let lost = voyage.line.as_ref().is_some_and(Line::is_lost);
-            let behind = !voyage.fresh && now > voyage.fresh_at + BEHIND;
-            let others = self.masters.keys().any(|a| *a != voyage.to && !self.avoided.contains_key(a));
-            if lost || now > voyage.heard + SILENT || behind && others {
-                self.leave(AVOIDED);
-            }
+        let now = self.now();
+        if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
+            self.leave();
         }
-        if self.master.is_none()
-            && let Some(to) = self.choose()
-        {
+        if let Some(to) = self.course.choose(now) {
             self.master = Some(self.voyage(to));
         }
-        if now > self.started + PATIENCE
-            && let Some(sheet) = self.doubtful.take()
-        {
-            self.take_sheet(sheet);
-        }
-        if now > self.signed + SIGN {
-            self.signed = now;
+        self.take_doubtful();
+        if self.signed.elapsed() > SIGN {
+            self.signed = Instant::now();
             let sign = Flag::Follow { have: self.have };
             // Only a sign of life on a connection that has its news already.
             if let Some(line) = self.master.as_ref().and_then(|v| v.line.as_ref()) {
@@ -267,9 +229,8 @@
                 line.send(&Flag::Here);
             }
         }
-        if let Some((number, since)) = self.drawn.filter(|(_, since)| now > *since + DRAW_LOST) {
+        if let Some((number, _)) = self.drawn.filter(|(_, since)| since.elapsed() > DRAW_LOST) {
             self.drawn = None;
-            let _ = since;
             (self.news)(News::Unanswered { number });
             // A holder that says nothing may be cut off: another connection finds out sooner.
             self.holder = None;
@@ -278,16 +239,16 @@
     }
 
     fn tend_holder(&mut self) {
-        let lost = |v: &Voyage| v.line.as_ref().is_some_and(Line::is_lost);
-        if self.holder.as_ref().is_some_and(|v| Some(v.to) != self.leader || lost(v)) {
+        let leader = self.course.leader();
+        if self.holder.as_ref().is_some_and(|v| Some(v.to) != leader || v.is_lost()) {
             self.holder = None;
         }
         if self.holder.is_none()
-            && let Some(leader) = self.leader
+            && let Some(leader) = leader
         {
             self.holder = Some(self.voyage(leader));
         }
-        self.follows.borrow_mut().holder = self.leader;
+        self.follows.borrow_mut().holder = leader;
     }
 
     fn on_up(&mut self, number: u64, line: Line) {
@@ -301,12 +262,11 @@
     }
 
     fn on_event(&mut self, number: u64, event: Result<Flag, LineError>) {
-        let now = Instant::now();
         let from_master = self.master.as_ref().is_some_and(|v| v.number == number);
         let from_holder = self.holder.as_ref().is_some_and(|v| v.number == number);
         match event {
             Err(_) if from_master => {
-                self.leave(AVOIDED);
+                self.leave();
                 self.on_tick();
             }
             Err(_) if from_holder => {
@@ -316,10 +276,9 @@
                 }
             }
             Ok(flag) if from_master => {
-                if let Some(voyage) = &mut self.master {
-                    voyage.heard = now;
-                }
-                self.on_news(flag);
+                let now = self.now();
+                self.course.heard(now);
+                self.on_news(flag, now);
             }
             Ok(Flag::Grant(grant)) if from_holder => {
                 self.drawn = None;
@@ -333,47 +292,32 @@
         }
     }
 
-    fn on_news(&mut self, flag: Flag) {
+    fn on_news(&mut self, flag: Flag, now: u64) {
         match flag {
             Flag::Pulse(pulse) => {
-                let leader = pulse.leader.as_ref().and_then(|l| l.parse().ok());
-                if pulse.fresh || self.leader.is_none() {
-                    self.leader = leader;
-                }
-                let now = Instant::now();
-                if let Some(voyage) = &mut self.master {
-                    if pulse.fresh {
-                        voyage.fresh_at = now;
-                    }
-                    voyage.fresh = pulse.fresh;
-                }
-                if pulse.fresh
-                    && let Some(sheet) = self.doubtful.take()
-                {
-                    self.take_sheet(sheet);
-                }
+                self.course.pulse(now, &pulse);
+                self.take_doubtful();
                 self.tend_holder();
                 (self.news)(News::Pulse(pulse));
             }
             Flag::Sheet(sheet) => {
-                let fresh = self.master.as_ref().is_some_and(|v| v.fresh);
-                if fresh || self.have > 0 {
-                    self.take_sheet(sheet);
-                } else {
-                    self.doubtful = Some(sheet);
-                }
+                self.doubtful = Some(sheet);
+                self.take_doubtful();
             }
             Flag::Berths { whole, berths } => (self.news)(News::Berths { whole, berths }),
             Flag::Masters(cards) => {
                 let read = |card: MasterCard| Some((card.address.parse().ok()?, card.zone));
-                self.masters = cards.into_iter().filter_map(read).collect();
+                self.course.masters(cards.into_iter().filter_map(read));
             }
             _ => {}
         }
     }
 
-    fn take_sheet(&mut self, sheet: Sheet) {
-        if sheet.version > self.have {
+    fn take_doubtful(&mut self) {
+        if self.doubtful.is_none() || self.have == 0 && !self.course.may_begin(self.now()) {
+            return;
+        }
+        if let Some(sheet) = self.doubtful.take().filter(|sheet| sheet.version > self.have) {
             self.have = sheet.version;
             (self.news)(News::Sheet(sheet));
         }
