A leader goes on asking the log to take in who came with an empty disk

A process that had lost its disk was never made a voter again: the leader asked the log once, when that process hailed it, but the log forgets one that it could not take in at once (no entry of its own term committed yet, another change under way). Ruled out: the log's own catch-up, which its tests show. Now the leader asks on each round until the list has it. Found by a test that plays masters as threads over loopback, which fails without the mend after 30 s.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -135,6 +135,8 @@
     peers: BTreeMap<u64, Peer>,
     dialing: BTreeMap<SocketAddr, (u64, u64)>,
     masters: BTreeMap<SocketAddr, String>,
+    /// The births of those with a disk that counts.
+    births: BTreeMap<SocketAddr, u64>,
     register: Register,
     fleet: Fleet,
     ledger: Ledger,
@@ -179,6 +181,7 @@
             peers: BTreeMap::new(),
             dialing: BTreeMap::new(),
             masters: BTreeMap::new(),
+            births: BTreeMap::new(),
             register: Register::new(settings.beat_interval),
             fleet: Fleet::default(),
             ledger,
@@ -458,14 +461,21 @@
     fn meet(&mut self, hail: &Hail) {
         let Ok(address) = hail.address.parse() else { return };
         self.learn_master(address, hail.zone.clone());
-        if hail.quorum
-            && let Some(birth) = hail.birth
-        {
-            let voter = VoterId { address: hail.address.clone(), birth };
-            let lead = self.node.as_ref().filter(|node| node.is_leader());
-            if lead.is_some_and(|node| !node.members().contains(&voter)) {
-                self.log(Input::AddVoter(voter));
-            }
+        if let Some(birth) = hail.birth.filter(|_| hail.quorum && self.masters.contains_key(&address)) {
+            self.births.insert(address, birth);
+        }
+    }
+
+    /// Whoever has a disk that counts and is no voter yet is to become one: the log wants to be asked until it is.
+    fn take_in(&mut self) {
+        let Some(node) = self.node.as_ref().filter(|node| node.is_leader()) else { return };
+        let voters = self
+            .births
+            .iter()
+            .map(|(address, birth)| VoterId { address: address.to_string(), birth: *birth });
+        let missing: Vec<_> = voters.filter(|voter| !node.members().contains(voter)).collect();
+        for voter in missing {
+            self.log(Input::AddVoter(voter));
         }
     }
 
@@ -576,6 +586,7 @@
         }
         let changed = self.register.sweep(now);
         self.tell_berths(changed);
+        self.take_in();
         let quays = self.quays_here(now);
         for (name, life) in &quays {
             self.fleet.heard(now, name, *life);
--- /dev/null
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -0,0 +1,247 @@
+//! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
+
+use flags::{Hail, Plane};
+use harbourmaster::{Disk, Master, MasterSettings};
+use logbook::{Timing, VoterId};
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// Whatever is waited for comes much sooner; a busy machine is given time.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Process {
+    control: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Process {
+    fn start(at: usize, peers: &[SocketAddr], control: SocketAddr, folder: PathBuf, first: bool) -> Self {
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (address, seeds) = (peers[at], peers.to_vec());
+        let thread = std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async move {
+                let (commands, queue) = mpsc::channel(1024);
+                let newcomer = |_: bool| {
+                    let birth = if first { 0 } else { 77 };
+                    let founders = seeds.iter().map(|a| VoterId { address: a.to_string(), birth: 0 });
+                    let founders = if first { founders.collect() } else { Vec::new() };
+                    (VoterId { address: address.to_string(), birth }, founders)
+                };
+                // The thread of the process before may take a moment to let go of the file.
+                let log = until(|| Disk::open(&folder, newcomer, commands.clone()).ok());
+                let me = Hail {
+                    name: format!("m{at}"),
+                    life: 1,
+                    plane: Plane::Master,
+                    address: address.to_string(),
+                    zone: "a".into(),
+                    quorum: true,
+                    birth: Some(log.1.me.birth),
+                };
+                let timing = Timing { pulse: 40, election: 300, lease: 200 };
+                let seed = at as u64 + 5;
+                let settings = MasterSettings { me, address, seeds, beat_interval: 500, timing, seed };
+                let numbers = Rc::new(Cell::new(0));
+                let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
+                    numbers.set(numbers.get() + 1);
+                    numbers.get()
+                });
+                let master = Master::new(settings, Some(log), commands.clone(), numbers.clone());
+                let listen = |address| {
+                    let listener = TcpListener::bind(address).expect("the port");
+                    listener.set_nonblocking(true).expect("not blocking");
+                    tokio::net::TcpListener::from_std(listener).expect("a listener")
+                };
+                let to_peers = harbourmaster::listen(listen(address), commands.clone(), move || numbers());
+                tokio::task::spawn_local(to_peers);
+                tokio::task::spawn_local(harbourmaster::serve(listen(control), commands.clone(), 64));
+                tokio::task::spawn_local(master.run(queue));
+                let _ = stopped.await;
+            });
+        });
+        Self { control, stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// Ends it with all its connections, as a killed process does; its files stay.
+    fn kill(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let ended = thread.join();
+            assert!(ended.is_ok() || std::thread::panicking(), "a process has panicked");
+        }
+    }
+
+    /// Status and body of one call; none where nobody answers.
+    fn call(&self, head: &str, body: &str) -> Option<(u16, String)> {
+        let mut stream = TcpStream::connect(self.control).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        let length = body.len();
+        write!(stream, "{head}\r\nHost: c\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}")
+            .ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer.split_once("\r\n\r\n")?.1.to_owned()))
+    }
+
+    fn replace(&self, base: u64, body: &str) -> Option<u16> {
+        self.call(&format!("POST /Config.Replace HTTP/1.1\r\nX-Base-Version: r{base}"), body).map(|(s, _)| s)
+    }
+
+    /// Sends until there is an answer that is none of the kind that asks to come again.
+    fn insist(&self, base: u64, body: &str) -> u16 {
+        until(|| self.replace(base, body).filter(|status| *status < 500))
+    }
+
+    fn read(&self) -> (u16, String) {
+        until(|| self.call("GET /Config.Read HTTP/1.1", "").filter(|(status, _)| *status < 500))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn until<T>(mut what: impl FnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = what() {
+            return found;
+        }
+        assert!(begun.elapsed() < PATIENCE, "it did not come");
+        std::thread::yield_now();
+    }
+}
+
+fn config(version: u64) -> String {
+    format!(
+        r#"{{"generation":"r{version}","route_table":{{"r":{{"authority":"h.example","path_prefix":"/","variant":"pure",
+        "deadline_ms":1000,"goal_ms":500,"rank":1,"target":"s","max_tries":2,"public":true}}}},"service_table":{{"s":
+        {{"health_path":"/h","max_conns":10,"protocol":"h1","tls_mode":false}}}},"limits":{{"max_header_bytes":16384,
+        "max_body_bytes":1000000,"header_wait_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    held.iter().map(|listener| listener.local_addr().expect("an address")).collect()
+}
+
+struct Harbour {
+    peers: Vec<SocketAddr>,
+    controls: Vec<SocketAddr>,
+    folder: tempfile::TempDir,
+}
+
+impl Harbour {
+    fn new() -> Self {
+        let ports = free_ports(6);
+        let folder = tempfile::tempdir().expect("a folder");
+        Self { peers: ports[..3].to_vec(), controls: ports[3..].to_vec(), folder }
+    }
+
+    fn start(&self, at: usize, first: bool) -> Process {
+        Process::start(at, &self.peers, self.controls[at], self.disk(at), first)
+    }
+
+    fn disk(&self, at: usize) -> PathBuf {
+        self.folder.path().join(at.to_string())
+    }
+
+    fn all(&self, first: bool) -> Vec<Process> {
+        (0..3).map(|at| self.start(at, first)).collect()
+    }
+}
+
+/// Which of them leads, by its own word.
+fn leader(processes: &[Process]) -> usize {
+    until(|| {
+        processes.iter().position(|process| {
+            let status = process.call("GET /Harbour.Status HTTP/1.1", "");
+            status.is_some_and(|(_, body)| body.contains(r#""holds_lease":true"#))
+        })
+    })
+}
+
+#[test]
+fn any_process_takes_a_change_and_gives_it_back() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(3)), 200);
+    for master in &masters {
+        assert_eq!(master.read(), (200, config(3)));
+        assert_eq!(master.insist(0, &config(3)), 200, "the same again is taken already");
+        assert_eq!(master.insist(0, &config(4)), 412);
+        assert_eq!(master.insist(3, &config(3).replace("500", "600")), 409, "another one of this number");
+        assert_eq!(master.insist(3, "{"), 400);
+    }
+    assert_eq!(masters[2].insist(3, &config(5)), 200);
+    assert_eq!(masters[1].insist(0, &config(3)), 200, "also after a newer one");
+    assert_eq!(masters[1].read(), (200, config(5)));
+}
+
+#[test]
+fn of_two_on_one_version_one_wins() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    let mut base = 0;
+    for round in 0..5 {
+        let (one, other) = (config(base + 1), config(base + 2));
+        let answers = std::thread::scope(|scope| {
+            let threads = [
+                scope.spawn(|| masters[0].insist(base, &one)),
+                scope.spawn(|| masters[1].insist(base, &other)),
+            ];
+            threads.map(|thread| thread.join().expect("an answer"))
+        });
+        let mut sorted = answers;
+        sorted.sort_unstable();
+        assert_eq!(sorted, [200, 412], "round {round}");
+        base += if answers[0] == 200 { 1 } else { 2 };
+    }
+}
+
+#[test]
+fn a_change_survives_its_leader_and_all_of_them() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    let first = leader(&masters);
+    masters[first].kill();
+    let left = (first + 1) % 3;
+    assert_eq!(masters[left].read(), (200, config(1)));
+    assert_eq!(masters[left].insist(1, &config(2)), 200);
+    masters.iter_mut().for_each(Process::kill);
+    let masters = harbour.all(false);
+    assert_eq!(masters[first].read(), (200, config(2)), "also at the one that was away");
+}
+
+#[test]
+fn who_lost_its_disk_joins_as_somebody_else() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    let lost = leader(&masters);
+    masters[lost].kill();
+    std::fs::remove_dir_all(harbour.disk(lost)).expect("its disk is gone");
+    masters[lost] = harbour.start(lost, false);
+    until(|| {
+        let (_, body) = masters[lost].call("GET /Harbour.Status HTTP/1.1", "")?;
+        body.contains(r#""voter":true"#).then_some(())
+    });
+    // It counts now: with one of the others away there is a majority.
+    masters[(lost + 1) % 3].kill();
+    assert_eq!(masters[lost].insist(1, &config(2)), 200);
+    assert_eq!(masters[lost].read(), (200, config(2)));
+}
