Move connections, bodies, budgets and figures into hawser

The system's data plane needs the same connections, bodies, time budgets and figures as the program in service, and nothing is to be written twice.

Only a move: gateway re-exports the three modules under their old paths, so no line that uses them changed.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,8 +8,7 @@
 pub mod clients;
 pub mod control;
 pub mod group;
-pub mod observe;
 pub mod operators;
 pub mod state;
-pub mod time;
-pub mod wire;
+
+pub use hawser::{observe, time, wire};
--- a/hawser/src/lib.rs
+++ b/hawser/src/lib.rs
@@ -2,3 +2,7 @@
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod observe;
+pub mod time;
+pub mod wire;
