Share engine, pool and clients' connections; settings of the decisions may change

The system's data plane makes the same decisions over the same pool with another protocol. Weighed: a smaller pool of its own on hawser's links, which would have been written twice.

The engine and the pool are now in hawser, generic over a Dialect: how a request is put to a backend and what an answer's head means. The counter is a trait.

--- a/gateway/src/backends/list.rs
+++ b/gateway/src/backends/list.rs
@@ -1,10 +1,10 @@
 //! The list of backends: what discovery, a configuration and a predecessor say of them.
 
 use doorcourse::{BackendEntry, BackendState};
+pub use hawser::pool::Host;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::fmt;
-use std::net::SocketAddr;
 
 /// A list that cannot be used.
 #[derive(Debug)]
@@ -54,15 +54,6 @@
     Terminated,
 }
 
-/// One backend and where it listens.
-#[derive(Clone, Debug)]
-pub struct Host {
-    /// What the decisions need to know.
-    pub entry: BackendEntry,
-    /// Where it listens.
-    pub dial: SocketAddr,
-}
-
 /// The list of backends or changes to it.
 #[derive(Clone, Debug)]
 pub struct List {
--- a/gateway/src/control/counter.rs
+++ b/gateway/src/control/counter.rs
@@ -3,6 +3,7 @@
 use crate::observe::cost::{Cost, Use};
 use crate::time::clock::millis;
 use doorcourse::{CountOutcome, Millis};
+use hawser::engine::{Count, Report};
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use std::cell::{Cell, RefCell};
@@ -29,9 +30,6 @@
 const MOST_CALLS: usize = 1024;
 const MOST_BYTES: usize = 4096;
 
-/// What is told of each call: its name, how it ended, how long it took. Once, but for a late answer.
-pub type Report = dyn Fn(u64, CountOutcome, Millis);
-
 struct Call {
     /// None for a ping.
     name: Option<u64>,
@@ -86,19 +84,21 @@
         };
         Self { lanes: (0..LANES).map(lane).collect(), address }
     }
+}
 
+impl Count for Counter {
     /// Moves to another address; calls that are out are still heard at the old one.
-    pub fn move_to(&self, address: SocketAddr) {
+    fn move_to(&self, address: SocketAddr) {
         self.address.send_replace(address);
     }
 
     /// Whether a connection stands.
-    pub fn is_up(&self) -> bool {
+    fn is_up(&self) -> bool {
         self.lanes.iter().any(|lane| lane.pipeline.borrow().up)
     }
 
     /// Adds an amount to a name; the end is reported later or, with no connection, at once.
-    pub fn add(&self, name: u64, amount: f64, keep: Millis) {
+    fn add(&self, name: u64, amount: f64, keep: Millis) {
         let own = name as usize % self.lanes.len();
         let mut lanes = self.lanes[own..].iter().chain(&self.lanes[..own]);
         // Guards quotas against a connection that is gone or has gone blind: it would cost every call until it is
--- a/gateway/src/control/discovery.rs
+++ b/gateway/src/control/discovery.rs
@@ -32,7 +32,7 @@
 
 /// Brings a list to the connections first, so that nothing is sent by an older word, then to the decisions.
 pub fn tell(list: List, backends: &Backends, engine: &Engine) {
-    backends.update(&list);
+    backends.update(list.seq, list.whole, &list.hosts);
     let entries = list.hosts.into_iter().map(|h| h.entry).collect();
     engine.post(if list.whole { Event::BackendList(entries) } else { Event::BackendChanges(entries) });
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -4,11 +4,11 @@
 
 use clap::Parser as _;
 use doorcourse::Event;
-use fennelscale::backends::pool::{Backends, spawn};
+use fennelscale::backends::pool::{Backends, Speech, spawn};
 use fennelscale::clients::front::Front;
 use fennelscale::control::config::Config;
 use fennelscale::control::discovery;
-use fennelscale::control::engine::Engine;
+use fennelscale::control::engine::{self, Engine};
 use fennelscale::group::scout::Scout;
 use fennelscale::group::{self, Group};
 use fennelscale::observe::figures::Figures;
@@ -104,15 +104,15 @@
     let sockets = config.sockets.saturating_sub(config.group.as_ref().map_or(0, |_| group::DESCRIPTORS));
     let (most_clients, most_open) = shares(sockets, 0);
     let backends = Backends::new(
+        Speech { reports: settings.reports },
         config.connect_timeout,
         config.backend_idle,
-        settings.reports,
         most_open,
         figures.cost().clone(),
     );
     // Two processes may run on one configuration, and by one seed chance would choose alike.
     let seed = config.seed ^ predecessor.as_ref().map_or(0, |_| u64::from(std::process::id()) << 16);
-    let engine = Engine::start(settings.clone(), seed, backends.clone(), config.counter, figures.clone());
+    let engine = engine::start(settings.clone(), seed, backends.clone(), config.counter, figures.clone());
     let engine = match engine {
         Ok(engine) => engine,
         Err(error) => return unusable(&error),
--- a/gateway/src/state/handover.rs
+++ b/gateway/src/state/handover.rs
@@ -183,7 +183,7 @@
     let lame_duck = parts.front.is_lame_duck();
     let guests = parts.front.hand_over();
     parts.backends.close_idle();
-    let list = parts.backends.list().to_value();
+    let list = List { seq: parts.backends.seq(), whole: true, hosts: parts.backends.hosts() }.to_value();
     let (estate, now) = parts.engine.hand_over();
     let legacy = Legacy { estate, now: Some(now), list, lame_duck, guests };
     let mut text = serde_json::to_vec(&legacy)?;
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -3,6 +3,7 @@
 mod helper;
 
 use doorcourse::CountOutcome;
+use hawser::engine::Count as _;
 use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row, soon};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
--- a/hawser/src/lib.rs
+++ b/hawser/src/lib.rs
@@ -3,6 +3,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod engine;
+pub mod guest;
 pub mod observe;
+pub mod pool;
 pub mod time;
 pub mod wire;
--- a/hawser/src/wire/body.rs
+++ b/hawser/src/wire/body.rs
@@ -31,6 +31,9 @@
 /// A backend may leave what is there of a long body for this long.
 const STALLED: Duration = Duration::from_secs(8);
 
+/// Whether an attempt still draws on a body that is no longer wanted is looked after this often.
+const DRAIN: Duration = Duration::from_millis(10);
+
 /// Why a body ended before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cut {
@@ -63,13 +66,28 @@
     waiting_since: Option<Instant>,
     waited: Duration,
     bytes: u64,
+    most: u64,
 }
 
 impl ClientBody {
     /// A body that has brought nothing yet.
     pub fn new(body: Incoming, first_by: Instant) -> Self {
         let timer = Box::pin(sleep_until(first_by));
-        Self { body, timer, first_by: Some(first_by), waiting_since: None, waited: Duration::ZERO, bytes: 0 }
+        Self {
+            body,
+            timer,
+            first_by: Some(first_by),
+            waiting_since: None,
+            waited: Duration::ZERO,
+            bytes: 0,
+            most: LARGEST,
+        }
+    }
+
+    /// It may be so large instead.
+    pub fn at_most(mut self, most: u64) -> Self {
+        self.most = most;
+        self
     }
 
     /// How much is still to come, where that was said.
@@ -92,7 +110,7 @@
                     self.waited += self.waiting_since.take().map_or(Duration::ZERO, |since| since.elapsed());
                     self.first_by = None;
                     self.bytes += bytes.len() as u64;
-                    let fits = self.bytes <= LARGEST;
+                    let fits = self.bytes <= self.most;
                     return Poll::Ready(Some(if fits { Ok(bytes) } else { Err(Cut::TooLarge) }));
                 }
                 Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Cut::Broken))),
@@ -193,6 +211,14 @@
         Poll::Ready(next)
     }
 
+    /// Reads what is left once nobody else holds it.
+    pub async fn drain_once_left(self: Rc<Self>) {
+        while Rc::strong_count(&self) > 1 {
+            sleep(DRAIN).await;
+        }
+        self.drain().await;
+    }
+
     /// Reads what nobody wants any more: closing on it unread would reset the connection, and the answer with it.
     pub async fn drain(&self) {
         while let Some(Ok(_)) = std::future::poll_fn(|cx| self.poll_bytes(cx)).await {}
--- a/hawser/src/wire/link.rs
+++ b/hawser/src/wire/link.rs
@@ -44,6 +44,8 @@
     pub figures: Option<Rc<Figures>>,
     /// When its connection stood: a new one, or a free one that was there.
     pub connected: Cell<Option<Instant>>,
+    /// Whether any byte of it was written.
+    pub begun: Cell<bool>,
     /// Whether its last byte was written.
     pub whole: Cell<bool>,
 }
@@ -92,6 +94,7 @@
                 Ok(written) => {
                     if written > 0 {
                         self.sent.progress.set(Progress::Partly);
+                        self.sent.trace.borrow().begun.set(true);
                     }
                     return Poll::Ready(Ok(written));
                 }
@@ -151,6 +154,12 @@
         Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent, _held })
     }
 
+    /// Has the kernel break the connection once the other machine has acknowledged nothing for so long, in the middle
+    /// of a request or idle. A machine that vanishes says nothing.
+    pub fn give_up_after(&self, silence: Duration) {
+        give_up_after(&self.stream, silence);
+    }
+
     /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
     /// what the event loop has heard so far may be old. Data that nobody asked for is a fault too.
     pub fn stands(&self) -> bool {
@@ -218,6 +227,16 @@
     }
 }
 
+/// Has the kernel break a connection whose other machine has acknowledged nothing for so long. Where that can't be had
+/// the connection goes on without.
+pub fn give_up_after(stream: &TcpStream, silence: Duration) {
+    let socket = socket2::SockRef::from(stream);
+    let probes =
+        socket2::TcpKeepalive::new().with_time(silence / 2).with_interval(silence / 2).with_retries(2);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(silence));
+}
+
 type Driver = Option<Pin<Box<http1::Connection<TokioIo<Wire>, Outgoing>>>>;
 
 fn poll_driver(driver: &mut Driver, cx: &mut Context<'_>) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,10 @@
 //! All decisions of a gateway. Its interface (settings, events, actions) is in `src/interface.rs`.
-//!
 //! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count),
 //! its open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
 
 mod backends;
 mod counter;
+mod live;
 mod quota;
 mod requests;
 
--- /dev/null
+++ b/src/logic/live.rs
@@ -0,0 +1,27 @@
+//! Settings that change while a gateway runs: what it has learned and holds stays.
+
+use super::*;
+
+impl Gateway {
+    /// Adds a class, unless there is one of that name. Classes are never taken away: requests name them by place.
+    pub fn add_class(&mut self, class: Class) {
+        if self.settings.classes.iter().all(|known| known.name != class.name) {
+            self.settings.classes.push(class);
+            self.class_latency.push(0.0);
+            self.class_seen.push(0.0);
+        }
+    }
+
+    /// There are so many gateways from now on, of which this one has that number. Room at a backend is this gateway's
+    /// part of what all keep out there, so it shrinks and grows with the parts.
+    pub fn resize(&mut self, gateways: u32, number: u32) {
+        let gateways = gateways.max(1);
+        let part = f64::from(self.settings.gateways) / f64::from(gateways);
+        (self.settings.gateways, self.settings.number) = (gateways, number.min(gateways - 1));
+        for backend in self.backends.values_mut().filter(|backend| backend.room > 0.0) {
+            backend.room = (backend.room * part).max(ROOM_LEAST);
+        }
+        self.retries = self.retries.min(retry_most(&self.settings));
+        self.choose_own();
+    }
+}
