Quay: the data plane forwards requests between clients and backends

The system has to carry traffic itself, by the operator's configuration and the beats of its backends, where the program in service goes by headers of its own.

One gateway of doorcourse for each service, with a plan without rate: the host's admission meters tenants before. The rest is hawser's: engine, pool, connections, bodies, budgets.

--- /dev/null
+++ b/harbour/quay/src/berths.rs
@@ -0,0 +1,155 @@
+//! The lives of backends as control tells of them. Of two words of one life the one with more calls counts, and a phase
+//! only ever goes forward: a list of somebody who has heard less takes nothing back.
+
+use doorcourse::{BackendState, Name};
+use flags::{Berth, Phase};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// So many lives that are over are remembered, so that an old word can't bring them back.
+const MOST_OVER: usize = 1024;
+/// A backend is warm after this time at most.
+pub const COLD_TIME: Duration = Duration::from_secs(10);
+
+/// One life.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub service: Name,
+    pub zone: Name,
+    pub dial: SocketAddr,
+    pub phase: Phase,
+    pub calls: u64,
+    pub overdue: bool,
+    /// When it began, if it has yet to warm up.
+    pub started: Option<Instant>,
+    /// Another one answered at its address while so many of its calls were known.
+    missed: Option<u64>,
+    /// Whether the newest whole list names it.
+    listed: bool,
+}
+
+impl Life {
+    /// What the decisions are told of it.
+    pub fn state(&self) -> BackendState {
+        match self.phase {
+            _ if self.missed.is_some() || !self.listed => BackendState::Gone,
+            Phase::Serving => BackendState::Ready,
+            Phase::Draining => BackendState::Draining,
+            Phase::Gone => BackendState::Gone,
+        }
+    }
+}
+
+/// All lives that are known of.
+#[derive(Default)]
+pub struct Lives {
+    lives: HashMap<Name, Life>,
+    /// Those that are over, in the order of their ends.
+    over: VecDeque<Name>,
+}
+
+impl Lives {
+    /// Takes in a list or changes to it, and gives the lives that are told otherwise now.
+    pub fn update(&mut self, berths: &[Berth], whole: bool) -> Vec<(Name, Life)> {
+        let mut changed = Vec::new();
+        if whole {
+            let named: HashSet<&str> = berths.iter().map(|berth| &*berth.id).collect();
+            for (id, life) in &mut self.lives {
+                if life.phase != Phase::Gone && life.listed && !named.contains(&**id) {
+                    // Not over: who has heard less may just not know of it.
+                    life.listed = false;
+                    changed.push((id.clone(), life.clone()));
+                }
+            }
+            changed.iter().for_each(|(id, _)| self.bury(id));
+        }
+        for berth in berths {
+            changed.extend(self.hear(berth));
+        }
+        changed
+    }
+
+    fn hear(&mut self, berth: &Berth) -> Option<(Name, Life)> {
+        let dial: SocketAddr = berth.address.parse().ok()?;
+        let Some(life) = self.lives.get_mut(&*berth.id) else {
+            let id = Name::from(&*berth.id);
+            let life = Life {
+                service: Name::from(&*berth.service),
+                zone: Name::from(&*berth.zone),
+                dial,
+                phase: berth.phase,
+                calls: berth.call_count,
+                overdue: berth.overdue,
+                started: self.started(berth),
+                missed: None,
+                listed: true,
+            };
+            self.lives.insert(id.clone(), life.clone());
+            if berth.phase == Phase::Gone {
+                self.bury(&id);
+            }
+            return Some((id, life));
+        };
+        let (state, before) = (life.state(), life.clone());
+        if life.phase == Phase::Gone {
+            return None;
+        }
+        life.phase = life.phase.max(berth.phase);
+        if berth.call_count >= life.calls {
+            life.overdue = berth.overdue;
+            life.dial = dial;
+        }
+        life.listed = true;
+        if life.missed.is_some_and(|calls| calls < berth.call_count) {
+            life.missed = None;
+        }
+        life.calls = life.calls.max(berth.call_count);
+        let told = life.state() != state || life.dial != before.dial || life.overdue != before.overdue;
+        let (id, life) = (Name::from(&*berth.id), life.clone());
+        if life.phase == Phase::Gone {
+            self.bury(&id);
+        }
+        told.then_some((id, life))
+    }
+
+    fn bury(&mut self, id: &Name) {
+        self.over.push_back(id.clone());
+        if self.over.len() > MOST_OVER
+            && let Some(oldest) = self.over.pop_front()
+            && self.lives.get(&oldest).is_some_and(|life| life.phase == Phase::Gone || !life.listed)
+        {
+            self.lives.remove(&oldest);
+        }
+    }
+
+    /// When a backend began, if it has yet to warm up. Where most of a service are cold none is spared: their requests
+    /// have nowhere else to go.
+    fn started(&self, berth: &Berth) -> Option<Instant> {
+        let left = Duration::from_millis(berth.warmup_left_ms.into()).min(COLD_TIME);
+        let own = self.lives.values().filter(|life| *life.service == *berth.service);
+        let serving = own.filter(|life| life.phase == Phase::Serving);
+        let cold = |life: &&Life| life.started.is_some_and(|at| at.elapsed() < COLD_TIME);
+        let (all, cold) = (serving.clone().count(), serving.filter(cold).count());
+        let spared = !left.is_zero() && cold * 2 < all;
+        spared.then(|| Instant::now().checked_sub(COLD_TIME - left)).flatten()
+    }
+
+    /// Another one answers at the address of this life: it is left out until a newer word of it.
+    pub fn missed(&mut self, id: &Name) -> Option<Life> {
+        let life = self.lives.get_mut(id).filter(|life| life.missed.is_none())?;
+        life.missed = Some(life.calls);
+        Some(life.clone())
+    }
+
+    /// Those that take requests.
+    pub fn serving(&self) -> impl Iterator<Item = (&Name, &Life)> {
+        self.lives.iter().filter(|(_, life)| life.state() == BackendState::Ready)
+    }
+
+    /// Whether any life of a service is not over.
+    pub fn has(&self, service: &str) -> bool {
+        self.lives.values().any(|life| *life.service == *service && life.phase != Phase::Gone)
+    }
+}
--- /dev/null
+++ b/harbour/quay/src/front.rs
@@ -0,0 +1,364 @@
+//! The clients' side: takes requests in, asks admission and the decisions, writes their answers, drains at the end.
+
+use crate::headers::KEEP_ALIVE;
+use crate::order::{Fault, Order};
+use crate::quay::{PLAN, Quay, Service};
+use crate::speech::Speech;
+use crate::{Asked, Conf};
+use bytes::{Bytes, BytesMut};
+use doorcourse::{Arrival, Name};
+use hawser::engine::{Reply, Waiting};
+use hawser::guest::{self, Guest, Hall, LAST_CALL};
+use hawser::observe::figures::{Ending, Figures};
+use hawser::pool::{Answer, Message, Payload, spawn};
+use hawser::time::budget::Budget;
+use hawser::time::clock::span;
+use hawser::wire::body::{ClientBody, Content, Cut, Upload};
+use hawser::wire::link::give_up_after;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use manifest::Route;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// A body of up to this many bytes is held whole, so that it can be sent again.
+const HELD: usize = 256 * 1024;
+/// A client whose machine acknowledges nothing for this long is gone.
+const CLIENT_DEAD_AFTER: Duration = Duration::from_secs(10);
+/// A request waits for its tenant's unit at most this share of its goal ...
+const UNIT_WAIT: f64 = 0.12;
+/// ... and for a backend with room until this share of it has passed: a refusal that comes later costs.
+const ROOM_WAIT: f64 = 0.2;
+/// Who is refused for want of room comes again after a share of the goal between these, but with no more than a third
+/// of its time gone, as no client follows longer advice.
+const ADVICE: (f64, f64) = (0.2, 0.6);
+const ADVICE_MOST: f64 = 0.33;
+/// Before there is a configuration, or a backend.
+const NOT_YET: Duration = Duration::from_millis(300);
+/// Read buffers hold one request's head, whatever the configuration says beyond these.
+const BUFFERS: (u64, u64) = (8 * 1024, 256 * 1024);
+/// A connection's limits before there is a configuration.
+const EARLY_LIMIT: Duration = Duration::from_secs(3);
+/// The time that clients are told is shorter by this much than what their connections are kept.
+const TOLD_LESS: u64 = 1;
+/// While the process ends, idle connections are looked after this often.
+const SEE_OFF: Duration = Duration::from_millis(50);
+/// Of the time that the process has to end in, so much is kept for the last answers.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+/// Once nothing waits for an answer, connections have this long to be done with.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+pub type Keep = guest::Keep<Speech>;
+type Reaction = Response<Content<Keep>>;
+
+/// The clients' side.
+pub struct Front {
+    hall: Rc<Hall>,
+    random: Cell<u64>,
+    plan: Name,
+}
+
+impl Front {
+    pub fn new(most_clients: usize, seed: u64, figures: Rc<Figures>) -> Self {
+        Self { hall: Hall::new(most_clients, figures), random: Cell::new(seed), plan: PLAN.into() }
+    }
+
+    /// From 0 up to 1.
+    fn chance(&self) -> f64 {
+        let mut x = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.random.set(x);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Serves clients until `end` resolves, then lets those finish that are there.
+    pub async fn serve(quay: &Rc<Quay>, listener: TcpListener, end: impl Future<Output = ()>) {
+        let hall = quay.front().hall.clone();
+        let ended = async {
+            end.await;
+            let (settings, now) = (quay.settings(), Instant::now());
+            let by = now + settings.grace - LAST_ANSWERS.min(settings.grace / 4);
+            let linger = settings.linger.min(settings.grace / 2);
+            quay.ending(by);
+            quay.log(format_args!("ending: takes clients for {} ms more", linger.as_millis()));
+            // The platform goes on to send clients here until it has missed this gateway twice. Who is here already
+            // may hold a connection that it will not use again.
+            sleep(linger / 2).await;
+            hall.see_off(linger / 2);
+            sleep(linger / 2).await;
+            hall.see_off(Duration::ZERO);
+            by
+        };
+        let mut ended = pin!(ended);
+        let by = loop {
+            tokio::select! {
+                by = ended.as_mut() => break by,
+                stream = hall.accept(&listener) => welcome(quay, stream),
+            }
+        };
+        // What the machine has accepted for us already is ours to answer.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            welcome(quay, stream);
+        }
+        drop(listener);
+        let mut quiet = Instant::now();
+        while hall.guests() > 0 && quiet.elapsed() < LAST_WORDS && Instant::now() < by + LAST_ANSWERS / 2 {
+            let _ = timeout(SEE_OFF, hall.left()).await;
+            hall.see_off(LAST_CALL);
+            if quay.active() > 0 {
+                quiet = Instant::now();
+            }
+        }
+        quay.log(format_args!("ended with {} connections left", hall.guests()));
+    }
+}
+
+fn welcome(quay: &Rc<Quay>, stream: TcpStream) {
+    let conf = quay.conf();
+    let limits = conf.as_ref().map(|conf| &conf.limits);
+    let (idle, head) = limits.map_or((EARLY_LIMIT, EARLY_LIMIT), |l| (l.idle_timeout, l.header_wait));
+    let buffer = limits.map_or(BUFFERS.0, |l| l.max_header_bytes).clamp(BUFFERS.0, BUFFERS.1) as usize;
+    let keeps = idle.as_secs().saturating_sub(TOLD_LESS);
+    let keeps = (keeps > 0).then(|| HeaderValue::from_str(&format!("timeout={keeps}")).ok()).flatten();
+    give_up_after(&stream, CLIENT_DEAD_AFTER);
+    let (guest, hall) = (Guest::new(idle, head), quay.front().hall.clone());
+    let service = service_fn({
+        let (quay, guest) = (quay.clone(), guest.clone());
+        move |request| {
+            let (quay, guest, keeps) = (quay.clone(), guest.clone(), keeps.clone());
+            async move {
+                let busy = guest.asks();
+                let arrived = guest.read_at();
+                quay.figures().cost().asked();
+                let mut response = quay.answer(request, arrived).await;
+                let headers = response.headers_mut();
+                // So that clients find another gateway, or make room for others here.
+                if quay.is_ending() || quay.front().hall.is_full() {
+                    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+                } else if let Some(keeps) = keeps.filter(|_| !headers.contains_key(CONNECTION)) {
+                    headers.insert(KEEP_ALIVE, keeps);
+                }
+                response.body_mut().keep.busy = Some(busy);
+                Ok::<_, Infallible>(response)
+            }
+        }
+    });
+    hall.welcome(stream, guest, buffer, service);
+}
+
+impl Quay {
+    /// The one answer to a request whose head came at this moment.
+    async fn answer(&self, request: Request<Incoming>, arrived: Instant) -> Reaction {
+        self.take(request, arrived).await.unwrap_or_else(refuse)
+    }
+
+    async fn take(&self, request: Request<Incoming>, arrived: Instant) -> Result<Reaction, Fault> {
+        let (head, body) = request.into_parts();
+        let conf = self.conf();
+        let order = conf.as_ref().ok_or(Fault::NotYet).and_then(|conf| Order::read(conf, head));
+        // Also what is refused is read, as far as it would be held: closing on it unread would reset the connection,
+        // and the answer with it.
+        let body = match &conf {
+            _ if body.is_end_stream() => Ok((Bytes::new(), None)),
+            Some(conf) => read(body, conf).await,
+            None => Err(Fault::NotYet),
+        };
+        let order = order?;
+        let (body, rest) = body?;
+        if let Some(tenant) = order.tenant.filter(|tenant| tenant.rate_per_s > 0.0) {
+            self.admit(&tenant.label, order.route.goal).await.map_err(Fault::Quota)?;
+        }
+        let reaction = self.forward(&order, body, rest.clone(), arrived).await;
+        rest.into_iter().for_each(|rest| spawn(rest.drain_once_left()));
+        if matches!(reaction, Err(Fault::NoRoom(_)))
+            && let Some(tenant) = order.tenant.filter(|tenant| tenant.rate_per_s > 0.0)
+        {
+            self.admission().give_back(&tenant.label);
+        }
+        reaction
+    }
+
+    /// Waits for a unit of the tenant; else tells when there may be one.
+    async fn admit(&self, tenant: &str, goal: Duration) -> Result<(), Duration> {
+        let wait = goal.mul_f64(UNIT_WAIT);
+        match self.admission().ask(tenant, wait) {
+            Asked::Granted => Ok(()),
+            Asked::Refused { retry_after } => Err(retry_after),
+            // The host answers by then; this guards against one that does not.
+            Asked::Wait(unit) => match timeout(wait * 2, unit).await {
+                Ok(Ok(unit)) => unit,
+                Ok(Err(_)) | Err(_) => Err(NOT_YET),
+            },
+        }
+    }
+
+    /// One of the route's services, by their shares, among those that have backends.
+    fn draw(&self, route: &Route) -> Option<Rc<Service>> {
+        let serving = |name: &str| route.targets.len() == 1 || self.serves(name);
+        let targets = route.targets.iter().filter(|(name, share)| *share > 0 && serving(name));
+        let sum: f64 = targets.clone().map(|(_, share)| f64::from(*share)).sum();
+        let mut lot = if route.targets.len() > 1 { self.front().chance() * sum } else { 0.0 };
+        for (name, share) in targets {
+            lot -= f64::from(*share);
+            if lot < 0.0 {
+                return self.service(name).filter(|_| self.serves(name));
+            }
+        }
+        None
+    }
+
+    /// When who is refused for want of room ought to come again.
+    fn advice(&self, order: &Order<'_>) -> Duration {
+        let share = ADVICE.0 + (ADVICE.1 - ADVICE.0) * self.front().chance();
+        order.route.goal.mul_f64(share).min(order.patience.mul_f64(ADVICE_MOST))
+    }
+
+    /// Has the decisions carry a request to a backend.
+    async fn forward(
+        &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant,
+    ) -> Result<Reaction, Fault> {
+        let route = order.route;
+        let Some(service) = self.draw(route) else { return Err(Fault::NoRoom(self.advice(order))) };
+        let engine = &service.engine;
+        let class = service.class(route.pure, route.goal, order.rank());
+        let budget = Budget::at_the_door(arrived, order.patience, engine.lateness());
+        let message = Message { ask: order.ask.clone(), body, rest, budget };
+        let taken = self.figures().taken(&class);
+        let plan = &self.front().plan;
+        let (customer, plan, deadline) = (plan.clone(), plan.clone(), engine.at(budget.answer_by()));
+        let arrival = |id| Arrival {
+            id,
+            customer,
+            plan,
+            class,
+            units: 1.0,
+            repeat: false,
+            deadline,
+            first: 0,
+            spread: 1,
+        };
+        let (id, reply) = engine.open(arrival, message.clone(), route.max_tries);
+        let waiting = Waiting::new(engine.clone(), id);
+        let mut reply = pin!(reply);
+        let room_by = arrived + route.goal.mul_f64(ROOM_WAIT);
+        let mut unsent = engine.is_unsent(id);
+        // Guards the one final answer: should the decisions forget a request, it still gets one in time.
+        let reply = loop {
+            tokio::select! {
+                biased;
+                reply = reply.as_mut() => break reply.unwrap_or(Reply::Failed(true)),
+                () = sleep_until(room_by), if unsent => {
+                    unsent = false;
+                    if engine.is_unsent(id) {
+                        break Reply::Refused { wait: 0.0, may_have_run: false };
+                    }
+                }
+                () = message.expires(None, budget.backstop()) => {
+                    let unsent = engine.is_unsent(id);
+                    break if unsent {
+                        Reply::Refused { wait: 0.0, may_have_run: false }
+                    } else {
+                        Reply::Failed(true)
+                    };
+                }
+            }
+        };
+        match reply {
+            Reply::Served(Answer { status, headers, body }) => {
+                let mut response = Response::new(match body {
+                    // It has not ended yet, and ends when its client has it all, or leaves.
+                    Payload::Stream(stream) => {
+                        Content::stream(stream, Keep { busy: None, served: Some((taken, waiting)) })
+                    }
+                    Payload::Whole(body) => {
+                        taken.ended(Ending::Served);
+                        Content::whole(body, Keep::default())
+                    }
+                });
+                (*response.status_mut(), *response.headers_mut()) = (status, headers);
+                Ok(response)
+            }
+            Reply::Refused { may_have_run: false, wait } => {
+                taken.ended(Ending::Refused);
+                // Where the decisions ask for less, as they do for what may come at once, they know better.
+                let advice = self.advice(order);
+                Err(Fault::NoRoom(if wait > 0.0 { advice.min(span(wait)) } else { advice }))
+            }
+            // Their status must not promise that nothing ran.
+            Reply::Refused { .. } | Reply::Failed(false) => {
+                taken.ended(Ending::Failed);
+                match message.rest.as_ref().and_then(|rest| rest.cut()) {
+                    Some(Cut::TooLarge) => Err(Fault::TooLarge),
+                    Some(Cut::Broken | Cut::TooSlow) => Err(Fault::Bad("the body broke off")),
+                    None => Ok(plain(StatusCode::BAD_GATEWAY, "the backend's answer did not come\n")),
+                }
+            }
+            Reply::Failed(true) => {
+                taken.ended(Ending::Failed);
+                Ok(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"))
+            }
+        }
+    }
+}
+
+/// Reads a body whole, or the start of a long one.
+async fn read(body: Incoming, conf: &Conf) -> Result<(Bytes, Option<Rc<Upload>>), Fault> {
+    let limits = &conf.limits;
+    if body.size_hint().lower() > limits.max_body_bytes {
+        return Err(Fault::TooLarge);
+    }
+    let mut start = BytesMut::with_capacity(body.size_hint().lower().min(HELD as u64) as usize);
+    let mut body = ClientBody::new(body, Instant::now() + limits.header_wait).at_most(limits.max_body_bytes);
+    while let Some(bytes) = body.bytes().await {
+        start.extend_from_slice(&bytes.map_err(|cut| match cut {
+            Cut::TooLarge => Fault::TooLarge,
+            Cut::TooSlow => Fault::TooSlow,
+            Cut::Broken => Fault::Bad("the body broke off"),
+        })?);
+        if start.len() > HELD && !body.is_over() {
+            return Ok((start.freeze(), Some(Upload::new(body))));
+        }
+    }
+    Ok((start.freeze(), None))
+}
+
+/// The answer to a request that did not run.
+fn refuse(fault: Fault) -> Reaction {
+    let (mut response, wait, closes) = match fault {
+        Fault::NotYet => {
+            (plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"), Some(NOT_YET), true)
+        }
+        Fault::Bad(what) => (plain(StatusCode::BAD_REQUEST, what), None, true),
+        Fault::NoRoute => (plain(StatusCode::NOT_FOUND, "no such route\n"), None, false),
+        Fault::NoKey => (plain(StatusCode::UNAUTHORIZED, "no known key\n"), None, false),
+        Fault::TooLarge => (plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"), None, true),
+        Fault::TooSlow => (plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"), None, true),
+        Fault::Quota(wait) => {
+            (plain(StatusCode::TOO_MANY_REQUESTS, "the quota is used up\n"), Some(wait), false)
+        }
+        Fault::NoRoom(wait) => (plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n"), Some(wait), false),
+    };
+    let headers = response.headers_mut();
+    if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{:.3}", w.as_secs_f64())).ok()) {
+        headers.insert(RETRY_AFTER, wait);
+    }
+    if closes {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Reaction {
+    let mut response = Response::new(Content::whole(Bytes::from_static(text.as_bytes()), Keep::default()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- /dev/null
+++ b/harbour/quay/src/headers.rs
@@ -0,0 +1,94 @@
+//! Names of headers, and those that concern one connection only.
+
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
+use std::time::Duration;
+
+pub const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
+pub const DEADLINE_LEFT: HeaderName = HeaderName::from_static("x-deadline-left");
+pub const INSTANCE_ID: HeaderName = HeaderName::from_static("x-instance-id");
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+pub const SEAL: HeaderName = HeaderName::from_static("x-server-seal");
+pub const TARGET_INSTANCE: HeaderName = HeaderName::from_static("x-target-instance");
+pub const TENANT: HeaderName = HeaderName::from_static("x-tenant");
+
+/// The length is told anew by whoever writes the body.
+const ONE_HOP: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("te"),
+    HeaderName::from_static("trailer"),
+    HeaderName::from_static("transfer-encoding"),
+    HeaderName::from_static("upgrade"),
+    HeaderName::from_static("expect"),
+];
+
+/// Takes out what concerns one connection only: the well-known ones, and those that `Connection` names.
+pub fn strip(headers: &mut HeaderMap) {
+    // Hardly any message names one, so the list is built for those only.
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .filter(|name| !name.eq_ignore_ascii_case("close") && !name.eq_ignore_ascii_case("keep-alive"))
+        // Host and the id are of the request whatever a client says of them.
+        .filter(|name| !name.eq_ignore_ascii_case("host") && !name.eq_ignore_ascii_case(ATTEMPT_ID.as_str()))
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    for name in ONE_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    let proxy: Vec<_> = headers.keys().filter(|name| name.as_str().starts_with("proxy-")).cloned().collect();
+    for name in proxy {
+        headers.remove(name);
+    }
+}
+
+/// The time that a peer keeps an idle connection, by its `Keep-Alive`.
+pub fn kept(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|word| word.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(|seconds: u32| Duration::from_secs(seconds.into()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::HeaderValue;
+
+    #[test]
+    fn what_concerns_one_connection_stays_on_it() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [
+            ("connection", "close, X-Mine,host, x-attempt-id"),
+            ("x-mine", "1"),
+            ("host", "a"),
+            ("x-attempt-id", "b"),
+            ("te", "trailers"),
+            ("proxy-authorization", "c"),
+            ("content-length", "4"),
+            ("x-other", "d"),
+        ] {
+            headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        strip(&mut headers);
+        let mut left: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
+        left.sort_unstable();
+        assert_eq!(left, ["host", "x-attempt-id", "x-other"]);
+    }
+
+    #[yare::parameterized(
+        plain = { "timeout=4", Some(4) },
+        with_more = { "max=3, timeout=20", Some(20) },
+        none = { "max=3", None },
+        junk = { "timeout=-1", None },
+    )]
+    fn a_peer_says_how_long_it_keeps_a_connection(value: &'static str, seconds: Option<u64>) {
+        let headers = HeaderMap::from_iter([(KEEP_ALIVE, HeaderValue::from_static(value))]);
+        assert_eq!(kept(&headers), seconds.map(Duration::from_secs));
+    }
+}
--- /dev/null
+++ b/harbour/quay/src/speech.rs
@@ -0,0 +1,146 @@
+//! What is spoken with backends, and what their answers mean.
+
+use crate::Log;
+use crate::headers::{
+    ATTEMPT_ID, DEADLINE_LEFT, INSTANCE_ID, NOT_EXECUTED, SEAL, TARGET_INSTANCE, TENANT, kept, strip,
+};
+use doorcourse::{LoadReport, Name, Outcome};
+use hawser::pool::{Answer, Dialect, End, Payload};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::uri::PathAndQuery;
+use hyper::http::{request, response};
+use hyper::{Method, Request, StatusCode};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection is kept idle for at most this share of the time after which its backend closes it: a request must
+/// never cross a close.
+const KEPT_SHARE: f64 = 0.5;
+
+/// A client's request, but for its body.
+pub struct Asking {
+    pub method: Method,
+    pub target: PathAndQuery,
+    /// What goes on of its headers, and the tenant's name.
+    pub headers: HeaderMap,
+    /// Its id, which answers have to echo.
+    pub id: Option<HeaderValue>,
+}
+
+/// The system's protocol.
+pub struct Speech {
+    pub log: Log,
+    /// Hears that a backend is not at its address any more.
+    pub gone: Box<dyn Fn(&Name)>,
+}
+
+impl Speech {
+    /// Whether the answer says, or need not say, where its body ends.
+    fn is_framed(ask: &Asking, head: &response::Parts) -> bool {
+        let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let chunked = |v: &HeaderValue| v.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
+        bodiless
+            || ask.method == Method::HEAD
+            || head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.get_all(TRANSFER_ENCODING).iter().any(chunked)
+    }
+}
+
+impl Dialect for Speech {
+    type Ask = Rc<Asking>;
+
+    // A backend's silence is no reason to end an answer: only its request's own time is.
+    const SILENT: Duration = Duration::from_secs(60);
+    const PART_MAY_RUN: bool = true;
+    const DEAD_AFTER: Option<Duration> = Some(Duration::from_secs(4));
+
+    fn request(&self, ask: &Rc<Asking>, to: &Name, _: SocketAddr, left: Duration) -> request::Builder {
+        let mut builder = Request::builder().method(ask.method.clone()).uri(ask.target.clone());
+        if let Some(headers) = builder.headers_mut() {
+            headers.clone_from(&ask.headers);
+            if let Ok(id) = HeaderValue::from_str(to) {
+                headers.insert(TARGET_INSTANCE, id);
+            }
+            headers.insert(DEADLINE_LEFT, HeaderValue::from(left.as_millis() as u64));
+        }
+        builder
+    }
+
+    fn belongs(&self, ask: &Rc<Asking>, head: &response::Parts) -> bool {
+        match head.headers.get(ATTEMPT_ID) {
+            Some(id) => ask.id.as_ref() == Some(id),
+            // Who sends garbage need not name anybody; it can't be taken for a success.
+            None => !head.status.is_success(),
+        }
+    }
+
+    fn keeps(&self, head: &HeaderMap) -> Option<Duration> {
+        kept(head).map(|time| time.mul_f64(KEPT_SHARE))
+    }
+
+    fn judge(&self, ask: &Rc<Asking>, from: &Name, mut head: response::Parts, body: Payload) -> End {
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if misdirected && head.headers.get(INSTANCE_ID).is_none_or(|id| id.as_bytes() != from.as_bytes()) {
+            (self.gone)(from);
+        }
+        let not_run = misdirected || head.headers.contains_key(NOT_EXECUTED);
+        let (outcome, passed_on) = match head.status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if not_run => {
+                (Outcome::Full, false)
+            }
+            _ if misdirected => (Outcome::Full, false),
+            // These promise what this backend has not promised.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
+                if !not_run =>
+            {
+                (Outcome::Error, false)
+            }
+            status if status.is_success() => {
+                let whole = Self::is_framed(ask, &head);
+                let sealed = head.headers.contains_key(SEAL);
+                let plain = !head.headers.contains_key(CONTENT_ENCODING);
+                if not_run || !whole || !sealed || !plain {
+                    // Not the backend's own bytes, whoever wrote them: it may have run.
+                    return Outcome::Broken.into();
+                }
+                (Outcome::Served, true)
+            }
+            status if status.is_server_error() && not_run => (Outcome::Full, true),
+            status if status.is_server_error() => (Outcome::Error, true),
+            _ => (Outcome::Served, true),
+        };
+        let answer = passed_on.then(|| {
+            let length = head.headers.remove(CONTENT_LENGTH).filter(|_| ask.method == Method::HEAD);
+            strip(&mut head.headers);
+            length.into_iter().for_each(|length| drop(head.headers.insert(CONTENT_LENGTH, length)));
+            Answer { status: head.status, headers: head.headers, body }
+        });
+        End { answer, ..outcome.into() }
+    }
+
+    fn probe(&self, _: SocketAddr) -> request::Builder {
+        // The decisions are told not to: a probe takes a slot as a request does.
+        Request::get("/")
+    }
+
+    fn probed(&self, _: &[u8]) -> Option<LoadReport> {
+        None
+    }
+
+    fn log(&self, ask: Option<&Rc<Asking>>, text: fmt::Arguments<'_>) {
+        match ask.and_then(|ask| ask.id.as_ref()).and_then(|id| id.to_str().ok()) {
+            Some(id) => (self.log)(format_args!("request {id}: {text}")),
+            None => (self.log)(text),
+        }
+    }
+}
+
+/// Sets the tenant's name, whatever the client said.
+pub fn name_tenant(headers: &mut HeaderMap, tenant: Option<&str>) {
+    match tenant.and_then(|tenant| HeaderValue::from_str(tenant).ok()) {
+        Some(tenant) => drop(headers.insert(TENANT, tenant)),
+        None => drop(headers.remove(TENANT)),
+    }
+}
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -247,6 +247,11 @@
         self.state.borrow().open.len()
     }
 
+    /// Whether a request waits for its first attempt.
+    pub fn is_unsent(&self, id: RequestId) -> bool {
+        self.state.borrow().open.get(&id).is_some_and(|open| open.attempts == 0)
+    }
+
     /// Takes in an event. What it leads to may bring further events at once; these wait in line, so the
     /// decisions are never asked while they are being carried out.
     pub fn post(&self, event: Event) {
