--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod logs;
 mod master;
+mod quays;
 mod start;
 
 use gumdrop::Options;
@@ -28,6 +29,8 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    /// carry requests from clients to backends
+    Quay(Nothing),
     /// serve control: backends' beats, the operator's calls, the log, the counts
     Harbourmaster(Nothing),
     /// check a settings file (TOML) or a configuration (JSON), every fault on a line of its own
@@ -52,6 +55,7 @@
 pub(crate) const UNUSABLE: u8 = 2;
 
 enum Program {
+    Quay,
     Harbourmaster,
 }
 
@@ -63,6 +67,7 @@
     };
     let program = match command {
         Command::Check(Check { file, .. }) => return check::run(&file),
+        Command::Quay(_) => Program::Quay,
         Command::Harbourmaster(_) => Program::Harbourmaster,
     };
     let path = arguments.settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
@@ -82,6 +87,7 @@
         return ExitCode::from(UNUSABLE);
     }
     let done = match program {
+        Program::Quay => start::run(quays::run(settings, path)),
         Program::Harbourmaster => start::run(master::run(settings, path)),
     };
     match done {
--- /dev/null
+++ b/harbour/programs/src/quays.rs
@@ -0,0 +1,101 @@
+//! The program that carries requests.
+
+use crate::start;
+use flags::{Hail, Plane};
+use manifest::{Config, Settings};
+use miette::{Result, miette};
+use quay::{Purser, Quay, QuaySettings};
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use tally::Quota;
+use tideway::{News, Pilot, PilotSettings};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs until the platform ends it.
+///
+/// # Errors
+/// When settings lack something or a socket can't be had.
+pub async fn run(settings: Settings, path: PathBuf) -> Result<()> {
+    let life = start::draw();
+    let front_at = settings.front.ok_or_else(|| miette!("settings: bind.front is missing"))?;
+    let readiness_at = settings.readiness.ok_or_else(|| miette!("settings: bind.readiness is missing"))?;
+    let front = start::listen("clients", front_at)?;
+    let readiness = start::listen("readiness", readiness_at)?;
+    let me = Hail {
+        name: settings.node_name.to_string(),
+        life,
+        plane: Plane::Quay,
+        address: String::new(),
+        zone: settings.zone.to_string(),
+        quorum: false,
+        birth: None,
+    };
+    // The pilot's news and the purser's draws need each other.
+    let pilot: Rc<RefCell<Option<Pilot>>> = Rc::default();
+    let wire = pilot.clone();
+    let send = move |draw| wire.borrow().as_ref().is_some_and(|pilot| pilot.draw(draw));
+    let purser = Purser::start(life, Box::new(send));
+    let about = QuaySettings {
+        max_fds: settings.max_fds as usize,
+        grace: settings.bounds.grace,
+        log: Rc::new(|line| spdlog::info!("{}", line, kv: { step = "quay" })),
+        ..QuaySettings::new(front_at, readiness_at, &settings.zone, &settings.node_name)
+    };
+    let quay = Quay::new(about, purser.clone(), life);
+    let news = {
+        let (quay, purser) = (quay.clone(), purser.clone());
+        move |news| match news {
+            News::Sheet(sheet) => match Config::parse(&sheet.body) {
+                Ok(config) => {
+                    purser.quotas(quotas(&config));
+                    quay.configure(Rc::new(config));
+                }
+                Err(fault) => {
+                    let version = sheet.version;
+                    spdlog::error!("not read: {}", fault, kv: { step = "config", version });
+                }
+            },
+            News::Berths { whole, berths } => quay.berths(&berths, whole),
+            News::Pulse(pulse) => {
+                purser.fleet(pulse.fleet, pulse.fresh);
+                quay.fleet(pulse.fleet, pulse.number);
+            }
+            News::Grant(grant) => purser.granted(grant),
+            News::Unanswered { number } => purser.unanswered(number),
+        }
+    };
+    let seeds = start::seeds(&settings);
+    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, news));
+    let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Settings::read(&path) {
+                Ok(settings) => {
+                    if let Some(pilot) = pilot.borrow().as_ref() {
+                        pilot.seeds(start::seeds(&settings));
+                    }
+                }
+                Err(fault) => spdlog::error!("settings not taken: {}", fault, kv: { step = "hangup" }),
+            }
+        }
+    });
+    spdlog::info!("carries requests", kv: { step = "start", life });
+    let ended = async move {
+        end.recv().await;
+    };
+    quay.serve(front, readiness, ended).await;
+    spdlog::info!("done", kv: { step = "end" });
+    Ok(())
+}
+
+fn quotas(config: &Config) -> Vec<Quota> {
+    let tenants = config.tenants.iter().flat_map(|tenants| tenants.values());
+    let quota = |t: &manifest::Tenant| Quota {
+        tenant: t.label.to_string(),
+        rate_per_s: t.rate_per_s,
+        burst: t.burst_size,
+    };
+    tenants.map(quota).collect()
+}
--- a/harbour/quay/src/lib.rs
+++ b/harbour/quay/src/lib.rs
@@ -15,10 +15,12 @@
 mod front;
 mod headers;
 mod order;
+mod purser;
 mod quay;
 mod readiness;
 mod speech;
 
+pub use purser::Purser;
 pub use quay::Quay;
 
 use std::fmt;
