--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -19,6 +19,8 @@
     pub service: Name,
     pub zone: Name,
     pub dial: SocketAddr,
+    /// How many requests it works on at once.
+    pub capacity: u32,
     pub phase: Phase,
     pub calls: u64,
     pub overdue: bool,
@@ -79,6 +81,7 @@
                 service: Name::from(&*berth.service),
                 zone: Name::from(&*berth.zone),
                 dial,
+                capacity: berth.capacity,
                 phase: berth.phase,
                 calls: berth.call_count,
                 overdue: berth.overdue,
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -267,6 +267,7 @@
             self.backends.update(0, false, &hosts);
             engine.post(Event::BackendChanges(hosts.into_iter().map(|host| host.entry).collect()));
             for (id, life) in changed {
+                engine.works_on(&id, life.capacity);
                 engine.post(Event::Word { backend: id, down: life.overdue });
             }
         }
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -147,6 +147,11 @@
         self.state.borrow_mut().gateway.resize(gateways, number);
     }
 
+    /// A backend works on so many requests at once.
+    pub fn works_on(&self, backend: &Name, slots: u32) {
+        self.state.borrow_mut().gateway.works_on(backend, slots);
+    }
+
     /// How late the event loop runs.
     pub fn lateness(&self) -> Duration {
         self.figures.lateness().now()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,8 @@
     out: u32,
     /// How many this gateway keeps out here at most.
     room: f64,
+    /// Room never falls below this.
+    least: f64,
     failures: u32,
     eject_until: Millis,
     /// One of the few that this gateway of many keeps to.
--- a/src/logic/backends.rs
+++ b/src/logic/backends.rs
@@ -49,7 +49,7 @@
         let used = f64::from(self.out) + 1.0 >= self.room.floor();
         if late || used {
             let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
-            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST);
+            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST.max(self.least));
         }
     }
 
@@ -91,9 +91,10 @@
             let (salt, near) = (hash(&name), zone == self.settings.zone);
             let backend = self.backends.entry(name).or_default();
             if backend.room == 0.0 || backend.started != started {
-                let Backend { detached, returned, sent, out, .. } = *backend;
+                let Backend { detached, returned, sent, out, least, .. } = *backend;
                 let rest = Backend { salt, near, ..Backend::default() };
-                *backend = Backend { zone, cell, started, room, detached, returned, sent, out, ..rest };
+                let (room, base) = (room.max(least), Backend { least, sent, out, ..rest });
+                *backend = Backend { zone, cell, started, room, detached, returned, ..base };
             }
             backend.state = state;
         }
--- a/src/logic/live.rs
+++ b/src/logic/live.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// How many requests all gateways together may keep out at a backend for each that it works on.
+const SLOTS_ROOM: f64 = 2.0;
+
 impl Gateway {
     /// Adds a class, unless there is one of that name. Classes are never taken away: requests name them by place.
     pub fn add_class(&mut self, class: Class) {
@@ -19,9 +22,20 @@
         let part = f64::from(self.settings.gateways) / f64::from(gateways);
         (self.settings.gateways, self.settings.number) = (gateways, number.min(gateways - 1));
         for backend in self.backends.values_mut().filter(|backend| backend.room > 0.0) {
-            backend.room = (backend.room * part).max(ROOM_LEAST);
+            backend.least *= part;
+            backend.room = (backend.room * part).max(ROOM_LEAST.max(backend.least));
         }
         self.retries = self.retries.min(retry_most(&self.settings));
         self.choose_own();
     }
+
+    /// A backend works on so many requests at once. All gateways together may always keep that many out there, and some
+    /// more: what is waited for there is shorter than a way back to the client, and no gateway sees the others' share.
+    pub fn works_on(&mut self, name: &Name, slots: u32) {
+        let gateways = f64::from(self.settings.gateways);
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.least = f64::from(slots) * SLOTS_ROOM / gateways;
+            backend.room = backend.room.max(backend.least);
+        }
+    }
 }
--- a/src/logic/requests.rs
+++ b/src/logic/requests.rs
@@ -271,11 +271,9 @@
 
     pub(super) fn on_end(&mut self, out: &mut Vec<Action>) {
         let held: Vec<_> = self.requests.iter().map(|(id, r)| (*id, r.stage, r.attempts)).collect();
-        for (id, stage, attempts) in held {
-            match stage {
-                Stage::Out => out.push(Action::CallOff { id, attempt: attempts - 1 }),
-                _ => self.give_up(id, out),
-            }
+        for (id, stage, tries) in held {
+            let call_off = Action::CallOff { id, attempt: tries.saturating_sub(1) };
+            if stage == Stage::Out { out.push(call_off) } else { self.give_up(id, out) }
         }
     }
 }
