--- a/harbour/quay/src/order.rs
+++ b/harbour/quay/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::headers::{ATTEMPT_ID, DEADLINE_LEFT, TARGET_INSTANCE, strip};
 use crate::speech::{Asking, name_tenant};
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::{Method, Version};
 use manifest::{Config, Route, Tenant};
@@ -46,10 +46,8 @@
     /// Reads a request's head.
     pub fn read(conf: &'a Config, head: request::Parts) -> Result<Self, Fault> {
         let request::Parts { method, uri, version, mut headers, .. } = head;
-        // Two lengths may be read differently by others; the HTTP library takes the latter of these.
-        if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-            return Err(Fault::Bad("two lengths"));
-        }
+        // Two different lengths and folded lines don't come this far. Beside chunks the HTTP library takes no length and
+        // closes after the answer, so that nothing behind such a body is read as a request.
         if method == Method::CONNECT {
             return Err(Fault::Bad("method"));
         }
