Quay: units of what was never sent go back, lives that end are forgotten

A client that leaves while its request waits for room took its tenant's unit with it. Backends that are gone stayed with the decisions for ever, and each pick walks over all of them. A request whose target names another host than its Host header is refused: it would be routed by one and served by the other.

Tests of lives, of bytes after a whole answer.

--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -153,3 +153,62 @@
         self.lives.values().any(|life| *life.service == *service && life.phase != Phase::Gone)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn berth(id: &str, phase: Phase, call_count: u64) -> Berth {
+        Berth {
+            id: id.into(),
+            service: "s".into(),
+            address: "127.0.0.1:9".into(),
+            zone: "z".into(),
+            generation: "v1".into(),
+            capacity: 3,
+            phase,
+            warmup_left_ms: 0,
+            call_count,
+            overdue: false,
+        }
+    }
+
+    fn told(lives: &mut Lives, berths: &[Berth], whole: bool) -> Vec<(String, BackendState)> {
+        lives.update(berths, whole).into_iter().map(|(id, life)| (id.to_string(), life.state())).collect()
+    }
+
+    #[test]
+    fn a_phase_goes_forward_only_whatever_order_words_come_in() {
+        let mut lives = Lives::default();
+        let one = |state| vec![("a".to_owned(), state)];
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 3)], false), one(BackendState::Ready));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 4)], false), []);
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Draining, 2)], false), one(BackendState::Draining));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 9)], true), []);
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Gone, 9)], false), one(BackendState::Gone));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 10)], true), []);
+        assert!(!lives.has("s"));
+    }
+
+    #[test]
+    fn who_is_not_on_a_whole_list_is_out_until_it_is_named_again() {
+        let mut lives = Lives::default();
+        let (a, b) = (berth("a", Phase::Serving, 1), berth("b", Phase::Draining, 1));
+        lives.update(&[a.clone(), b.clone()], true);
+        let mut gone = told(&mut lives, &[], true);
+        gone.sort_by(|a, b| a.0.cmp(&b.0));
+        assert_eq!(gone, [("a".to_owned(), BackendState::Gone), ("b".to_owned(), BackendState::Gone)]);
+        assert_eq!(told(&mut lives, &[a], false), [("a".to_owned(), BackendState::Ready)]);
+        let back = Berth { phase: Phase::Serving, ..b };
+        assert_eq!(told(&mut lives, &[back], false), [("b".to_owned(), BackendState::Draining)]);
+    }
+
+    #[test]
+    fn what_is_remembered_of_lives_that_are_over_is_bounded() {
+        let mut lives = Lives::default();
+        for n in 0..MOST_OVER + 50 {
+            lives.update(&[berth(&n.to_string(), Phase::Gone, 1)], false);
+        }
+        assert_eq!(lives.lives.len(), MOST_OVER);
+    }
+}
--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -4,10 +4,10 @@
 use crate::order::{Fault, Order};
 use crate::quay::{PLAN, Quay, Service};
 use crate::speech::Speech;
-use crate::{Asked, Conf};
+use crate::{Admission, Asked, Conf};
 use bytes::{Bytes, BytesMut};
-use doorcourse::{Arrival, Name};
-use hawser::engine::{Reply, Waiting};
+use doorcourse::{Arrival, Name, RequestId};
+use hawser::engine::{Engine, Reply, Waiting};
 use hawser::guest::{self, Guest, Hall, LAST_CALL};
 use hawser::observe::figures::{Ending, Figures};
 use hawser::pool::{Answer, Message, Payload, spawn};
@@ -173,31 +173,28 @@
         };
         let order = order?;
         let (body, rest) = body?;
-        if let Some(tenant) = order.tenant.filter(|tenant| tenant.rate_per_s > 0.0) {
-            self.admit(&tenant.label, order.route.goal).await.map_err(Fault::Quota)?;
-        }
-        let reaction = self.forward(&order, body, rest.clone(), arrived).await;
+        let unit = match order.tenant.filter(|tenant| tenant.rate_per_s > 0.0) {
+            Some(tenant) => Some(self.admit(&tenant.label, order.route.goal).await.map_err(Fault::Quota)?),
+            None => None,
+        };
+        let reaction = self.forward(&order, body, rest.clone(), arrived, unit).await;
         rest.into_iter().for_each(|rest| spawn(rest.drain_once_left()));
-        if matches!(reaction, Err(Fault::NoRoom(_)))
-            && let Some(tenant) = order.tenant.filter(|tenant| tenant.rate_per_s > 0.0)
-        {
-            self.admission().give_back(&tenant.label);
-        }
         reaction
     }
 
     /// Waits for a unit of the tenant; else tells when there may be one.
-    async fn admit(&self, tenant: &str, goal: Duration) -> Result<(), Duration> {
+    async fn admit(&self, tenant: &Name, goal: Duration) -> Result<Unit, Duration> {
         let wait = goal.mul_f64(UNIT_WAIT);
         match self.admission().ask(tenant, wait) {
-            Asked::Granted => Ok(()),
-            Asked::Refused { retry_after } => Err(retry_after),
+            Asked::Granted => {}
+            Asked::Refused { retry_after } => return Err(retry_after),
             // The host answers by then; this guards against one that does not.
             Asked::Wait(unit) => match timeout(wait * 2, unit).await {
-                Ok(Ok(unit)) => unit,
-                Ok(Err(_)) | Err(_) => Err(NOT_YET),
+                Ok(Ok(unit)) => unit?,
+                Ok(Err(_)) | Err(_) => return Err(NOT_YET),
             },
         }
+        Ok(Unit { admission: self.admission().clone(), tenant: tenant.clone(), request: None })
     }
 
     /// One of the route's services, by their shares, among those that have backends.
@@ -224,6 +221,7 @@
     /// Has the decisions carry a request to a backend.
     async fn forward(
         &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant,
+        mut unit: Option<Unit>,
     ) -> Result<Reaction, Fault> {
         let route = order.route;
         let Some(service) = self.draw(route) else { return Err(Fault::NoRoom(self.advice(order))) };
@@ -247,6 +245,7 @@
         };
         let (id, reply) = engine.open(arrival, message.clone(), route.max_tries);
         let waiting = Waiting::new(engine.clone(), id);
+        unit.iter_mut().for_each(|unit| unit.request = Some((engine.clone(), id)));
         let mut reply = pin!(reply);
         let room_by = arrived + route.goal.mul_f64(ROOM_WAIT);
         let mut unsent = engine.is_unsent(id);
@@ -288,6 +287,7 @@
             }
             Reply::Refused { may_have_run: false, wait } => {
                 taken.ended(Ending::Refused);
+                unit.iter_mut().for_each(|unit| unit.request = None);
                 // Where the decisions ask for less, as they do for what may come at once, they know better.
                 let advice = self.advice(order);
                 Err(Fault::NoRoom(if wait > 0.0 { advice.min(span(wait)) } else { advice }))
@@ -309,6 +309,22 @@
     }
 }
 
+/// A unit of a tenant. Dropped while its request has never been sent, as when its client leaves, it goes back.
+struct Unit {
+    admission: Rc<dyn Admission>,
+    tenant: Name,
+    /// The request, once it is the decisions' to send.
+    request: Option<(Rc<Engine<Speech>>, RequestId)>,
+}
+
+impl Drop for Unit {
+    fn drop(&mut self) {
+        if self.request.as_ref().is_none_or(|(engine, id)| engine.is_unsent(*id)) {
+            self.admission.give_back(&self.tenant);
+        }
+    }
+}
+
 /// Reads a body whole, or the start of a long one.
 async fn read(body: Incoming, conf: &Conf) -> Result<(Bytes, Option<Rc<Upload>>), Fault> {
     let limits = &conf.limits;
--- a/harbour/quay/src/lib.rs
+++ b/harbour/quay/src/lib.rs
@@ -52,6 +52,8 @@
     pub linger: Duration,
     /// What a backend in another zone costs beside a near one; small beside one request.
     pub price_cross_zone: f64,
+    /// Whether pure attempts that look stalled are called off for another one: that breaks off what may be running.
+    pub cancel: bool,
     /// Where lines for the log go.
     pub log: Log,
 }
@@ -68,6 +70,7 @@
             grace: Duration::from_secs(6),
             linger: Duration::from_millis(2500),
             price_cross_zone: 0.04,
+            cancel: false,
             log: Rc::new(|_| {}),
         }
     }
--- a/harbour/quay/src/order.rs
+++ b/harbour/quay/src/order.rs
@@ -55,10 +55,11 @@
         if own.is_none() && version >= Version::HTTP_11 {
             return Err(Fault::Bad("no Host"));
         }
-        let host = match uri.authority() {
-            Some(authority) => authority.as_str(),
-            None => own.and_then(|host| host.to_str().ok()).unwrap_or_default(),
-        };
+        let host = own.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        // Whoever is asked by the other one would serve another route.
+        if uri.authority().is_some_and(|authority| !authority.as_str().eq_ignore_ascii_case(host)) {
+            return Err(Fault::Bad("two hosts"));
+        }
         let route = conf.route(host, uri.path()).ok_or(Fault::NoRoute)?;
         let tenant = if conf.asks_for_keys() {
             let tenant = single(&headers, &AUTHORIZATION)?.and_then(key).and_then(|key| conf.tenant(key));
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -48,6 +48,8 @@
 /// One service: the decisions for it.
 pub struct Service {
     pub engine: Rc<Engine<Speech>>,
+    /// How many of its backends take requests.
+    serving: Cell<usize>,
     classes: RefCell<HashMap<Kind, Name>>,
 }
 
@@ -172,7 +174,7 @@
     pub fn is_ready(&self) -> bool {
         self.conf.borrow().is_some()
             && self.ends.get().is_none()
-            && self.lives.borrow().serving().next().is_some()
+            && self.services.borrow().values().any(|service| service.serving.get() > 0)
     }
 
     /// The version in force.
@@ -218,7 +220,7 @@
 
     /// Whether any backend of a service takes requests.
     pub(crate) fn serves(&self, name: &str) -> bool {
-        self.lives.borrow().serving().any(|(_, life)| *life.service == *name)
+        self.services.borrow().get(name).is_some_and(|service| service.serving.get() > 0)
     }
 
     pub(crate) fn log(&self, text: std::fmt::Arguments<'_>) {
@@ -253,6 +255,8 @@
         for (name, changed) in by_service {
             let Some(service) = self.opened(&name) else { continue };
             let engine = &service.engine;
+            let serving = self.lives.borrow().serving().filter(|(_, life)| life.service == name).count();
+            service.serving.set(serving);
             let host = |(id, life): &(Name, Life)| Host {
                 entry: BackendEntry {
                     name: id.clone(),
@@ -299,6 +303,7 @@
             classes: vec![class(usual)],
             plans: vec![plan],
             most_units: 1.0,
+            cancel: self.settings.cancel,
             most_attempts: MOST_ATTEMPTS,
             longest_advice: LONGEST_ADVICE,
             cold_share: COLD_SHARE,
@@ -319,7 +324,7 @@
             }
         };
         self.ends.get().into_iter().for_each(|by| engine.ending(by));
-        let service = Rc::new(Service { engine, classes: RefCell::default() });
+        let service = Rc::new(Service { engine, serving: Cell::default(), classes: RefCell::default() });
         self.services.borrow_mut().insert(name.clone(), service.clone());
         Some(service)
     }
@@ -356,6 +361,7 @@
         let (conf, lives) = (self.conf.borrow(), self.lives.borrow());
         let known = |name: &str| conf.as_ref().is_none_or(|conf| conf.services.contains_key(name));
         let mut services = self.services.borrow_mut();
+        services.values().for_each(|service| service.engine.forget_gone());
         services.retain(|name, service| known(name) || lives.has(name) || service.engine.waiting() > 0);
     }
 }
--- a/harbour/quay/tests/tries.rs
+++ b/harbour/quay/tests/tries.rs
@@ -79,6 +79,20 @@
     });
 }
 
+#[test]
+fn what_comes_after_a_whole_answer_is_nobody_s() {
+    on_one_thread(async {
+        let twice = |heard: &Heard| Do::Say(good(heard, "", "one") + &good(heard, "", "two"));
+        let backend = Backend::start("i-1", "one", twice).await;
+        let world = World::start(usual(), &[&backend]).await;
+        let mut client = Client::connect(world.front).await;
+        for n in 1..=3 {
+            let reply = client.ask(&request("POST", "/e/x", "", "b")).await.expect("an answer");
+            assert_eq!((reply.status(), &*reply.body, backend.connections.get()), (200, &b"one"[..], n));
+        }
+    });
+}
+
 #[test]
 fn no_more_backends_are_asked_than_the_route_allows() {
     on_one_thread(async {
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -142,6 +142,11 @@
         self.state.borrow_mut().gateway.add_class(class);
     }
 
+    /// Backends that are gone are remembered no more.
+    pub fn forget_gone(&self) {
+        self.state.borrow_mut().gateway.forget_gone();
+    }
+
     /// There are so many gateways from now on, of which this one has that number.
     pub fn resize(&self, gateways: u32, number: u32) {
         self.state.borrow_mut().gateway.resize(gateways, number);
--- a/src/logic/live.rs
+++ b/src/logic/live.rs
@@ -12,6 +12,11 @@
         }
     }
 
+    /// Backends that are gone and have nothing out are remembered no more: lives come and go as long as this one lasts.
+    pub fn forget_gone(&mut self) {
+        self.backends.retain(|_, backend| backend.state != BackendState::Gone || backend.out > 0);
+    }
+
     /// There are so many gateways from now on, of which this one has that number. Room at a backend is this gateway's
     /// part of what all keep out there, so it shrinks and grows with the parts.
     pub fn resize(&mut self, gateways: u32, number: u32) {
