Quay: first room at a backend by what it says it works on

All gateways together kept 3.5 out at a backend at first, whatever its capacity; room grows by little with each answer, so the first half minute of a service with six slots would have been refused in part.

--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -22,6 +22,8 @@
     pub phase: Phase,
     pub calls: u64,
     pub overdue: bool,
+    /// How many requests it works on at once, where this is the first word of it.
+    pub works_on: Option<u32>,
     /// When it began, if it has yet to warm up.
     pub started: Option<Instant>,
     /// Another one answered at its address while so many of its calls were known.
@@ -75,13 +77,14 @@
         let dial: SocketAddr = berth.address.parse().ok()?;
         let Some(life) = self.lives.get_mut(&*berth.id) else {
             let id = Name::from(&*berth.id);
-            let life = Life {
+            let mut life = Life {
                 service: Name::from(&*berth.service),
                 zone: Name::from(&*berth.zone),
                 dial,
                 phase: berth.phase,
                 calls: berth.call_count,
                 overdue: berth.overdue,
+                works_on: None,
                 started: self.started(berth),
                 missed: None,
                 listed: true,
@@ -90,6 +93,7 @@
             if berth.phase == Phase::Gone {
                 self.bury(&id);
             }
+            life.works_on = Some(berth.capacity);
             return Some((id, life));
         };
         let (state, before) = (life.state(), life.clone());
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -35,6 +35,9 @@
 const MOST_ATTEMPTS: u32 = 4;
 /// What a backend that has yet to warm up can do of what it will.
 const COLD_SHARE: f64 = 0.3;
+/// All gateways together keep so many requests out at a backend at first, for each that it works on at once: it queues a
+/// few more, and clients are spread over gateways unevenly. Room then follows the latencies seen.
+const FIRST_ROOM: f64 = 1.2;
 /// The longest advice of the decisions, in ms; the front side fits it to each request.
 const LONGEST_ADVICE: f64 = 1000.0;
 /// The one plan: the host's admission has metered tenants before.
@@ -271,6 +274,9 @@
             self.backends.update(0, false, &hosts);
             engine.post(Event::BackendChanges(hosts.into_iter().map(|host| host.entry).collect()));
             for (id, life) in changed {
+                if let Some(works_on) = life.works_on.filter(|works_on| *works_on > 0) {
+                    engine.first_room(&id, f64::from(works_on) * FIRST_ROOM);
+                }
                 engine.post(Event::Word { backend: id, down: life.overdue });
             }
         }
--- a/harbour/quay/src/speech.rs
+++ b/harbour/quay/src/speech.rs
@@ -97,6 +97,8 @@
             {
                 (Outcome::Error, false)
             }
+            // Nothing was asked for that such an answer could begin.
+            status if status.is_informational() => return Outcome::Broken.into(),
             status if status.is_success() => {
                 let whole = Self::is_framed(ask, &head);
                 let sealed = head.headers.contains_key(SEAL);
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -142,6 +142,11 @@
         self.state.borrow_mut().gateway.add_class(class);
     }
 
+    /// All gateways together may keep so many out at a backend at first.
+    pub fn first_room(&self, backend: &Name, whole: f64) {
+        self.state.borrow_mut().gateway.first_room(backend, whole);
+    }
+
     /// Backends that are gone are remembered no more.
     pub fn forget_gone(&self) {
         self.state.borrow_mut().gateway.forget_gone();
--- a/src/logic/live.rs
+++ b/src/logic/live.rs
@@ -17,6 +17,13 @@
         self.backends.retain(|_, backend| backend.state != BackendState::Gone || backend.out > 0);
     }
 
+    /// All gateways together may keep so many out at a backend at first, as it tells of itself.
+    pub fn first_room(&mut self, backend: &Name, whole: f64) {
+        if let Some(backend) = self.backends.get_mut(backend) {
+            backend.room = (whole / f64::from(self.settings.gateways)).max(ROOM_LEAST);
+        }
+    }
+
     /// There are so many gateways from now on, of which this one has that number. Room at a backend is this gateway's
     /// part of what all keep out there, so it shrinks and grows with the parts.
     pub fn resize(&mut self, gateways: u32, number: u32) {
