--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -220,8 +220,7 @@
 
     /// Has the decisions carry a request to a backend.
     async fn forward(
-        &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant,
-        mut unit: Option<Unit>,
+        &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant, unit: Option<Unit>,
     ) -> Result<Reaction, Fault> {
         let route = order.route;
         let Some(service) = self.draw(route) else { return Err(Fault::NoRoom(self.advice(order))) };
@@ -245,6 +244,8 @@
         };
         let (id, reply) = engine.open(arrival, message.clone(), route.max_tries);
         let waiting = Waiting::new(engine.clone(), id);
+        // Dropped before the request is withdrawn, while it is known whether it was sent.
+        let mut unit = unit;
         unit.iter_mut().for_each(|unit| unit.request = Some((engine.clone(), id)));
         let mut reply = pin!(reply);
         let room_by = arrived + route.goal.mul_f64(ROOM_WAIT);
--- a/harbour/quay/tests/tries.rs
+++ b/harbour/quay/tests/tries.rs
@@ -184,3 +184,51 @@
         world.served.await.expect("an end");
     });
 }
+
+#[test]
+fn where_nobody_listens_nothing_ran() {
+    on_one_thread(async {
+        let mut dead = Backend::start("i-1", "one", says_good).await.berth;
+        let free = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        dead.address = free.to_string();
+        let world = World::start(usual(), &[]).await;
+        world.quay.berths(std::slice::from_ref(&dead), true);
+        let reply = world.ask(&request("POST", "/e/x", "", "b")).await;
+        assert!(reply.status() == 503 && reply.wait().is_some(), "{reply:?}");
+        let right = Backend::start("i-2", "one", says_good).await;
+        world.quay.berths(std::slice::from_ref(&right.berth), false);
+        for _ in 0..4 {
+            assert_eq!(world.ask(&request("POST", "/e/x", "", "b")).await.status(), 200);
+        }
+    });
+}
+
+#[test]
+fn without_room_the_refusal_comes_early_and_the_unit_goes_back() {
+    on_one_thread(async {
+        let mut backend = Backend::start("i-1", "one", |_| Do::Hang).await;
+        backend.berth.capacity = 1;
+        let world = World::start(usual(), &[&backend]).await;
+        let mut out = Vec::new();
+        for n in 1..=2 {
+            let mut client = Client::connect(world.front).await;
+            client.send(&request("POST", "/e/x", "", "b")).await;
+            until(|| backend.count() == n).await;
+            out.push(client);
+        }
+        let begun = std::time::Instant::now();
+        let reply = world.ask(&request("POST", "/e/x", "", "b")).await;
+        assert!(reply.status() == 503 && reply.wait().is_some(), "{reply:?}");
+        assert!(begun.elapsed().as_millis() < 600, "well within the goal of 1,000 ms");
+        assert_eq!((backend.count(), world.purser.asked.get(), world.purser.back.get()), (2, 3, 1));
+        // Whoever leaves while waiting takes nothing along, whoever leaves what runs does.
+        let mut client = Client::connect(world.front).await;
+        client.send(&request("POST", "/e/x", "", "b")).await;
+        until(|| world.purser.asked.get() == 4).await;
+        drop(client);
+        until(|| world.purser.back.get() == 2).await;
+        drop(out);
+        until(|| world.quay.active() == 0).await;
+        assert_eq!((backend.count(), world.purser.back.get()), (2, 2));
+    });
+}
