--- a/harbour/quay/tests/forward.rs
+++ b/harbour/quay/tests/forward.rs
@@ -220,3 +220,37 @@
         assert_eq!(client.ask(&request("GET", "/e/x", "", "")).await.expect("an answer").status(), 404);
     });
 }
+
+#[test]
+fn a_route_s_services_get_their_shares_and_one_without_backends_none() {
+    on_one_thread(async {
+        let (one, two) = (Backend::start("i-1", "one", says_good), Backend::start("i-2", "two", says_good));
+        let (one, two) = (one.await, two.await);
+        let split = |version, shares: [u32; 2]| {
+            let weighted = format!(
+                r#""weighted":[{{"target":"one","share":{}}},{{"target":"two","share":{}}}]"#,
+                shares[0], shares[1]
+            );
+            conf(version, &[route("p", "/p/", "pure", "one", "").replace(r#""target":"one""#, &weighted)])
+        };
+        let world = World::start(split(1, [3, 1]), &[&one, &two]).await;
+        let mut client = Client::connect(world.front).await;
+        let asked = request("GET", "/p/x", "", "");
+        for _ in 0..200 {
+            assert_eq!(client.ask(&asked).await.expect("an answer").status(), 200);
+        }
+        assert!((25..75).contains(&two.count()), "a quarter of 200: {}", two.count());
+        let before = two.count();
+        world.quay.configure(split(2, [1, 0]));
+        for _ in 0..10 {
+            client.ask(&asked).await;
+        }
+        assert_eq!(two.count(), before);
+        world.quay.configure(split(3, [1, 1]));
+        world.quay.berths(&[one.told(flags::Phase::Gone, 2)], false);
+        for _ in 0..10 {
+            assert_eq!(client.ask(&asked).await.expect("an answer").status(), 200);
+        }
+        assert_eq!(two.count(), before + 10);
+    });
+}
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -392,7 +392,7 @@
             drop(message);
             if let Some(engine) = me.upgrade() {
                 engine.note(&class, &end, &trace, begun);
-                engine.ended(id, number, backend, end, millis(took), spent, trace.connected.get().is_some());
+                engine.ended(id, number, backend, end, millis(took), spent, trace.begun.get());
             }
         });
     }
