Quay: a first start spares nobody; limits of any size are borne

Of backends that are all cold every second one was taken for warm, the others got next to nothing. An idle time beyond what a clock holds would have been a panic.

--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -24,7 +24,9 @@
     pub overdue: bool,
     /// How many requests it works on at once, where this is the first word of it.
     pub works_on: Option<u32>,
-    /// When it began, if it has yet to warm up.
+    /// When it will be warm.
+    warm_at: Instant,
+    /// When it began, if it is to be spared until it is warm.
     pub started: Option<Instant>,
     /// Another one answered at its address while so many of its calls were known.
     missed: Option<u64>,
@@ -70,6 +72,10 @@
         for berth in berths {
             changed.extend(self.hear(berth));
         }
+        for (id, told) in changed.iter_mut().filter(|(_, life)| life.works_on.is_some()) {
+            told.started = self.spared_since(told);
+            self.lives.get_mut(id).into_iter().for_each(|life| life.started = told.started);
+        }
         changed
     }
 
@@ -85,7 +91,8 @@
                 calls: berth.call_count,
                 overdue: berth.overdue,
                 works_on: None,
-                started: self.started(berth),
+                warm_at: Instant::now() + Duration::from_millis(berth.warmup_left_ms.into()).min(COLD_TIME),
+                started: None,
                 missed: None,
                 listed: true,
             };
@@ -128,16 +135,15 @@
         }
     }
 
-    /// When a backend began, if it has yet to warm up. Where most of a service are cold none is spared: their requests
-    /// have nowhere else to go.
-    fn started(&self, berth: &Berth) -> Option<Instant> {
-        let left = Duration::from_millis(berth.warmup_left_ms.into()).min(COLD_TIME);
-        let own = self.lives.values().filter(|life| *life.service == *berth.service);
-        let serving = own.filter(|life| life.phase == Phase::Serving);
-        let cold = |life: &&Life| life.started.is_some_and(|at| at.elapsed() < COLD_TIME);
-        let (all, cold) = (serving.clone().count(), serving.filter(cold).count());
-        let spared = !left.is_zero() && cold * 2 < all;
-        spared.then(|| Instant::now().checked_sub(COLD_TIME - left)).flatten()
+    /// When a backend began, if it has yet to warm up and is to be spared. Where half of a service or more are cold none
+    /// is: their requests have nowhere else to go.
+    fn spared_since(&self, new: &Life) -> Option<Instant> {
+        let now = Instant::now();
+        let of_service = self.serving().filter(|(_, life)| life.service == new.service);
+        let (all, cold) =
+            (of_service.clone().count(), of_service.filter(|(_, life)| life.warm_at > now).count());
+        let spared = new.warm_at > now && cold * 2 < all;
+        spared.then(|| new.warm_at.checked_sub(COLD_TIME)).flatten()
     }
 
     /// Another one answers at the address of this life: it is left out until a newer word of it.
@@ -148,7 +154,7 @@
     }
 
     /// Those that take requests.
-    pub fn serving(&self) -> impl Iterator<Item = (&Name, &Life)> {
+    pub fn serving(&self) -> impl Iterator<Item = (&Name, &Life)> + Clone {
         self.lives.iter().filter(|(_, life)| life.state() == BackendState::Ready)
     }
 
@@ -207,6 +213,22 @@
         assert_eq!(told(&mut lives, &[back], false), [("b".to_owned(), BackendState::Draining)]);
     }
 
+    #[test]
+    fn cold_backends_are_spared_while_most_are_warm() {
+        let cold = |id: &str| Berth { warmup_left_ms: 4000, ..berth(id, Phase::Serving, 1) };
+        let spared = |lives: &mut Lives, berths: &[Berth]| {
+            let changed = lives.update(berths, false).into_iter();
+            changed.filter(|(_, life)| life.started.is_some()).count()
+        };
+        let mut lives = Lives::default();
+        assert_eq!(spared(&mut lives, &[cold("a"), cold("b"), cold("c")]), 0, "a first start");
+        let mut lives = Lives::default();
+        let warm = ["a", "b", "c"].map(|id| berth(id, Phase::Serving, 1));
+        assert_eq!(spared(&mut lives, &warm), 0);
+        assert_eq!(spared(&mut lives, &[cold("d"), cold("e")]), 2, "a release");
+        assert_eq!(spared(&mut lives, &[cold("f")]), 0);
+    }
+
     #[test]
     fn what_is_remembered_of_lives_that_are_over_is_bounded() {
         let mut lives = Lives::default();
--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -46,6 +46,8 @@
 const BUFFERS: (u64, u64) = (8 * 1024, 256 * 1024);
 /// A connection's limits before there is a configuration.
 const EARLY_LIMIT: Duration = Duration::from_secs(3);
+/// Whatever the configuration says beyond this is for ever.
+const LONGEST_LIMIT: Duration = Duration::from_secs(3600);
 /// The time that clients are told is shorter by this much than what their connections are kept.
 const TOLD_LESS: u64 = 1;
 /// While the process ends, idle connections are looked after this often.
@@ -125,6 +127,7 @@
     let conf = quay.conf();
     let limits = conf.as_ref().map(|conf| &conf.limits);
     let (idle, head) = limits.map_or((EARLY_LIMIT, EARLY_LIMIT), |l| (l.idle_timeout, l.header_wait));
+    let (idle, head) = (idle.min(LONGEST_LIMIT), head.min(LONGEST_LIMIT));
     let buffer = limits.map_or(BUFFERS.0, |l| l.max_header_bytes).clamp(BUFFERS.0, BUFFERS.1) as usize;
     let keeps = idle.as_secs().saturating_sub(TOLD_LESS);
     let keeps = (keeps > 0).then(|| HeaderValue::from_str(&format!("timeout={keeps}")).ok()).flatten();
@@ -333,7 +336,8 @@
         return Err(Fault::TooLarge);
     }
     let mut start = BytesMut::with_capacity(body.size_hint().lower().min(HELD as u64) as usize);
-    let mut body = ClientBody::new(body, Instant::now() + limits.header_wait).at_most(limits.max_body_bytes);
+    let mut body = ClientBody::new(body, Instant::now() + limits.header_wait.min(LONGEST_LIMIT))
+        .at_most(limits.max_body_bytes);
     while let Some(bytes) = body.bytes().await {
         start.extend_from_slice(&bytes.map_err(|cut| match cut {
             Cut::TooLarge => Fault::TooLarge,
--- a/harbour/quay/src/speech.rs
+++ b/harbour/quay/src/speech.rs
@@ -19,6 +19,9 @@
 /// never cross a close.
 const KEPT_SHARE: f64 = 0.5;
 
+/// Connections that nobody used for so long are a burden to both sides.
+const KEPT_MOST: Duration = Duration::from_secs(60);
+
 /// A client's request, but for its body.
 pub struct Asking {
     pub method: Method,
@@ -77,7 +80,7 @@
     }
 
     fn keeps(&self, head: &HeaderMap) -> Option<Duration> {
-        kept(head).map(|time| time.mul_f64(KEPT_SHARE))
+        kept(head).map(|time| time.mul_f64(KEPT_SHARE).min(KEPT_MOST))
     }
 
     fn judge(&self, ask: &Rc<Asking>, from: &Name, mut head: response::Parts, body: Payload) -> End {
