--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -19,12 +19,14 @@
     pub service: Name,
     pub zone: Name,
     pub dial: SocketAddr,
-    /// How many requests it works on at once.
-    pub capacity: u32,
     pub phase: Phase,
     pub calls: u64,
     pub overdue: bool,
-    /// When it began, if it has yet to warm up.
+    /// How many requests it works on at once, where this is the first word of it.
+    pub works_on: Option<u32>,
+    /// When it will be warm.
+    warm_at: Instant,
+    /// When it began, if it is to be spared until it is warm.
     pub started: Option<Instant>,
     /// Another one answered at its address while so many of its calls were known.
     missed: Option<u64>,
@@ -70,6 +72,10 @@
         for berth in berths {
             changed.extend(self.hear(berth));
         }
+        for (id, told) in changed.iter_mut().filter(|(_, life)| life.works_on.is_some()) {
+            told.started = self.spared_since(told);
+            self.lives.get_mut(id).into_iter().for_each(|life| life.started = told.started);
+        }
         changed
     }
 
@@ -77,15 +83,16 @@
         let dial: SocketAddr = berth.address.parse().ok()?;
         let Some(life) = self.lives.get_mut(&*berth.id) else {
             let id = Name::from(&*berth.id);
-            let life = Life {
+            let mut life = Life {
                 service: Name::from(&*berth.service),
                 zone: Name::from(&*berth.zone),
                 dial,
-                capacity: berth.capacity,
                 phase: berth.phase,
                 calls: berth.call_count,
                 overdue: berth.overdue,
-                started: self.started(berth),
+                works_on: None,
+                warm_at: Instant::now() + Duration::from_millis(berth.warmup_left_ms.into()).min(COLD_TIME),
+                started: None,
                 missed: None,
                 listed: true,
             };
@@ -93,6 +100,7 @@
             if berth.phase == Phase::Gone {
                 self.bury(&id);
             }
+            life.works_on = Some(berth.capacity);
             return Some((id, life));
         };
         let (state, before) = (life.state(), life.clone());
@@ -127,16 +135,15 @@
         }
     }
 
-    /// When a backend began, if it has yet to warm up. Where most of a service are cold none is spared: their requests
-    /// have nowhere else to go.
-    fn started(&self, berth: &Berth) -> Option<Instant> {
-        let left = Duration::from_millis(berth.warmup_left_ms.into()).min(COLD_TIME);
-        let own = self.lives.values().filter(|life| *life.service == *berth.service);
-        let serving = own.filter(|life| life.phase == Phase::Serving);
-        let cold = |life: &&Life| life.started.is_some_and(|at| at.elapsed() < COLD_TIME);
-        let (all, cold) = (serving.clone().count(), serving.filter(cold).count());
-        let spared = !left.is_zero() && cold * 2 < all;
-        spared.then(|| Instant::now().checked_sub(COLD_TIME - left)).flatten()
+    /// When a backend began, if it has yet to warm up and is to be spared. Where half of a service or more are cold none
+    /// is: their requests have nowhere else to go.
+    fn spared_since(&self, new: &Life) -> Option<Instant> {
+        let now = Instant::now();
+        let of_service = self.serving().filter(|(_, life)| life.service == new.service);
+        let (all, cold) =
+            (of_service.clone().count(), of_service.filter(|(_, life)| life.warm_at > now).count());
+        let spared = new.warm_at > now && cold * 2 < all;
+        spared.then(|| new.warm_at.checked_sub(COLD_TIME)).flatten()
     }
 
     /// Another one answers at the address of this life: it is left out until a newer word of it.
@@ -147,7 +154,7 @@
     }
 
     /// Those that take requests.
-    pub fn serving(&self) -> impl Iterator<Item = (&Name, &Life)> {
+    pub fn serving(&self) -> impl Iterator<Item = (&Name, &Life)> + Clone {
         self.lives.iter().filter(|(_, life)| life.state() == BackendState::Ready)
     }
 
@@ -156,3 +163,78 @@
         self.lives.values().any(|life| *life.service == *service && life.phase != Phase::Gone)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn berth(id: &str, phase: Phase, call_count: u64) -> Berth {
+        Berth {
+            id: id.into(),
+            service: "s".into(),
+            address: "127.0.0.1:9".into(),
+            zone: "z".into(),
+            generation: "v1".into(),
+            capacity: 3,
+            phase,
+            warmup_left_ms: 0,
+            call_count,
+            overdue: false,
+        }
+    }
+
+    fn told(lives: &mut Lives, berths: &[Berth], whole: bool) -> Vec<(String, BackendState)> {
+        lives.update(berths, whole).into_iter().map(|(id, life)| (id.to_string(), life.state())).collect()
+    }
+
+    #[test]
+    fn a_phase_goes_forward_only_whatever_order_words_come_in() {
+        let mut lives = Lives::default();
+        let one = |state| vec![("a".to_owned(), state)];
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 3)], false), one(BackendState::Ready));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 4)], false), []);
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Draining, 2)], false), one(BackendState::Draining));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 9)], true), []);
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Gone, 9)], false), one(BackendState::Gone));
+        assert_eq!(told(&mut lives, &[berth("a", Phase::Serving, 10)], true), []);
+        assert!(!lives.has("s"));
+    }
+
+    #[test]
+    fn who_is_not_on_a_whole_list_is_out_until_it_is_named_again() {
+        let mut lives = Lives::default();
+        let (a, b) = (berth("a", Phase::Serving, 1), berth("b", Phase::Draining, 1));
+        lives.update(&[a.clone(), b.clone()], true);
+        let mut gone = told(&mut lives, &[], true);
+        gone.sort_by(|a, b| a.0.cmp(&b.0));
+        assert_eq!(gone, [("a".to_owned(), BackendState::Gone), ("b".to_owned(), BackendState::Gone)]);
+        assert_eq!(told(&mut lives, &[a], false), [("a".to_owned(), BackendState::Ready)]);
+        let back = Berth { phase: Phase::Serving, ..b };
+        assert_eq!(told(&mut lives, &[back], false), [("b".to_owned(), BackendState::Draining)]);
+    }
+
+    #[test]
+    fn cold_backends_are_spared_while_most_are_warm() {
+        let cold = |id: &str| Berth { warmup_left_ms: 4000, ..berth(id, Phase::Serving, 1) };
+        let spared = |lives: &mut Lives, berths: &[Berth]| {
+            let changed = lives.update(berths, false).into_iter();
+            changed.filter(|(_, life)| life.started.is_some()).count()
+        };
+        let mut lives = Lives::default();
+        assert_eq!(spared(&mut lives, &[cold("a"), cold("b"), cold("c")]), 0, "a first start");
+        let mut lives = Lives::default();
+        let warm = ["a", "b", "c"].map(|id| berth(id, Phase::Serving, 1));
+        assert_eq!(spared(&mut lives, &warm), 0);
+        assert_eq!(spared(&mut lives, &[cold("d"), cold("e")]), 2, "a release");
+        assert_eq!(spared(&mut lives, &[cold("f")]), 0);
+    }
+
+    #[test]
+    fn what_is_remembered_of_lives_that_are_over_is_bounded() {
+        let mut lives = Lives::default();
+        for n in 0..MOST_OVER + 50 {
+            lives.update(&[berth(&n.to_string(), Phase::Gone, 1)], false);
+        }
+        assert_eq!(lives.lives.len(), MOST_OVER);
+    }
+}
--- a/harbour/quay/src/order.rs
+++ b/harbour/quay/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::headers::{ATTEMPT_ID, DEADLINE_LEFT, TARGET_INSTANCE, strip};
 use crate::speech::{Asking, name_tenant};
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::{Method, Version};
 use manifest::{Config, Route, Tenant};
@@ -46,10 +46,8 @@
     /// Reads a request's head.
     pub fn read(conf: &'a Config, head: request::Parts) -> Result<Self, Fault> {
         let request::Parts { method, uri, version, mut headers, .. } = head;
-        // Two lengths may be read differently by others; the HTTP library takes the latter of these.
-        if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-            return Err(Fault::Bad("two lengths"));
-        }
+        // Two different lengths and folded lines don't come this far. Beside chunks the HTTP library takes no length and
+        // closes after the answer, so that nothing behind such a body is read as a request.
         if method == Method::CONNECT {
             return Err(Fault::Bad("method"));
         }
@@ -57,10 +55,11 @@
         if own.is_none() && version >= Version::HTTP_11 {
             return Err(Fault::Bad("no Host"));
         }
-        let host = match uri.authority() {
-            Some(authority) => authority.as_str(),
-            None => own.and_then(|host| host.to_str().ok()).unwrap_or_default(),
-        };
+        let host = own.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        // Whoever is asked by the other one would serve another route.
+        if uri.authority().is_some_and(|authority| !authority.as_str().eq_ignore_ascii_case(host)) {
+            return Err(Fault::Bad("two hosts"));
+        }
         let route = conf.route(host, uri.path()).ok_or(Fault::NoRoute)?;
         let tenant = if conf.asks_for_keys() {
             let tenant = single(&headers, &AUTHORIZATION)?.and_then(key).and_then(|key| conf.tenant(key));
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -142,6 +142,11 @@
         self.state.borrow_mut().gateway.add_class(class);
     }
 
+    /// Backends that are gone are remembered no more.
+    pub fn forget_gone(&self) {
+        self.state.borrow_mut().gateway.forget_gone();
+    }
+
     /// There are so many gateways from now on, of which this one has that number.
     pub fn resize(&self, gateways: u32, number: u32) {
         self.state.borrow_mut().gateway.resize(gateways, number);
@@ -387,7 +392,7 @@
             drop(message);
             if let Some(engine) = me.upgrade() {
                 engine.note(&class, &end, &trace, begun);
-                engine.ended(id, number, backend, end, millis(took), spent, trace.connected.get().is_some());
+                engine.ended(id, number, backend, end, millis(took), spent, trace.begun.get());
             }
         });
     }
