--- a/src/logic/live.rs
+++ b/src/logic/live.rs
@@ -39,8 +39,9 @@
     pub fn works_on(&mut self, name: &Name, slots: u32) {
         let gateways = f64::from(self.settings.gateways);
         if let Some(backend) = self.backends.get_mut(name) {
-            backend.least = f64::from(slots) * SLOTS_ROOM / gateways;
-            backend.room = backend.room.max(backend.least);
+            let told = std::mem::replace(&mut backend.least, f64::from(slots) * SLOTS_ROOM / gateways);
+            // What was taken for its room before it told is worth less than its own word.
+            backend.room = if told > 0.0 { backend.room.max(backend.least) } else { backend.least };
         }
     }
 }
