--- a/src/logic/backends.rs
+++ b/src/logic/backends.rs
@@ -92,9 +92,8 @@
             let backend = self.backends.entry(name).or_default();
             if backend.room == 0.0 || backend.started != started {
                 let Backend { detached, returned, sent, out, least, .. } = *backend;
-                let rest = Backend { salt, near, ..Backend::default() };
-                let (room, base) = (room.max(least), Backend { least, sent, out, ..rest });
-                *backend = Backend { zone, cell, started, room, detached, returned, ..base };
+                let rest = Backend { salt, near, least, sent, out, ..Backend::default() };
+                *backend = Backend { zone, cell, started, room: room.max(least), detached, returned, ..rest };
             }
             backend.state = state;
         }
