--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -160,6 +160,8 @@
     accepted: BTreeMap<u64, u64>,
     changes: u64,
     grown: bool,
+    /// Messages of other processes since the start.
+    frames: u64,
     /// The leader that followers were told of last, and whether as of this moment.
     pulsed: (Option<SocketAddr>, bool),
     next: [u64; 3],
@@ -205,6 +207,7 @@
             accepted: BTreeMap::new(),
             changes: 0,
             grown: false,
+            frames: 0,
             pulsed: (None, false),
             next: [0; 3],
             outputs: Vec::new(),
@@ -410,6 +413,7 @@
         let now = self.now();
         let Some(peer) = self.peers.get_mut(&number) else { return };
         peer.heard = now;
+        self.frames += 1;
         match flag {
             Flag::Hail(hail) => self.on_hail(number, hail, now),
             Flag::Welcome(hail) => self.meet(&hail),
@@ -748,7 +752,7 @@
             .map(|c| json!({ "tenant": c.tenant, "window": c.window, "granted": c.granted, "left": c.left }))
             .collect();
         let quays: Vec<_> = self.fleet.names().collect();
-        let status = json!({ "name": self.settings.me.name, "zone": self.settings.me.zone, "up_ms": now,
+        let status = json!({ "name": self.settings.me.name, "zone": self.settings.me.zone, "up_ms": now, "frames": self.frames,
             "leader": leader.map(|l| l.to_string()), "epoch": epoch, "fresh": fresh,
             "version": format!("r{}", self.ledger.version()), "log": log, "masters": masters, "lines": lines,
             "quays": quays, "backends": berths, "counts": counts });
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -1,6 +1,6 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
-use flags::{Hail, Plane};
+use flags::{Flag, Hail, Plane, Pulse};
 use harbourmaster::{Disk, Master, MasterSettings};
 use logbook::{Timing, VoterId};
 use std::cell::Cell;
@@ -15,6 +15,9 @@
 /// Whatever is waited for comes much sooner; a busy machine is given time.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// So many of a harbour's five places have a disk.
+const VOTERS: usize = 3;
+
 struct Process {
     control: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
@@ -22,9 +25,13 @@
 }
 
 impl Process {
-    fn start(at: usize, peers: &[SocketAddr], control: SocketAddr, folder: PathBuf, first: bool) -> Self {
+    /// One with a disk that counts, or without one where no folder is given.
+    fn start(
+        at: usize, address: SocketAddr, seeds: &[SocketAddr], control: SocketAddr, folder: Option<PathBuf>,
+        first: bool,
+    ) -> Self {
         let (stop, stopped) = oneshot::channel::<()>();
-        let (address, seeds) = (peers[at], peers.to_vec());
+        let seeds = seeds.to_vec();
         let thread = std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -37,15 +44,15 @@
                     (VoterId { address: address.to_string(), birth }, founders)
                 };
                 // The thread of the process before may take a moment to let go of the file.
-                let log = until(|| Disk::open(&folder, newcomer, commands.clone()).ok());
+                let log = folder.map(|folder| until(|| Disk::open(&folder, newcomer, commands.clone()).ok()));
                 let me = Hail {
                     name: format!("m{at}"),
                     life: 1,
                     plane: Plane::Master,
                     address: address.to_string(),
                     zone: "a".into(),
-                    quorum: true,
-                    birth: Some(log.1.me.birth),
+                    quorum: log.is_some(),
+                    birth: log.as_ref().map(|(_, saved)| saved.me.birth),
                 };
                 let timing = Timing { pulse: 40, election: 300, lease: 200 };
                 let seed = at as u64 + 5;
@@ -55,7 +62,7 @@
                     numbers.set(numbers.get() + 1);
                     numbers.get()
                 });
-                let master = Master::new(settings, Some(log), commands.clone(), numbers.clone());
+                let master = Master::new(settings, log, commands.clone(), numbers.clone());
                 let listen = |address| {
                     let listener = TcpListener::bind(address).expect("the port");
                     listener.set_nonblocking(true).expect("not blocking");
@@ -146,13 +153,14 @@
 
 impl Harbour {
     fn new() -> Self {
-        let ports = free_ports(6);
+        let ports = free_ports(10);
         let folder = tempfile::tempdir().expect("a folder");
-        Self { peers: ports[..3].to_vec(), controls: ports[3..].to_vec(), folder }
+        Self { peers: ports[..5].to_vec(), controls: ports[5..].to_vec(), folder }
     }
 
     fn start(&self, at: usize, first: bool) -> Process {
-        Process::start(at, &self.peers, self.controls[at], self.disk(at), first)
+        let folder = (at < VOTERS).then(|| self.disk(at));
+        Process::start(at, self.peers[at], &self.peers[..VOTERS], self.controls[at], folder, first)
     }
 
     fn disk(&self, at: usize) -> PathBuf {
@@ -160,7 +168,7 @@
     }
 
     fn all(&self, first: bool) -> Vec<Process> {
-        (0..3).map(|at| self.start(at, first)).collect()
+        (0..VOTERS).map(|at| self.start(at, first)).collect()
     }
 }
 
@@ -245,3 +253,49 @@
     assert_eq!(masters[lost].insist(1, &config(2)), 200);
     assert_eq!(masters[lost].read(), (200, config(2)));
 }
+
+#[test]
+fn masters_without_a_log_do_not_send_each_other_round_in_a_circle() {
+    let harbour = Harbour::new();
+    let pair = &harbour.peers[VOTERS..];
+    let start = |at: usize| Process::start(at, harbour.peers[at], pair, harbour.controls[at], None, true);
+    let masters = [start(VOTERS), start(VOTERS + 1)];
+    let figure = |process: &Process, name: &str| -> Option<u64> {
+        let (_, body) = process.call("GET /Harbour.Status HTTP/1.1", "")?;
+        serde_json::from_str::<serde_json::Value>(&body).ok()?.get(name)?.as_u64()
+    };
+    // They have met once each has heard the other's lists.
+    for process in &masters {
+        until(|| figure(process, "frames").filter(|frames| *frames > 6));
+    }
+    // Each hears of another leader, both as of this moment: as after a herd's death, when old news is still about.
+    let voters: Vec<_> = (0..2)
+        .map(|at| {
+            let address = harbour.peers[at];
+            let hail = Hail {
+                name: format!("v{at}"),
+                life: 1,
+                plane: Plane::Master,
+                address: address.to_string(),
+                zone: "a".into(),
+                quorum: true,
+                birth: Some(0),
+            };
+            let pulse =
+                Pulse { leader: Some(address.to_string()), epoch: 1, fresh: true, ..Pulse::default() };
+            let mut stream = TcpStream::connect(pair[at]).expect("a line");
+            let frames = [Flag::Hail(hail), Flag::Pulse(pulse)].map(|flag| flags::frame(&flag)).concat();
+            stream.write_all(&frames).expect("sent");
+            stream
+        })
+        .collect();
+    for process in &masters {
+        let (began, before) = until(|| Some((figure(process, "up_ms")?, figure(process, "frames")?)));
+        let after = until(|| {
+            let up = figure(process, "up_ms")?;
+            (up > began + 600).then(|| figure(process, "frames"))?
+        });
+        assert!(after - before < 100, "{} messages in some 600 ms", after - before);
+    }
+    drop(voters);
+}
