The programs become a library with a thin command line

Who plays a whole harbour on one machine starts its processes from a binary of its own, and cargo builds no other package's binaries for a test. Weighed: finding reachlb beside the other binary, which a test can't rely on. reachlb's command line, statuses and lines stay as they were.

--- /dev/null
+++ b/harbour/programs/src/lib.rs
@@ -0,0 +1,61 @@
+//! The programs of the system, as a library: `reachlb` is a thin command line around it, and whoever plays a whole
+//! harbour on one machine starts them from a binary of its own.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod check;
+mod logs;
+mod master;
+mod quays;
+mod start;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The variable that says where the settings file is.
+pub const SETTINGS: &str = "REACHLB_BOOT";
+
+/// Status of a program whose arguments, or settings file, can't be used.
+pub const UNUSABLE: u8 = 2;
+
+/// A program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// Carries requests from clients to backends.
+    Quay,
+    /// Serves control.
+    Harbourmaster,
+}
+
+/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file.
+pub fn serve(program: Program, settings: Option<PathBuf>) -> ExitCode {
+    let path = settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
+    let Some(path) = path else {
+        eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
+        return ExitCode::from(UNUSABLE);
+    };
+    let settings = match manifest::Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("{}: {fault}", path.display());
+            return ExitCode::from(UNUSABLE);
+        }
+    };
+    if let Err(error) = logs::start(&settings.tuning.log_level) {
+        eprintln!("logs: {error}");
+        return ExitCode::from(UNUSABLE);
+    }
+    let done = match program {
+        Program::Quay => start::run(quays::run(settings, path)),
+        Program::Harbourmaster => start::run(master::run(settings, path)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            spdlog::critical!("{:?}", report);
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -2,19 +2,11 @@
 
 #![forbid(unsafe_code)]
 
-mod check;
-mod logs;
-mod master;
-mod quays;
-mod start;
-
 use gumdrop::Options;
+use harbour::{Program, UNUSABLE, check, serve};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The variable that says where the settings file is.
-const SETTINGS: &str = "REACHLB_BOOT";
-
 /// reachlb: an API gateway that needs nobody else's services.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -51,14 +43,6 @@
     help: bool,
 }
 
-/// The arguments, or a settings file, can't be used.
-pub(crate) const UNUSABLE: u8 = 2;
-
-enum Program {
-    Quay,
-    Harbourmaster,
-}
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let Some(command) = arguments.command else {
@@ -70,32 +54,5 @@
         Command::Quay(_) => Program::Quay,
         Command::Harbourmaster(_) => Program::Harbourmaster,
     };
-    let path = arguments.settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
-    let Some(path) = path else {
-        eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
-        return ExitCode::from(UNUSABLE);
-    };
-    let settings = match manifest::Settings::read(&path) {
-        Ok(settings) => settings,
-        Err(fault) => {
-            eprintln!("{}: {fault}", path.display());
-            return ExitCode::from(UNUSABLE);
-        }
-    };
-    if let Err(error) = logs::start(&settings.tuning.log_level) {
-        eprintln!("logs: {error}");
-        return ExitCode::from(UNUSABLE);
-    }
-    let done = match program {
-        Program::Quay => start::run(quays::run(settings, path)),
-        Program::Harbourmaster => start::run(master::run(settings, path)),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            spdlog::critical!("{:?}", report);
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    serve(program, arguments.settings)
 }
