--- a/harbour/buoys/src/fleet.rs
+++ b/harbour/buoys/src/fleet.rs
@@ -41,6 +41,11 @@
         self.quays.keys().take_while(|other| other.as_str() < name).count() as u32
     }
 
+    /// Their names and lives, by name.
+    pub fn lives(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.quays.iter().map(|(name, (life, _))| (name.as_str(), *life))
+    }
+
     /// Their names.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.quays.keys().map(String::as_str)
--- a/harbour/harbourmaster/src/calls.rs
+++ b/harbour/harbourmaster/src/calls.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use manifest::Version;
 use serde::Deserialize;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -28,6 +29,8 @@
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+const JSON: &str = "application/json";
+
 /// What a call asks for.
 #[derive(Debug)]
 pub enum Call {
@@ -39,6 +42,30 @@
     Order(Order),
     /// How this process and what it knows stand.
     Status,
+    /// The last versions, and when they were taken.
+    History,
+    /// The body of one of the last versions.
+    Past(u64),
+    /// Records about something, or all.
+    Events(Option<String>),
+    /// Metrics.
+    Metrics,
+}
+
+impl Call {
+    /// Its kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "beat",
+            Self::Departure(_) => "departure",
+            Self::Order(Order::Replace { .. }) => "replace",
+            Self::Order(Order::Read) => "read",
+            Self::Status => "status",
+            Self::History | Self::Past(_) => "history",
+            Self::Events(_) => "events",
+            Self::Metrics => "metrics",
+        }
+    }
 }
 
 /// The answer to a call.
@@ -46,7 +73,7 @@
 pub struct Reply {
     /// Its status.
     pub status: u16,
-    /// Its body, JSON.
+    /// Its body, JSON but for metrics.
     pub body: Vec<u8>,
 }
 
@@ -74,18 +101,21 @@
     pub longest: usize,
     /// How long its answer may take.
     pub within: Duration,
-    /// Reads it.
+    /// The type of its answer.
+    pub says: &'static str,
+    /// Reads it: the id, or where none is taken the query; the headers; the body.
     pub read: fn(&str, &HeaderMap, &[u8]) -> Result<Call, Reply>,
 }
 
 /// All calls.
-pub const CALLS: [Declared; 5] = [
+pub const CALLS: [Declared; 9] = [
     Declared {
         method: Method::POST,
         path: "/Backends.Heartbeat/",
         takes_id: true,
         longest: 16 * 1024,
         within: ANSWER_WITHIN,
+        says: JSON,
         read: beat,
     },
     Declared {
@@ -94,6 +124,7 @@
         takes_id: true,
         longest: 16 * 1024,
         within: ANSWER_WITHIN,
+        says: JSON,
         read: |id, _, _| Ok(Call::Departure(id.to_owned())),
     },
     Declared {
@@ -102,6 +133,7 @@
         takes_id: false,
         longest: 4 * 1024 * 1024,
         within: CHANGE_WITHIN,
+        says: JSON,
         read: replace,
     },
     Declared {
@@ -110,6 +142,7 @@
         takes_id: false,
         longest: 0,
         within: ANSWER_WITHIN,
+        says: JSON,
         read: |_, _, _| Ok(Call::Order(Order::Read)),
     },
     Declared {
@@ -118,10 +151,69 @@
         takes_id: false,
         longest: 0,
         within: ANSWER_WITHIN,
+        says: JSON,
         read: |_, _, _| Ok(Call::Status),
     },
+    Declared {
+        method: Method::GET,
+        path: "/Config.History",
+        takes_id: false,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        says: JSON,
+        read: |_, _, _| Ok(Call::History),
+    },
+    Declared {
+        method: Method::GET,
+        path: "/Config.History/",
+        takes_id: true,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        says: JSON,
+        read: |id, _, _| {
+            let version = id.parse::<Version>().map_err(|fault| Reply::why(400, &fault.to_string()))?;
+            Ok(Call::Past(version.0))
+        },
+    },
+    Declared {
+        method: Method::GET,
+        path: "/Harbour.Events",
+        takes_id: false,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        says: JSON,
+        read: |query, _, _| Ok(Call::Events(query.strip_prefix("about=").map(unescape))),
+    },
+    Declared {
+        method: Method::GET,
+        path: "/metrics",
+        takes_id: false,
+        longest: 0,
+        within: ANSWER_WITHIN,
+        says: lookout::TEXT,
+        read: |_, _, _| Ok(Call::Metrics),
+    },
 ];
 
+/// What stands for itself in a query; each `%` with two hexadecimal digits stands for a byte.
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let escaped = match (first, after) {
+            (b'%', [high, low, after @ ..]) => {
+                let digit = |byte: &u8| char::from(*byte).to_digit(16);
+                digit(high).zip(digit(low)).map(|(high, low)| ((high * 16 + low) as u8, after))
+            }
+            _ => None,
+        };
+        let (byte, after) = escaped.unwrap_or((*first, after));
+        bytes.push(byte);
+        rest = after;
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 #[derive(Deserialize)]
 struct BeatBody {
     address: String,
@@ -231,7 +323,11 @@
         Ok(body) => body,
         Err(reply) => return respond(reply),
     };
-    let id = path.strip_prefix(call.path).unwrap_or_default();
+    let id = if call.takes_id {
+        path.strip_prefix(call.path).unwrap_or_default()
+    } else {
+        head.uri.query().unwrap_or_default()
+    };
     let call_read = match (call.read)(id, &head.headers, &body) {
         Ok(read) => read,
         Err(reply) => return respond(reply),
@@ -242,7 +338,7 @@
     }
     let left = call.within.saturating_sub(begun.elapsed());
     match timeout(left, told).await {
-        Ok(Ok(reply)) => respond(reply),
+        Ok(Ok(reply)) => respond_as(if reply.status == 200 { call.says } else { JSON }, reply),
         _ => respond(Reply::why(503, "no answer in time: ask again, here or at another gateway")),
     }
 }
@@ -271,8 +367,26 @@
 }
 
 fn respond(reply: Reply) -> Response<Full<Bytes>> {
+    respond_as(JSON, reply)
+}
+
+fn respond_as(says: &'static str, reply: Reply) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(reply.body)));
     *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(says));
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_query_is_read_whatever_is_in_it() {
+        for (text, read) in
+            [("m-1", "m-1"), ("10.0.0.1%3A7%2f", "10.0.0.1:7/"), ("%", "%"), ("%4", "%4"), ("%zz", "%zz")]
+        {
+            assert_eq!(unescape(text), read);
+        }
+    }
+}
--- a/harbour/harbourmaster/src/ledger.rs
+++ b/harbour/harbourmaster/src/ledger.rs
@@ -5,6 +5,12 @@
 
 /// So many versions are remembered by their digest: an operator repeats a call within seconds, not thousands later.
 const REMEMBERED: usize = 4096;
+/// Of so many versions it is remembered when they were taken.
+const DATED: usize = 64;
+/// Bodies before the newest one are kept for operators who compare: so many ...
+const BODIES: usize = 7;
+/// ... of so many bytes in all. They lie in each snapshot and in the memory of each voter.
+const BODY_BYTES: usize = 1 << 20;
 
 /// A change as it stands in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -19,6 +25,16 @@
     pub body: Vec<u8>,
 }
 
+impl Change {
+    /// Reads what an entry of the log holds.
+    ///
+    /// # Errors
+    /// When it holds something else.
+    pub fn read(entry: &[u8]) -> Result<Self, bitcode::Error> {
+        bitcode::decode(entry)
+    }
+}
+
 /// What became of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -38,15 +54,46 @@
     },
 }
 
+/// When a configuration was taken: no two machines share a clock, but all share the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Place {
+    /// Its entry in the log.
+    pub index: u64,
+    /// The term of the leader that took it.
+    pub epoch: u64,
+}
+
 /// All configurations ever taken, the newest in full.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Ledger {
     version: u64,
     body: Vec<u8>,
     digests: BTreeMap<u64, [u8; 32]>,
+    places: BTreeMap<u64, Place>,
+    /// The bodies of versions before the newest.
+    bodies: BTreeMap<u64, Vec<u8>>,
+}
+
+/// What snapshots held before bodies were kept.
+#[derive(Decode)]
+struct Bare {
+    version: u64,
+    body: Vec<u8>,
+    digests: BTreeMap<u64, [u8; 32]>,
 }
 
 impl Ledger {
+    /// Reads what a snapshot holds, also one that the version before this one wrote.
+    ///
+    /// # Errors
+    /// When it holds something else.
+    pub fn restore(state: &[u8]) -> Result<Self, bitcode::Error> {
+        bitcode::decode(state).or_else(|error| {
+            let Bare { version, body, digests } = bitcode::decode(state).map_err(|_| error)?;
+            Ok(Self { version, body, digests, ..Self::default() })
+        })
+    }
+
     /// What would become of a change now.
     pub fn judge(&self, base: u64, version: u64, digest: &[u8; 32]) -> Verdict {
         let current = self.version;
@@ -61,20 +108,44 @@
         }
     }
 
-    /// Takes a change from the log.
-    pub fn apply(&mut self, change: Change) -> Verdict {
+    /// Takes a change from this place of the log.
+    pub fn apply(&mut self, at: Place, change: Change) -> Verdict {
         let verdict = self.judge(change.base, change.version, &change.digest);
         if verdict == Verdict::Taken {
+            let before = std::mem::replace(&mut self.body, change.body);
+            if self.version > 0 {
+                self.bodies.insert(self.version, before);
+            }
+            let mut bytes: usize = self.bodies.values().map(Vec::len).sum();
+            while (self.bodies.len() > BODIES || bytes > BODY_BYTES)
+                && let Some((_, oldest)) = self.bodies.pop_first()
+            {
+                bytes -= oldest.len();
+            }
             self.version = change.version;
-            self.body = change.body;
             self.digests.insert(change.version, change.digest);
             while self.digests.len() > REMEMBERED {
                 self.digests.pop_first();
             }
+            self.places.insert(change.version, at);
+            while self.places.len() > DATED {
+                self.places.pop_first();
+            }
         }
         verdict
     }
 
+    /// The last versions that were taken, the newest first: number, digest, and when.
+    pub fn history(&self) -> impl Iterator<Item = (u64, &[u8; 32], Place)> {
+        let dated = self.places.iter().rev();
+        dated.filter_map(|(version, place)| Some((*version, self.digests.get(version)?, *place)))
+    }
+
+    /// The body of a version, as long as it is kept.
+    pub fn body_of(&self, version: u64) -> Option<&[u8]> {
+        if version == self.version { self.body() } else { self.bodies.get(&version).map(Vec::as_slice) }
+    }
+
     /// The newest version; 0 before the first.
     pub fn version(&self) -> u64 {
         self.version
--- a/harbour/harbourmaster/src/lib.rs
+++ b/harbour/harbourmaster/src/lib.rs
@@ -11,9 +11,10 @@
 mod ledger;
 mod lines;
 mod master;
+mod watch;
 
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
-pub use ledger::{Change, Ledger, Verdict};
+pub use ledger::{Change, Ledger, Place, Verdict};
 pub use lines::listen;
 pub use master::{Command, Master, MasterSettings};
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -1,8 +1,11 @@
 //! The owner of all tables of the control plane.
 
+mod told;
+
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
-use crate::ledger::{Change, Ledger, Verdict};
+use crate::ledger::{Change, Ledger, Place, Verdict};
+use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
@@ -164,6 +167,7 @@
     pulsed: (Option<SocketAddr>, bool),
     next: [u64; 3],
     outputs: Vec<Output>,
+    watch: Watch,
 }
 
 impl Master {
@@ -175,8 +179,16 @@
         let (mut node, mut disk, mut ledger) = (None, None, Ledger::default());
         if let Some((opened, saved)) = log {
             // The log tells its entries again, but only those after its snapshot.
-            let state = saved.snapshot.as_ref().map(|snapshot| bitcode::decode(&snapshot.state));
-            ledger = state.and_then(Result::ok).unwrap_or_default();
+            if let Some(snapshot) = &saved.snapshot {
+                match Ledger::restore(&snapshot.state) {
+                    Ok(restored) => ledger = restored,
+                    Err(error) => {
+                        let (index, epoch) = (snapshot.index, snapshot.term);
+                        spdlog::error!("the snapshot is of no version known here: {}", error,
+                            kv: { step = "restore", index, epoch });
+                    }
+                }
+            }
             node = Some(Node::start(saved, settings.timing, settings.seed, 0));
             disk = Some(opened);
         }
@@ -208,6 +220,7 @@
             pulsed: (None, false),
             next: [0; 3],
             outputs: Vec::new(),
+            watch: Watch::new(),
             settings,
         };
         master.renewed();
@@ -265,7 +278,8 @@
             self.tend_office(now);
         }
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
-        let (leader, _, fresh) = self.leader(now);
+        let (leader, epoch, fresh) = self.leader(now);
+        self.watch.stands(now, leader, epoch, self.ledger.version());
         let news = (leader, fresh);
         let early = fresh && news != self.pulsed && now + PULSE >= self.next[1] + LEAST_PULSE;
         if now >= self.next[1] || early {
@@ -593,7 +607,7 @@
         if self.node.is_none() && sheet.version > self.ledger.version() {
             let base = self.ledger.version();
             let change = Change { base, version: sheet.version, digest: [0; 32], body: sheet.body };
-            self.ledger.apply(change);
+            self.ledger.apply(Place::default(), change);
             self.renewed();
         }
     }
@@ -617,14 +631,17 @@
             self.grown = true;
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
         }
+        self.watch.quays(now, self.fleet.lives());
         let fleet = self.fleet.size();
         if let Some(holder) = &mut self.holder {
             holder.fleet(now as f64, fleet);
         }
     }
 
-    fn tell_berths(&self, berths: Vec<Berth>) {
+    fn tell_berths(&mut self, berths: Vec<Berth>) {
         if !berths.is_empty() {
+            let now = self.now();
+            self.watch.berths(now, &berths);
             self.to_followers(&Flag::Berths { whole: false, berths });
         }
     }
@@ -661,8 +678,8 @@
         let (holds, term) = (node.is_leader() && node.holds_lease(now), node.term());
         if !holds {
             // The office ends with the term: a lease that comes back within it finds its counts as they were.
-            if !node.is_leader() {
-                self.holder = None;
+            if !node.is_leader() && self.holder.take().is_some() {
+                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
             }
         } else if self.holder.as_ref().is_none_or(|holder| holder.epoch() != term) {
             let first = term <= 1 && self.ledger.version() == 0;
@@ -670,6 +687,7 @@
             holder.fleet(now as f64, self.fleet.size());
             holder.quotas(now as f64, &self.quotas());
             self.holder = Some(holder);
+            self.watch.note(now, self.settings.address.to_string(), Happened::Office(true));
             spdlog::info!("this process holds the counts", kv: { step = "office", epoch = term });
         }
     }
@@ -680,8 +698,14 @@
         let Some(hail) = &peer.hail else { return };
         self.fleet.heard(now, &hail.name, hail.life);
         let flag = match &mut self.holder {
-            Some(holder) if leads => Flag::Grant(holder.draw(now as f64, &hail.name, &draw)),
-            _ => Flag::NotHolder { number: draw.number },
+            Some(holder) if leads => {
+                self.watch.counted.draws.0 += 1;
+                Flag::Grant(holder.draw(now as f64, &hail.name, &draw))
+            }
+            _ => {
+                self.watch.counted.draws.1 += 1;
+                Flag::NotHolder { number: draw.number }
+            }
         };
         peer.line.send(&flag);
     }
@@ -690,6 +714,7 @@
 
     fn on_call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
         let now = self.now();
+        *self.watch.counted.calls.entry(call.kind()).or_default() += 1;
         match call {
             Call::Beat(berth) => {
                 let judgement = self.register.beat(now, berth);
@@ -703,6 +728,10 @@
             }
             Call::Order(order) => self.on_order_here(order, reply, now),
             Call::Status => drop(reply.send(self.status(now))),
+            Call::History => drop(reply.send(self.history(now))),
+            Call::Past(version) => drop(reply.send(self.past(version))),
+            Call::Events(about) => drop(reply.send(self.events(now, about.as_deref()))),
+            Call::Metrics => drop(reply.send(self.metrics(now))),
         }
     }
 
@@ -850,7 +879,11 @@
             Order::Replace { base, body } => {
                 let config = match Config::parse(&body) {
                     Ok(config) => config,
-                    Err(fault) => return self.answer(asker, Reply::why(400, &fault.to_string())),
+                    Err(fault) => {
+                        let why = fault.to_string();
+                        self.watch.unread(now, &why);
+                        return self.answer(asker, Reply::why(400, &why));
+                    }
                 };
                 let (version, digest) = (config.version.0, config.digest());
                 match self.ledger.judge(base, version, &digest) {
@@ -861,7 +894,10 @@
                         let change = bitcode::encode(&Change { base, version, digest, body });
                         self.log(Input::Propose { token, change });
                     }
-                    verdict => self.answer(asker, reply_to(verdict)),
+                    verdict => {
+                        self.watch.change(now, version, verdict);
+                        self.answer(asker, reply_to(verdict));
+                    }
                 }
             }
         }
@@ -895,16 +931,24 @@
                     disk.save(save);
                 }
             }
-            Output::Committed { entry } => self.on_committed(entry.index, entry.what),
-            Output::Install { snapshot } => {
-                if let Ok(ledger) = bitcode::decode::<Ledger>(&snapshot.state) {
+            Output::Committed { entry } => {
+                let at = Place { index: entry.index, epoch: entry.term };
+                self.on_committed(at, entry.what);
+            }
+            Output::Install { snapshot } => match Ledger::restore(&snapshot.state) {
+                Ok(ledger) => {
                     let newer = ledger.version() > self.ledger.version();
                     self.ledger = ledger;
                     if newer {
                         self.renewed();
                     }
                 }
-            }
+                Err(error) => {
+                    let (index, epoch) = (snapshot.index, snapshot.term);
+                    spdlog::error!("the leader's snapshot is of no version known here: {}", error,
+                            kv: { step = "install", index, epoch });
+                }
+            },
             Output::Accepted { token, index, .. } => {
                 self.accepted.insert(index, token);
             }
@@ -927,12 +971,21 @@
         }
     }
 
-    fn on_committed(&mut self, index: u64, what: What) {
-        let What::Change(change) = what else { return };
+    fn on_committed(&mut self, at: Place, what: What) {
+        let (now, Place { index, epoch }) = (self.now(), at);
+        let change = match what {
+            What::Change(change) => change,
+            What::Members(voters) => {
+                let list = voters.iter().map(|voter| voter.address.clone().into()).collect();
+                return self.watch.note(now, "voters", Happened::Voters(list));
+            }
+            What::Nothing => return,
+        };
         let Ok(change) = bitcode::decode::<Change>(&change) else { return };
         let version = change.version;
-        let verdict = self.ledger.apply(change);
-        spdlog::info!("{:?}", verdict, kv: { step = "change", index, version });
+        let verdict = self.ledger.apply(at, change);
+        self.watch.change(now, version, verdict);
+        spdlog::info!("{:?}", verdict, kv: { step = "change", index, version, epoch });
         if verdict == Verdict::Taken {
             self.renewed();
         }
--- /dev/null
+++ b/harbour/harbourmaster/src/master/told.rs
@@ -0,0 +1,103 @@
+//! What operators are told on top of the status: history, records, metrics.
+
+use super::Master;
+use crate::calls::Reply;
+use lookout::Page;
+use serde_json::json;
+
+impl Master {
+    /// The last versions, and when they were taken.
+    pub(super) fn history(&self, now: u64) -> Reply {
+        let versions: Vec<_> = self
+            .ledger
+            .history()
+            .map(|(version, digest, at)| {
+                let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+                let kept = self.ledger.body_of(version).is_some();
+                json!({ "version": format!("r{version}"), "digest": digest, "epoch": at.epoch, "index": at.index,
+                    "body_kept": kept })
+            })
+            .collect();
+        let (leader, _, fresh) = self.leader(now);
+        let told = json!({ "leader": leader.map(|l| l.to_string()), "fresh": fresh, "versions": versions });
+        Reply { status: 200, body: told.to_string().into_bytes() }
+    }
+
+    /// The body of one of the last versions.
+    pub(super) fn past(&self, version: u64) -> Reply {
+        match self.ledger.body_of(version) {
+            Some(body) => Reply { status: 200, body: body.to_vec() },
+            None => Reply::why(404, &format!("r{version} is not kept here")),
+        }
+    }
+
+    /// Records about something, or all of them.
+    pub(super) fn events(&self, now: u64, about: Option<&str>) -> Reply {
+        // Processes that serve control are known by their names and by their addresses.
+        let me = (&self.settings.me.name, self.settings.address.to_string());
+        let others =
+            self.peers.values().filter_map(|p| p.hail.as_ref()).map(|h| (&h.name, h.address.clone()));
+        let names: Vec<_> = others
+            .chain([me])
+            .filter(|(name, address)| about == Some(name.as_str()) || about == Some(address))
+            .flat_map(|(name, address)| [name.clone(), address])
+            .collect();
+        let wanted = |subject: &str| match about {
+            Some(about) => subject == about || names.iter().any(|name| name == subject),
+            None => true,
+        };
+        let told = json!({ "name": self.settings.me.name, "events": self.watch.about(now, wanted),
+            "dropped": self.watch.dropped() });
+        Reply { status: 200, body: told.to_string().into_bytes() }
+    }
+
+    /// Metrics, as text.
+    pub(super) fn metrics(&self, now: u64) -> Reply {
+        let mut page = Page::of("master", now);
+        let (leader, epoch, fresh) = self.leader(now);
+        let flag = |set: bool| f64::from(u8::from(set));
+        page.gauge("leader_known", "1 while this process knows a leader", flag(leader.is_some()));
+        page.gauge("fresh", "1 while what this process tells is of this moment", flag(fresh));
+        page.gauge("epoch", "Term of the leader, as known here", epoch as f64);
+        page.gauge("config_version", "Version in force here", self.ledger.version() as f64);
+        if let Some(node) = &self.node {
+            page.gauge("leads", "1 while this process leads", flag(node.is_leader()));
+            page.gauge("holds_lease", "1 while this process holds the counts", flag(node.holds_lease(now)));
+            page.gauge("voter", "1 while this process votes", flag(node.is_voter()));
+            page.gauge("voters", "Voters of the log", node.members().len() as f64);
+            page.gauge("log_commit", "Last entry of the log that is decided", node.commit() as f64);
+        }
+        let row = |label: &'static str, value: &str| vec![(label, value.to_owned())];
+        let masters = self.other_masters().into_iter().map(|address| self.line_to(&address).is_some());
+        let masters = masters.map(|reached| (row("reached", if reached { "yes" } else { "no" }), 1.0));
+        page.gauges("masters", "Other processes that serve control, by whether they are reached", masters);
+        let follows = self.peers.values().filter(|p| p.follows).count();
+        page.gauge("followers", "Processes that follow the news here", follows as f64);
+        page.gauge("quays", "Quays that count", f64::from(self.fleet.size()));
+        let backends = self.register.all(now).into_iter().map(|b| {
+            let phase = if b.overdue { "overdue" } else { phase(b.phase) };
+            (vec![("service", b.service), ("phase", phase.to_owned())], 1.0)
+        });
+        page.gauges("backends", "Backends by service and phase", backends);
+        let counted = &self.watch.counted;
+        let calls = counted.calls.iter().map(|(kind, calls)| (row("call", kind), *calls));
+        page.counters("calls", "Calls on the control socket", calls);
+        let changes = counted.changes.iter().map(|(outcome, changes)| (row("outcome", outcome), *changes));
+        page.counters("changes", "Configurations judged here", changes);
+        page.counter("leader_changes", "Times that another leader was known here", counted.leaders);
+        let draws =
+            [(row("outcome", "answered"), counted.draws.0), (row("outcome", "not_holder"), counted.draws.1)];
+        page.counters("draws", "Draws of quays on the counts", draws);
+        page.gauge("calls_waiting", "Calls that wait for a leader or its word", self.waiting.len() as f64);
+        page.counter("events_dropped", "Records that made room for others", self.watch.dropped());
+        Reply { status: 200, body: page.text().into_bytes() }
+    }
+}
+
+fn phase(phase: flags::Phase) -> &'static str {
+    match phase {
+        flags::Phase::Serving => "serving",
+        flags::Phase::Draining => "draining",
+        flags::Phase::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/watch.rs
@@ -0,0 +1,345 @@
+//! Records of what this process decided and saw: bounded, and without text until somebody reads them.
+
+use crate::ledger::Verdict;
+use flags::{Berth, Phase};
+use lookout::Ring;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Records of backends: a herd that dies writes many, which must not cost those of all else.
+const OF_BACKENDS: usize = 384;
+/// All other records.
+const OF_OTHERS: usize = 128;
+/// Quays that are gone are known by name up to so many, to tell a return from a first word.
+const MOST_QUAYS: usize = 4096;
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum What {
+    /// Another leader, or none.
+    Leader(Option<SocketAddr>),
+    /// This process holds the counts, or does no more.
+    Office(bool),
+    /// A change was decided on.
+    Change(Verdict),
+    /// A configuration that can't be read.
+    Unread(Box<str>),
+    /// A backend of a service.
+    Backend(Rc<str>, Seen),
+    /// A quay.
+    Quay(Seen),
+    /// The voters are these now.
+    Voters(Box<[Box<str>]>),
+}
+
+/// What became of somebody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Heard for the first time.
+    First,
+    /// It finishes its work.
+    Draining,
+    /// Its beats are missed.
+    Overdue,
+    /// Heard again.
+    Back,
+    /// Another life under the same name.
+    Restarted,
+    /// Over, or not heard for so long that it does not count.
+    Gone,
+}
+
+/// One record.
+#[derive(Clone, Debug)]
+pub struct Event {
+    at: u64,
+    subject: Rc<str>,
+    what: What,
+    epoch: u64,
+    version: u64,
+}
+
+impl What {
+    fn step(&self) -> &'static str {
+        match self {
+            Self::Leader(_) => "leader",
+            Self::Office(_) => "office",
+            Self::Change(_) | Self::Unread(_) => "config",
+            Self::Backend(..) => "backend",
+            Self::Quay(_) => "quay",
+            Self::Voters(_) => "voters",
+        }
+    }
+}
+
+impl fmt::Display for What {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leader(Some(leader)) => write!(f, "{leader} leads, as far as this process knows"),
+            Self::Leader(None) => write!(f, "no leader is known here"),
+            Self::Office(true) => write!(f, "this process holds the counts"),
+            Self::Office(false) => write!(f, "this process holds the counts no more"),
+            Self::Change(Verdict::Taken) => write!(f, "taken: in force from here on"),
+            Self::Change(Verdict::TakenBefore) => write!(f, "the same had been taken before"),
+            Self::Change(Verdict::Stale { current }) => {
+                write!(f, "refused: it builds on another version than r{current}, which is in place")
+            }
+            Self::Change(Verdict::NotAbove { current }) => {
+                write!(f, "refused: its number is not above r{current}, which is in place")
+            }
+            Self::Unread(why) => write!(f, "refused: {why}"),
+            Self::Backend(service, seen) => write!(f, "backend of {service}: {seen}"),
+            Self::Quay(seen) => write!(f, "quay: {seen}"),
+            Self::Voters(list) => write!(f, "the voters are {}", list.join(", ")),
+        }
+    }
+}
+
+impl fmt::Display for Seen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::First => "heard for the first time",
+            Self::Draining => "drains",
+            Self::Overdue => "overdue, its beats are missed",
+            Self::Back => "heard again",
+            Self::Restarted => "another life under the same name",
+            Self::Gone => "gone",
+        })
+    }
+}
+
+/// What is counted since the start, for metrics.
+#[derive(Debug, Default)]
+pub struct Counted {
+    /// Calls by kind.
+    pub calls: BTreeMap<&'static str, u64>,
+    /// Changes by what became of them here.
+    pub changes: BTreeMap<&'static str, u64>,
+    /// Other leaders than before.
+    pub leaders: u64,
+    /// Draws that this process answered as the holder, and others.
+    pub draws: (u64, u64),
+}
+
+/// Keeps the records.
+#[derive(Debug)]
+pub struct Watch {
+    backends: Ring<Event>,
+    others: Ring<Event>,
+    epoch: u64,
+    version: u64,
+    leader: Option<SocketAddr>,
+    /// Backends that are not over, as they were told of last.
+    known: HashMap<Rc<str>, (Phase, bool)>,
+    /// Services by name, so that records share it.
+    services: HashSet<Rc<str>>,
+    /// The life of each quay; none once it counts no more.
+    quays: BTreeMap<Rc<str>, Option<u64>>,
+    pub counted: Counted,
+}
+
+impl Watch {
+    pub fn new() -> Self {
+        Self {
+            backends: Ring::new(OF_BACKENDS),
+            others: Ring::new(OF_OTHERS),
+            epoch: 0,
+            version: 0,
+            leader: None,
+            known: HashMap::new(),
+            services: HashSet::new(),
+            quays: BTreeMap::new(),
+            counted: Counted::default(),
+        }
+    }
+
+    /// Something happened to somebody.
+    pub fn note(&mut self, at: u64, subject: impl Into<Rc<str>>, what: What) {
+        let ring = if matches!(what, What::Backend(..)) { &mut self.backends } else { &mut self.others };
+        ring.push(Event { at, subject: subject.into(), what, epoch: self.epoch, version: self.version });
+    }
+
+    /// How things stand now.
+    pub fn stands(&mut self, at: u64, leader: Option<SocketAddr>, epoch: u64, version: u64) {
+        (self.epoch, self.version) = (epoch, version);
+        if leader != self.leader {
+            let subject = leader.or(self.leader).map_or_else(String::new, |who| who.to_string());
+            self.leader = leader;
+            self.counted.leaders += u64::from(leader.is_some());
+            self.note(at, subject, What::Leader(leader));
+        }
+    }
+
+    /// A change was decided on.
+    pub fn change(&mut self, at: u64, version: u64, verdict: Verdict) {
+        let outcome = match verdict {
+            Verdict::Taken => "taken",
+            Verdict::TakenBefore => "taken_before",
+            Verdict::Stale { .. } => "stale",
+            Verdict::NotAbove { .. } => "not_above",
+        };
+        *self.counted.changes.entry(outcome).or_default() += 1;
+        self.note(at, format!("r{version}"), What::Change(verdict));
+    }
+
+    /// A configuration came that can't be read.
+    pub fn unread(&mut self, at: u64, why: &str) {
+        *self.counted.changes.entry("unread").or_default() += 1;
+        self.note(at, "unread", What::Unread(why.chars().take(200).collect::<String>().into()));
+    }
+
+    /// These backends are told otherwise from now on.
+    pub fn berths(&mut self, at: u64, berths: &[Berth]) {
+        for berth in berths {
+            let known = self.known.get(&*berth.id).copied();
+            let seen = match (known, berth.phase) {
+                (None, Phase::Gone) => continue,
+                (Some(_), Phase::Gone) => Seen::Gone,
+                (None, Phase::Serving) => Seen::First,
+                (Some((Phase::Serving, _)) | None, Phase::Draining) => Seen::Draining,
+                (Some((_, false)), _) if berth.overdue => Seen::Overdue,
+                (Some((_, true)), _) if !berth.overdue => Seen::Back,
+                // Its address, its room or its zone is another one.
+                _ => continue,
+            };
+            let id = match self.known.get_key_value(&*berth.id) {
+                Some((id, _)) => id.clone(),
+                None => Rc::from(&*berth.id),
+            };
+            if berth.phase == Phase::Gone {
+                self.known.remove(&id);
+            } else {
+                self.known.insert(id.clone(), (berth.phase, berth.overdue));
+            }
+            let service = self.service(&berth.service);
+            self.note(at, id, What::Backend(service, seen));
+        }
+    }
+
+    fn service(&mut self, name: &str) -> Rc<str> {
+        if let Some(known) = self.services.get(name) {
+            return known.clone();
+        }
+        let name = Rc::<str>::from(name);
+        // Who has more services than this has them anew with each record.
+        if self.services.len() < 256 {
+            self.services.insert(name.clone());
+        }
+        name
+    }
+
+    /// The quays that count now: name and life, by name.
+    pub fn quays<'a>(&mut self, at: u64, now: impl Iterator<Item = (&'a str, u64)>) {
+        let now: BTreeMap<&str, u64> = now.collect();
+        let mut changed: Vec<(Rc<str>, Option<u64>, Seen)> = Vec::new();
+        for (name, life) in &now {
+            let seen = match self.quays.get(*name) {
+                Some(Some(known)) if known == life => continue,
+                Some(Some(_)) => Seen::Restarted,
+                Some(None) => Seen::Back,
+                None if self.quays.len() >= MOST_QUAYS => continue,
+                None => Seen::First,
+            };
+            changed.push((Rc::from(*name), Some(*life), seen));
+        }
+        let lost = self.quays.iter().filter(|(name, life)| life.is_some() && !now.contains_key(&***name));
+        changed.extend(lost.map(|(name, _)| (name.clone(), None, Seen::Gone)));
+        for (name, life, seen) in changed {
+            self.quays.insert(name.clone(), life);
+            self.note(at, name, What::Quay(seen));
+        }
+    }
+
+    /// All records about something, the newest first: `wanted` knows its names.
+    pub fn about(&self, now: u64, wanted: impl Fn(&str) -> bool) -> Vec<Value> {
+        let hits = |event: &&Event| {
+            wanted(&event.subject)
+                || match &event.what {
+                    What::Backend(service, _) => wanted(service),
+                    What::Voters(list) => list.iter().any(|voter| wanted(voter)),
+                    _ => false,
+                }
+        };
+        let mut found: Vec<_> = self.backends.newest().chain(self.others.newest()).filter(hits).collect();
+        found.sort_by_key(|event| std::cmp::Reverse(event.at));
+        let told = |event: &Event| {
+            json!({ "age_ms": now.saturating_sub(event.at), "step": event.what.step(),
+                "subject": &*event.subject, "text": event.what.to_string(), "epoch": event.epoch,
+                "version": format!("r{}", event.version) })
+        };
+        found.into_iter().map(told).collect()
+    }
+
+    /// How many records went to make room for others.
+    pub fn dropped(&self) -> u64 {
+        self.backends.dropped() + self.others.dropped()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn berth(phase: Phase, overdue: bool) -> Berth {
+        Berth {
+            id: "i".into(),
+            service: "s".into(),
+            address: "127.0.0.1:9".into(),
+            zone: "z".into(),
+            generation: "v1".into(),
+            capacity: 3,
+            phase,
+            warmup_left_ms: 0,
+            call_count: 1,
+            overdue,
+        }
+    }
+
+    fn texts(watch: &Watch, about: &str) -> Vec<String> {
+        let text = |event: Value| event["text"].as_str().unwrap_or_default().to_owned();
+        watch.about(99, |name| name == about).into_iter().map(text).collect()
+    }
+
+    #[test]
+    fn a_backend_s_life_is_told_newest_first() {
+        let mut watch = Watch::new();
+        let words = [
+            (Phase::Serving, false),
+            (Phase::Serving, true),
+            (Phase::Serving, false),
+            (Phase::Draining, false),
+        ];
+        for (at, (phase, overdue)) in words.into_iter().chain([(Phase::Gone, false); 2]).enumerate() {
+            watch.berths(at as u64, &[berth(phase, overdue)]);
+        }
+        let told =
+            ["gone", "drains", "heard again", "overdue, its beats are missed", "heard for the first time"];
+        assert_eq!(texts(&watch, "i"), told.map(|text| format!("backend of s: {text}")));
+        assert_eq!((texts(&watch, "s").len(), texts(&watch, "other").len()), (5, 0));
+        assert!(watch.known.is_empty(), "lives that are over take no room");
+    }
+
+    #[test]
+    fn a_quay_comes_goes_and_returns() {
+        let mut watch = Watch::new();
+        for quays in [vec![("q", 1)], vec![("q", 1)], vec![("q", 2)], vec![], vec![], vec![("q", 3)]] {
+            watch.quays(1, quays.into_iter());
+        }
+        let told = ["heard again", "gone", "another life under the same name", "heard for the first time"];
+        assert_eq!(texts(&watch, "q"), told.map(|text| format!("quay: {text}")));
+    }
+
+    #[test]
+    fn a_herd_of_backends_does_not_cost_the_other_records() {
+        let mut watch = Watch::new();
+        watch.stands(1, Some(([127, 0, 0, 1], 7).into()), 3, 2);
+        for n in 0..OF_BACKENDS * 2 {
+            watch.berths(2, &[Berth { id: n.to_string(), ..berth(Phase::Serving, false) }]);
+        }
+        assert_eq!(texts(&watch, "127.0.0.1:7").len(), 1);
+        assert_eq!((texts(&watch, "s").len(), watch.dropped()), (OF_BACKENDS, OF_BACKENDS as u64));
+    }
+}
--- a/harbour/harbourmaster/tests/ledger.rs
+++ b/harbour/harbourmaster/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! The configurations that were taken: what becomes of a change, and of the same one again.
 
-use harbourmaster::{Change, Ledger, Verdict};
+use harbourmaster::{Change, Ledger, Place, Verdict};
 
 fn change(base: u64, version: u64, digest: u8) -> Change {
     Change { base, version, digest: [digest; 32], body: vec![digest] }
@@ -9,23 +9,23 @@
 #[test]
 fn two_changes_on_one_version_are_not_both_taken() {
     let mut ledger = Ledger::default();
-    assert_eq!(ledger.apply(change(0, 3, 1)), Verdict::Taken);
-    assert_eq!(ledger.apply(change(3, 5, 2)), Verdict::Taken);
-    assert_eq!(ledger.apply(change(3, 6, 3)), Verdict::Stale { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 1)), Verdict::Taken);
+    assert_eq!(ledger.apply(Place::default(), change(3, 5, 2)), Verdict::Taken);
+    assert_eq!(ledger.apply(Place::default(), change(3, 6, 3)), Verdict::Stale { current: 5 });
     assert_eq!(ledger.body(), Some([2].as_slice()));
 }
 
 #[test]
 fn the_same_configuration_again_is_taken_also_after_newer_ones() {
     let mut ledger = Ledger::default();
-    ledger.apply(change(0, 3, 1));
-    ledger.apply(change(3, 5, 2));
-    assert_eq!(ledger.apply(change(0, 3, 1)), Verdict::TakenBefore);
+    ledger.apply(Place::default(), change(0, 3, 1));
+    ledger.apply(Place::default(), change(3, 5, 2));
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 1)), Verdict::TakenBefore);
     assert_eq!(ledger.version(), 5, "and does not come back into force");
     // Another body under a number that is taken is another configuration.
-    assert_eq!(ledger.apply(change(0, 3, 9)), Verdict::Stale { current: 5 });
-    assert_eq!(ledger.apply(change(5, 5, 9)), Verdict::NotAbove { current: 5 });
-    assert_eq!(ledger.apply(change(5, 4, 9)), Verdict::NotAbove { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 9)), Verdict::Stale { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(5, 5, 9)), Verdict::NotAbove { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(5, 4, 9)), Verdict::NotAbove { current: 5 });
 }
 
 #[test]
@@ -39,10 +39,10 @@
 fn what_a_snapshot_holds_is_all_of_it() {
     let mut ledger = Ledger::default();
     for version in 1..=20 {
-        ledger.apply(change(version - 1, version, version as u8));
+        ledger.apply(Place::default(), change(version - 1, version, version as u8));
     }
     let bytes = bitcode::encode(&ledger);
     let mut again: Ledger = bitcode::decode(&bytes).expect("a ledger");
     assert_eq!(again, ledger);
-    assert_eq!(again.apply(change(3, 4, 4)), Verdict::TakenBefore);
+    assert_eq!(again.apply(Place::default(), change(3, 4, 4)), Verdict::TakenBefore);
 }
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod logs;
 mod master;
+mod operate;
 mod quays;
 mod start;
 
@@ -35,6 +36,14 @@
     Harbourmaster(Nothing),
     /// check a settings file (TOML) or a configuration (JSON), every fault on a line of its own
     Check(Check),
+    /// how a harbour stands, as one of its processes knows it
+    Status(operate::Status),
+    /// the configuration: in force, former ones, what changed, another one
+    Config(operate::ConfigCalls),
+    /// what became of a node, a backend, a version (r12) or a request, and why
+    Explain(operate::Explain),
+    /// what lies in the data folder of a process that does not run
+    State(operate::StateCalls),
 }
 
 #[derive(Debug, Options)]
@@ -67,6 +76,10 @@
     };
     let program = match command {
         Command::Check(Check { file, .. }) => return check::run(&file),
+        Command::Status(call) => return operate::run(operate::status(call)),
+        Command::Config(call) => return operate::run(operate::config(call)),
+        Command::Explain(call) => return operate::run(operate::explain(call)),
+        Command::State(call) => return operate::told(operate::state(call)),
         Command::Quay(_) => Program::Quay,
         Command::Harbourmaster(_) => Program::Harbourmaster,
     };
--- /dev/null
+++ b/harbour/programs/src/operate/state.rs
@@ -0,0 +1,156 @@
+//! What lies in a data folder, read from a copy: neither a repair nor a fault of this program changes the original.
+
+use super::Trouble;
+use gumdrop::Options;
+use harbourmaster::{Change, Ledger};
+use logbook::store::{Store, StoreError};
+use logbook::{Entry, Saved, What};
+use serde_json::{Value, json};
+use std::fs::{File, TryLockError};
+use std::path::{Path, PathBuf};
+
+/// The arguments.
+#[derive(Debug, Options)]
+pub struct StateCalls {
+    /// print this help
+    help: bool,
+    #[options(command, required)]
+    call: Option<Kind>,
+}
+
+#[derive(Debug, Options)]
+enum Kind {
+    /// print what is in it
+    Inspect(Folder),
+    /// say whether it can be used
+    Verify(Folder),
+}
+
+#[derive(Debug, Options)]
+struct Folder {
+    /// print this help
+    help: bool,
+    /// print JSON
+    json: bool,
+    #[options(free, required)]
+    folder: PathBuf,
+}
+
+/// Does what is asked.
+pub fn state(calls: StateCalls) -> Result<String, Trouble> {
+    let (folder, all) = match calls.call {
+        Some(Kind::Inspect(folder)) => (folder, true),
+        Some(Kind::Verify(folder)) => (folder, false),
+        None => {
+            let why = "one of inspect, verify is wanted".into();
+            return Err(Trouble::Unusable { step: "read", what: "arguments".into(), why });
+        }
+    };
+    let path = folder.folder.join("log.redb");
+    let told = read(&path)?.map(|saved| described(&saved, &path)).transpose()?;
+    let name = path.display();
+    Ok(match (folder.json, told) {
+        (true, told) => {
+            json!({ "file": path, "whole": true, "state": told.filter(|_| all) }).to_string() + "\n"
+        }
+        (false, None) => format!("{name}: whole, and empty: no voter was ever named in it\n"),
+        (false, Some(_)) if !all => format!("{name}: whole\n"),
+        (false, Some(told)) => shown(&told),
+    })
+}
+
+fn read(path: &Path) -> Result<Option<Saved>, Trouble> {
+    let unusable =
+        |step: &'static str, why: String| Trouble::Unusable { step, what: path.display().to_string(), why };
+    let mut original = File::open(path).map_err(|error| unusable("open", error.to_string()))?;
+    // Held while it is copied: a process that runs holds it alone.
+    original.try_lock_shared().map_err(|error| match error {
+        TryLockError::WouldBlock => unusable("open", "a process uses it: ask that one for its status".into()),
+        TryLockError::Error(error) => unusable("lock", error.to_string()),
+    })?;
+    let folder = tempfile::tempdir().map_err(|error| unusable("copy", error.to_string()))?;
+    let copy = folder.path().join("log.redb");
+    let mut to = File::create(&copy).map_err(|error| unusable("copy", error.to_string()))?;
+    std::io::copy(&mut original, &mut to).map_err(|error| unusable("copy", error.to_string()))?;
+    drop(to);
+    match Store::open(&copy) {
+        Ok((_, saved)) => Ok(saved),
+        Err(error @ (StoreError::Schema { .. } | StoreError::SetAside { .. })) => {
+            Err(unusable("read", error.to_string()))
+        }
+        Err(StoreError::Damaged { what, .. }) => Err(damaged(path, what)),
+        // The copy lies on another disk: what fails there is what was copied.
+        Err(error) => Err(damaged(path, error.to_string())),
+    }
+}
+
+fn damaged(path: &Path, why: String) -> Trouble {
+    Trouble::Damaged { what: path.display().to_string(), why }
+}
+
+fn described(saved: &Saved, path: &Path) -> Result<Value, Trouble> {
+    let snapshot = match &saved.snapshot {
+        Some(snapshot) => {
+            let ledger = Ledger::restore(&snapshot.state)
+                .map_err(|error| damaged(path, format!("the state in the snapshot: {error}")))?;
+            Some(json!({ "index": snapshot.index, "term": snapshot.term, "bytes": snapshot.state.len(),
+                "members": snapshot.members.iter().map(ToString::to_string).collect::<Vec<_>>(),
+                "version": format!("r{}", ledger.version()) }))
+        }
+        None => None,
+    };
+    let entry = |entry: &Entry| -> Result<Value, Trouble> {
+        let what = match &entry.what {
+            What::Nothing => "the first of a leader".to_owned(),
+            What::Members(list) => {
+                let list: Vec<_> = list.iter().map(ToString::to_string).collect();
+                format!("voters {}", list.join(" "))
+            }
+            What::Change(change) => {
+                let change = Change::read(change).map_err(|error| {
+                    damaged(path, format!("the change in entry {}: {error}", entry.index))
+                })?;
+                format!("change r{} on r{}, {} bytes", change.version, change.base, change.body.len())
+            }
+        };
+        Ok(json!({ "index": entry.index, "term": entry.term, "what": what }))
+    };
+    let entries = saved.entries.iter().map(entry).collect::<Result<Vec<_>, _>>()?;
+    let newest = saved.entries.iter().rev().find_map(|entry| match &entry.what {
+        What::Members(list) => Some(list),
+        _ => None,
+    });
+    let members = newest.or(saved.snapshot.as_ref().map(|s| &s.members)).unwrap_or(&saved.founders);
+    let all = |list: &[logbook::VoterId]| list.iter().map(ToString::to_string).collect::<Vec<_>>();
+    Ok(
+        json!({ "me": saved.me.to_string(), "term": saved.term, "vote": saved.vote.as_ref().map(ToString::to_string),
+        "founders": all(&saved.founders), "members": all(members), "snapshot": snapshot, "entries": entries }),
+    )
+}
+
+fn shown(told: &Value) -> String {
+    use super::table::{cell, of};
+    let list = |list: &Value| list.as_array().into_iter().flatten().map(cell).collect::<Vec<_>>().join(" ");
+    let mut text = format!(
+        "voter     {}\nterm      {}\nvote      {}\nmembers   {}\nfounders  {}\n",
+        cell(&told["me"]),
+        cell(&told["term"]),
+        cell(&told["vote"]),
+        list(&told["members"]),
+        list(&told["founders"])
+    );
+    let snapshot = &told["snapshot"];
+    if snapshot.is_null() {
+        text.push_str("snapshot  none\n");
+    } else {
+        text.push_str(&format!(
+            "snapshot  up to entry {} of term {}: configuration {}, {} bytes\n",
+            cell(&snapshot["index"]),
+            cell(&snapshot["term"]),
+            cell(&snapshot["version"]),
+            cell(&snapshot["bytes"])
+        ));
+    }
+    text.push('\n');
+    text + &of(&told["entries"], &["index", "term", "what"])
+}
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -6,6 +6,7 @@
 use miette::{Result, miette};
 use quay::{Purser, Quay, QuaySettings};
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tally::Quota;
@@ -26,7 +27,12 @@
         name: settings.node_name.to_string(),
         life,
         plane: Plane::Quay,
-        address: String::new(),
+        // Whom operators ask what became of a request.
+        address: if readiness_at.ip().is_unspecified() {
+            SocketAddr::new(settings.ip, readiness_at.port()).to_string()
+        } else {
+            readiness_at.to_string()
+        },
         zone: settings.zone.to_string(),
         quorum: false,
         birth: None,
@@ -39,7 +45,10 @@
     let about = QuaySettings {
         max_fds: settings.max_fds as usize,
         grace: settings.bounds.grace,
-        log: Rc::new(|line| spdlog::info!("{}", line, kv: { step = "quay" })),
+        log: Rc::new(|line| {
+            let (step, version, left_out) = (line.step, line.version, line.left_out);
+            spdlog::info!("{}", line.text, kv: { step, version, left_out });
+        }),
         ..QuaySettings::new(front_at, readiness_at, &settings.zone, &settings.node_name)
     };
     let quay = Quay::new(about, purser.clone(), life);
--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -1,9 +1,11 @@
 //! The clients' side: takes requests in, asks admission and the decisions, writes their answers, drains at the end.
 
+use crate::headers::ATTEMPT_ID;
 use crate::headers::KEEP_ALIVE;
 use crate::order::{Fault, Order};
 use crate::quay::{PLAN, Quay, Service};
 use crate::speech::Speech;
+use crate::watch::{Trail, Why};
 use crate::{Admission, Asked, Conf};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{Arrival, Name, RequestId};
@@ -90,7 +92,8 @@
             let by = now + settings.grace - LAST_ANSWERS.min(settings.grace / 4);
             let linger = settings.linger.min(settings.grace / 2);
             quay.ending(by);
-            quay.log(format_args!("ending: takes clients for {} ms more", linger.as_millis()));
+            quay.watch()
+                .note("end", format_args!("ending: takes clients for {} ms more", linger.as_millis()));
             // The platform goes on to send clients here until it has missed this gateway twice. Who is here already
             // may hold a connection that it will not use again.
             sleep(linger / 2).await;
@@ -119,7 +122,7 @@
                 quiet = Instant::now();
             }
         }
-        quay.log(format_args!("ended with {} connections left", hall.guests()));
+        quay.watch().note("end", format_args!("ended with {} connections left", hall.guests()));
     }
 }
 
@@ -160,10 +163,17 @@
 impl Quay {
     /// The one answer to a request whose head came at this moment.
     async fn answer(&self, request: Request<Incoming>, arrived: Instant) -> Reaction {
-        self.take(request, arrived).await.unwrap_or_else(refuse)
+        let mut trail = Trail::new(self, arrived, request.headers().get(ATTEMPT_ID).cloned());
+        let taken = self.take(request, arrived, &mut trail).await;
+        let fault = taken.as_ref().err().map(Why::from);
+        let reaction = taken.unwrap_or_else(refuse);
+        trail.answered(reaction.status().as_u16(), fault);
+        reaction
     }
 
-    async fn take(&self, request: Request<Incoming>, arrived: Instant) -> Result<Reaction, Fault> {
+    async fn take(
+        &self, request: Request<Incoming>, arrived: Instant, trail: &mut Trail<'_>,
+    ) -> Result<Reaction, Fault> {
         let (head, body) = request.into_parts();
         let conf = self.conf();
         let order = conf.as_ref().ok_or(Fault::NotYet).and_then(|conf| Order::read(conf, head));
@@ -175,12 +185,13 @@
             None => Err(Fault::NotYet),
         };
         let order = order?;
+        trail.ask = Some(order.ask.clone());
         let (body, rest) = body?;
         let unit = match order.tenant.filter(|tenant| tenant.rate_per_s > 0.0) {
             Some(tenant) => Some(self.admit(&tenant.label, order.route.goal).await.map_err(Fault::Quota)?),
             None => None,
         };
-        let reaction = self.forward(&order, body, rest.clone(), arrived, unit).await;
+        let reaction = self.forward(&order, body, rest.clone(), arrived, unit, trail).await;
         rest.into_iter().for_each(|rest| spawn(rest.drain_once_left()));
         reaction
     }
@@ -223,10 +234,12 @@
 
     /// Has the decisions carry a request to a backend.
     async fn forward(
-        &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant, unit: Option<Unit>,
+        &self, order: &Order<'_>, body: Bytes, rest: Option<Rc<Upload>>, arrived: Instant,
+        unit: Option<Unit>, trail: &mut Trail<'_>,
     ) -> Result<Reaction, Fault> {
         let route = order.route;
         let Some(service) = self.draw(route) else { return Err(Fault::NoRoom(self.advice(order))) };
+        trail.service = Some(service.clone());
         let engine = &service.engine;
         let class = service.class(route.pure, route.goal, order.rank());
         let budget = Budget::at_the_door(arrived, order.patience, engine.lateness());
@@ -302,11 +315,15 @@
                 match message.rest.as_ref().and_then(|rest| rest.cut()) {
                     Some(Cut::TooLarge) => Err(Fault::TooLarge),
                     Some(Cut::Broken | Cut::TooSlow) => Err(Fault::Bad("the body broke off")),
-                    None => Ok(plain(StatusCode::BAD_GATEWAY, "the backend's answer did not come\n")),
+                    None => {
+                        trail.why = Some(Why::NoAnswer);
+                        Ok(plain(StatusCode::BAD_GATEWAY, "the backend's answer did not come\n"))
+                    }
                 }
             }
             Reply::Failed(true) => {
                 taken.ended(Ending::Failed);
+                trail.why = Some(Why::Late);
                 Ok(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"))
             }
         }
--- a/harbour/quay/src/lib.rs
+++ b/harbour/quay/src/lib.rs
@@ -19,6 +19,7 @@
 mod quay;
 mod readiness;
 mod speech;
+mod watch;
 
 pub use purser::Purser;
 pub use quay::Quay;
@@ -32,8 +33,20 @@
 /// The operator's configuration, as far as the data plane goes by it.
 pub use manifest::Config as Conf;
 
+/// A line for the log.
+pub struct Line<'a> {
+    /// At which step: `config`, `backend`, `decision`, `service` or `end`.
+    pub step: &'static str,
+    /// The version in force.
+    pub version: u64,
+    /// How many lines of the step were left out before it.
+    pub left_out: u64,
+    /// What happened.
+    pub text: fmt::Arguments<'a>,
+}
+
 /// Where lines for the log go.
-pub type Log = Rc<dyn Fn(fmt::Arguments<'_>)>;
+pub type Log = Rc<dyn Fn(Line<'_>)>;
 
 /// What one process is told at its start.
 #[derive(Clone)]
--- a/harbour/quay/src/order.rs
+++ b/harbour/quay/src/order.rs
@@ -82,7 +82,20 @@
         headers.remove(TARGET_INSTANCE);
         name_tenant(&mut headers, tenant.map(|tenant| &*tenant.label));
         let target = uri.path_and_query().ok_or(Fault::NoRoute)?.clone();
-        Ok(Self { ask: Rc::new(Asking { method, target, headers, id }), route, tenant, patience })
+        Ok(Self {
+            ask: Rc::new(Asking {
+                method,
+                target,
+                headers,
+                id,
+                route: route.label.clone(),
+                tenant: tenant.map(|tenant| tenant.label.clone()),
+                tries: Default::default(),
+            }),
+            route,
+            tenant,
+            patience,
+        })
     }
 
     /// The rank that counts: the tenant's goes before the route's.
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -3,6 +3,7 @@
 use crate::berths::{COLD_TIME, Life, Lives};
 use crate::front::Front;
 use crate::speech::Speech;
+use crate::watch::{Counts, Watch};
 use crate::{Admission, Conf, QuaySettings, readiness};
 use doorcourse::{BackendEntry, Class, Effect, Event, Group, Name, Plan, Pool, Settings};
 use flags::{Berth, Phase};
@@ -51,6 +52,7 @@
     /// How many of its backends take requests.
     serving: Cell<usize>,
     classes: RefCell<HashMap<Kind, Name>>,
+    pub counts: Counts,
 }
 
 impl Service {
@@ -95,6 +97,7 @@
     figures: Rc<Figures>,
     front: Front,
     ends: Cell<Option<Instant>>,
+    watch: Rc<Watch>,
 }
 
 impl Quay {
@@ -104,14 +107,14 @@
         let left = settings.max_fds.saturating_sub(OTHER_DESCRIPTORS).max(64);
         let most_clients = (left as f64 * CLIENT_SHARE) as usize;
         Rc::new_cyclic(|me: &Weak<Self>| {
-            let (log, me) = (settings.log.clone(), me.clone());
+            let (watch, me) = (Watch::new(settings.log.clone()), me.clone());
             let gone = Box::new(move |id: &Name| {
                 if let Some(quay) = me.upgrade() {
                     quay.missed(id);
                 }
             });
             let backends = Backends::new(
-                Speech { log, gone },
+                Speech { watch: watch.clone(), gone },
                 CONNECT_TIMEOUT,
                 USUAL_IDLE,
                 left - most_clients,
@@ -129,6 +132,7 @@
                 front: Front::new(most_clients, seed, figures.clone()),
                 figures,
                 ends: Cell::default(),
+                watch,
                 settings,
             }
         })
@@ -138,7 +142,8 @@
     pub fn configure(&self, config: Rc<Conf>) {
         let newer = self.version().is_none_or(|version| version < config.version);
         if newer {
-            self.log(format_args!("configuration {} in force", config.version));
+            self.watch.stands(config.version.0);
+            self.watch.note("config", format_args!("configuration {} in force", config.version));
             self.conf.replace(Some(config));
             self.limit();
         }
@@ -223,8 +228,13 @@
         self.services.borrow().get(name).is_some_and(|service| service.serving.get() > 0)
     }
 
-    pub(crate) fn log(&self, text: std::fmt::Arguments<'_>) {
-        (self.settings.log)(text);
+    pub(crate) fn watch(&self) -> &Watch {
+        &self.watch
+    }
+
+    /// All services that are decided for.
+    pub(crate) fn services(&self) -> Vec<(Name, Rc<Service>)> {
+        self.services.borrow().iter().map(|(name, service)| (name.clone(), service.clone())).collect()
     }
 
     /// The process ends at this moment at the latest.
@@ -241,7 +251,7 @@
     fn missed(&self, id: &Name) {
         let missed = self.lives.borrow_mut().missed(id);
         if let Some(life) = missed {
-            self.log(format_args!("backend {id}: another one answers at {}", life.dial));
+            self.watch.note("backend", format_args!("backend {id}: another one answers at {}", life.dial));
             self.tell(vec![(id.clone(), life)]);
         }
     }
@@ -322,12 +332,17 @@
         let engine = match engine {
             Ok(engine) => engine,
             Err(error) => {
-                self.log(format_args!("service {name} can't be decided for: {error}"));
+                self.watch.note("service", format_args!("service {name} can't be decided for: {error}"));
                 return None;
             }
         };
         self.ends.get().into_iter().for_each(|by| engine.ending(by));
-        let service = Rc::new(Service { engine, serving: Cell::default(), classes: RefCell::default() });
+        let service = Rc::new(Service {
+            engine,
+            serving: Cell::default(),
+            classes: RefCell::default(),
+            counts: Counts::default(),
+        });
         self.services.borrow_mut().insert(name.clone(), service.clone());
         Some(service)
     }
--- a/harbour/quay/src/readiness.rs
+++ b/harbour/quay/src/readiness.rs
@@ -1,12 +1,17 @@
-//! Where the platform asks whether new clients should come here.
+//! Where the platform asks whether new clients should come here, and operators what happened.
 
 use crate::Quay;
+use crate::front::Keep;
 use bytes::Bytes;
 use hawser::guest::{Guest, Hall};
 use hawser::pool::spawn;
 use hawser::wire::body::Content;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
+use lookout::TEXT;
+use serde_json::json;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +19,8 @@
 
 /// So many ask at once; the platform has one connection or a new one a second.
 const MOST: usize = 32;
+/// So many requests are shown at once.
+const NEWEST: usize = 100;
 const IDLE: Duration = Duration::from_secs(15);
 const BUFFER: usize = 8 * 1024;
 
@@ -25,10 +32,14 @@
         let (quay, guest) = (quay.clone(), Guest::new(IDLE, IDLE));
         let service = service_fn({
             let guest = guest.clone();
-            move |_| {
-                let status = if quay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-                let mut response = Response::new(Content::whole(Bytes::new(), crate::front::Keep::default()));
-                *response.status_mut() = status;
+            move |request: Request<Incoming>| {
+                let mut response = Response::new(Content::whole(Bytes::new(), Keep::default()));
+                if let Some((says, text)) = told(&quay, &request) {
+                    response = Response::new(Content::whole(text.into(), Keep::default()));
+                    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(says));
+                } else if !quay.is_ready() {
+                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
                 response.body_mut().keep.busy = Some(guest.asks());
                 async move { Ok::<_, Infallible>(response) }
             }
@@ -37,6 +48,27 @@
     }
 }
 
+/// What operators ask for, with its type; whoever asks for anything else asks for readiness.
+fn told(quay: &Quay, request: &Request<Incoming>) -> Option<(&'static str, String)> {
+    if request.method() != Method::GET {
+        return None;
+    }
+    let (name, watch) = (&quay.settings().name, quay.watch());
+    let value = match request.uri().path() {
+        "/metrics" => return Some((TEXT, quay.metrics())),
+        "/events" => {
+            let about = request.uri().query().and_then(|query| query.strip_prefix("about="));
+            let requests = watch.requests(None, if about.is_none() { NEWEST } else { 0 });
+            json!({ "name": name, "events": watch.notes(about), "requests": requests })
+        }
+        path => {
+            let id = path.strip_prefix("/requests/")?;
+            json!({ "name": name, "requests": watch.requests(Some(id), NEWEST) })
+        }
+    };
+    Some(("application/json", value.to_string()))
+}
+
 /// Starts answering; it ends with the process.
 pub fn start(quay: Rc<Quay>, listener: TcpListener) {
     spawn(serve(quay, listener));
--- a/harbour/quay/src/speech.rs
+++ b/harbour/quay/src/speech.rs
@@ -1,18 +1,20 @@
 //! What is spoken with backends, and what their answers mean.
 
-use crate::Log;
 use crate::headers::{
     ATTEMPT_ID, DEADLINE_LEFT, INSTANCE_ID, NOT_EXECUTED, SEAL, TARGET_INSTANCE, TENANT, kept, strip,
 };
+use crate::watch::{Try, Watch};
 use doorcourse::{LoadReport, Name, Outcome};
 use hawser::pool::{Answer, Dialect, End, Payload};
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
 use hyper::{Method, Request, StatusCode};
+use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A connection is kept idle for at most this share of the time after which its backend closes it: a request must
@@ -30,11 +32,16 @@
     pub headers: HeaderMap,
     /// Its id, which answers have to echo.
     pub id: Option<HeaderValue>,
+    /// Its route and its tenant, by name.
+    pub route: Arc<str>,
+    pub tenant: Option<Arc<str>>,
+    /// Its attempts, unless the first one served it.
+    pub tries: RefCell<Vec<Try>>,
 }
 
 /// The system's protocol.
 pub struct Speech {
-    pub log: Log,
+    pub watch: Rc<Watch>,
     /// Hears that a backend is not at its address any more.
     pub gone: Box<dyn Fn(&Name)>,
 }
@@ -135,11 +142,16 @@
     }
 
     fn log(&self, ask: Option<&Rc<Asking>>, text: fmt::Arguments<'_>) {
-        match ask.and_then(|ask| ask.id.as_ref()).and_then(|id| id.to_str().ok()) {
-            Some(id) => (self.log)(format_args!("request {id}: {text}")),
-            None => (self.log)(text),
+        match ask {
+            // One line for each would be without bound: it is kept among the requests.
+            Some(ask) => self.watch.broke_off(ask),
+            None => self.watch.note("decision", text),
         }
     }
+
+    fn ended(&self, ask: &Rc<Asking>, with: &Name, outcome: Outcome) {
+        self.watch.tried(ask, with, outcome);
+    }
 }
 
 /// Sets the tenant's name, whatever the client said.
--- a/hawser/src/engine.rs
+++ b/hawser/src/engine.rs
@@ -386,6 +386,7 @@
                 }
             };
             let end = backends.attempt(&backend, &message, limit, &trace, called_off, begin).await;
+            backends.dialect().ended(&message.ask, &backend, end.outcome);
             // A long answer is judged by its first bytes, a long body by what follows it.
             let took = first_bytes.get().unwrap_or(message.waited(begun));
             let spent = message.is_spent();
--- a/hawser/src/pool.rs
+++ b/hawser/src/pool.rs
@@ -69,6 +69,9 @@
 
     /// Hears what the log ought to say of a request, given by its ask if there is one.
     fn log(&self, ask: Option<&Self::Ask>, text: fmt::Arguments<'_>);
+
+    /// Hears how an attempt of a request ended, and with whom.
+    fn ended(&self, _: &Self::Ask, _: &Name, _: Outcome) {}
 }
 
 /// What a client asked, as far as it goes on to a backend.
