Operators: logs with peers and bounded rates; replies tell what is in force; tests

Need: elections without a majority, floods of refused callers and failing backends wrote lines without bound, some faults (no descriptor for a caller) none at all; a repeated old configuration was shown as in force.

Weighed: one limit for all lines hides rare ones behind frequent ones, so each kind has its own and tells how many lines it left out; what is left out is still among the records.

--- a/harbour/harbourmaster/src/calls.rs
+++ b/harbour/harbourmaster/src/calls.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lookout::Seldom;
 use manifest::Version;
 use serde::Deserialize;
 use std::cell::Cell;
@@ -275,6 +276,7 @@
 /// Takes calls until the program ends.
 pub async fn serve(listener: TcpListener, commands: mpsc::Sender<Command>, most: usize) {
     let open = Rc::new(Cell::new(0usize));
+    let (began, mut failed, mut full) = (Instant::now(), Seldom::new(1, 10_000), Seldom::new(1, 10_000));
     loop {
         match listener.accept().await {
             Ok((stream, _)) if open.get() < most => {
@@ -286,8 +288,19 @@
                 });
             }
             // Whoever finds no room is turned away at once and tries the next gateway.
-            Ok(_) => {}
-            Err(_) => sleep(ACCEPT_PAUSE).await,
+            Ok((_, peer)) => {
+                if let Some(left_out) = full.pass(began.elapsed().as_millis() as u64) {
+                    let peer = peer.to_string();
+                    spdlog::warn!("{} callers are here already: turned away", most,
+                        kv: { step = "call", peer = peer.as_str(), left_out });
+                }
+            }
+            Err(error) => {
+                if let Some(left_out) = failed.pass(began.elapsed().as_millis() as u64) {
+                    spdlog::warn!("no caller can be taken: {}", error, kv: { step = "accept", left_out });
+                }
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/harbour/harbourmaster/src/disk.rs
+++ b/harbour/harbourmaster/src/disk.rs
@@ -49,7 +49,9 @@
         let (store, saved, damaged) = match Store::open(&path) {
             Ok((store, saved)) => (store, saved, false),
             Err(error) if error.is_lost() => {
-                spdlog::error!("the log's file is damaged and set aside: {}", error, kv: { step = "open" });
+                let peer = path.display().to_string();
+                spdlog::error!("the log's file is damaged and set aside: {}", error,
+                    kv: { step = "open", peer = peer.as_str() });
                 Store::set_aside(&path).map_err(|e| unusable("set aside", &path, e.to_string()))?;
                 let (store, saved) =
                     Store::open(&path).map_err(|e| unusable("open", &path, e.to_string()))?;
@@ -79,7 +81,8 @@
                 let ticket = first.ticket;
                 if let Err(error) = store.save(&first) {
                     // A voter that can't write has to be seen as gone: it must neither vote nor acknowledge.
-                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save" });
+                    let epoch = first.term;
+                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save", epoch });
                     return;
                 }
                 if done.blocking_send(ticket).is_err() {
--- a/harbour/harbourmaster/src/lines.rs
+++ b/harbour/harbourmaster/src/lines.rs
@@ -1,21 +1,26 @@
 //! Connections of other processes that come to this one.
 
 use crate::master::Command;
+use lookout::Seldom;
 use std::time::Duration;
 use tideway::attach;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Takes connections until the program ends; each gets a number, and what comes on it goes to the owner.
 pub async fn listen(listener: TcpListener, commands: mpsc::Sender<Command>, numbers: impl Fn() -> u64) {
+    let (began, mut failed) = (Instant::now(), Seldom::new(1, 10_000));
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(both) => both,
-            Err(_) => {
+            Err(error) => {
+                if let Some(left_out) = failed.pass(began.elapsed().as_millis() as u64) {
+                    spdlog::warn!("no process can be taken: {}", error, kv: { step = "accept", left_out });
+                }
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -315,7 +315,10 @@
             if let Some(dialing) = self.dialing.values_mut().find(|(dialing, _)| *dialing == number) {
                 dialing.1 = until;
             }
-            spdlog::debug!("{}", error, kv: { step = "dial" });
+            let now = self.now();
+            if let Some(left_out) = self.watch.pass("dial", now) {
+                spdlog::debug!("{}", error, kv: { step = "dial", left_out });
+            }
             return;
         };
         let name = peer.hail.map_or_else(String::new, |hail| hail.name);
@@ -688,7 +691,6 @@
             holder.quotas(now as f64, &self.quotas());
             self.holder = Some(holder);
             self.watch.note(now, self.settings.address.to_string(), Happened::Office(true));
-            spdlog::info!("this process holds the counts", kv: { step = "office", epoch = term });
         }
     }
 
@@ -757,7 +759,8 @@
             .cards()
             .into_iter()
             .map(|card| {
-                let line = card.address.parse().ok().and_then(|address| self.line_to(&address)).is_some();
+                let reached = |address| address == self.settings.address || self.line_to(&address).is_some();
+                let line = card.address.parse().is_ok_and(reached);
                 json!({ "address": card.address, "zone": card.zone, "reached": line })
             })
             .collect();
@@ -963,16 +966,21 @@
     }
 
     fn on_role(&mut self, role: Role) {
-        let term = self.node.as_ref().map_or(0, Node::term);
-        spdlog::info!("{:?}", role, kv: { step = "role", epoch = term });
+        if let Role::Candidate { term } = role {
+            let now = self.now();
+            self.watch.candidate(now, term);
+        }
         if !matches!(role, Role::Leader { .. }) {
-            self.holder = None;
+            if self.holder.take().is_some() {
+                let now = self.now();
+                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
+            }
             self.accepted.clear();
         }
     }
 
     fn on_committed(&mut self, at: Place, what: What) {
-        let (now, Place { index, epoch }) = (self.now(), at);
+        let (now, index) = (self.now(), at.index);
         let change = match what {
             What::Change(change) => change,
             What::Members(voters) => {
@@ -985,7 +993,6 @@
         let version = change.version;
         let verdict = self.ledger.apply(at, change);
         self.watch.change(now, version, verdict);
-        spdlog::info!("{:?}", verdict, kv: { step = "change", index, version, epoch });
         if verdict == Verdict::Taken {
             self.renewed();
         }
--- a/harbour/harbourmaster/src/watch.rs
+++ b/harbour/harbourmaster/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::Verdict;
 use flags::{Berth, Phase};
-use lookout::Ring;
+use lookout::{Ring, Seldom};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
@@ -16,6 +16,11 @@
 /// Quays that are gone are known by name up to so many, to tell a return from a first word.
 const MOST_QUAYS: usize = 4096;
 
+/// So many lines of one kind go to the log in so many ms; what is left out there is among the records.
+const LINES: (u32, u64) = (20, 10_000);
+/// The kinds of lines.
+const STEPS: [&str; 6] = ["leader", "office", "config", "quay", "voters", "dial"];
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum What {
@@ -138,6 +143,8 @@
     services: HashSet<Rc<str>>,
     /// The life of each quay; none once it counts no more.
     quays: BTreeMap<Rc<str>, Option<u64>>,
+    limits: [Seldom; STEPS.len()],
+    candidacies: Seldom,
     pub counted: Counted,
 }
 
@@ -152,14 +159,38 @@
             known: HashMap::new(),
             services: HashSet::new(),
             quays: BTreeMap::new(),
+            limits: STEPS.map(|_| Seldom::new(LINES.0, LINES.1)),
+            // Without a majority there is one after each wait.
+            candidacies: Seldom::new(1, LINES.1),
             counted: Counted::default(),
         }
     }
 
     /// Something happened to somebody.
     pub fn note(&mut self, at: u64, subject: impl Into<Rc<str>>, what: What) {
+        let (subject, epoch, version) = (subject.into(), self.epoch, self.version);
+        let (step, peer) = (what.step(), &*subject);
+        if let What::Backend(..) = what {
+            spdlog::debug!("{}", what, kv: { step, peer, version, epoch });
+        } else if let Some(left_out) = self.pass(step, at) {
+            spdlog::info!("{}", what, kv: { step, peer, version, epoch, left_out });
+        }
         let ring = if matches!(what, What::Backend(..)) { &mut self.backends } else { &mut self.others };
-        ring.push(Event { at, subject: subject.into(), what, epoch: self.epoch, version: self.version });
+        ring.push(Event { at, subject, what, epoch, version });
+    }
+
+    /// Whether a line of this kind may go to the log, and how many were left out before it.
+    pub fn pass(&mut self, step: &str, at: u64) -> Option<u64> {
+        let kind = STEPS.iter().position(|known| *known == step);
+        kind.map_or(Some(0), |kind| self.limits[kind].pass(at))
+    }
+
+    /// This process stands for election, again and again where there is no majority.
+    pub fn candidate(&mut self, at: u64, epoch: u64) {
+        if let Some(left_out) = self.candidacies.pass(at) {
+            let version = self.version;
+            spdlog::info!("stands for election", kv: { step = "election", version, epoch, left_out });
+        }
     }
 
     /// How things stand now.
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -5,9 +5,10 @@
 use logbook::{Timing, VoterId};
 use std::cell::Cell;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
@@ -133,8 +134,13 @@
     )
 }
 
+/// Ports of a loopback address of its own: on a shared one, ports that are free now may be taken by the connections of
+/// another test a moment later.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    static HARBOURS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high | 64, low, HARBOURS.fetch_add(1, Ordering::Relaxed));
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((own, 0)).expect("a port")).collect();
     held.iter().map(|listener| listener.local_addr().expect("an address")).collect()
 }
 
@@ -191,6 +197,25 @@
     assert_eq!(masters[1].read(), (200, config(5)));
 }
 
+#[test]
+fn operators_see_history_records_and_metrics() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    assert_eq!(masters[0].insist(1, &config(2)), 200);
+    assert_eq!(masters[0].insist(1, &config(4)), 412);
+    let leader = &masters[leader(&masters)];
+    let get = |path: &str| leader.call(&format!("GET {path} HTTP/1.1"), "").unwrap_or_default();
+    assert_eq!(get("/Config.History/r1"), (200, config(1)));
+    assert_eq!((get("/Config.History/r9").0, get("/Config.History/x").0), (404, 400));
+    let (_, history) = get("/Config.History");
+    assert!(history.contains(r#""version":"r2""#) && history.contains(r#""version":"r1""#), "{history}");
+    let (_, events) = get("/Harbour.Events?about=r4");
+    assert!(events.contains("r2, which is in place") && !events.contains(r#""step":"office""#), "{events}");
+    let (_, metrics) = get("/metrics");
+    assert!(metrics.contains(r#"reachlb_changes_total{plane="master",outcome="taken"} 2"#), "{metrics}");
+}
+
 #[test]
 fn of_two_on_one_version_one_wins() {
     let harbour = Harbour::new();
--- a/harbour/harbourmaster/tests/ledger.rs
+++ b/harbour/harbourmaster/tests/ledger.rs
@@ -46,3 +46,21 @@
     assert_eq!(again, ledger);
     assert_eq!(again.apply(Place::default(), change(3, 4, 4)), Verdict::TakenBefore);
 }
+
+#[test]
+fn former_bodies_are_kept_as_long_as_there_is_room() {
+    let mut ledger = Ledger::default();
+    for version in 1..=12 {
+        let at = Place { index: version + 7, epoch: 2 };
+        // The 6th leaves no room for others beside it.
+        let body = vec![version as u8; if version == 6 { 1_048_576 } else { 10 }];
+        let change = Change { base: version - 1, version, digest: [version as u8; 32], body };
+        assert_eq!(ledger.apply(at, change), Verdict::Taken);
+        if version == 7 {
+            assert_eq!((1..=7).filter(|v| ledger.body_of(*v).is_some()).collect::<Vec<_>>(), [6, 7]);
+        }
+    }
+    assert_eq!((1..=13).filter(|v| ledger.body_of(*v).is_some()).collect::<Vec<_>>(), [8, 9, 10, 11, 12]);
+    let newest = ledger.history().next().map(|(version, digest, at)| (version, digest[0], at));
+    assert_eq!((newest, ledger.history().count()), (Some((12, 12, Place { index: 19, epoch: 2 })), 12));
+}
--- a/harbour/lookout/src/page.rs
+++ b/harbour/lookout/src/page.rs
@@ -84,7 +84,7 @@
     /// How often a figure was at most each of some bounds, not added up, with the sum of the figures. What lies above the
     /// last bound comes last.
     pub fn histogram(&mut self, name: &str, help: &str, bounds: &[f64], counts: &[u64], sum: f64) {
-        let bounds = bounds.iter().copied().chain([f64::MAX]);
+        let bounds = bounds.iter().copied().chain([f64::INFINITY]);
         let buckets: Vec<_> = bounds.zip(counts.iter().copied()).collect();
         self.0.register(name, help, Spread { buckets, sum });
     }
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -106,7 +106,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            spdlog::critical!("{:?}", report);
+            spdlog::critical!("{:?}", report, kv: { step = "start" });
             eprintln!("{report:?}");
             ExitCode::FAILURE
         }
--- a/harbour/programs/src/operate/config.rs
+++ b/harbour/programs/src/operate/config.rs
@@ -152,11 +152,19 @@
     let answer =
         client::call(&call.at, "replace", Method::POST, "/Config.Replace", Some(base.0), body).await?;
     let peer = answer.granted("replace")?.peer;
-    let version = config.version.to_string();
+    let version = config.version;
+    // The same configuration again is acknowledged also after newer ones.
+    let present = client::get(&peer, "read", "/Config.Read").await?.granted("read")?;
+    let present = parse("read", "the configuration in force", &present.body)?.version;
     Ok(if call.json {
-        json!({ "version": version, "base": base.to_string(), "peer": peer }).to_string() + "\n"
-    } else {
+        json!({ "version": version.to_string(), "base": base.to_string(), "in_force": present.to_string(),
+            "peer": peer })
+        .to_string()
+            + "\n"
+    } else if present == version {
         format!("{version} is in force (on {base}, by {peer})\n")
+    } else {
+        format!("{version} was taken, {present} is in force now (by {peer})\n")
     })
 }
 
--- a/harbour/programs/src/operate/mod.rs
+++ b/harbour/programs/src/operate/mod.rs
@@ -101,7 +101,10 @@
         }
         Err(trouble) => {
             let status = trouble.status();
-            eprintln!("{:?}", miette::Report::new(trouble));
+            eprintln!("{trouble}");
+            if let Some(help) = trouble.help() {
+                eprintln!("help: {help}");
+            }
             ExitCode::from(status)
         }
     }
--- a/harbour/programs/src/operate/state.rs
+++ b/harbour/programs/src/operate/state.rs
@@ -154,3 +154,61 @@
     text.push('\n');
     text + &of(&told["entries"], &["index", "term", "what"])
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use logbook::{Save, Snapshot, VoterId};
+
+    fn called(folder: &Path, kind: fn(Folder) -> Kind) -> Result<String, u8> {
+        let folder = Folder { help: false, json: false, folder: folder.to_path_buf() };
+        state(StateCalls { help: false, call: Some(kind(folder)) }).map_err(|trouble| trouble.status())
+    }
+
+    fn filled() -> (tempfile::TempDir, PathBuf) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("log.redb");
+        let (store, _) = Store::open(&path).expect("a store");
+        let me = VoterId { address: "10.0.0.1:7".into(), birth: 0 };
+        store.create(me.clone(), vec![me.clone()]).expect("created");
+        // What the version before this one wrote: a number, a body, digests.
+        let state =
+            bitcode::encode(&(5u64, b"body".to_vec(), std::collections::BTreeMap::<u64, [u8; 32]>::new()));
+        let change = Change { base: 5, version: 6, digest: [6; 32], body: b"marked body".to_vec() };
+        let snapshot = Snapshot { index: 2, term: 3, members: vec![me], state };
+        let what = What::Change(bitcode::encode(&change));
+        let entries = vec![Entry { index: 3, term: 3, what }];
+        let save = Save { ticket: 1, term: 3, vote: None, truncate: None, entries, snapshot: Some(snapshot) };
+        store.save(&save).expect("saved");
+        (folder, path)
+    }
+
+    #[test]
+    fn what_lies_there_is_shown_and_stays_as_it_is() {
+        let (folder, path) = filled();
+        let before = std::fs::read(&path).expect("the file");
+        let text = called(folder.path(), Kind::Inspect).expect("it is whole");
+        for part in ["10.0.0.1:7#0", "entry 2 of term 3: configuration r5", "change r6 on r5, 11 bytes"] {
+            assert!(text.contains(part), "{part} in {text}");
+        }
+        assert!(std::fs::read(&path).expect("the file") == before);
+    }
+
+    #[test]
+    fn statuses_tell_damage_from_what_can_t_be_used() {
+        let (folder, path) = filled();
+        assert!(called(folder.path(), Kind::Verify).is_ok());
+        let held = Store::open(&path).expect("a process that runs");
+        assert_eq!(called(folder.path(), Kind::Verify), Err(2), "in use");
+        drop(held);
+        let mut bytes = std::fs::read(&path).expect("the file");
+        let places: Vec<_> =
+            bytes.windows(6).enumerate().filter(|(_, w)| w == b"marked").map(|(at, _)| at).collect();
+        places.into_iter().for_each(|at| bytes[at] ^= 1);
+        std::fs::write(&path, &bytes).expect("written");
+        assert_eq!(called(folder.path(), Kind::Verify), Err(3), "a flipped bit");
+        std::fs::write(&path, [7; 5000]).expect("written");
+        assert_eq!(called(folder.path(), Kind::Verify), Err(3), "something else");
+        assert_eq!(called(&folder.path().join("none"), Kind::Verify), Err(2));
+    }
+}
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -54,6 +54,7 @@
     let quay = Quay::new(about, purser.clone(), life);
     let news = {
         let (quay, purser) = (quay.clone(), purser.clone());
+        let mut known = (None, 0);
         move |news| match news {
             News::Sheet(sheet) => match Config::parse(&sheet.body) {
                 Ok(config) => {
@@ -67,6 +68,13 @@
             },
             News::Berths { whole, berths } => quay.berths(&berths, whole),
             News::Pulse(pulse) => {
+                let leader = (pulse.leader.clone(), pulse.epoch);
+                if leader != known {
+                    // Once for each leader, and once when there is none: elections bound how often.
+                    let (peer, version, epoch) = (pulse.leader.as_deref(), pulse.version, pulse.epoch);
+                    spdlog::info!("the leader is another one", kv: { step = "leader", peer:?, version, epoch });
+                    known = leader;
+                }
                 purser.fleet(pulse.fleet, pulse.fresh);
                 quay.fleet(pulse.fleet, pulse.number);
             }
--- a/harbour/quay/src/watch.rs
+++ b/harbour/quay/src/watch.rs
@@ -26,8 +26,8 @@
 const LONGEST: usize = 160;
 /// Attempts of one request that are kept.
 const MOST_TRIES: usize = 8;
-/// Lines of one kind in the log, in ms: a service whose backends fail has many to say.
-const ONE_LINE_IN: u64 = 1000;
+/// So many lines of one kind go to the log in so many ms: a service whose backends fail has many to say.
+const LINES: (u32, u64) = (10, 10_000);
 /// Bounds of the times that answers took, in seconds.
 const BOUNDS: [f64; 9] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
@@ -164,7 +164,7 @@
             unsent: RefCell::new(Ring::new(OF_UNSENT)),
             notes: RefCell::new(Ring::new(OF_NOTES)),
             version: Cell::default(),
-            seldom: RefCell::new(["backend", "decision"].map(|step| (step, Seldom::new(ONE_LINE_IN)))),
+            seldom: RefCell::new(["backend", "decision"].map(|step| (step, Seldom::new(LINES.0, LINES.1)))),
             nowhere: Counts::default(),
             tries: Default::default(),
         })
