Operators: a change that was taken is never shown as failed; who draws from whom; tests of explain

Need: replace asked afterwards what is in force, and a leader lost in between turned a change that was taken into a refusal; masters without a log kept no record of versions.

Change: only the answer to the change itself counts; those masters record what they were sent.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -603,7 +603,9 @@
         if self.node.is_none() && sheet.version > self.ledger.version() {
             let base = self.ledger.version();
             let change = Change { base, version: sheet.version, digest: [0; 32], body: sheet.body };
-            self.ledger.apply(Place::default(), change);
+            let verdict = self.ledger.apply(Place::default(), change);
+            let now = self.now();
+            self.watch.change(now, sheet.version, verdict);
             self.renewed();
         }
     }
--- a/harbour/programs/src/operate/config.rs
+++ b/harbour/programs/src/operate/config.rs
@@ -167,8 +167,10 @@
     let peer = answer.granted("replace")?.peer;
     let version = config.version;
     // The same configuration again is acknowledged also after newer ones.
-    let present = client::get(&peer, "read", "/Config.Read").await?.granted("read")?;
-    let present = parse("read", "the configuration in force", &present.body)?.version;
+    let present = client::get(&peer, "read", "/Config.Read").await.and_then(|answer| answer.granted("read"));
+    let present = present.and_then(|present| parse("read", "the configuration in force", &present.body));
+    // It was taken, whether anybody can be asked just now or not.
+    let present = present.map_or(version, |present| present.version);
     Ok(if call.json {
         json!({ "version": version.to_string(), "base": base.to_string(), "in_force": present.to_string(),
             "peer": peer })
--- a/harbour/programs/src/operate/explain.rs
+++ b/harbour/programs/src/operate/explain.rs
@@ -188,3 +188,32 @@
     }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whom_to_ask_is_read_from_the_status_of_one() {
+        let status = json!({ "name": "a", "lines": [
+            { "name": "b", "plane": "Master", "address": "10.0.0.2:7660" },
+            { "name": "b", "plane": "Master", "address": "10.0.0.2:7660" },
+            { "name": "c", "plane": "Master", "address": "nowhere" },
+            { "name": "b", "plane": "Quay", "address": "10.0.0.2:8406" },
+            { "name": "old", "plane": "Quay", "address": "" },
+        ]});
+        assert_eq!(masters_of(&status, "10.0.0.1:8407"), ["10.0.0.1:8407", "10.0.0.2:8407"]);
+        assert_eq!(quays_of(&status), BTreeMap::from([("b".into(), "10.0.0.2:8406".into())]));
+        assert_eq!((masters_of(&json!([]), "x"), quays_of(&json!(7)).len()), (vec!["x".to_owned()], 0));
+    }
+
+    #[test]
+    fn what_is_found_is_told_with_its_holes() {
+        let request = json!({ "id": "7f", "by": "q", "age_ms": 1500, "route": "r", "tenant": null, "status": 503,
+            "took_ms": 20, "why": "no room", "tries": [{ "backend": "i", "outcome": "full" }] });
+        let text = shown("7f", &[], &[], &[request], 2);
+        let told = "request 7f at q, 1.5 s ago: route r, tenant -, answered 503 after 20 ms: no room\n  tried i: full\n";
+        assert_eq!(text, format!("{told}2 processes gave no answer: this may not be all\n"));
+        assert!(shown("x", &[], &[], &[], 0).starts_with("nothing is recorded of x"));
+    }
+}
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -71,8 +71,9 @@
                 let leader = (pulse.leader.clone(), pulse.epoch);
                 if leader != known {
                     // Once for each leader, and once when there is none: elections bound how often.
-                    let (peer, version, epoch) = (pulse.leader.as_deref(), pulse.version, pulse.epoch);
-                    spdlog::info!("the leader is another one", kv: { step = "leader", peer:?, version, epoch });
+                    let (peer, version, epoch) =
+                        (pulse.leader.as_deref().unwrap_or("none"), pulse.version, pulse.epoch);
+                    spdlog::info!("the counts are drawn from another leader", kv: { step = "leader", peer, version, epoch });
                     known = leader;
                 }
                 purser.fleet(pulse.fleet, pulse.fresh);
