--- a/harbour/harbourmaster/src/disk.rs
+++ b/harbour/harbourmaster/src/disk.rs
@@ -1,5 +1,6 @@
 //! The disk of a voter: a thread of its own, since whoever syncs waits for the disk, and the log's pulse must not.
 
+use crate::ledger::Ledger;
 use crate::master::Command;
 use logbook::store::Store;
 use logbook::{Save, Saved, VoterId};
@@ -49,7 +50,9 @@
         let (store, saved, damaged) = match Store::open(&path) {
             Ok((store, saved)) => (store, saved, false),
             Err(error) if error.is_lost() => {
-                spdlog::error!("the log's file is damaged and set aside: {}", error, kv: { step = "open" });
+                let peer = path.display().to_string();
+                spdlog::error!("the log's file is damaged and set aside: {}", error,
+                    kv: { step = "open", peer = peer.as_str() });
                 Store::set_aside(&path).map_err(|e| unusable("set aside", &path, e.to_string()))?;
                 let (store, saved) =
                     Store::open(&path).map_err(|e| unusable("open", &path, e.to_string()))?;
@@ -57,6 +60,15 @@
             }
             Err(error) => return Err(unusable("open", &path, error.to_string())),
         };
+        // Whoever went on without its snapshot's state would decide on changes by another one than the others.
+        if let Some(Err(error)) =
+            saved.as_ref().and_then(|saved| saved.snapshot.as_ref()).map(|s| Ledger::restore(&s.state))
+        {
+            let why = format!(
+                "its state is of no version known here ({error}): start the version that wrote it, or empty the folder"
+            );
+            return Err(unusable("restore the snapshot in", &path, why));
+        }
         let saved = match saved {
             Some(saved) => saved,
             None => {
@@ -79,7 +91,8 @@
                 let ticket = first.ticket;
                 if let Err(error) = store.save(&first) {
                     // A voter that can't write has to be seen as gone: it must neither vote nor acknowledge.
-                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save" });
+                    let epoch = first.term;
+                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save", epoch });
                     return;
                 }
                 if done.blocking_send(ticket).is_err() {
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -1,8 +1,11 @@
 //! The owner of all tables of the control plane.
 
+mod told;
+
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
-use crate::ledger::{Change, Ledger, Verdict};
+use crate::ledger::{Change, Ledger, Place, Verdict};
+use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
@@ -166,6 +169,7 @@
     pulsed: (Option<SocketAddr>, bool),
     next: [u64; 3],
     outputs: Vec<Output>,
+    watch: Watch,
 }
 
 impl Master {
@@ -177,7 +181,8 @@
         let (mut node, mut disk, mut ledger) = (None, None, Ledger::default());
         if let Some((opened, saved)) = log {
             // The log tells its entries again, but only those after its snapshot.
-            let state = saved.snapshot.as_ref().map(|snapshot| bitcode::decode(&snapshot.state));
+            // It was read before, when the disk was opened.
+            let state = saved.snapshot.as_ref().map(|snapshot| Ledger::restore(&snapshot.state));
             ledger = state.and_then(Result::ok).unwrap_or_default();
             node = Some(Node::start(saved, settings.timing, settings.seed, 0));
             disk = Some(opened);
@@ -211,6 +216,7 @@
             pulsed: (None, false),
             next: [0; 3],
             outputs: Vec::new(),
+            watch: Watch::new(),
             settings,
         };
         master.renewed();
@@ -268,7 +274,8 @@
             self.tend_office(now);
         }
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
-        let (leader, _, fresh) = self.leader(now);
+        let (leader, epoch, fresh) = self.leader(now);
+        self.watch.stands(now, leader, epoch, self.ledger.version());
         let news = (leader, fresh);
         let early = fresh && news != self.pulsed && now + PULSE >= self.next[1] + LEAST_PULSE;
         if now >= self.next[1] || early {
@@ -304,7 +311,10 @@
             if let Some(dialing) = self.dialing.values_mut().find(|(dialing, _)| *dialing == number) {
                 dialing.1 = until;
             }
-            spdlog::debug!("{}", error, kv: { step = "dial" });
+            let now = self.now();
+            if let Some(left_out) = self.watch.pass("dial", now) {
+                spdlog::debug!("{}", error, kv: { step = "dial", left_out });
+            }
             return;
         };
         let name = peer.hail.map_or_else(String::new, |hail| hail.name);
@@ -597,7 +607,9 @@
         if self.node.is_none() && sheet.version > self.ledger.version() {
             let base = self.ledger.version();
             let change = Change { base, version: sheet.version, digest: [0; 32], body: sheet.body };
-            self.ledger.apply(change);
+            let verdict = self.ledger.apply(Place::default(), change);
+            let now = self.now();
+            self.watch.change(now, sheet.version, verdict);
             self.renewed();
         }
     }
@@ -621,14 +633,17 @@
             self.grown = true;
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
         }
+        self.watch.quays(now, self.fleet.lives());
         let fleet = self.fleet.size();
         if let Some(holder) = &mut self.holder {
             holder.fleet(now as f64, fleet);
         }
     }
 
-    fn tell_berths(&self, berths: Vec<Berth>) {
+    fn tell_berths(&mut self, berths: Vec<Berth>) {
         if !berths.is_empty() {
+            let now = self.now();
+            self.watch.berths(now, &berths);
             self.to_followers(&Flag::Berths { whole: false, berths });
         }
     }
@@ -665,8 +680,8 @@
         let (holds, term) = (node.is_leader() && node.holds_lease(now), node.term());
         if !holds {
             // The office ends with the term: a lease that comes back within it finds its counts as they were.
-            if !node.is_leader() {
-                self.holder = None;
+            if !node.is_leader() && self.holder.take().is_some() {
+                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
             }
         } else if self.holder.as_ref().is_none_or(|holder| holder.epoch() != term) {
             let first = term <= 1 && self.ledger.version() == 0;
@@ -674,7 +689,7 @@
             holder.fleet(now as f64, self.fleet.size());
             holder.quotas(now as f64, &self.quotas());
             self.holder = Some(holder);
-            spdlog::info!("this process holds the counts", kv: { step = "office", epoch = term });
+            self.watch.note(now, self.settings.address.to_string(), Happened::Office(true));
         }
     }
 
@@ -684,8 +699,14 @@
         let Some(hail) = &peer.hail else { return };
         self.fleet.heard(now, &hail.name, hail.life);
         let flag = match &mut self.holder {
-            Some(holder) if leads => Flag::Grant(holder.draw(now as f64, &hail.name, &draw)),
-            _ => Flag::NotHolder { number: draw.number },
+            Some(holder) if leads => {
+                self.watch.counted.draws.0 += 1;
+                Flag::Grant(holder.draw(now as f64, &hail.name, &draw))
+            }
+            _ => {
+                self.watch.counted.draws.1 += 1;
+                Flag::NotHolder { number: draw.number }
+            }
         };
         peer.line.send(&flag);
     }
@@ -694,6 +715,7 @@
 
     fn on_call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
         let now = self.now();
+        *self.watch.counted.calls.entry(call.kind()).or_default() += 1;
         match call {
             Call::Beat(berth) => {
                 let judgement = self.register.beat(now, berth);
@@ -707,6 +729,10 @@
             }
             Call::Order(order) => self.on_order_here(order, reply, now),
             Call::Status => drop(reply.send(self.status(now))),
+            Call::History => drop(reply.send(self.history(now))),
+            Call::Past(version) => drop(reply.send(self.past(version))),
+            Call::Events(about) => drop(reply.send(self.events(now, about.as_deref()))),
+            Call::Metrics => drop(reply.send(self.metrics(now))),
         }
     }
 
@@ -732,7 +758,8 @@
             .cards()
             .into_iter()
             .map(|card| {
-                let line = card.address.parse().ok().and_then(|address| self.line_to(&address)).is_some();
+                let reached = |address| address == self.settings.address || self.line_to(&address).is_some();
+                let line = card.address.parse().is_ok_and(reached);
                 json!({ "address": card.address, "zone": card.zone, "reached": line })
             })
             .collect();
@@ -854,7 +881,11 @@
             Order::Replace { base, body } => {
                 let config = match Config::parse(&body) {
                     Ok(config) => config,
-                    Err(fault) => return self.answer(asker, Reply::why(400, &fault.to_string())),
+                    Err(fault) => {
+                        let why = fault.to_string();
+                        self.watch.unread(now, &why);
+                        return self.answer(asker, Reply::why(400, &why));
+                    }
                 };
                 let (version, digest) = (config.version.0, config.digest());
                 match self.ledger.judge(base, version, &digest) {
@@ -865,7 +896,10 @@
                         let change = bitcode::encode(&Change { base, version, digest, body });
                         self.log(Input::Propose { token, change });
                     }
-                    verdict => self.answer(asker, reply_to(verdict)),
+                    verdict => {
+                        self.watch.change(now, version, verdict);
+                        self.answer(asker, reply_to(verdict));
+                    }
                 }
             }
         }
@@ -899,16 +933,24 @@
                     disk.save(save);
                 }
             }
-            Output::Committed { entry } => self.on_committed(entry.index, entry.what),
-            Output::Install { snapshot } => {
-                if let Ok(ledger) = bitcode::decode::<Ledger>(&snapshot.state) {
+            Output::Committed { entry } => {
+                let at = Place { index: entry.index, epoch: entry.term };
+                self.on_committed(at, entry.what);
+            }
+            Output::Install { snapshot } => match Ledger::restore(&snapshot.state) {
+                Ok(ledger) => {
                     let newer = ledger.version() > self.ledger.version();
                     self.ledger = ledger;
                     if newer {
                         self.renewed();
                     }
                 }
-            }
+                Err(error) => {
+                    let (index, epoch) = (snapshot.index, snapshot.term);
+                    spdlog::error!("the leader's snapshot is of no version known here: {}", error,
+                            kv: { step = "install", index, epoch });
+                }
+            },
             Output::Accepted { token, index, .. } => {
                 self.accepted.insert(index, token);
             }
@@ -923,20 +965,33 @@
     }
 
     fn on_role(&mut self, role: Role) {
-        let term = self.node.as_ref().map_or(0, Node::term);
-        spdlog::info!("{:?}", role, kv: { step = "role", epoch = term });
+        if let Role::Candidate { term } = role {
+            let now = self.now();
+            self.watch.candidate(now, term);
+        }
         if !matches!(role, Role::Leader { .. }) {
-            self.holder = None;
+            if self.holder.take().is_some() {
+                let now = self.now();
+                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
+            }
             self.accepted.clear();
         }
     }
 
-    fn on_committed(&mut self, index: u64, what: What) {
-        let What::Change(change) = what else { return };
+    fn on_committed(&mut self, at: Place, what: What) {
+        let (now, index) = (self.now(), at.index);
+        let change = match what {
+            What::Change(change) => change,
+            What::Members(voters) => {
+                let list = voters.iter().map(|voter| voter.address.clone().into()).collect();
+                return self.watch.note(now, "voters", Happened::Voters(list));
+            }
+            What::Nothing => return,
+        };
         let Ok(change) = bitcode::decode::<Change>(&change) else { return };
         let version = change.version;
-        let verdict = self.ledger.apply(change);
-        spdlog::info!("{:?}", verdict, kv: { step = "change", index, version });
+        let verdict = self.ledger.apply(at, change);
+        self.watch.change(now, version, verdict);
         if verdict == Verdict::Taken {
             self.renewed();
         }
--- a/harbour/harbourmaster/tests/ledger.rs
+++ b/harbour/harbourmaster/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! The configurations that were taken: what becomes of a change, and of the same one again.
 
-use harbourmaster::{Change, Ledger, Verdict};
+use harbourmaster::{Change, Ledger, Place, Verdict};
 
 fn change(base: u64, version: u64, digest: u8) -> Change {
     Change { base, version, digest: [digest; 32], body: vec![digest] }
@@ -9,23 +9,23 @@
 #[test]
 fn two_changes_on_one_version_are_not_both_taken() {
     let mut ledger = Ledger::default();
-    assert_eq!(ledger.apply(change(0, 3, 1)), Verdict::Taken);
-    assert_eq!(ledger.apply(change(3, 5, 2)), Verdict::Taken);
-    assert_eq!(ledger.apply(change(3, 6, 3)), Verdict::Stale { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 1)), Verdict::Taken);
+    assert_eq!(ledger.apply(Place::default(), change(3, 5, 2)), Verdict::Taken);
+    assert_eq!(ledger.apply(Place::default(), change(3, 6, 3)), Verdict::Stale { current: 5 });
     assert_eq!(ledger.body(), Some([2].as_slice()));
 }
 
 #[test]
 fn the_same_configuration_again_is_taken_also_after_newer_ones() {
     let mut ledger = Ledger::default();
-    ledger.apply(change(0, 3, 1));
-    ledger.apply(change(3, 5, 2));
-    assert_eq!(ledger.apply(change(0, 3, 1)), Verdict::TakenBefore);
+    ledger.apply(Place::default(), change(0, 3, 1));
+    ledger.apply(Place::default(), change(3, 5, 2));
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 1)), Verdict::TakenBefore);
     assert_eq!(ledger.version(), 5, "and does not come back into force");
     // Another body under a number that is taken is another configuration.
-    assert_eq!(ledger.apply(change(0, 3, 9)), Verdict::Stale { current: 5 });
-    assert_eq!(ledger.apply(change(5, 5, 9)), Verdict::NotAbove { current: 5 });
-    assert_eq!(ledger.apply(change(5, 4, 9)), Verdict::NotAbove { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(0, 3, 9)), Verdict::Stale { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(5, 5, 9)), Verdict::NotAbove { current: 5 });
+    assert_eq!(ledger.apply(Place::default(), change(5, 4, 9)), Verdict::NotAbove { current: 5 });
 }
 
 #[test]
@@ -39,10 +39,28 @@
 fn what_a_snapshot_holds_is_all_of_it() {
     let mut ledger = Ledger::default();
     for version in 1..=20 {
-        ledger.apply(change(version - 1, version, version as u8));
+        ledger.apply(Place::default(), change(version - 1, version, version as u8));
     }
     let bytes = bitcode::encode(&ledger);
     let mut again: Ledger = bitcode::decode(&bytes).expect("a ledger");
     assert_eq!(again, ledger);
-    assert_eq!(again.apply(change(3, 4, 4)), Verdict::TakenBefore);
+    assert_eq!(again.apply(Place::default(), change(3, 4, 4)), Verdict::TakenBefore);
+}
+
+#[test]
+fn former_bodies_are_kept_as_long_as_there_is_room() {
+    let mut ledger = Ledger::default();
+    for version in 1..=12 {
+        let at = Place { index: version + 7, epoch: 2 };
+        // The 6th leaves no room for others beside it.
+        let body = vec![version as u8; if version == 6 { 1_048_576 } else { 10 }];
+        let change = Change { base: version - 1, version, digest: [version as u8; 32], body };
+        assert_eq!(ledger.apply(at, change), Verdict::Taken);
+        if version == 7 {
+            assert_eq!((1..=7).filter(|v| ledger.body_of(*v).is_some()).collect::<Vec<_>>(), [6, 7]);
+        }
+    }
+    assert_eq!((1..=13).filter(|v| ledger.body_of(*v).is_some()).collect::<Vec<_>>(), [7, 8, 9, 10, 11, 12]);
+    let newest = ledger.history().next().map(|(version, digest, at)| (version, digest[0], at));
+    assert_eq!((newest, ledger.history().count()), (Some((12, 12, Place { index: 19, epoch: 2 })), 12));
 }
--- a/harbour/programs/src/lib.rs
+++ b/harbour/programs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 mod logs;
 mod master;
+pub mod operate;
 mod quays;
 mod start;
 
@@ -53,7 +54,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            spdlog::critical!("{:?}", report);
+            spdlog::critical!("{:?}", report, kv: { step = "start" });
             eprintln!("{report:?}");
             ExitCode::FAILURE
         }
