Elections that no leader came out of make the next one wait for longer

A harbour on one machine took 2.4 s for an election once: terms 2, 3 and 4 ended without a leader, each after some 470 ms, with one candidate and no rival. A candidate's vote and a voter's each wait for their disk; when both syncs together take longer than the election's time, the next term begins before the votes of this one are there, for ever. Ruled out: rivals (none), lost messages (the voters answered), the lease's stickiness (voters were free).

Each election lost in a row doubles the time of the next, three times at most.

--- a/harbour/logbook/src/election.rs
+++ b/harbour/logbook/src/election.rs
@@ -4,6 +4,9 @@
 use crate::replication::Lead;
 use crate::types::{Message, Millis, Output, VoterId, What};
 
+/// Elections lost in a row that make the next one wait for longer, twice as long each: two syncs of a second fit then.
+const MOST_LOST: u32 = 3;
+
 /// A round of asking for votes.
 #[derive(Debug)]
 pub(crate) struct Canvass {
@@ -15,6 +18,11 @@
 impl Node {
     /// Nothing was heard of a leader for too long.
     pub(crate) fn look_for_leader(&mut self, now: Millis, out: &mut Vec<Output>) {
+        // Its own votes were not there in time: on slow disks the next election has to wait for longer, or none is ever
+        // won.
+        let lost = self.canvass.as_ref().is_some_and(|canvass| canvass.binding);
+        self.lost_elections =
+            if lost { (self.lost_elections + 1).min(MOST_LOST) } else { self.lost_elections };
         self.draw_election(now);
         self.leader = None;
         self.canvass = None;
@@ -41,6 +49,8 @@
 
     fn stand(&mut self, now: Millis) {
         self.draw_election(now);
+        let longer = (self.election_due - now).saturating_mul((1 << self.lost_elections) - 1);
+        self.election_due = self.election_due.saturating_add(longer);
         self.term += 1;
         self.vote = Some(self.me.clone());
         self.verified = 0;
@@ -152,6 +162,7 @@
     fn take_the_lead(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.canvass = None;
         self.leader = Some(self.me.clone());
+        self.lost_elections = 0;
         self.lead = Some(Lead::new(now));
         self.follow_members(now);
         self.write(What::Nothing);
--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -64,6 +64,8 @@
     pub(crate) canvass: Option<Canvass>,
     pub(crate) rounds: u64,
     pub(crate) election_due: Millis,
+    /// Elections in a row that ended without a leader.
+    pub(crate) lost_elections: u32,
     /// Until then no vote is given: a leader's lease may rest on what this node answered.
     pub(crate) bound_until: Millis,
     /// Up to where the log is surely that of this term's leader.
@@ -97,6 +99,7 @@
             canvass: None,
             rounds: 0,
             election_due: 0,
+            lost_elections: 0,
             // What it answered before it went down is forgotten, so it keeps still for as long as that could count.
             bound_until: if first_start { now } else { now.saturating_add(timing.election) },
             verified: 0,
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -336,6 +336,7 @@
             return false;
         }
         self.canvass = None;
+        self.lost_elections = 0;
         self.leader = Some(from.clone());
         self.bound_until = self.bound_until.max(now.saturating_add(self.timing.election));
         self.draw_election(now);
--- a/harbour/logbook/tests/rules.rs
+++ b/harbour/logbook/tests/rules.rs
@@ -114,3 +114,42 @@
     let out = step(&mut node, 900, Input::Propose { token: 8, change: vec![1] });
     assert!(out.contains(&Output::Refused { token: 8, leader: None }), "{out:?}");
 }
+
+/// When three nodes whose disks take this long for each save have a leader.
+fn leader_with_disks_of(sync: u64, seed: u64) -> Option<u64> {
+    let one = |at: usize| Saved { me: voter(at, 0), ..saved(three()) };
+    let mut nodes: Vec<_> = (0..3).map(|at| Node::start(one(at), TIMING, seed * 3 + at as u64, 0)).collect();
+    // What comes when, at whom; a disk makes one save after the other.
+    let mut due: Vec<(u64, usize, Input)> = Vec::new();
+    let mut free = [0; 3];
+    for now in 0..20_000 {
+        let (ready, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|(at, ..)| *at <= now);
+        due = later;
+        let ticks = (0..3).filter(|at| nodes[*at].next_due() <= now).map(|at| (now, at, Input::Tick));
+        for (_, at, input) in ready.into_iter().chain(ticks.collect::<Vec<_>>()) {
+            for output in step(&mut nodes[at], now, input) {
+                match output {
+                    Output::Send { to, message } => {
+                        let to = three().iter().position(|voter| *voter == to).expect("one of three");
+                        due.push((now + 1, to, heard(at, message)));
+                    }
+                    Output::Save(save) => {
+                        free[at] = free[at].max(now) + sync;
+                        due.push((free[at], at, Input::Saved { ticket: save.ticket }));
+                    }
+                    Output::Role(Role::Leader { .. }) => return Some(now),
+                    _ => {}
+                }
+            }
+        }
+    }
+    None
+}
+
+#[parameterized(usual = { 3, 700 }, slow = { 150, 2_000 }, slower_than_an_election = { 400, 6_000 }, stalling = { 900, 15_000 })]
+fn slow_disks_delay_an_election_but_do_not_prevent_it(sync: u64, at_most: u64) {
+    for seed in 0..20 {
+        let led = leader_with_disks_of(sync, seed);
+        assert!(led.is_some_and(|at| at <= at_most), "seed {seed}: {led:?}");
+    }
+}
