drydock: what failed is told by status; quotas leave room for higher rates

At 1200 requests a second the two large tenants were beyond their quotas, which hid what overload does.

--- a/harbour/drydock/src/load.rs
+++ b/harbour/drydock/src/load.rs
@@ -5,6 +5,7 @@
 use crate::ledger::{Ledger, Sent};
 use crate::plan::{KINDS, TENANTS};
 use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
@@ -30,6 +31,8 @@
     pub refused: u64,
     /// Anything else.
     pub failed: u64,
+    /// With which status, or none.
+    pub failures: BTreeMap<Option<u16>, u64>,
     /// How long those that were served took, from when they were due, in microseconds.
     pub times: Histogram<u64>,
 }
@@ -37,7 +40,7 @@
 impl Tally {
     fn new() -> Option<Self> {
         let times = Histogram::new_with_max(LONGEST_US, 3).ok()?;
-        Some(Self { asked: 0, served: 0, in_aim: 0, refused: 0, failed: 0, times })
+        Some(Self { asked: 0, served: 0, in_aim: 0, refused: 0, failed: 0, failures: BTreeMap::new(), times })
     }
 
     fn add(&mut self, end: End, took: Duration, goal: Duration) {
@@ -49,7 +52,10 @@
                 self.times.saturating_record(took.as_micros() as u64);
             }
             End::Refused => self.refused += 1,
-            End::Failed(_) => self.failed += 1,
+            End::Failed(status) => {
+                self.failed += 1;
+                *self.failures.entry(status).or_default() += 1;
+            }
         }
     }
 }
--- a/harbour/drydock/src/plan.rs
+++ b/harbour/drydock/src/plan.rs
@@ -100,8 +100,8 @@
 
 /// All tenants. The last one is the small one that may ask too much.
 pub const TENANTS: [Tenant; 3] = [
-    Tenant { label: "albatross", key: "key-of-albatross", rate: 400.0, burst: 400.0, share: 0.6 },
-    Tenant { label: "brigantine", key: "key-of-brigantine", rate: 250.0, burst: 250.0, share: 0.36 },
+    Tenant { label: "albatross", key: "key-of-albatross", rate: 1500.0, burst: 1500.0, share: 0.6 },
+    Tenant { label: "brigantine", key: "key-of-brigantine", rate: 900.0, burst: 900.0, share: 0.36 },
     Tenant { label: "cutter", key: "key-of-cutter", rate: 30.0, burst: 30.0, share: 0.04 },
 ];
 
--- a/harbour/drydock/src/report.rs
+++ b/harbour/drydock/src/report.rs
@@ -3,6 +3,7 @@
 use crate::ledger::{Faults, Use};
 use crate::load::Tallies;
 use crate::plan::{KINDS, TENANTS};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::time::{Duration, Instant};
@@ -74,6 +75,15 @@
         );
     }
     let asked: u64 = kinds.iter().map(|tally| tally.asked).sum();
+    let mut failures = BTreeMap::<_, u64>::new();
+    for (status, count) in kinds.iter().flat_map(|tally| &tally.failures) {
+        *failures.entry(*status).or_default() += count;
+    }
+    if !failures.is_empty() {
+        let name = |status: Option<u16>| status.map_or("no answer".to_owned(), |status| status.to_string());
+        let each: Vec<_> = failures.iter().map(|(s, count)| format!("{} {count}", name(*s))).collect();
+        let _ = writeln!(text, "failed with: {}", each.join(", "));
+    }
     let late = tallies.late().as_secs_f64() * 1000.0;
     let note = if late > BUSY_MS {
         ": the machine is busy, and times say more about it than about the harbour"
