One loop carries what comes on a connection, whoever dialed it

The same twelve lines stood in the listener and in the dialer, which the search for repeats showed. No change of behaviour; the tests over loopback pass.

--- a/harbour/harbourmaster/src/lines.rs
+++ b/harbour/harbourmaster/src/lines.rs
@@ -2,8 +2,9 @@
 
 use crate::master::Command;
 use lookout::Seldom;
+use std::net::SocketAddr;
 use std::time::Duration;
-use tideway::attach;
+use tideway::{Line, Reader, attach};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
@@ -27,23 +28,27 @@
         };
         let (number, commands) = (numbers(), commands.clone());
         tideway::spawn(async move {
-            let (line, mut reader) = attach(stream, peer);
-            if commands.send(Command::Opened { number, line, dialed: None }).await.is_err() {
-                return;
-            }
-            loop {
-                match reader.next().await {
-                    Ok(flag) => {
-                        if commands.send(Command::Frame { number, flag }).await.is_err() {
-                            return;
-                        }
-                    }
-                    Err(error) => {
-                        let _ = commands.send(Command::Closed { number, error }).await;
-                        return;
-                    }
-                }
-            }
+            let (line, reader) = attach(stream, peer);
+            carry(number, line, reader, None, commands).await;
         });
     }
 }
+
+/// Tells the owner of a connection that stands, then of all that comes on it until it is over.
+pub async fn carry(
+    number: u64, line: Line, mut reader: Reader, dialed: Option<SocketAddr>, commands: mpsc::Sender<Command>,
+) {
+    if commands.send(Command::Opened { number, line, dialed }).await.is_err() {
+        return;
+    }
+    loop {
+        let next = match reader.next().await {
+            Ok(flag) => Command::Frame { number, flag },
+            Err(error) => Command::Closed { number, error },
+        };
+        let over = matches!(next, Command::Closed { .. });
+        if commands.send(next).await.is_err() || over {
+            return;
+        }
+    }
+}
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -5,6 +5,7 @@
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
 use crate::ledger::{Change, Ledger, Place, Verdict};
+use crate::lines::carry;
 use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
@@ -355,24 +356,7 @@
             let commands = self.commands.clone();
             tideway::spawn(async move {
                 match dial(to).await {
-                    Ok((line, mut reader)) => {
-                        if commands.send(Command::Opened { number, line, dialed: Some(to) }).await.is_err() {
-                            return;
-                        }
-                        loop {
-                            match reader.next().await {
-                                Ok(flag) => {
-                                    if commands.send(Command::Frame { number, flag }).await.is_err() {
-                                        return;
-                                    }
-                                }
-                                Err(error) => {
-                                    let _ = commands.send(Command::Closed { number, error }).await;
-                                    return;
-                                }
-                            }
-                        }
-                    }
+                    Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
                     Err(error) => {
                         let _ = commands.send(Command::Closed { number, error }).await;
                     }
