The group stands on the system's own elected log; openraft leaves the workspace

Need: one product had two agreements, `openraft` under the gateways' group and `logbook` under the harbourmasters. Two of them are two sets of faults to know.

Weighed: - The voter's address as its address in the log: a voter that moves would be another one. The log's address is "group name" instead, so whoever comes back with an empty disk takes its own place, and the file tells whose it is. Rescue of the last voter uses the same function. Ruled out: a founding group of one that adds the others, which a crash in between leaves half done. - Renewals by a round of calls, as before: the log's lease gives the same without one. It counts on the voters' clocks (CLOCK_BOOTTIME), and is shorter than the binding by twice the allowance; docs/group.md says so. - Telling "has no vote" as soon as the group is seen to be formed: a founder hears of it an election later, so that was a false alarm at most first starts. It is told after a life now.

Change: - group/: a driver of logbook::Node with mail by POST /log (form 2), its disk on logbook's Writer, typed errors. A voter whose disk fails falls silent. Entries longer than 64 KiB are refused, since they have to fit a call. - logbook: Store::begin; Writer, the disk's thread, which harbourmaster uses too; nothing else of its API changed. - logbook, a fault found by the rescue: a leader of one that took in a second voter held it against its own majority before its first answer, and gave way in the same step. Who has answered no pulse within an election is not taken in. - Tests: the damaged file is damaged in each copy of the identity, as older pages hold some that count no more. New: a voter that no settings name, Store::begin, going on alone, Writer, the newcomer's pulse, bounds of places. - example elect: time to the next committed entry.

--- a/group/tests/group.rs
+++ b/group/tests/group.rs
@@ -223,6 +223,40 @@
     drop((v1, v2));
 }
 
+#[tokio::test]
+async fn a_voter_that_no_settings_name_is_found_where_the_group_was_told() {
+    let ground = Ground::new(3);
+    let voters: Vec<Handle> = (0..3).map(|n| ground.start(&format!("v{n}"), &[])).collect();
+    let a = ground.start("a", &["d"]);
+    let held = until("a holder", || a.guard("d").filter(|g| g.may_act().is_some())).await;
+    let mut more = Ground::new(4);
+    let new = more.voters[3].clone();
+    more.voters = ground.voters.iter().cloned().chain([new.clone()]).collect();
+    let v3 = more.start("v3", &[]);
+    let added = async {
+        loop {
+            match a.order(Order::Voter(Ask::Add(new.clone()))).await {
+                Answer::Done => return,
+                // An election may be under way.
+                Answer::Nobody => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    };
+    tokio::time::timeout(LONG, added).await.expect("in time");
+    until("four voters", || (a.standing().view.voters.len() == 4).then_some(())).await;
+    // Of four it takes three, so the new one has to count, whoever leads now.
+    let leader = until("the leader's name", || a.standing().view.leader).await;
+    let at = ground.voters.iter().position(|node| node.name == leader).unwrap_or(0);
+    let left: Vec<Handle> =
+        voters.into_iter().enumerate().filter(|(n, _)| *n != at).map(|(_, v)| v).collect();
+    a.order(Order::Able(false)).await;
+    let b = ground.start("b", &["d"]);
+    let next = until("the next holder", || b.guard("d").filter(|g| g.may_act().is_some())).await;
+    assert!(next.fence() > held.fence());
+    drop((left, v3));
+}
+
 #[tokio::test]
 async fn the_last_voter_goes_on_alone_when_the_others_are_named_as_lost() {
     let ground = Ground::new(3);
@@ -273,9 +307,10 @@
     v0.close().await;
     let file = ground.disk("v0").join("group.redb");
     let mut bytes = std::fs::read(&file).expect("read");
-    // Somewhere in what it wrote: a byte of the name of its own group in the identity.
-    let at = bytes.windows(5).rposition(|part| part == b"fleet").expect("its identity");
-    bytes[at] ^= 1;
+    // A byte of the name of its own group, wherever it stands: the file also holds older copies that count no more.
+    let places: Vec<usize> = (0..bytes.len()).filter(|at| bytes[*at..].starts_with(b"fleet")).collect();
+    assert!(!places.is_empty(), "its identity");
+    places.iter().for_each(|at| bytes[*at] ^= 1);
     std::fs::write(&file, &bytes).expect("written");
     kill(ground.start("v0", &[]));
     assert!(ground.was_told("not used") && ground.was_told("group.aside-0"), "{:?}", ground.told);
--- a/harbour/harbourmaster/src/disk.rs
+++ b/harbour/harbourmaster/src/disk.rs
@@ -1,11 +1,10 @@
-//! The disk of a voter: a thread of its own, since whoever syncs waits for the disk, and the log's pulse must not.
+//! The disk of a voter: its file, and the thread that writes to it.
 
 use crate::master::Command;
-use logbook::store::Store;
-use logbook::{Save, Saved, VoterId};
+use logbook::store::{Store, StoreError};
+use logbook::{Save, Saved, VoterId, Writer};
 use miette::Diagnostic;
 use std::path::Path;
-use std::sync::mpsc as threads;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
@@ -26,7 +25,7 @@
 
 /// The way to the disk.
 pub struct Disk {
-    saves: threads::Sender<Save>,
+    writer: Writer,
 }
 
 impl Disk {
@@ -64,8 +63,7 @@
                 store.create(me, founders).map_err(|e| unusable("begin", &path, e.to_string()))?
             }
         };
-        let (saves, queue) = threads::channel::<Save>();
-        let (done, mut tickets) = mpsc::channel(64);
+        let (done, mut tickets) = mpsc::unbounded_channel();
         tideway::spawn(async move {
             while let Some(ticket) = tickets.recv().await {
                 if commands.send(Command::Saved { ticket }).await.is_err() {
@@ -73,26 +71,19 @@
                 }
             }
         });
-        let thread = std::thread::Builder::new().name("disk".into()).stack_size(256 * 1024);
-        let run = move || {
-            while let Ok(first) = queue.recv() {
-                let ticket = first.ticket;
-                if let Err(error) = store.save(&first) {
-                    // A voter that can't write has to be seen as gone: it must neither vote nor acknowledge.
-                    spdlog::error!("{}: this voter falls silent", error, kv: { step = "save" });
-                    return;
-                }
-                if done.blocking_send(ticket).is_err() {
-                    return;
-                }
-            }
+        let told = move |saved: Result<u64, StoreError>| match saved {
+            // Unbounded, since whoever ends the writer waits for it; there are no more tickets than saves.
+            Ok(ticket) => drop(done.send(ticket)),
+            // A voter that can't write has to be seen as gone: it must neither vote nor acknowledge.
+            Err(error) => spdlog::error!("{}: this voter falls silent", error, kv: { step = "save" }),
         };
-        thread.spawn(run).map_err(|e| unusable("start the thread for", &path, e.to_string()))?;
-        Ok((Self { saves }, saved))
+        let writer =
+            Writer::start(store, told).map_err(|e| unusable("start the thread for", &path, e.to_string()))?;
+        Ok((Self { writer }, saved))
     }
 
     /// Queues a write; its ticket comes back as [`Command::Saved`].
     pub fn save(&self, save: Save) {
-        let _ = self.saves.send(save);
+        self.writer.save(save);
     }
 }
--- a/harbour/logbook/tests/disk.rs
+++ b/harbour/logbook/tests/disk.rs
@@ -3,7 +3,7 @@
 use std::io::{Seek, SeekFrom, Write};
 
 use logbook::store::{Store, StoreError};
-use logbook::{Entry, Save, Saved, Snapshot, VoterId, What};
+use logbook::{Entry, Input, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What, Writer};
 
 fn voter(number: u64) -> VoterId {
     VoterId { address: format!("10.0.0.{number}:7000"), birth: 0 }
@@ -106,3 +106,84 @@
     drop(store);
     assert_eq!(reopened(&path).entries.len(), 5);
 }
+
+#[test]
+fn a_log_can_begin_with_a_snapshot_and_only_where_there_is_none() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let (store, _) = Store::open(&path).unwrap();
+    // One that joined and has voted, but has no log yet.
+    store.create(voter(1), Vec::new()).unwrap();
+    store.save(&save(1, 5)).unwrap();
+    let begun = store.begin(voter(1), 2, snapshot(4, 200_000)).unwrap();
+    assert_eq!((begun.term, &begun.vote), (5, &Some(voter(2))), "what it promised stands");
+    drop(store);
+    assert_eq!(reopened(&path), begun);
+
+    let (store, _) = Store::open(&path).unwrap();
+    assert!(matches!(store.begin(voter(1), 9, snapshot(7, 10)), Err(StoreError::Taken { .. })));
+    drop(store);
+    assert_eq!(reopened(&path), begun);
+
+    let path = folder.path().join("other");
+    let (store, _) = Store::open(&path).unwrap();
+    store.create(voter(1), Vec::new()).unwrap();
+    store.save(&Save { entries: vec![entry(1, 1)], ..save(1, 1) }).unwrap();
+    assert!(matches!(store.begin(voter(1), 9, snapshot(7, 10)), Err(StoreError::Taken { .. })));
+}
+
+#[test]
+fn the_last_voter_goes_on_alone_with_what_it_had() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let (store, _) = Store::open(&path).unwrap();
+    let me = VoterId { birth: 7, ..voter(1) };
+    let before = Snapshot { members: vec![me.clone()], term: 3, ..snapshot(40, 100) };
+    let saved = store.begin(me.clone(), 4, before).unwrap();
+    assert_eq!((saved.term, &saved.vote), (4, &None));
+    let timing = Timing { pulse: 20, election: 100, lease: 80 };
+    let mut node = Node::start(saved, timing, 1, 0);
+    let (mut committed, mut now, mut proposed) = (Vec::new(), 0, false);
+    while committed.len() < 2 && now < 1000 {
+        now += 10;
+        let mut out = Vec::new();
+        node.handle(now, Input::Tick, &mut out);
+        if node.is_leader() && !std::mem::replace(&mut proposed, true) {
+            node.handle(now, Input::Propose { token: 1, change: vec![1] }, &mut out);
+        }
+        while !out.is_empty() {
+            for output in std::mem::take(&mut out) {
+                match output {
+                    Output::Save(save) => {
+                        store.save(&save).unwrap();
+                        node.handle(now, Input::Saved { ticket: save.ticket }, &mut out);
+                    }
+                    Output::Committed { entry } => committed.push((entry.index, entry.term)),
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert_eq!(committed, [(41, 5), (42, 5)], "above all that was seen");
+    assert_eq!(node.members(), std::slice::from_ref(&me));
+    assert!(node.holds_lease(now));
+}
+
+#[test]
+fn a_writer_tells_each_save_in_turn_and_gives_the_disk_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let (store, _) = Store::open(&path).unwrap();
+    store.create(voter(1), Vec::new()).unwrap();
+    let (told, tickets) = std::sync::mpsc::channel();
+    let writer = Writer::start(store, move |done| told.send(done.unwrap()).unwrap()).unwrap();
+    (1..=5).for_each(|n| writer.save(Save { entries: vec![entry(n, 1)], ..save(n, 1) }));
+    let store = writer.stop().unwrap();
+    assert_eq!(tickets.iter().collect::<Vec<u64>>(), [1, 2, 3, 4, 5]);
+    store.save(&save(6, 2)).unwrap();
+    let writer = Writer::start(store, |_| {}).unwrap();
+    writer.save(save(7, 3));
+    drop(writer);
+    // Closed, and all of it written.
+    assert_eq!((reopened(&path).term, reopened(&path).entries.len()), (3, 5));
+}
