--- /dev/null
+++ b/harbour/harbourmaster/src/master/entries.rs
@@ -0,0 +1,105 @@
+//! The log at work: what its state machine asks for, and what its entries change.
+
+use super::orders::reply_to;
+use super::*;
+
+impl Master {
+    pub(super) fn log(&mut self, input: Input) {
+        let now = self.now();
+        let Some(node) = &mut self.node else { return };
+        let mut outputs = std::mem::take(&mut self.outputs);
+        node.handle(now, input, &mut outputs);
+        for output in outputs.drain(..) {
+            self.on_output(output);
+        }
+        self.outputs = outputs;
+    }
+
+    pub(super) fn on_output(&mut self, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let birth = self.node.as_ref().map_or(0, |node| node.me().birth);
+                if let Ok(address) = to.address.parse()
+                    && let Some(line) = self.line_to(&address)
+                {
+                    line.send(&Flag::Log { birth, message: bitcode::encode(&message) });
+                }
+            }
+            Output::Save(save) => {
+                if let Some(disk) = &self.disk {
+                    disk.save(save);
+                }
+            }
+            Output::Committed { entry } => {
+                let at = Place { index: entry.index, epoch: entry.term };
+                self.on_committed(at, entry.what);
+            }
+            Output::Install { snapshot } => match Ledger::restore(&snapshot.state) {
+                Ok(ledger) => {
+                    let newer = ledger.version() > self.ledger.version();
+                    self.ledger = ledger;
+                    if newer {
+                        self.renewed();
+                    }
+                }
+                Err(error) => {
+                    let (index, epoch) = (snapshot.index, snapshot.term);
+                    spdlog::error!("the leader's snapshot is of no version known here: {}", error,
+                            kv: { step = "install", index, epoch });
+                }
+            },
+            Output::Accepted { token, index, .. } => {
+                self.accepted.insert(index, token);
+            }
+            Output::Refused { token, .. } => {
+                self.answer_proposed(token, Reply::why(503, "this process does not lead"));
+            }
+            Output::Unclear { token } => {
+                self.answer_proposed(token, Reply::why(503, "another process leads now: ask again"));
+            }
+            Output::Role(role) => self.on_role(role),
+        }
+    }
+
+    pub(super) fn on_role(&mut self, role: Role) {
+        if let Role::Candidate { term } = role {
+            let now = self.now();
+            self.watch.candidate(now, term);
+        }
+        if !matches!(role, Role::Leader { .. }) {
+            if self.holder.take().is_some() {
+                let now = self.now();
+                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
+            }
+            self.accepted.clear();
+        }
+    }
+
+    pub(super) fn on_committed(&mut self, at: Place, what: What) {
+        let (now, index) = (self.now(), at.index);
+        let change = match what {
+            What::Change(change) => change,
+            What::Members(voters) => {
+                let list = voters.iter().map(|voter| voter.address.clone().into()).collect();
+                return self.watch.note(now, "voters", Happened::Voters(list));
+            }
+            What::Nothing => return,
+        };
+        let Ok(change) = bitcode::decode::<Change>(&change) else { return };
+        let version = change.version;
+        let verdict = self.ledger.apply(at, change);
+        self.watch.change(now, version, verdict);
+        if verdict == Verdict::Taken {
+            self.renewed();
+        }
+        if let Some(token) = self.accepted.remove(&index) {
+            self.answer_proposed(token, reply_to(verdict));
+        }
+        self.changes += 1;
+        if self.changes >= COMPACT_AFTER {
+            self.changes = 0;
+            let state = bitcode::encode(&self.ledger);
+            self.log(Input::Compact { index, state });
+        }
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -0,0 +1,131 @@
+//! What followers and other masters are told, and when.
+
+use super::*;
+
+impl Master {
+    /// The leader of the log as this process knows it, its term, and whether that is of this moment.
+    pub(super) fn leader(&self, now: u64) -> (Option<SocketAddr>, u64, bool) {
+        match &self.node {
+            Some(node) if node.is_leader() => {
+                (Some(self.settings.address), node.term(), node.holds_lease(now))
+            }
+            Some(node) => {
+                let leader = node.leader().and_then(|voter| voter.address.parse().ok());
+                (leader, node.term(), leader.is_some() && node.commit() > 0)
+            }
+            None => {
+                let fresh = self.told.fresh && now < self.told_at + 1300;
+                (self.told.leader.as_ref().and_then(|l| l.parse().ok()), self.told.epoch, fresh)
+            }
+        }
+    }
+
+    pub(super) fn pulse_for(&self, number: u64, now: u64) -> Pulse {
+        let (leader, epoch, fresh) = self.leader(now);
+        let name = self.peers.get(&number).and_then(|p| p.hail.as_ref()).map_or("", |h| h.name.as_str());
+        Pulse {
+            leader: leader.map(|l| l.to_string()),
+            epoch,
+            fresh,
+            version: self.ledger.version(),
+            fleet: self.fleet.size().max(1),
+            number: self.fleet.number(name),
+        }
+    }
+
+    pub(super) fn pulse(&mut self, now: u64) {
+        let followers: Vec<u64> = self.peers.iter().filter(|(_, p)| p.follows).map(|(n, _)| *n).collect();
+        for number in followers {
+            let pulse = self.pulse_for(number, now);
+            if let Some(peer) = self.peers.get(&number) {
+                peer.line.send(&Flag::Pulse(pulse));
+            }
+        }
+        // A master without a log follows those that have one, and only those: two that followed each other would send
+        // each other's news of old round in a circle.
+        if self.node.is_none() {
+            let have = self.ledger.version();
+            for address in self.births.keys() {
+                if let Some(line) = self.line_to(address) {
+                    line.send(&Flag::Follow { have });
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_pulse(&mut self, pulse: Pulse, now: u64) {
+        let newer = pulse.fresh && pulse.epoch >= self.told.epoch;
+        if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + 1300) {
+            (self.told, self.told_at) = (pulse, now);
+        }
+    }
+
+    pub(super) fn on_sheet(&mut self, sheet: Sheet) {
+        if self.node.is_none() && sheet.version > self.ledger.version() {
+            let base = self.ledger.version();
+            let change = Change { base, version: sheet.version, digest: [0; 32], body: sheet.body };
+            let verdict = self.ledger.apply(Place::default(), change);
+            let now = self.now();
+            self.watch.change(now, sheet.version, verdict);
+            self.renewed();
+        }
+    }
+
+    pub(super) fn round(&mut self, now: u64) {
+        let heard = self.register.round();
+        if !heard.is_empty() {
+            self.to_masters(&Flag::Heard(heard));
+        }
+        let changed = self.register.sweep(now);
+        self.tell_berths(changed);
+        self.take_in();
+        let quays = self.quays_here(now);
+        for (name, life) in &quays {
+            self.fleet.heard(now, name, *life);
+        }
+        self.to_masters(&Flag::Quays(quays));
+        self.to_masters(&Flag::Masters(self.cards()));
+        self.fleet.sweep(now);
+        if !self.grown && now >= YOUNG {
+            self.grown = true;
+            self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
+        }
+        self.watch.quays(now, self.fleet.lives());
+        let fleet = self.fleet.size();
+        if let Some(holder) = &mut self.holder {
+            holder.fleet(now as f64, fleet);
+        }
+    }
+
+    pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
+        if !berths.is_empty() {
+            let now = self.now();
+            self.watch.berths(now, &berths);
+            self.to_followers(&Flag::Berths { whole: false, berths });
+        }
+    }
+
+    /// A newer configuration is in force.
+    pub(super) fn renewed(&mut self) {
+        let Some(body) = self.ledger.body() else { return };
+        let version = self.ledger.version();
+        let flag = Flag::Sheet(Sheet { version, body: body.to_vec() });
+        self.config = Config::parse(body).ok();
+        let frame: Rc<[u8]> = flags::frame(&flag).into();
+        for peer in self.peers.values().filter(|p| p.follows) {
+            peer.line.send_frame(frame.clone());
+        }
+        self.sheet = Some(frame);
+        let (now, quotas) = (self.now(), self.quotas());
+        if let Some(holder) = &mut self.holder {
+            holder.quotas(now as f64, &quotas);
+        }
+    }
+
+    pub(super) fn quotas(&self) -> Vec<Quota> {
+        let tenants = self.config.iter().filter_map(|c| c.tenants.as_ref()).flat_map(|t| t.values());
+        tenants
+            .map(|t| Quota { tenant: t.label.to_string(), rate_per_s: t.rate_per_s, burst: t.burst_size })
+            .collect()
+    }
+}
--- /dev/null
+++ b/harbour/harbourmaster/src/master/orders.rs
@@ -0,0 +1,157 @@
+//! Calls of backends and of the operator, at the leader and on their way to it.
+
+use super::*;
+
+impl Master {
+    pub(super) fn on_call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
+        let now = self.now();
+        *self.watch.counted.calls.entry(call.kind()).or_default() += 1;
+        match call {
+            Call::Beat(berth) => {
+                let judgement = self.register.beat(now, berth);
+                self.on_judgement(judgement);
+                let _ = reply.send(Reply::done());
+            }
+            Call::Departure(id) => {
+                let judgement = self.register.departed(now, &id);
+                self.on_judgement(judgement);
+                let _ = reply.send(Reply::done());
+            }
+            Call::Order(order) => self.on_order_here(order, reply, now),
+            Call::Status => drop(reply.send(self.status(now))),
+            Call::History => drop(reply.send(self.history(now))),
+            Call::Past(version) => drop(reply.send(self.past(version))),
+            Call::Events(about) => drop(reply.send(self.events(now, about.as_deref()))),
+            Call::Metrics => drop(reply.send(self.metrics(now))),
+        }
+    }
+
+    pub(super) fn on_judgement(&mut self, judgement: Judgement) {
+        if let Judgement::Changed(berths) = judgement {
+            self.to_masters(&Flag::Berths { whole: false, berths: berths.clone() });
+            self.tell_berths(berths);
+        }
+    }
+
+    pub(super) fn on_order_here(&mut self, order: Order, reply: oneshot::Sender<Reply>, now: u64) {
+        if self.node.as_ref().is_some_and(|node| node.is_leader()) {
+            return self.on_order(Asker::Here(reply), order, now);
+        }
+        if self.waiting.len() >= CALLS_WAITING {
+            let _ = reply.send(Reply::why(503, "too many calls wait"));
+            return;
+        }
+        self.tokens += 1;
+        let token = self.tokens;
+        self.waiting.insert(token, Waiting { reply, since: now, order, passed: None });
+        self.pass_on(now);
+    }
+
+    /// Calls that wait for a leader go to it as soon as it is known.
+    pub(super) fn pass_on(&mut self, now: u64) {
+        let (leader, ..) = self.leader(now);
+        let leads = self.node.as_ref().is_some_and(|node| node.is_leader());
+        let ready: Vec<u64> =
+            self.waiting.iter().filter(|(_, w)| w.passed.is_none()).map(|(t, _)| *t).collect();
+        for token in ready {
+            if leads {
+                if let Some(waiting) = self.waiting.remove(&token) {
+                    self.on_order(Asker::Here(waiting.reply), waiting.order, now);
+                }
+            } else if let Some(to) = leader.filter(|to| *to != self.settings.address)
+                && let Some(line) = self.line_to(&to).cloned()
+                && let Some(waiting) = self.waiting.get_mut(&token)
+                && line.send(&Flag::Ask { token, order: waiting.order.clone() })
+            {
+                waiting.passed = Some(to);
+            }
+        }
+    }
+
+    pub(super) fn tend_calls(&mut self, now: u64) {
+        self.pass_on(now);
+        let over = |w: &Waiting| now > w.since + if w.passed.is_some() { PASSED } else { LEADERLESS };
+        let late: Vec<u64> = self.waiting.iter().filter(|(_, w)| over(w)).map(|(t, _)| *t).collect();
+        for token in late {
+            if let Some(waiting) = self.waiting.remove(&token) {
+                let why =
+                    if waiting.passed.is_some() { "the leader gave no answer" } else { "no leader is known" };
+                let _ = waiting.reply.send(Reply::why(503, why));
+            }
+        }
+        let late: Vec<u64> =
+            self.proposed.iter().filter(|(_, p)| now > p.since + PASSED).map(|(token, _)| *token).collect();
+        for token in late {
+            self.answer_proposed(token, Reply::why(503, "no majority has it on disk yet"));
+        }
+    }
+
+    pub(super) fn answer(&self, asker: Asker, reply: Reply) {
+        match asker {
+            Asker::Here(to) => drop(to.send(reply)),
+            Asker::There { peer, token } => {
+                if let Some(peer) = self.peers.get(&peer) {
+                    let Reply { status, body } = reply;
+                    peer.line.send(&Flag::Told { token, status, body });
+                }
+            }
+        }
+    }
+
+    pub(super) fn answer_proposed(&mut self, token: u64, reply: Reply) {
+        if let Some(proposed) = self.proposed.remove(&token) {
+            self.answer(proposed.asker, reply);
+        }
+    }
+
+    /// A call of the operator at the leader.
+    pub(super) fn on_order(&mut self, asker: Asker, order: Order, now: u64) {
+        let leads = self.node.as_ref().is_some_and(|node| node.is_leader() && node.holds_lease(now));
+        if !leads {
+            return self.answer(asker, Reply::why(503, "this process does not lead"));
+        }
+        match order {
+            Order::Read => {
+                let reply = match self.ledger.body() {
+                    Some(body) => Reply { status: 200, body: body.to_vec() },
+                    None => Reply::why(404, "no configuration was taken yet"),
+                };
+                self.answer(asker, reply);
+            }
+            Order::Replace { base, body } => {
+                let config = match Config::parse(&body) {
+                    Ok(config) => config,
+                    Err(fault) => {
+                        let why = fault.to_string();
+                        self.watch.unread(now, &why);
+                        return self.answer(asker, Reply::why(400, &why));
+                    }
+                };
+                let (version, digest) = (config.version.0, config.digest());
+                match self.ledger.judge(base, version, &digest) {
+                    Verdict::Taken => {
+                        self.tokens += 1;
+                        let token = self.tokens;
+                        self.proposed.insert(token, Proposed { asker, since: now });
+                        let change = bitcode::encode(&Change { base, version, digest, body });
+                        self.log(Input::Propose { token, change });
+                    }
+                    verdict => {
+                        self.watch.change(now, version, verdict);
+                        self.answer(asker, reply_to(verdict));
+                    }
+                }
+            }
+        }
+    }
+}
+
+pub(super) fn reply_to(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Taken | Verdict::TakenBefore => Reply::done(),
+        Verdict::Stale { current } => Reply::why(412, &format!("r{current} is in place")),
+        Verdict::NotAbove { current } => {
+            Reply::why(409, &format!("generation: not above r{current}, which is in place"))
+        }
+    }
+}
--- a/harbour/harbourmaster/src/master/told.rs
+++ b/harbour/harbourmaster/src/master/told.rs
@@ -1,11 +1,61 @@
-//! What operators are told on top of the status: history, records, metrics.
+//! What operators are told: status, history, records, metrics.
 
-use super::Master;
+use super::{Holder, Master};
 use crate::calls::Reply;
 use lookout::Page;
 use serde_json::json;
 
 impl Master {
+    /// How things stand, for operators.
+    pub(super) fn status(&self, now: u64) -> Reply {
+        let (leader, epoch, fresh) = self.leader(now);
+        let log = self.node.as_ref().map(|node| {
+            let members: Vec<_> =
+                node.members().iter().map(|m| json!({ "address": m.address, "birth": m.birth })).collect();
+            json!({ "leads": node.is_leader(), "holds_lease": node.holds_lease(now), "commit": node.commit(),
+                "birth": node.me().birth, "voter": node.is_voter(), "members": members })
+        });
+        let lines: Vec<_> = self
+            .peers
+            .values()
+            .filter_map(|p| Some((p, p.hail.as_ref()?)))
+            .map(|(p, hail)| {
+                json!({ "name": hail.name, "plane": format!("{:?}", hail.plane), "address": hail.address,
+                "follows": p.follows, "silent_ms": now.saturating_sub(p.heard) })
+            })
+            .collect();
+        let masters: Vec<_> = self
+            .cards()
+            .into_iter()
+            .map(|card| {
+                let reached = |address| address == self.settings.address || self.line_to(&address).is_some();
+                let line = card.address.parse().is_ok_and(reached);
+                json!({ "address": card.address, "zone": card.zone, "reached": line })
+            })
+            .collect();
+        let berths: Vec<_> = self
+            .register
+            .all(now)
+            .into_iter()
+            .map(|b| {
+                json!({ "id": b.id, "service": b.service, "address": b.address, "zone": b.zone,
+                "phase": format!("{:?}", b.phase), "overdue": b.overdue, "capacity": b.capacity })
+            })
+            .collect();
+        let counts: Vec<_> = self
+            .holder
+            .iter()
+            .flat_map(Holder::figures)
+            .map(|c| json!({ "tenant": c.tenant, "window": c.window, "granted": c.granted, "left": c.left }))
+            .collect();
+        let quays: Vec<_> = self.fleet.names().collect();
+        let status = json!({ "name": self.settings.me.name, "zone": self.settings.me.zone, "up_ms": now, "frames": self.frames,
+            "leader": leader.map(|l| l.to_string()), "epoch": epoch, "fresh": fresh,
+            "version": format!("r{}", self.ledger.version()), "log": log, "masters": masters, "lines": lines,
+            "quays": quays, "backends": berths, "counts": counts });
+        Reply { status: 200, body: status.to_string().into_bytes() }
+    }
+
     /// The last versions, and when they were taken.
     pub(super) fn history(&self, now: u64) -> Reply {
         let versions: Vec<_> = self
