A unit granted to a client that has left goes back; code that nobody called is gone

The purser said that such a unit goes back, but dropped it: the window's count held it and nobody could spend it. It now goes back to the block of its tenant. The test refuses the next request without the mend. Whom a pilot follows and a reader's peer were asked by nobody.

--- a/harbour/quay/src/purser.rs
+++ b/harbour/quay/src/purser.rs
@@ -17,7 +17,8 @@
     cache: RefCell<Cache>,
     began: Instant,
     requests: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Word>>>,
+    /// Who waits, and for a unit of which tenant.
+    waiting: RefCell<HashMap<u64, (String, oneshot::Sender<Word>)>>,
     /// Sends a draw to the holder of the counts; false when it can't be sent.
     send: Box<dyn Fn(Draw) -> bool>,
     stir: Notify,
@@ -73,17 +74,16 @@
 
     fn tell(&self, verdicts: Vec<(u64, Verdict)>) {
         for (request, verdict) in verdicts {
-            let Some(word) = self.waiting.borrow_mut().remove(&request) else { continue };
-            let verdict = match verdict {
+            let word = match verdict {
                 Verdict::Granted => Ok(()),
                 Verdict::Refused { retry_after } => Err(span(retry_after)),
-                Verdict::Wait { .. } => {
-                    self.waiting.borrow_mut().insert(request, word);
-                    continue;
-                }
+                Verdict::Wait { .. } => continue,
             };
+            let Some((tenant, waits)) = self.waiting.borrow_mut().remove(&request) else { continue };
             // Its client may have left meanwhile: what it was granted goes back.
-            let _ = word.send(verdict);
+            if waits.send(word).is_err_and(|word| word.is_ok()) {
+                self.give_back(&tenant);
+            }
         }
     }
 
@@ -126,7 +126,7 @@
             Verdict::Refused { retry_after } => Asked::Refused { retry_after: span(retry_after) },
             Verdict::Wait { .. } => {
                 let (word, told) = oneshot::channel();
-                self.waiting.borrow_mut().insert(request, word);
+                self.waiting.borrow_mut().insert(request, (tenant.to_owned(), word));
                 Asked::Wait(told)
             }
         };
@@ -146,3 +146,36 @@
 fn span(millis: f64) -> Duration {
     Duration::from_secs_f64(millis.max(0.0) / 1000.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tally::Share;
+
+    #[test]
+    fn what_was_granted_to_a_client_that_has_left_is_another_one_s() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let sent: Rc<Cell<u64>> = Rc::default();
+            let number = sent.clone();
+            let purser = Purser::start(1, Box::new(move |draw| number.replace(draw.number) == 0));
+            purser.fleet(3, true);
+            purser.quotas(vec![Quota { tenant: "t".into(), rate_per_s: 10.0, burst: 10.0 }]);
+            let wait = Duration::from_secs(60);
+            let Asked::Wait(word) = purser.ask("t", wait) else { panic!("no block is in hand") };
+            drop(word);
+            // The window's only unit.
+            let share = Share {
+                tenant: "t".into(),
+                window: 1,
+                granted: 1,
+                left: 0,
+                ends_in: 60_000.0,
+                slices: false,
+            };
+            purser.granted(Grant { number: sent.get(), epoch: 1, shares: vec![share] });
+            assert!(matches!(purser.ask("t", wait), Asked::Granted));
+            assert!(matches!(purser.ask("t", wait), Asked::Refused { .. }));
+        });
+    }
+}
--- a/harbour/tideway/src/lib.rs
+++ b/harbour/tideway/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use course::Course;
 pub use line::{Line, LineError, Reader, attach, dial};
-pub use pilot::{Follows, News, Pilot, PilotSettings};
+pub use pilot::{News, Pilot, PilotSettings};
 
 /// Runs a task for as long as the program runs.
 pub fn spawn(task: impl Future<Output = ()> + 'static) {
--- a/harbour/tideway/src/line.rs
+++ b/harbour/tideway/src/line.rs
@@ -107,11 +107,6 @@
             }
         }
     }
-
-    /// Who speaks.
-    pub fn peer(&self) -> SocketAddr {
-        self.peer
-    }
 }
 
 /// Takes a connection into use.
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -5,9 +5,7 @@
 use crate::line::{Line, LineError, Reader, dial};
 use crate::spawn;
 use flags::{Berth, Flag, Hail, MasterCard, Pulse, Sheet};
-use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -51,19 +49,9 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Whom a process follows at this moment, for operators.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Follows {
-    /// The one whose news it hears.
-    pub master: Option<SocketAddr>,
-    /// The holder of the counts.
-    pub holder: Option<SocketAddr>,
-}
-
 /// A follower of the news.
 pub struct Pilot {
     orders: mpsc::Sender<Order>,
-    follows: Rc<RefCell<Follows>>,
 }
 
 enum Order {
@@ -75,9 +63,8 @@
     /// Follows from now on; `news` hears all of it, in order.
     pub fn start(settings: PilotSettings, news: impl FnMut(News) + 'static) -> Self {
         let (orders, queue) = mpsc::channel(64);
-        let follows = Rc::new(RefCell::new(Follows::default()));
-        spawn(Helm::run(settings, Box::new(news), follows.clone(), queue));
-        Self { orders, follows }
+        spawn(Helm::run(settings, Box::new(news), queue));
+        Self { orders }
     }
 
     /// Sends a draw to the holder; false when it can't be sent.
@@ -89,11 +76,6 @@
     pub fn seeds(&self, seeds: Vec<SocketAddr>) {
         let _ = self.orders.try_send(Order::Seeds(seeds));
     }
-
-    /// Whom it follows.
-    pub fn follows(&self) -> Follows {
-        self.follows.borrow().clone()
-    }
 }
 
 /// What happened on a connection: its number, and what came or why it ended.
@@ -115,7 +97,6 @@
 struct Helm {
     settings: PilotSettings,
     news: Box<dyn FnMut(News)>,
-    follows: Rc<RefCell<Follows>>,
     course: Course,
     began: Instant,
     numbers: u64,
@@ -131,10 +112,7 @@
 }
 
 impl Helm {
-    async fn run(
-        settings: PilotSettings, news: Box<dyn FnMut(News)>, follows: Rc<RefCell<Follows>>,
-        mut orders: mpsc::Receiver<Order>,
-    ) {
+    async fn run(settings: PilotSettings, news: Box<dyn FnMut(News)>, mut orders: mpsc::Receiver<Order>) {
         let (events, mut inbox) = mpsc::channel(256);
         let (lines, mut up) = mpsc::channel(8);
         let (me, began) = (&settings.me, Instant::now());
@@ -142,7 +120,6 @@
         let mut helm = Self {
             settings,
             news,
-            follows,
             course,
             began,
             numbers: 0,
@@ -206,7 +183,6 @@
         let now = self.now();
         self.course.failed(now);
         self.master = None;
-        self.follows.borrow_mut().master = None;
     }
 
     fn on_tick(&mut self) {
@@ -248,14 +224,12 @@
         {
             self.holder = Some(self.voyage(leader));
         }
-        self.follows.borrow_mut().holder = leader;
     }
 
     fn on_up(&mut self, number: u64, line: Line) {
         if let Some(voyage) = self.master.as_mut().filter(|v| v.number == number) {
             line.send(&Flag::Follow { have: self.have });
             voyage.line = Some(line);
-            self.follows.borrow_mut().master = Some(voyage.to);
         } else if let Some(voyage) = self.holder.as_mut().filter(|v| v.number == number) {
             voyage.line = Some(line);
         }
