Operators take a voter that is gone for good off the list

Need: the log could take a voter off the list, but no call asked it to. A voter that was gone for good counted on as lost, so that of three the two others had to stay for ever.

Weighed: - An answer once the list is committed, kept as a proposal at the leader: another table, with its own times. The call keeps nothing instead: it answers 202 while the change is under way and 404 once nobody of that address votes and that list is committed, and the command repeats it for 5 s. A repeat does no harm, also at another leader. - Removing a voter that lives: its process would join again by itself, so it is refused (409), as is the leader. - Counting who would be left: whoever holds the lease hears a majority of the list, and a silent voter less leaves the same ones of fewer. Without a majority there is no leader with a lease, and the call is refused (503): a list that is cut down to one side of a split network would make two harbours.

Change: POST /Voters.Remove/ADDRESS, passed on to the leader as other orders are; `reachlb voter remove ADDRESS --at CONTROL [--json]`; logbook tells whether its list is settled and whether a leader hears a voter. Cost: one entry of the log, one message each way and a poll every 100 ms by the one who asks.

The test plays three processes: refusals of a voter that lives, of the leader, of an unknown and of an unusable address; a removal through one that does not lead; work with the two that are left; the removed one joins again with its disk.

--- a/harbour/flags/src/lib.rs
+++ b/harbour/flags/src/lib.rs
@@ -167,6 +167,8 @@
     },
     /// Give the newest one.
     Read,
+    /// Take a voter that is gone for good off the list, by its address.
+    Remove(String),
 }
 
 /// One message.
--- a/harbour/harbourmaster/src/calls.rs
+++ b/harbour/harbourmaster/src/calls.rs
@@ -61,6 +61,7 @@
             Self::Departure(_) => "departure",
             Self::Order(Order::Replace { .. }) => "replace",
             Self::Order(Order::Read) => "read",
+            Self::Order(Order::Remove(_)) => "remove",
             Self::Status => "status",
             Self::History | Self::Past(_) => "history",
             Self::Events(_) => "events",
@@ -109,7 +110,7 @@
 }
 
 /// All calls.
-pub const CALLS: [Declared; 9] = [
+pub const CALLS: [Declared; 10] = [
     Declared {
         method: Method::POST,
         path: "/Backends.Heartbeat/",
@@ -146,6 +147,18 @@
         says: JSON,
         read: |_, _, _| Ok(Call::Order(Order::Read)),
     },
+    Declared {
+        method: Method::POST,
+        path: "/Voters.Remove/",
+        takes_id: true,
+        longest: 0,
+        within: CHANGE_WITHIN,
+        says: JSON,
+        read: |id, _, _| match id.parse::<std::net::SocketAddr>() {
+            Ok(address) => Ok(Call::Order(Order::Remove(address.to_string()))),
+            Err(_) => Err(Reply::why(400, &format!("{id:?} is no ip:port"))),
+        },
+    },
     Declared {
         method: Method::GET,
         path: "/Harbour.Status",
--- a/harbour/harbourmaster/src/master/orders.rs
+++ b/harbour/harbourmaster/src/master/orders.rs
@@ -118,6 +118,10 @@
                 };
                 self.answer(asker, reply);
             }
+            Order::Remove(address) => {
+                let reply = self.remove(&address, now);
+                self.answer(asker, reply);
+            }
             Order::Replace { base, body } => {
                 let config = match Config::parse(&body) {
                     Ok(config) => config,
@@ -146,6 +150,33 @@
     }
 }
 
+impl Master {
+    /// Takes a voter off the list. The log wants to be asked until a majority of the others has the new list, so the
+    /// caller repeats the call until it is told so: 202 is "under way", 404 "nobody of that address votes". Whoever holds
+    /// the lease hears a majority of the list; one that it does not hear leaves a shorter list with the same voters heard.
+    fn remove(&mut self, address: &str, now: u64) -> Reply {
+        let Some(node) = &self.node else { return Reply::why(503, "this process does not lead") };
+        let under_way = Reply::why(202, "under way: ask again");
+        let Some(voter) = node.members().iter().find(|voter| voter.address == address).cloned() else {
+            let voters: Vec<_> = node.members().iter().map(|voter| voter.address.as_str()).collect();
+            let why = format!("{address} is no voter; the voters are {}", voters.join(", "));
+            return if node.voters_settled() { Reply::why(404, &why) } else { under_way };
+        };
+        if voter == *node.me() {
+            return Reply::why(
+                409,
+                &format!("{address} leads: end its process first, then another one does"),
+            );
+        }
+        // It would join again by itself as long as it runs.
+        if node.hears(&voter, now) {
+            return Reply::why(409, &format!("{address} lives: end its process first"));
+        }
+        self.log(Input::RemoveVoter(voter));
+        under_way
+    }
+}
+
 pub(super) fn reply_to(verdict: Verdict) -> Reply {
     match verdict {
         Verdict::Taken | Verdict::TakenBefore => Reply::done(),
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -279,6 +279,38 @@
     assert_eq!(masters[lost].read(), (200, config(2)));
 }
 
+#[test]
+fn a_voter_that_is_gone_is_taken_off_the_list_and_one_that_lives_is_not() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    let first = leader(&masters);
+    let (gone, other) = ((first + 1) % 3, (first + 2) % 3);
+    let remove = |by: &Process, address: &str| {
+        until(|| {
+            let answer = by.call(&format!("POST /Voters.Remove/{address} HTTP/1.1"), "");
+            answer.filter(|(status, _)| *status < 500 && *status != 202)
+        })
+    };
+    let address = harbour.peers[gone].to_string();
+    assert_eq!(remove(&masters[other], &address).0, 409, "it lives");
+    assert_eq!(remove(&masters[other], "127.0.0.1:1").0, 404);
+    assert_eq!(remove(&masters[other], "m1").0, 400);
+    until(|| {
+        let (status, why) = remove(&masters[other], &harbour.peers[leader(&masters)].to_string());
+        (status == 409 && why.contains("leads")).then_some(())
+    });
+    masters[gone].kill();
+    // Heard a moment ago, it counts as alive; who does not lead passes the call on.
+    let (_, why) = until(|| Some(remove(&masters[other], &address)).filter(|(status, _)| *status == 404));
+    let left = [first, other].map(|at| harbour.peers[at].to_string());
+    assert!(left.iter().all(|voter| why.contains(voter)) && why.matches(&address).count() == 1, "{why}");
+    assert_eq!(masters[other].insist(1, &config(2)), 200);
+    // Started again with its disk, it joins again.
+    masters[gone] = harbour.start(gone, false);
+    until(|| Some(remove(&masters[other], &address)).filter(|(status, _)| *status == 409));
+}
+
 #[test]
 fn masters_without_a_log_do_not_send_each_other_round_in_a_circle() {
     let harbour = Harbour::new();
--- a/harbour/logbook/src/members.rs
+++ b/harbour/logbook/src/members.rs
@@ -74,9 +74,9 @@
     /// first, in an entry of its own: a list with one voter exchanged may have a majority that the old list lacks.
     pub(crate) fn take_in(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
         let last = self.log.last();
-        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(voter)) else { return };
         // One that has answered no pulse lately would take the majority with it from a leader that has few others.
-        let lives = peer.answered.is_some_and(|at| at.saturating_add(self.timing.election) > now);
+        let lives = self.hears(voter, now);
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(voter)) else { return };
         let near = peer.matched > 0 && peer.matched + NEAR >= last;
         if !peer.wanted || !near || !lives || !self.may_change_members() {
             return;
@@ -95,9 +95,7 @@
     /// Two leaders could each make a change that overlaps with the old list but not with the other's, unless the later
     /// one has an entry of its own term committed first.
     fn may_change_members(&self) -> bool {
-        self.lead.is_some()
-            && self.log.term_at(self.commit) == Some(self.term)
-            && self.log.members_index() <= self.commit
+        self.lead.is_some() && self.log.term_at(self.commit) == Some(self.term) && self.voters_settled()
     }
 
     fn write_members(&mut self, now: Millis, list: Vec<VoterId>, out: &mut Vec<Output>) {
--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -177,6 +177,18 @@
         self.is_member(&self.me)
     }
 
+    /// Whether the newest list of voters is committed.
+    pub fn voters_settled(&self) -> bool {
+        self.log.members_index() <= self.commit
+    }
+
+    /// Whether this leader has heard a voter: it has answered a pulse that was sent within an election before now.
+    pub fn hears(&self, voter: &VoterId, now: Millis) -> bool {
+        let answered = |lead: &Lead| lead.peers.iter().find(|peer| peer.id == *voter)?.answered;
+        let answered = self.lead.as_ref().and_then(answered);
+        answered.is_some_and(|at| at.saturating_add(self.timing.election) > now)
+    }
+
     /// When `Tick` is wanted next.
     pub fn next_due(&self) -> Millis {
         self.lead.as_ref().map_or(self.election_due, |lead| lead.pulse_due)
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -35,6 +35,8 @@
     Explain(operate::Explain),
     /// what lies in the data folder of a process that does not run
     State(operate::StateCalls),
+    /// the list of voters, changed by hand
+    Voter(operate::VoterCalls),
 }
 
 #[derive(Debug, Options)]
@@ -63,6 +65,7 @@
         Command::Config(call) => return operate::run(operate::config(call)),
         Command::Explain(call) => return operate::run(operate::explain(call)),
         Command::State(call) => return operate::told(operate::state(call)),
+        Command::Voter(call) => return operate::run(operate::voter(call)),
         Command::Quay(_) => Program::Quay,
         Command::Harbourmaster(_) => Program::Harbourmaster,
     };
--- a/harbour/programs/src/operate/client.rs
+++ b/harbour/programs/src/operate/client.rs
@@ -30,13 +30,15 @@
 impl Answer {
     /// The answer, unless it is a refusal.
     pub fn granted(self, step: &'static str) -> Result<Self, Trouble> {
-        if self.status == 200 {
-            return Ok(self);
-        }
+        if self.status == 200 { Ok(self) } else { Err(self.refused(step)) }
+    }
+
+    /// The answer as a refusal, with its reason.
+    pub fn refused(self, step: &'static str) -> Trouble {
         let read = serde_json::from_slice::<Value>(&self.body).ok();
         let why = read.and_then(|body| Some(body.get("error")?.as_str()?.to_owned()));
         let why = why.unwrap_or_else(|| String::from_utf8_lossy(&self.body).chars().take(400).collect());
-        Err(Trouble::Refused { step, peer: self.peer, status: self.status, why })
+        Trouble::Refused { step, peer: self.peer, status: self.status, why }
     }
 
     /// The answer read.
--- a/harbour/programs/src/operate/mod.rs
+++ b/harbour/programs/src/operate/mod.rs
@@ -9,11 +9,13 @@
 mod state;
 mod status;
 mod table;
+mod voter;
 
 pub use config::{ConfigCalls, config};
 pub use explain::{Explain, explain};
 pub use state::{StateCalls, state};
 pub use status::{Status, status};
+pub use voter::{VoterCalls, voter};
 
 use miette::Diagnostic;
 use std::process::ExitCode;
