A master that lacks what the leader calls committed is not of this moment

By the logs the cut voter knew the new leader within a ms, since pulses reached it, but its answers reached nobody, and a leader sends no more than its window holds to one that does not answer. The master called itself of this moment all the same, so its quays stayed. Ruled out: quays slow to leave (0.9 s after the last good word), two leaders, a slow disk or processor (later entries take 2 ms on the same quays).

A node now keeps the highest commit that a leader has told it and lags while its own is lower; its master then says that it is behind, and quays leave it as they leave one that has lost the leader. Entries come before the word that they count, on one connection, so healthy followers never lag. Weighed: sending on without answers, which costs bytes without bound towards a dead machine. A voter that comes back with an old log no longer calls itself of this moment either.

--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -11,7 +11,7 @@
             }
             Some(node) => {
                 let leader = node.leader().and_then(|voter| voter.address.parse().ok());
-                (leader, node.term(), leader.is_some() && node.commit() > 0)
+                (leader, node.term(), leader.is_some() && node.commit() > 0 && !node.lags())
             }
             None => {
                 let fresh = self.told.fresh && now < self.told_at + 1300;
--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -57,6 +57,8 @@
     pub(crate) vote: Option<VoterId>,
     pub(crate) log: Log,
     pub(crate) commit: u64,
+    /// Up to where a leader has said that the log is committed.
+    pub(crate) told_commit: u64,
     pub(crate) leader: Option<VoterId>,
     /// Present while this node leads.
     pub(crate) lead: Option<Lead>,
@@ -94,6 +96,7 @@
             term,
             vote,
             commit: log.base(),
+            told_commit: 0,
             leader: None,
             lead: None,
             canvass: None,
@@ -162,6 +165,12 @@
         self.commit
     }
 
+    /// Whether entries are committed that this node lacks. A leader sends no more of them than its window holds to one
+    /// whose answers do not reach it; its pulses still come, so that hearing them proves nothing about the log here.
+    pub fn lags(&self) -> bool {
+        self.told_commit > self.commit
+    }
+
     /// The voters, as of the newest list in the log.
     pub fn members(&self) -> &[VoterId] {
         self.log.members()
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -347,7 +347,7 @@
         &mut self, now: Millis, from: VoterId, term: u64, echo: u64, commit: u64, out: &mut Vec<Output>,
     ) {
         if self.follows(now, &from, term, out) {
-            self.commit_to(commit.min(self.verified), out);
+            self.learn_commit(commit, out);
         } else if term >= self.term {
             return;
         }
@@ -389,10 +389,15 @@
             self.log.push(entry);
         }
         self.verified = self.verified.max(upto);
-        self.commit_to(commit.min(self.verified), out);
+        self.learn_commit(commit, out);
         Some(Message::Matched { term: self.term, index: upto })
     }
 
+    fn learn_commit(&mut self, commit: u64, out: &mut Vec<Output>) {
+        self.told_commit = self.told_commit.max(commit);
+        self.commit_to(commit.min(self.verified), out);
+    }
+
     /// Up to where the logs may agree: not the entries of a term that the leader has not at that place.
     fn hint(&self, prev_index: u64) -> u64 {
         let mut hint = prev_index.saturating_sub(1).min(self.log.last());
--- a/harbour/logbook/tests/rules.rs
+++ b/harbour/logbook/tests/rules.rs
@@ -115,6 +115,29 @@
     assert!(out.contains(&Output::Refused { token: 8, leader: None }), "{out:?}");
 }
 
+/// Its answers are lost, the leader's words are not: the leader keeps to its window and goes on telling that it lives.
+#[test]
+fn who_hears_of_commits_but_gets_no_entries_knows_that_it_lags() {
+    let mut node = Node::start(saved(three()), TIMING, 1, 0);
+    let entry = |index| Entry { index, term: 1, what: What::Change(vec![1]) };
+    let append = |at, entries, commit| {
+        let prev_term = u64::from(at > 0);
+        heard(1, Message::Append { term: 1, prev_index: at, prev_term, entries, commit })
+    };
+    let pulse = |echo, commit| heard(1, Message::Pulse { term: 1, echo, commit });
+    step(&mut node, 1, append(0, vec![entry(1)], 0));
+    step(&mut node, 2, pulse(1, 1));
+    assert!(node.commit() == 1 && !node.lags(), "the usual order: entries first, then that they count");
+    for echo in 2..20 {
+        step(&mut node, echo * 50, pulse(echo, 3));
+        assert!(node.leader() == Some(&voter(1, 0)) && node.lags());
+    }
+    step(&mut node, 1000, append(1, vec![entry(2)], 3));
+    assert!(node.lags(), "one of two");
+    step(&mut node, 1001, append(2, vec![entry(3)], 3));
+    assert!(node.commit() == 3 && !node.lags());
+}
+
 /// When three nodes whose disks take this long for each save have a leader.
 fn leader_with_disks_of(sync: u64, seed: u64) -> Option<u64> {
     let one = |at: usize| Saved { me: voter(at, 0), ..saved(three()) };
