A relay without a log says sooner that it has heard nothing of a leader

A master without a log took the last word of a leader for one of this moment for 1.3 s; quays leave whoever is behind 0.9 s after its last good word.

Weighed: a shorter wait of the quays, which would send all of them round at each election.

It is 0.8 s now, two pulses and room for a third: 1.9 s in all. Elections take about 0.7 s with the time until the word of them has come, so that none of this moves quays at an ordinary one.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -31,6 +31,9 @@
 const PULSE: u64 = 350;
 /// ... and news of the leader no more often than this.
 const LEAST_PULSE: u64 = 40;
+/// What others told of the leader is of this moment for so long: two of their pulses and some room. Quays leave whoever
+/// is behind 0.9 s after its last good word, so that those behind a relay that was cut off have news again within 2 s.
+const WORD: u64 = 800;
 /// Other masters hear whose beats came here, and who else serves control, this often.
 const ROUND: u64 = 400;
 /// A master that could not be reached is dialed again after this, drawn up to twice as long: after a herd's death the
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -14,7 +14,7 @@
                 (leader, node.term(), leader.is_some() && node.commit() > 0 && !node.lags())
             }
             None => {
-                let fresh = self.told.fresh && now < self.told_at + 1300;
+                let fresh = self.told.fresh && now < self.told_at + WORD;
                 (self.told.leader.as_ref().and_then(|l| l.parse().ok()), self.told.epoch, fresh)
             }
         }
@@ -55,7 +55,7 @@
 
     pub(super) fn on_pulse(&mut self, pulse: Pulse, now: u64) {
         let newer = pulse.fresh && pulse.epoch >= self.told.epoch;
-        if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + 1300) {
+        if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + WORD) {
             (self.told, self.told_at) = (pulse, now);
         }
     }
