A log that is told again sends followers its last configuration only

By the logs quays that had followed a master before it knew a leader were late, each at its own time, and those that came later had it in 4 ms. What is committed in a log read from disk is known only with a leader; then up to 16 entries are applied at once, each sent a whole configuration to every follower, and the pulse that says that it is of this moment waited behind them on links of 2 Mbit/s. Ruled out: election, vote and disk (23 ms from the candidate to the first committed entry), the quays' processors, patience with doubtful news.

Entries only note the change; followers are sent the newest once the message that brought them is worked through. Weighed: sending the pulse first, which would have quays take the oldest of them.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -158,6 +158,8 @@
     ledger: Ledger,
     config: Option<Config>,
     sheet: Option<Rc<[u8]>>,
+    /// Entries have brought another configuration into force, and followers are yet to be told.
+    changed: bool,
     node: Option<Node>,
     disk: Option<Disk>,
     holder: Option<Holder>,
@@ -209,6 +211,7 @@
             ledger,
             config: None,
             sheet: None,
+            changed: false,
             node,
             disk,
             holder: None,
@@ -275,6 +278,11 @@
         if self.node.as_ref().is_some_and(|node| now >= node.next_due()) {
             self.log(Input::Tick);
         }
+        // A log that is told again after a start brings many versions at once. Followers need the last one only, and
+        // the word that it is of this moment waits behind whatever is sent before it.
+        if std::mem::take(&mut self.changed) {
+            self.renewed();
+        }
         if now >= self.next[0] {
             self.next[0] = now + TICK;
             self.tend_calls(now);
--- a/harbour/harbourmaster/src/master/entries.rs
+++ b/harbour/harbourmaster/src/master/entries.rs
@@ -36,11 +36,8 @@
             }
             Output::Install { snapshot } => match Ledger::restore(&snapshot.state) {
                 Ok(ledger) => {
-                    let newer = ledger.version() > self.ledger.version();
+                    self.changed |= ledger.version() > self.ledger.version();
                     self.ledger = ledger;
-                    if newer {
-                        self.renewed();
-                    }
                 }
                 Err(error) => {
                     let (index, epoch) = (snapshot.index, snapshot.term);
@@ -89,9 +86,7 @@
         let version = change.version;
         let verdict = self.ledger.apply(at, change);
         self.watch.change(now, version, verdict);
-        if verdict == Verdict::Taken {
-            self.renewed();
-        }
+        self.changed |= verdict == Verdict::Taken;
         if let Some(token) = self.accepted.remove(&index) {
             self.answer_proposed(token, reply_to(verdict));
         }
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -279,6 +279,49 @@
     assert_eq!(masters[lost].read(), (200, config(2)));
 }
 
+#[test]
+fn a_log_that_is_told_again_sends_followers_its_last_configuration_only() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    for version in 1..=9 {
+        assert_eq!(masters[0].insist(version - 1, &config(version)), 200);
+    }
+    masters.iter_mut().for_each(Process::kill);
+    let _masters = harbour.all(false);
+    // It follows before there is a leader, as all do whose machines come back together.
+    let mut follower = until(|| TcpStream::connect(harbour.peers[0]).ok());
+    let hail = Hail {
+        name: "q".into(),
+        life: 1,
+        plane: Plane::Quay,
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        quorum: false,
+        birth: None,
+    };
+    let frames = [Flag::Hail(hail), Flag::Follow { have: 0 }].map(|flag| flags::frame(&flag)).concat();
+    follower.write_all(&frames).expect("sent");
+    follower.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    let (mut read, mut sheets) = (Vec::new(), Vec::new());
+    loop {
+        while let Some((flag, length)) = flags::unframe::<Flag>(&read).expect("a frame") {
+            read.drain(..length);
+            match flag {
+                Flag::Sheet(sheet) => sheets.push(sheet.version),
+                Flag::Pulse(pulse) if pulse.fresh => {
+                    assert_eq!((pulse.version, sheets), (9, vec![9]));
+                    return;
+                }
+                _ => {}
+            }
+        }
+        let mut bytes = [0; 4096];
+        let length = follower.read(&mut bytes).expect("news");
+        assert!(length > 0, "the line is over");
+        read.extend_from_slice(&bytes[..length]);
+    }
+}
+
 #[test]
 fn masters_without_a_log_do_not_send_each_other_round_in_a_circle() {
     let harbour = Harbour::new();
