--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -31,6 +31,9 @@
 const PULSE: u64 = 350;
 /// ... and news of the leader no more often than this.
 const LEAST_PULSE: u64 = 40;
+/// What others told of the leader is of this moment for so long: two of their pulses and some room. Quays leave whoever
+/// is behind 0.9 s after its last good word, so that those behind a relay that was cut off have news again within 2 s.
+const WORD: u64 = 800;
 /// Other masters hear whose beats came here, and who else serves control, this often.
 const ROUND: u64 = 400;
 /// A master that could not be reached is dialed again after this, drawn up to twice as long: after a herd's death the
@@ -155,6 +158,8 @@
     ledger: Ledger,
     config: Option<Config>,
     sheet: Option<Rc<[u8]>>,
+    /// Entries have brought another configuration into force, and followers are yet to be told.
+    changed: bool,
     node: Option<Node>,
     disk: Option<Disk>,
     holder: Option<Holder>,
@@ -206,6 +211,7 @@
             ledger,
             config: None,
             sheet: None,
+            changed: false,
             node,
             disk,
             holder: None,
@@ -272,6 +278,11 @@
         if self.node.as_ref().is_some_and(|node| now >= node.next_due()) {
             self.log(Input::Tick);
         }
+        // A log that is told again after a start brings many versions at once. Followers need the last one only, and
+        // the word that it is of this moment waits behind whatever is sent before it.
+        if std::mem::take(&mut self.changed) {
+            self.renewed();
+        }
         if now >= self.next[0] {
             self.next[0] = now + TICK;
             self.tend_calls(now);
