--- a/harbour/logbook/src/store.rs
+++ b/harbour/logbook/src/store.rs
@@ -1,10 +1,15 @@
 //! The disk of a node: one `redb` file. A save is one transaction, durable when it returns.
 
+use std::fs::{File, OpenOptions};
+use std::ops::Bound;
 use std::path::{Path, PathBuf};
 
 use bitcode::{DecodeOwned, Encode};
 use miette::Diagnostic;
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+use redb::backends::FileBackend;
+use redb::{
+    Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, TableError,
+};
 
 use crate::types::{Entry, Save, Saved, Snapshot, VoterId};
 
@@ -17,6 +22,12 @@
 /// A file that is longer than this is made smaller when it is opened.
 const LONG: u64 = 24 << 20;
 
+/// `redb`'s own: the bytes of its mark at the start, of the header that they are in, and (at most) of a file before
+/// its first transaction.
+const MARK: usize = 9;
+const HEADER: usize = 512;
+const LONGEST_HALF_MADE: u64 = 1 << 20;
+
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const SNAPSHOT: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshot");
@@ -113,11 +124,33 @@
     /// Opens the file, or makes an empty one, and checks all that is in it. An empty one has nothing saved yet: see
     /// [`Store::create`].
     pub fn open(path: impl AsRef<Path>) -> Result<(Store, Option<Saved>), StoreError> {
-        let path = path.as_ref().to_path_buf();
-        let db = Database::builder().set_cache_size(CACHE).create(&path).map_err(fail(&path, "opening"))?;
+        let path = path.as_ref();
+        let new = !path.exists();
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+        let file = file.map_err(fail(path, "opening"))?;
+        if new && let Some(folder) = path.parent().filter(|folder| !folder.as_os_str().is_empty()) {
+            // A file that is on disk while its name is not would be gone with all that it had promised.
+            File::open(folder).and_then(|folder| folder.sync_all()).map_err(fail(path, "beginning"))?;
+        }
+        Store::on(FileBackend::new(file).map_err(fail(path, "opening"))?, path)
+    }
+
+    /// As above, on what need not be a file; `path` is what errors call it.
+    pub fn on(
+        backend: impl StorageBackend, path: impl Into<PathBuf>,
+    ) -> Result<(Store, Option<Saved>), StoreError> {
+        let path = path.into();
+        if half_made(&backend).map_err(fail(&path, "opening"))? {
+            clear(&backend).map_err(fail(&path, "beginning"))?;
+        }
+        let long = backend.len().map_err(fail(&path, "opening"))? > LONG;
+        let mut builder = Database::builder();
+        // Otherwise `redb` trusts a file that was closed properly: a byte changed in it later would end this process
+        // in the midst of the library, at each start anew.
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        let db = builder.create_with_backend(backend).map_err(fail(&path, "opening"))?;
         let mut store = Store { db, path };
         let saved = store.read()?;
-        let long = std::fs::metadata(&store.path).is_ok_and(|data| data.len() > LONG);
         if long {
             // Room that is free inside the file goes back to the disk, which is small.
             store.db.compact().map_err(fail(&store.path, "making smaller"))?;
@@ -288,11 +321,41 @@
         .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
 }
 
+/// Whether power went while `redb` made the file: it writes its mark last, and nobody was told anything before. Taken for
+/// damaged, founders that lose their power at the first start would not be founders any more.
+fn half_made(backend: &impl StorageBackend) -> std::io::Result<bool> {
+    let length = backend.len()?;
+    if length == 0 || length > LONGEST_HALF_MADE {
+        return Ok(false);
+    }
+    let mut bytes = vec![0; length as usize];
+    backend.read(0, &mut bytes)?;
+    let (mark, rest) = (bytes.iter().take(MARK), bytes.iter().skip(HEADER));
+    Ok(mark.chain(rest).all(|byte| *byte == 0))
+}
+
+/// Empties a half made file, unless another process is making it right now.
+fn clear(backend: &impl StorageBackend) -> std::io::Result<()> {
+    let all = (Bound::Unbounded, Bound::Unbounded);
+    let locked = backend.try_lock_range(all.0, all.1);
+    if !matches!(locked, Ok(false)) && half_made(backend)? {
+        backend.set_len(0)?;
+    }
+    if matches!(locked, Ok(true)) {
+        backend.unlock_range(all.0, all.1).map_err(std::io::Error::other)?;
+    }
+    Ok(())
+}
+
 /// A failure of the file, told as damage where that is what `redb` says.
 fn fail<E: Into<redb::Error>>(path: &Path, step: &'static str) -> impl FnOnce(E) -> StoreError {
     let path = path.to_path_buf();
     move |cause| match cause.into() {
         redb::Error::Corrupted(what) => StoreError::Damaged { what, path },
+        // This program never wrote a file of an older format.
+        redb::Error::UpgradeRequired(found) => {
+            StoreError::Damaged { what: format!("it has the file format {found}"), path }
+        }
         redb::Error::Io(cause) if cause.kind() == std::io::ErrorKind::InvalidData => {
             StoreError::Damaged { what: cause.to_string(), path }
         }
--- a/harbour/logbook/tests/drawn.rs
+++ b/harbour/logbook/tests/drawn.rs
@@ -1,5 +1,6 @@
 //! The log in drawn worlds: what must never be, over some hundred seeds, and planted faults that must be found.
 
+mod kept;
 mod world;
 
 use logbook::{Faults, Input};
--- /dev/null
+++ b/harbour/logbook/tests/kept/mod.rs
@@ -0,0 +1,20 @@
+//! What a disk has after a save, told without one.
+
+use logbook::{Save, Saved, VoterId};
+
+pub fn empty(me: VoterId, founders: Vec<VoterId>) -> Saved {
+    Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders }
+}
+
+pub fn apply(disk: &mut Saved, save: &Save) {
+    disk.term = save.term;
+    disk.vote = save.vote.clone();
+    if let Some(from) = save.truncate {
+        disk.entries.retain(|entry| entry.index < from);
+    }
+    disk.entries.extend(save.entries.iter().cloned());
+    if let Some(snapshot) = &save.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot.clone());
+    }
+}
--- a/harbour/logbook/tests/world/mod.rs
+++ b/harbour/logbook/tests/world/mod.rs
@@ -7,6 +7,8 @@
     Entry, Faults, Input, Message, Millis, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What,
 };
 
+use crate::kept::{apply, empty};
+
 pub const TIMING: Timing = Timing { pulse: 50, election: 300, lease: 220 };
 
 pub struct Draw(u64);
@@ -28,23 +30,6 @@
     }
 }
 
-fn empty(me: VoterId, founders: Vec<VoterId>) -> Saved {
-    Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders }
-}
-
-pub fn apply(disk: &mut Saved, save: &Save) {
-    disk.term = save.term;
-    disk.vote = save.vote.clone();
-    if let Some(from) = save.truncate {
-        disk.entries.retain(|entry| entry.index < from);
-    }
-    disk.entries.extend(save.entries.iter().cloned());
-    if let Some(snapshot) = &save.snapshot {
-        disk.entries.retain(|entry| entry.index > snapshot.index);
-        disk.snapshot = Some(snapshot.clone());
-    }
-}
-
 pub struct Host {
     pub disk: Saved,
     pub node: Option<Node>,
