Agreement is searched over all orders of events to a stated depth

Need: drawn worlds find what is likely; votes, terms and lists go wrong in orders that are not.

Messages stay when delivered, so that losses, repeats and orders need no choices; time is the search's.

--- /dev/null
+++ b/harbour/logbook/src/agreement/mod.rs
@@ -0,0 +1,138 @@
+//! Agreement, checked: all orders of what may happen to a few voters, up to a depth.
+
+#[path = "../../tests/kept/mod.rs"]
+mod kept;
+mod search;
+mod world;
+
+use search::search;
+use world::{Budget, Event, Plant, World, voter};
+use yare::parameterized;
+
+const QUIET: Budget = Budget {
+    term: 3,
+    lazy: 0,
+    restarts: 0,
+    wipes: 0,
+    proposals: 0,
+    joins: 0,
+    leaves: 0,
+    compactions: 0,
+    give_ways: 0,
+};
+
+/// Three voters that have never had a leader.
+fn founding(plant: Plant) -> World {
+    World::new(3, 0, plant).with(Budget { term: 2, lazy: 2, restarts: 1, ..QUIET })
+}
+
+/// The first leads; the third has heard nothing of the entry that the other two have committed.
+fn led(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { term: 1, ..QUIET });
+    world.then(Event::Stand(0)).settle(&[0, 1]).lose()
+}
+
+fn fresh(plant: Plant) -> World {
+    World::new(3, 0, plant).with(Budget { term: 1, lazy: 2, ..QUIET })
+}
+
+fn proposing(plant: Plant) -> World {
+    led(plant).with(Budget { proposals: 2, restarts: 1, ..QUIET })
+}
+
+fn wiped(plant: Plant) -> World {
+    led(plant).with(Budget { term: 3, lazy: 1, restarts: 1, wipes: 1, ..QUIET })
+}
+
+/// The first led and wrote an entry, then the second did, each for itself; now the first leads again.
+fn split(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { give_ways: 2, ..QUIET });
+    let world = world.then(Event::Stand(0)).hear(1, 0).hear(0, 1).then(Event::GiveWay(0)).lose();
+    let world = world.then(Event::Stand(1)).hear(2, 1).hear(1, 2).then(Event::GiveWay(1)).lose();
+    let world = world.then(Event::Stand(0)).then(Event::Stand(0)).hear(2, 0).hear(0, 2);
+    world.with(Budget { term: 4, ..QUIET })
+}
+
+/// ... and the second has heard of it.
+fn split_heard(plant: Plant) -> World {
+    split(plant).hear(1, 0)
+}
+
+/// A fourth host has the log and wants to be a voter; one of the three is to leave.
+fn joining(plant: Plant) -> World {
+    let world = World::new(3, 1, plant).with(Budget { joins: 1, ..QUIET });
+    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Add(0, voter(3, 9))).hear(3, 0);
+    world.with(Budget { term: 2, lazy: 1, leaves: 1, ..QUIET })
+}
+
+/// A leader that has written a list without the third voter, and one that knows nothing of it.
+fn leaving(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { leaves: 1, ..QUIET });
+    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Remove(0, voter(2, 0)));
+    world.with(Budget { term: 3, restarts: 1, leaves: 1, ..QUIET })
+}
+
+/// The third has lost its disk, and comes back under another number.
+fn exchanged(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { wipes: 1, joins: 1, ..QUIET });
+    let world = world.then(Event::Stand(0)).settle(&[0, 1, 2]).lose().then(Event::Wipe(2));
+    world.then(Event::Add(0, voter(2, 1))).hear(2, 0).with(Budget { term: 2, restarts: 1, ..QUIET })
+}
+
+/// The leader has dropped the entries that the third lacks.
+fn compacted(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { proposals: 1, compactions: 1, ..QUIET });
+    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Propose(0)).settle(&[0, 1]).lose();
+    world.then(Event::Compact(0)).with(Budget {
+        term: 2,
+        lazy: 1,
+        restarts: 1,
+        proposals: 1,
+        compactions: 1,
+        ..QUIET
+    })
+}
+
+#[parameterized(
+    from_founding = { founding, 6 },
+    from_wiped = { wiped, 5 },
+    from_split = { split, 7 },
+    from_joining = { joining, 5 },
+    from_leaving = { leaving, 5 },
+    from_exchanged = { exchanged, 8 },
+    from_compacted = { compacted, 5 },
+)]
+fn nothing_that_must_never_be_is_within_reach(start: fn(Plant) -> World, depth: usize) {
+    let reach = search(start(Plant::Nothing), depth, usize::MAX).unwrap_or_else(|fault| panic!("{fault}"));
+    println!("{:?} {reach:?}", std::thread::current().name());
+    assert!(reach.depth == depth && reach.committed > 0, "{reach:?}");
+}
+
+/// How deep a million states of each are.
+#[parameterized(
+    from_founding = { founding },
+    from_wiped = { wiped },
+    from_split = { split },
+    from_joining = { joining },
+    from_leaving = { leaving },
+    from_exchanged = { exchanged },
+    from_compacted = { compacted },
+)]
+#[ignore = "some minutes: cargo test --release -p logbook --lib -- --ignored --nocapture --test-threads 2"]
+fn nothing_that_must_never_be_is_far_off(start: fn(Plant) -> World) {
+    let reach = search(start(Plant::Nothing), 100, 1_000_000).unwrap_or_else(|fault| panic!("{fault}"));
+    println!("{:?} {reach:?}", std::thread::current().name());
+}
+
+#[parameterized(
+    vote_before_sync = { Plant::VoteBeforeSync, founding, "votes in term" },
+    entries_before_sync = { Plant::EntriesBeforeSync, fresh, "on disk, which has" },
+    old_term = { Plant::OldTermCounts, split_heard, "which was committed" },
+    wiped_counts = { Plant::WipedCounts, wiped, "votes of 3" },
+    second_list = { Plant::SecondList, proposing, "two changes of the list" },
+)]
+fn planted_faults_are_found(plant: Plant, start: fn(Plant) -> World, what: &str) {
+    let fault = search(start(plant), 10, 1_000_000).expect_err("nothing is found");
+    println!("{fault}");
+    assert!(fault.contains(what), "{fault}");
+}
--- a/harbour/logbook/src/election.rs
+++ b/harbour/logbook/src/election.rs
@@ -9,6 +9,7 @@
 
 /// A round of asking for votes.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Canvass {
     /// Whether this is the election itself, not the sounding out before it.
     pub(crate) binding: bool,
--- a/harbour/logbook/src/lib.rs
+++ b/harbour/logbook/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+#[cfg(test)]
+mod agreement;
 mod election;
 mod log;
 mod members;
@@ -15,5 +17,9 @@
 pub mod store;
 mod types;
 
+// What tests share names this crate as they do.
+#[cfg(test)]
+extern crate self as logbook;
+
 pub use node::{Faults, Node};
 pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
--- a/harbour/logbook/src/log.rs
+++ b/harbour/logbook/src/log.rs
@@ -5,6 +5,7 @@
 use crate::types::{Entry, Snapshot, VoterId, What};
 
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Log {
     founders: Vec<VoterId>,
     snapshot: Option<Snapshot>,
--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -10,6 +10,7 @@
 /// Faults that tests plant to see that they are found. All off in service.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, Default)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Faults {
     /// Votes are not written to disk.
     pub vote_unsaved: bool,
@@ -27,7 +28,8 @@
 
 /// What waits for a save.
 #[derive(Debug)]
-struct Waiting {
+#[cfg_attr(test, derive(Clone, Hash))]
+pub(crate) struct Waiting {
     ticket: u64,
     /// Up to where the log is on disk with it.
     upto: u64,
@@ -39,6 +41,7 @@
 
 /// What one input has changed of what must be on disk.
 #[derive(Debug, Default)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Unsaved {
     pub(crate) ballot: bool,
     pub(crate) truncate: Option<u64>,
@@ -49,6 +52,7 @@
 
 /// One voter, or one that wants to become one.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub struct Node {
     pub(crate) me: VoterId,
     pub(crate) timing: Timing,
@@ -73,12 +77,12 @@
     /// Up to where the log is on disk.
     pub(crate) durable: u64,
     pub(crate) durable_term: u64,
-    tickets: u64,
-    waiting: VecDeque<Waiting>,
+    pub(crate) tickets: u64,
+    pub(crate) waiting: VecDeque<Waiting>,
     pub(crate) unsaved: Unsaved,
     answers: Vec<Output>,
-    told: Role,
-    random: u64,
+    pub(crate) told: Role,
+    pub(crate) random: u64,
 }
 
 impl Node {
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -12,7 +12,7 @@
 const MOST_UNDER_WAY: usize = 4;
 /// How many accepted entries may wait for their commitment, and how large a change may be.
 const MOST_UNCOMMITTED: u64 = 1024;
-const MOST_UNCOMMITTED_BYTES: usize = 16 << 20;
+const MOST_UNCOMMITTED_BYTES: usize = 6 << 20;
 const LARGEST_CHANGE: usize = 4 << 20;
 /// How many of the newest pulses can still be answered.
 const MOST_ECHOES: usize = 256;
@@ -22,15 +22,16 @@
 
 /// What a leader keeps.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Lead {
     pub(crate) since: Millis,
     pub(crate) pulse_due: Millis,
     pub(crate) peers: Vec<Peer>,
     /// Proposals that wait for their commitment.
     pub(crate) tokens: VecDeque<Accepted>,
-    echo: u64,
+    pub(crate) echo: u64,
     /// When the newest pulses were sent.
-    echoes: VecDeque<(u64, Millis)>,
+    pub(crate) echoes: VecDeque<(u64, Millis)>,
 }
 
 impl Lead {
@@ -52,6 +53,7 @@
 
 /// A proposal in the leader's log.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Accepted {
     index: u64,
     pub(crate) token: u64,
@@ -60,6 +62,7 @@
 
 /// What a leader knows of another node.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Peer {
     pub(crate) id: VoterId,
     /// Up to where its disk has this log.
@@ -67,19 +70,20 @@
     next: u64,
     /// Whether `next` is a guess: one message at a time then.
     probing: bool,
-    under_way: VecDeque<UnderWay>,
+    pub(crate) under_way: VecDeque<UnderWay>,
     /// When the newest pulse was sent that it has answered.
-    answered: Option<Millis>,
+    pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
     pub(crate) until: Millis,
     pub(crate) wanted: bool,
 }
 
 #[derive(Debug)]
-struct UnderWay {
+#[cfg_attr(test, derive(Clone, Hash))]
+pub(crate) struct UnderWay {
     prev: u64,
     last: u64,
-    lost_at: Millis,
+    pub(crate) lost_at: Millis,
 }
 
 impl Peer {
--- a/harbour/logbook/src/types.rs
+++ b/harbour/logbook/src/types.rs
@@ -22,6 +22,7 @@
 
 /// Spans that all voters share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Timing {
     /// How often a leader tells that it lives.
     pub pulse: Millis,
@@ -34,6 +35,7 @@
 
 /// What is on disk when a node starts.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Saved {
     /// Who this node is.
     pub me: VoterId,
@@ -51,6 +53,7 @@
 
 /// What stands for all entries up to an index.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Snapshot {
     /// The last entry that it contains.
     pub index: u64,
@@ -64,6 +67,7 @@
 
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Entry {
     /// Its place, from 1 on without gaps.
     pub index: u64,
@@ -75,6 +79,7 @@
 
 /// What an entry holds.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
 pub enum What {
     /// A new leader's first: with it the entries of former terms are committed.
     Nothing,
@@ -96,6 +101,7 @@
 
 /// What voters say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
 pub enum Message {
     /// Would you vote for me in this term? Binds nobody and changes no term.
     Sound {
@@ -245,6 +251,7 @@
 
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[cfg_attr(test, derive(Hash))]
 pub enum Output {
     /// Send a message; it may be lost.
     Send {
@@ -292,6 +299,7 @@
 
 /// What a node is.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[cfg_attr(test, derive(Hash))]
 pub enum Role {
     /// It follows, or waits for a leader.
     Follower {
@@ -314,6 +322,7 @@
 
 /// What goes to disk, in one step.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Save {
     /// Rises with each save.
     pub ticket: u64,
