Masters compact after 4 MB of changes too: the log's file stays far below its disk

Need: machines have a disk of 64 MB. 16 configurations of 2 MB made a file of 68 MB, of 4 MB one of 135 MB.

Change: COMPACT_BYTES beside COMPACT_AFTER; with the bound of 6 MB uncommitted no two of the largest wait at once.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -46,6 +46,8 @@
 const CALLS_WAITING: usize = 256;
 /// After so many changes the log is compacted: each holds a whole configuration.
 const COMPACT_AFTER: u64 = 16;
+/// ... or so many bytes of them: the disk is small, and a change of 4 MB takes 8 of the file.
+const COMPACT_BYTES: usize = 4_000_000;
 /// A master this young may not have heard of all backends yet: its list says who is there, not who is not.
 const YOUNG: u64 = 4000;
 /// A quay's connection that has said nothing for this long is no sign of life.
@@ -167,6 +169,7 @@
     /// What to answer once entries come back, by their index: emptied when this process leads no more.
     accepted: BTreeMap<u64, u64>,
     changes: u64,
+    change_bytes: usize,
     grown: bool,
     /// Messages of other processes since the start.
     frames: u64,
@@ -216,6 +219,7 @@
             proposed: BTreeMap::new(),
             accepted: BTreeMap::new(),
             changes: 0,
+            change_bytes: 0,
             grown: false,
             frames: 0,
             pulsed: (None, false),
--- a/harbour/harbourmaster/src/master/entries.rs
+++ b/harbour/harbourmaster/src/master/entries.rs
@@ -85,6 +85,7 @@
             }
             What::Nothing => return,
         };
+        self.change_bytes += change.len();
         let Ok(change) = bitcode::decode::<Change>(&change) else { return };
         let version = change.version;
         let verdict = self.ledger.apply(at, change);
@@ -96,8 +97,8 @@
             self.answer_proposed(token, reply_to(verdict));
         }
         self.changes += 1;
-        if self.changes >= COMPACT_AFTER {
-            self.changes = 0;
+        if self.changes >= COMPACT_AFTER || self.change_bytes >= COMPACT_BYTES {
+            (self.changes, self.change_bytes) = (0, 0);
             let state = bitcode::encode(&self.ledger);
             self.log(Input::Compact { index, state });
         }
--- a/harbour/logbook/tests/disk.rs
+++ b/harbour/logbook/tests/disk.rs
@@ -4,6 +4,7 @@
 
 use logbook::store::{Store, StoreError};
 use logbook::{Entry, Save, Saved, Snapshot, VoterId, What};
+use yare::parameterized;
 
 fn voter(number: u64) -> VoterId {
     VoterId { address: format!("10.0.0.{number}:7000"), birth: 0 }
@@ -87,22 +88,31 @@
     assert!(Store::open(&path).unwrap_err().is_lost());
 }
 
-#[test]
-fn the_file_stays_small() {
+/// Changes of this many bytes each, a snapshot of that many after every 16 of them or 4 MB, as harbourmaster does it.
+#[parameterized(
+    largest_configurations = { 16, 4 << 20, 6 << 20, 48 << 20 },
+    large_states = { 96, 100, 3 << 20, 32 << 20 },
+    a_thousand_configurations = { 1_000, 100_000, 1_200_000, 16 << 20 },
+)]
+fn the_file_stays_small(changes: u64, change: usize, size: usize, bound: u64) {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("log");
     let (store, _) = Store::open(&path).unwrap();
     store.create(voter(1), Vec::new()).unwrap();
-    let mut longest = 0;
-    for round in 0..6 {
-        let entries = (1..=20).map(|at| entry(round * 20 + at, 1)).collect();
-        store.save(&Save { entries, ..save(round * 2 + 1, 1) }).unwrap();
-        let snapshot = Some(snapshot(round * 20 + 15, 3 << 20));
-        store.save(&Save { snapshot, ..save(round * 2 + 2, 1) }).unwrap();
+    let (mut longest, mut ticket, mut kept) = (0, 0, 0);
+    for index in 1..=changes {
+        let entries = vec![Entry { index, term: 1, what: What::Change(state(change)) }];
+        store.save(&Save { entries, ..save(ticket + 1, 1) }).unwrap();
+        ticket += 2;
+        kept += 1;
+        if kept == 16 || kept * change >= 4_000_000 {
+            kept = 0;
+            store.save(&Save { snapshot: Some(snapshot(index, size)), ..save(ticket, 1) }).unwrap();
+        }
         longest = longest.max(std::fs::metadata(&path).unwrap().len());
     }
     println!("{longest} bytes");
-    assert!(longest < 32 << 20, "{longest}");
+    assert!(longest < bound, "{longest}");
     drop(store);
-    assert_eq!(reopened(&path).entries.len(), 5);
+    assert_eq!(reopened(&path).entries.len(), kept);
 }
