--- a/harbour/flags/src/lib.rs
+++ b/harbour/flags/src/lib.rs
@@ -145,6 +145,10 @@
     pub leader: Option<String>,
     /// The leader's term.
     pub epoch: u64,
+    /// The number of the leader's assignment of counts; 0 for its first, of which nobody needs to be told.
+    pub assignment: u32,
+    /// Who holds counts beside the leader.
+    pub deputies: Vec<String>,
     /// Whether the sender has heard the leader just now: what it tells is the newest then.
     pub fresh: bool,
     /// The newest version that the sender has.
@@ -205,8 +209,11 @@
     Quays(Vec<(String, u64)>),
     /// How things stand.
     Pulse(Pulse),
-    /// A quay can reach the holder of the counts, and has nothing to ask.
-    Here,
+    /// A quay can reach a holder of counts, and has nothing to ask.
+    Here {
+        /// The newest assignment that it has heard of.
+        epoch: tally::Epoch,
+    },
     /// A quay wants units of tenants.
     Draw(tally::Draw),
     /// It gets them.
@@ -216,6 +223,28 @@
         /// The number of the draw.
         number: u64,
     },
+    /// A master asks the leader for a lease of its counts, or offers to hold some.
+    Offer {
+        /// Chosen by the asker, each higher than the last.
+        number: u64,
+        /// The highest number of its offers that was answered.
+        answered: u64,
+        /// Draws that it answers a second.
+        draws: f64,
+    },
+    /// The leader's answer.
+    Lease {
+        /// The offer's number.
+        number: u64,
+        /// The assignment.
+        roster: tally::Roster,
+        /// The span of the lease, in ms from when the offer was sent; 0 for none.
+        ends_in: f64,
+    },
+    /// The leader has made an assignment.
+    Roster(tally::Roster),
+    /// A master gives counts up to another one.
+    Handover(tally::Handover),
     /// A call of the operator for the leader.
     Ask {
         /// Chosen by the asker.
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -16,11 +16,11 @@
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
 use manifest::Config;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tally::{Holder, Quota};
+use tally::{Office, Placer, Quota, Roster};
 use tideway::{Line, LineError, dial};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -106,10 +106,23 @@
     pub beat_interval: u64,
     /// The log's times.
     pub timing: Timing,
+    /// Draws a second that one holder of counts bears: more, and the leader shares the counts out. 0 for never.
+    pub draws_a_holder: f64,
     /// A number drawn for this life.
     pub seed: u64,
 }
 
+/// What this process has asked the leader for, to hold counts.
+#[derive(Default)]
+struct Offers {
+    /// Numbers, and when they were sent.
+    sent: VecDeque<(u64, u64)>,
+    answered: u64,
+    next: u64,
+    /// Draws answered when last looked at, when that was, and how many a second then.
+    draws: (u64, u64, f64),
+}
+
 struct Peer {
     line: Line,
     hail: Option<Hail>,
@@ -157,7 +170,12 @@
     sheet: Option<Rc<[u8]>>,
     node: Option<Node>,
     disk: Option<Disk>,
-    holder: Option<Holder>,
+    office: Office,
+    /// Of the leader.
+    placer: Option<Placer>,
+    /// The newest assignment of counts heard of.
+    roster: Roster,
+    offers: Offers,
     /// Known from others, of a master without a log of its own.
     told: Pulse,
     told_at: u64,
@@ -208,7 +226,10 @@
             sheet: None,
             node,
             disk,
-            holder: None,
+            office: Office::new(&settings.address.to_string()),
+            placer: None,
+            roster: Roster::default(),
+            offers: Offers::default(),
             told: Pulse::default(),
             told_at: 0,
             tokens: 0,
--- a/harbour/harbourmaster/src/master/entries.rs
+++ b/harbour/harbourmaster/src/master/entries.rs
@@ -67,10 +67,8 @@
             self.watch.candidate(now, term);
         }
         if !matches!(role, Role::Leader { .. }) {
-            if self.holder.take().is_some() {
-                let now = self.now();
-                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
-            }
+            let now = self.now();
+            self.resign(now);
             self.accepted.clear();
         }
     }
--- a/harbour/harbourmaster/src/master/links.rs
+++ b/harbour/harbourmaster/src/master/links.rs
@@ -138,12 +138,17 @@
                 self.tell_berths(back);
             }
             Flag::Quays(quays) => quays.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life)),
-            Flag::Here => {
-                let name = peer.hail.as_ref().map(|hail| hail.name.clone());
-                if let (Some(name), Some(holder)) = (name, &mut self.holder) {
-                    holder.heard(now as f64, &name);
+            Flag::Here { epoch } => {
+                if let Some(hail) = &peer.hail {
+                    self.office.heard(now as f64, &hail.name, epoch);
                 }
             }
+            Flag::Offer { number: offer, answered, draws } => {
+                self.on_offer(number, offer, answered, draws, now)
+            }
+            Flag::Lease { number: offer, roster, ends_in } => self.on_lease(offer, &roster, ends_in, now),
+            Flag::Roster(roster) => self.on_roster(&roster, now),
+            Flag::Handover(handover) => self.on_handover(handover, now),
             Flag::Draw(draw) => self.on_draw(number, draw, now),
             Flag::Ask { token, order } => self.on_order(Asker::There { peer: number, token }, order, now),
             Flag::Told { token, status, body } => {
@@ -162,7 +167,10 @@
         let Some(peer) = self.peers.get_mut(&number) else { return };
         peer.hail = Some(hail.clone());
         match hail.plane {
-            Plane::Quay => self.fleet.heard(now, &hail.name, hail.life),
+            Plane::Quay => {
+                self.fleet.heard(now, &hail.name, hail.life);
+                self.office.heard(now as f64, &hail.name, tally::Epoch::default());
+            }
             Plane::Master => {
                 let mut me = self.settings.me.clone();
                 me.birth = self.node.as_ref().map(|node| node.me().birth);
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -22,11 +22,14 @@
 
     pub(super) fn pulse_for(&self, number: u64, now: u64) -> Pulse {
         let (leader, epoch, fresh) = self.leader(now);
+        let (assignment, deputies) = self.deputies(epoch);
         let name = self.peers.get(&number).and_then(|p| p.hail.as_ref()).map_or("", |h| h.name.as_str());
         Pulse {
             leader: leader.map(|l| l.to_string()),
             epoch,
             fresh,
+            assignment,
+            deputies,
             version: self.ledger.version(),
             fleet: self.fleet.size().max(1),
             number: self.fleet.number(name),
@@ -56,7 +59,11 @@
     pub(super) fn on_pulse(&mut self, pulse: Pulse, now: u64) {
         let newer = pulse.fresh && pulse.epoch >= self.told.epoch;
         if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + 1300) {
-            (self.told, self.told_at) = (pulse, now);
+            let known = (self.told.epoch, self.told.assignment);
+            // Two that are followed may tell of assignments in either order.
+            if (pulse.epoch, pulse.assignment) >= known || pulse.epoch != known.0 {
+                (self.told, self.told_at) = (pulse, now);
+            }
         }
     }
 
@@ -92,9 +99,7 @@
         }
         self.watch.quays(now, self.fleet.lives());
         let fleet = self.fleet.size();
-        if let Some(holder) = &mut self.holder {
-            holder.fleet(now as f64, fleet);
-        }
+        self.office.fleet(now as f64, fleet);
     }
 
     pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
@@ -117,9 +122,7 @@
         }
         self.sheet = Some(frame);
         let (now, quotas) = (self.now(), self.quotas());
-        if let Some(holder) = &mut self.holder {
-            holder.quotas(now as f64, &quotas);
-        }
+        self.office.quotas(now as f64, quotas);
     }
 
     pub(super) fn quotas(&self) -> Vec<Quota> {
--- a/harbour/harbourmaster/src/master/office.rs
+++ b/harbour/harbourmaster/src/master/office.rs
@@ -1,38 +1,193 @@
-//! The office of the one who holds the counts.
+//! The office of those who hold the counts: the leader, and the deputies that it makes holders beside it.
 
 use super::*;
+use tally::{Epoch, Handover, LEASE_MOST};
+
+/// A deputy asks for its lease this often, and whoever could become one offers itself this often.
+const RENEW: u64 = 70;
+const OFFER: u64 = 1000;
+/// Offers of which an answer is still worth anything.
+const OFFERS: usize = 16;
 
 impl Master {
-    /// Whoever holds the lease of the log holds the counts.
+    /// Whoever holds the lease of the log holds the counts, and may share them out.
     pub(super) fn tend_office(&mut self, now: u64) {
+        self.count_draws(now);
         let Some(node) = &self.node else { return };
-        let (holds, term) = (node.is_leader() && node.holds_lease(now), node.term());
-        if !holds {
+        let (leads, holds, term) = (node.is_leader(), node.holds_lease(now), node.term());
+        if !leads {
             // The office ends with the term: a lease that comes back within it finds its counts as they were.
-            if !node.is_leader() && self.holder.take().is_some() {
-                self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
-            }
-        } else if self.holder.as_ref().is_none_or(|holder| holder.epoch() != term) {
+            self.resign(now);
+            self.offer(now);
+        } else if holds && self.placer.as_ref().is_none_or(|p| p.roster().epoch.term != term) {
             let first = term <= 1 && self.ledger.version() == 0;
-            let mut holder = Holder::take_office(term, first, now as f64);
-            holder.fleet(now as f64, self.fleet.size());
-            holder.quotas(now as f64, &self.quotas());
-            self.holder = Some(holder);
+            let bears = self.settings.draws_a_holder;
+            let bears = if bears > 0.0 { bears } else { f64::INFINITY };
+            let placer = Placer::new(&self.settings.address.to_string(), term, now as f64, bears);
+            self.roster = placer.roster().clone();
+            self.placer = Some(placer);
+            self.office.fleet(now as f64, self.fleet.size());
+            self.office.assume(now as f64, &self.roster, first);
             self.watch.note(now, self.settings.address.to_string(), Happened::Office(true));
+        } else if holds {
+            self.share_out(now);
+        }
+        self.renew(now);
+    }
+
+    /// The leader's office lasts as long as the lease of its log.
+    fn renew(&mut self, now: u64) {
+        if self.placer.is_some()
+            && let Some(until) = self.node.as_ref().and_then(|node| node.lease_until(now))
+        {
+            self.office.lease(until as f64);
+        }
+    }
+
+    pub(super) fn resign(&mut self, now: u64) {
+        if self.placer.take().is_some() {
+            self.office.resign();
+            self.watch.note(now, self.settings.address.to_string(), Happened::Office(false));
+        }
+    }
+
+    fn count_draws(&mut self, now: u64) {
+        let (before, since, _) = self.offers.draws;
+        if now >= since + 1000 {
+            let draws = self.watch.counted.draws.0;
+            let rate = (draws - before) as f64 * 1000.0 / (now - since) as f64;
+            self.offers.draws = (draws, now, rate);
+        }
+    }
+
+    fn share_out(&mut self, now: u64) {
+        let Some(placer) = &mut self.placer else { return };
+        if placer.tend(now as f64, self.offers.draws.2) {
+            self.roster = placer.roster().clone();
+            let told = self.office.assume(now as f64, &self.roster, false);
+            // The assignment goes first: a new holder has to know that it is one.
+            self.to_masters(&Flag::Roster(self.roster.clone()));
+            self.hand_over(told);
+            self.next[1] = now;
+        }
+    }
+
+    /// A voter asks the leader for its lease, or offers itself.
+    fn offer(&mut self, now: u64) {
+        if self.settings.draws_a_holder <= 0.0 || now < self.offers.next {
+            return;
+        }
+        let (Some(leader), ..) = self.leader(now) else { return };
+        let deputy = self.roster.has(&self.settings.address.to_string());
+        self.offers.next = now + if deputy { RENEW } else { OFFER };
+        let number = self.offers.sent.back().map_or(1, |(number, _)| number + 1);
+        let Some(line) = self.line_to(&leader) else { return };
+        line.send(&Flag::Offer { number, answered: self.offers.answered, draws: self.offers.draws.2 });
+        self.offers.sent.push_back((number, now));
+        if self.offers.sent.len() > OFFERS {
+            self.offers.sent.pop_front();
+        }
+    }
+
+    pub(super) fn on_offer(&mut self, number: u64, offer: u64, answered: u64, draws: f64, now: u64) {
+        let until = self.node.as_ref().and_then(|node| node.lease_until(now)).filter(|until| *until > now);
+        let (Some(placer), Some(until), Some(peer)) = (&mut self.placer, until, self.peers.get(&number))
+        else {
+            return;
+        };
+        let Some(hail) = peer.hail.as_ref().filter(|hail| hail.plane == Plane::Master && hail.quorum) else {
+            return;
+        };
+        let draws = if draws.is_finite() { draws.max(0.0) } else { 0.0 };
+        let deputy = placer.asked(now as f64, &hail.address, answered, draws);
+        let ends_in = if deputy { (until - now) as f64 } else { 0.0 };
+        peer.line.send(&Flag::Lease { number: offer, roster: placer.roster().clone(), ends_in });
+    }
+
+    pub(super) fn on_lease(&mut self, offer: u64, roster: &Roster, ends_in: f64, now: u64) {
+        self.on_roster(roster, now);
+        self.offers.answered = self.offers.answered.max(offer);
+        let sent = self.offers.sent.iter().find(|(number, _)| *number == offer).map(|(_, sent)| *sent);
+        if let Some(sent) = sent
+            && self.placer.is_none()
+            && self.office.roster().epoch == roster.epoch
+            && ends_in > 0.0
+        {
+            let until = sent as f64 + ends_in.min(LEASE_MOST);
+            let until = until.max(self.office.lease_until());
+            self.office.lease(until);
+        }
+    }
+
+    /// Another process, the leader as a rule, tells of an assignment.
+    pub(super) fn on_roster(&mut self, roster: &Roster, now: u64) {
+        // A voter that knows of a newer term expects nothing from the leader of an old one.
+        if roster.epoch <= self.roster.epoch
+            || self.node.as_ref().is_none_or(|n| roster.epoch.term < n.term())
+        {
+            return;
+        }
+        self.roster = roster.clone();
+        let told = self.office.assume(now as f64, roster, false);
+        self.hand_over(told);
+        self.assigned(now);
+    }
+
+    pub(super) fn on_handover(&mut self, handover: Handover, now: u64) {
+        if self.node.as_ref().is_none_or(|node| handover.roster.epoch.term < node.term()) {
+            return;
+        }
+        let newer = handover.roster.epoch > self.roster.epoch;
+        if newer {
+            self.roster = handover.roster.clone();
+        }
+        let told = self.office.handed(now as f64, handover);
+        self.hand_over(told);
+        if newer {
+            self.assigned(now);
+        }
+    }
+
+    /// A new holder needs its lease, and followers are to hear of a new assignment at once.
+    fn assigned(&mut self, now: u64) {
+        self.offers.next = now;
+        self.offer(now);
+        self.next[1] = now;
+    }
+
+    fn hand_over(&self, told: Vec<(String, Handover)>) {
+        for (to, handover) in told {
+            if let Some(line) = to.parse().ok().and_then(|to| self.line_to(&to)) {
+                line.send(&Flag::Handover(handover));
+            }
+        }
+    }
+
+    /// What followers are told of the assignment of a term: nothing while the leader holds all counts alone.
+    pub(super) fn deputies(&self, term: u64) -> (u32, Vec<String>) {
+        if self.node.is_none() {
+            return (self.told.assignment, self.told.deputies.clone());
+        }
+        let Epoch { term: of, number } = self.roster.epoch;
+        if of != term || number <= 1 {
+            return (0, Vec::new());
         }
+        let leader = self.leader(self.now()).0.map(|leader| leader.to_string());
+        let others = self.roster.holders.iter().filter(|holder| Some(*holder) != leader.as_ref());
+        (number, others.cloned().collect())
     }
 
     pub(super) fn on_draw(&mut self, number: u64, draw: tally::Draw, now: u64) {
-        let leads = self.node.as_ref().is_some_and(|node| node.is_leader() && node.holds_lease(now));
+        self.renew(now);
         let Some(peer) = self.peers.get(&number) else { return };
         let Some(hail) = &peer.hail else { return };
         self.fleet.heard(now, &hail.name, hail.life);
-        let flag = match &mut self.holder {
-            Some(holder) if leads => {
+        let flag = match self.office.draw(now as f64, &hail.name, &draw) {
+            Some(grant) => {
                 self.watch.counted.draws.0 += 1;
-                Flag::Grant(holder.draw(now as f64, &hail.name, &draw))
+                Flag::Grant(grant)
             }
-            _ => {
+            None => {
                 self.watch.counted.draws.1 += 1;
                 Flag::NotHolder { number: draw.number }
             }
--- a/harbour/harbourmaster/src/master/told.rs
+++ b/harbour/harbourmaster/src/master/told.rs
@@ -1,6 +1,6 @@
 //! What operators are told: status, history, records, metrics.
 
-use super::{Holder, Master};
+use super::Master;
 use crate::calls::Reply;
 use lookout::Page;
 use serde_json::json;
@@ -43,16 +43,18 @@
             })
             .collect();
         let counts: Vec<_> = self
-            .holder
+            .office
+            .holder()
             .iter()
-            .flat_map(Holder::figures)
+            .flat_map(|holder| holder.figures())
             .map(|c| json!({ "tenant": c.tenant, "window": c.window, "granted": c.granted, "left": c.left }))
             .collect();
         let quays: Vec<_> = self.fleet.names().collect();
         let status = json!({ "name": self.settings.me.name, "zone": self.settings.me.zone, "up_ms": now, "frames": self.frames,
             "leader": leader.map(|l| l.to_string()), "epoch": epoch, "fresh": fresh,
             "version": format!("r{}", self.ledger.version()), "log": log, "masters": masters, "lines": lines,
-            "quays": quays, "backends": berths, "counts": counts });
+            "quays": quays, "backends": berths, "counts": counts, "holders": self.roster.holders,
+            "assignment": self.roster.epoch.number });
         Reply { status: 200, body: status.to_string().into_bytes() }
     }
 
@@ -113,6 +115,11 @@
         if let Some(node) = &self.node {
             page.gauge("leads", "1 while this process leads", flag(node.is_leader()));
             page.gauge("holds_lease", "1 while this process holds the counts", flag(node.holds_lease(now)));
+            page.gauge(
+                "holders",
+                "Processes that hold counts, as known here",
+                self.roster.holders.len() as f64,
+            );
             page.gauge("voter", "1 while this process votes", flag(node.is_voter()));
             page.gauge("voters", "Voters of the log", node.members().len() as f64);
             page.gauge("log_commit", "Last entry of the log that is decided", node.commit() as f64);
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -107,9 +107,14 @@
     /// Whether this leader is surely the only one now: a majority, itself counted, has answered a pulse that was sent
     /// within `lease` before now, and an entry of its own term is committed.
     pub fn holds_lease(&self, now: Millis) -> bool {
-        let own = self.log.term_at(self.commit) == Some(self.term);
-        let answered = self.answered_at(now);
-        self.lead.is_some() && own && answered.is_some_and(|at| at.saturating_add(self.timing.lease) > now)
+        self.lease_until(now).is_some_and(|until| until > now)
+    }
+
+    /// When the lease of this leader ends or has ended, unless it is renewed; nothing if it never had one.
+    pub fn lease_until(&self, now: Millis) -> Option<Millis> {
+        let own = self.lead.is_some() && self.log.term_at(self.commit) == Some(self.term);
+        let answered = self.answered_at(now).filter(|_| own);
+        answered.map(|at| at.saturating_add(self.timing.lease))
     }
 
     /// When the newest pulse was sent that a majority has answered.
--- a/harbour/manifest/src/settings.rs
+++ b/harbour/manifest/src/settings.rs
@@ -296,6 +296,8 @@
     pub struct Tuning, TUNING {
         /// How often a leader and whoever has news to tell give a sign of life.
         pulse: Millis = 60, "reachlb.pulse_ms", |pulse| !pulse.is_zero() => "wants more than 0";
+        /// Draws a second that one holder of counts bears: more, and the leader shares the counts out; 0 for never.
+        draws_a_holder: Figure = 0.0, "reachlb.draws_a_holder", |draws| *draws >= 0.0 => "wants 0 or more";
         /// Silence of the leader after which another one stands for election.
         election: Millis = 320, "reachlb.election_ms", |election| !election.is_zero() => "wants more than 0";
         /// How long the leader may act on the answer of a majority.
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -67,6 +67,7 @@
             election: millis(settings.tuning.election),
             lease: millis(settings.tuning.lease),
         },
+        draws_a_holder: settings.tuning.draws_a_holder,
         seed: life,
     };
     let numbers = Rc::new(Cell::new(0));
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -40,7 +40,7 @@
     // The pilot's news and the purser's draws need each other.
     let pilot: Rc<RefCell<Option<Pilot>>> = Rc::default();
     let wire = pilot.clone();
-    let send = move |draw| wire.borrow().as_ref().is_some_and(|pilot| pilot.draw(draw));
+    let send = move |to: &str, draw| wire.borrow().as_ref().is_some_and(|pilot| pilot.draw(to, draw));
     let purser = Purser::start(life, Box::new(send));
     let about = QuaySettings {
         max_fds: settings.max_fds as usize,
@@ -79,6 +79,7 @@
                 purser.fleet(pulse.fleet, pulse.fresh);
                 quay.fleet(pulse.fleet, pulse.number);
             }
+            News::Roster(roster) => purser.roster(&roster),
             News::Grant(grant) => purser.granted(grant),
             News::Unanswered { number } => purser.unanswered(number),
         }
--- a/harbour/quay/src/purser.rs
+++ b/harbour/quay/src/purser.rs
@@ -5,13 +5,16 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tally::{Cache, Draw, Grant, Quota, Verdict};
+use tally::{Cache, Draw, Grant, Quota, Roster, Verdict};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 /// What a request that waits for a block is told.
 type Word = Result<(), Duration>;
 
+/// Sends a draw to a holder of counts, by its name.
+type Send = Box<dyn Fn(&str, Draw) -> bool>;
+
 /// Runs the lease cache.
 pub struct Purser {
     cache: RefCell<Cache>,
@@ -19,14 +22,14 @@
     requests: Cell<u64>,
     /// Who waits, and for a unit of which tenant.
     waiting: RefCell<HashMap<u64, (String, oneshot::Sender<Word>)>>,
-    /// Sends a draw to the holder of the counts; false when it can't be sent.
-    send: Box<dyn Fn(Draw) -> bool>,
+    /// Sends a draw to a holder of counts; false when it can't be sent.
+    send: Send,
     stir: Notify,
 }
 
 impl Purser {
     /// A cache that knows no tenants yet.
-    pub fn start(seed: u64, send: Box<dyn Fn(Draw) -> bool>) -> Rc<Self> {
+    pub fn start(seed: u64, send: Send) -> Rc<Self> {
         let purser = Rc::new(Self {
             cache: RefCell::new(Cache::new(seed)),
             began: Instant::now(),
@@ -58,7 +61,13 @@
         }
     }
 
-    /// The holder answered.
+    /// Who holds the counts from now on.
+    pub fn roster(&self, roster: &Roster) {
+        self.cache.borrow_mut().roster(roster);
+        self.stir.notify_one();
+    }
+
+    /// A holder answered.
     pub fn granted(&self, grant: Grant) {
         let mut verdicts = Vec::new();
         self.cache.borrow_mut().granted(self.now(), grant, &mut verdicts);
@@ -88,10 +97,10 @@
     }
 
     fn draw(&self) {
-        let draw = self.cache.borrow_mut().draw(self.now());
-        if let Some(draw) = draw {
+        let draws = self.cache.borrow_mut().draw(self.now());
+        for (to, draw) in draws {
             let number = draw.number;
-            if !(self.send)(draw) {
+            if !(self.send)(&to, draw) {
                 self.unanswered(number);
             }
         }
@@ -150,7 +159,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tally::Share;
+    use tally::{Epoch, Share, Standing};
 
     #[test]
     fn what_was_granted_to_a_client_that_has_left_is_another_one_s() {
@@ -158,7 +167,7 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let sent: Rc<Cell<u64>> = Rc::default();
             let number = sent.clone();
-            let purser = Purser::start(1, Box::new(move |draw| number.replace(draw.number) == 0));
+            let purser = Purser::start(1, Box::new(move |_, draw| number.replace(draw.number) == 0));
             purser.fleet(3, true);
             purser.quotas(vec![Quota { tenant: "t".into(), rate_per_s: 10.0, burst: 10.0 }]);
             let wait = Duration::from_secs(60);
@@ -171,9 +180,9 @@
                 granted: 1,
                 left: 0,
                 ends_in: 60_000.0,
-                slices: false,
+                standing: Standing::Open,
             };
-            purser.granted(Grant { number: sent.get(), epoch: 1, shares: vec![share] });
+            purser.granted(Grant { number: sent.get(), epoch: Epoch::first(1), shares: vec![share] });
             assert!(matches!(purser.ask("t", wait), Asked::Granted));
             assert!(matches!(purser.ask("t", wait), Asked::Refused { .. }));
         });
--- a/harbour/tally/src/cache.rs
+++ b/harbour/tally/src/cache.rs
@@ -1,8 +1,10 @@
 //! The data plane's side: a gateway's blocks of each tenant's count.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
-use crate::{Draw, Grant, Millis, Quota, SILENT_AFTER, Share, Terms, Want};
+use crate::source::{PROBE, Source};
+use crate::{Draw, Epoch, Grant, Millis, Quota, Roster, Share, Standing, Terms, Want};
 
 /// The weight of the newest window in smoothed demand.
 const NEWEST: f64 = 0.4;
@@ -17,12 +19,8 @@
 const IDLE: Millis = 20_000.0;
 /// Slices stop this long after the last word of any holder: by then the fleet's size is anyone's guess.
 const SLICES_FOR: Millis = 30_000.0;
-/// While the holder is silent, it is asked this often.
-const PROBE: Millis = 200.0;
-/// A draw without an answer is given up after this long, unless the host gives it up before.
-const GIVE_UP: Millis = 1000.0;
-/// A draw on its way keeps its tenants from asking again; so few are needed.
-const DRAWS_MOST: usize = 8;
+/// A count that is on its way between holders is asked for again after this long.
+const AGAIN: Millis = 15.0;
 /// Requests that may wait, for one tenant and in all.
 const WAIT_MOST: usize = 512;
 const WAIT_MOST_ALL: usize = 4096;
@@ -83,6 +81,10 @@
     in_flight: Option<u64>,
     wanted: bool,
     back: u32,
+    /// The place of its holder among the sources.
+    source: usize,
+    /// Its count is on its way between holders: not to be asked for before.
+    later_until: Millis,
     /// A holder that grants nothing yet has left the gateway its slices until then.
     slices_until: Millis,
     slice: f64,
@@ -98,12 +100,6 @@
     by_slice: u64,
 }
 
-#[derive(Debug)]
-struct Sent {
-    number: u64,
-    at: Millis,
-}
-
 /// The leases of all tenants at one gateway.
 #[derive(Debug)]
 pub struct Cache {
@@ -111,11 +107,13 @@
     gateways: f64,
     seed: u64,
     numbers: u64,
-    epoch: u64,
-    sent: Vec<Sent>,
+    epoch: Epoch,
+    roster: Roster,
+    /// The holders, in the order of the assignment; never empty.
+    sources: Vec<Source>,
     last_word: Option<Millis>,
-    silent: bool,
-    next_probe: Millis,
+    /// Planted by tests: grants of an older epoch are taken.
+    ignores_epoch: bool,
     waiting: usize,
 }
 
@@ -212,11 +210,11 @@
             gateways: 1.0,
             seed,
             numbers: 0,
-            epoch: 0,
-            sent: Vec::new(),
+            epoch: Epoch::default(),
+            roster: Roster::default(),
+            sources: vec![Source::new("")],
             last_word: None,
-            silent: false,
-            next_probe: 0.0,
+            ignores_epoch: false,
             waiting: 0,
         }
     }
@@ -229,6 +227,7 @@
             let mut tenant =
                 old.remove(&quota.tenant).unwrap_or_else(|| Tenant { demand_from: now, ..Tenant::default() });
             tenant.terms = Terms::of(&quota);
+            tenant.source = self.roster.place_of(&quota.tenant).unwrap_or(0);
             tenant.burst = quota.burst.max(0.0);
             self.tenants.insert(quota.tenant, tenant);
         }
@@ -239,6 +238,50 @@
         }
     }
 
+    /// Takes an assignment: who holds what, unless it is an older one. Draws on their way to others are given up, and
+    /// grants of an older epoch refused from now on.
+    pub fn roster(&mut self, roster: &Roster) {
+        if roster.epoch < self.epoch || roster.holders.is_empty() || *roster == self.roster {
+            return;
+        }
+        self.turn(roster.epoch);
+        let old = std::mem::take(&mut self.sources);
+        let mut old: Vec<Option<Source>> = old.into_iter().map(Some).collect();
+        for name in &roster.holders {
+            let kept =
+                old.iter_mut().find(|s| s.as_ref().is_some_and(|s| *s.name == **name)).and_then(Option::take);
+            self.sources.push(kept.unwrap_or_else(|| Source::new(name)));
+        }
+        for source in old.into_iter().flatten() {
+            for number in source.numbers() {
+                self.free_flights(number);
+            }
+        }
+        self.roster = roster.clone();
+        for (name, t) in &mut self.tenants {
+            t.source = roster.place_of(name).unwrap_or(0);
+            t.later_until = 0.0;
+        }
+    }
+
+    /// The newest assignment that it was told.
+    pub fn holders(&self) -> &Roster {
+        &self.roster
+    }
+
+    #[doc(hidden)]
+    pub fn plant_ignored_epoch(&mut self) {
+        self.ignores_epoch = true;
+    }
+
+    /// A newer epoch: units of an older one go back to nobody.
+    fn turn(&mut self, epoch: Epoch) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.tenants.values_mut().for_each(|t| t.back = 0);
+        }
+    }
+
     /// Takes the number of gateways in all.
     pub fn fleet(&mut self, gateways: u32) {
         self.gateways = f64::from(gateways.max(1));
@@ -253,9 +296,9 @@
     pub fn ask(&mut self, now: Millis, request: u64, tenant: &str, wait_at_most: Millis) -> Verdict {
         let lot = self.lot();
         let (gateways, slices) = (self.gateways, self.may_slice(now));
-        let silent = self.is_silent(now);
         let full = self.waiting >= WAIT_MOST_ALL;
         let Some(t) = self.tenants.get_mut(tenant) else { return Verdict::Refused { retry_after: 1000.0 } };
+        let silent = self.sources.get_mut(t.source).is_some_and(|source| source.is_silent(now));
         if t.terms.is_none() {
             t.granted += 1;
             return Verdict::Granted;
@@ -315,72 +358,72 @@
         }
     }
 
-    /// What is to be sent to the holder now.
-    pub fn draw(&mut self, now: Millis) -> Option<Draw> {
-        if self.sent.len() >= DRAWS_MOST || self.is_silent(now) && now < self.next_probe {
-            return None;
-        }
-        let number = self.numbers + 1;
-        let mut wants = Vec::new();
-        let mut asks = false;
+    /// What is to be sent now, and to which holder: one message for all tenants of it.
+    pub fn draw(&mut self, now: Millis) -> Vec<(Rc<str>, Draw)> {
+        let mut draws: Vec<(usize, Draw)> = Vec::new();
+        let (gateways, epoch) = (self.gateways, self.epoch);
         for (name, t) in &mut self.tenants {
             let Some(terms) = t.terms else { continue };
+            if t.in_flight.is_some() || now < t.slices_until || now < t.later_until {
+                continue;
+            }
             t.roll(now);
-            if t.in_flight.is_some() || now < t.slices_until {
+            t.wanted &= !t.spent_out(now);
+            if !t.wants(now) {
                 continue;
             }
-            // Every window begins with an empty hand; who will need a block has it before the first request.
-            let fresh = now >= t.ends_at && t.ends_at > 0.0 && t.demand >= AHEAD;
-            if !std::mem::take(&mut t.wanted) && !fresh || t.spent_out(now) {
-                if t.back > 0 {
-                    wants.push(Want { tenant: name.clone(), need: 0, add: 0, back: t.back });
-                }
+            if !self.sources.get_mut(t.source).is_some_and(|source| source.may_be_asked(now)) {
                 continue;
             }
-            let need = t.waiting.len() as u32;
-            let target = if t.known {
-                (t.ahead(now) * AMPLE + 0.5).floor()
-            } else {
-                (t.burst / self.gateways).max(1.0)
-            };
-            let target = target.min(terms.most) as u32;
-            let add = target.saturating_sub(t.block).max(need);
-            if add > 0 {
-                asks = true;
-                t.in_flight = Some(number);
-                wants.push(Want { tenant: name.clone(), need, add, back: t.back });
+            t.wanted = false;
+            let (need, add) = t.size(now, terms, gateways);
+            if add < 1 {
+                continue;
+            }
+            let at = draws.iter().position(|(place, _)| *place == t.source).unwrap_or_else(|| {
+                self.numbers += 1;
+                draws.push((t.source, Draw { number: self.numbers, epoch, wants: Vec::new() }));
+                draws.len() - 1
+            });
+            if let Some((_, draw)) = draws.get_mut(at) {
+                t.in_flight = Some(draw.number);
+                draw.wants.push(Want { tenant: name.clone(), need, add, back: std::mem::take(&mut t.back) });
             }
         }
         // Units that go back are worth no message of their own.
-        if !asks {
-            return None;
+        for (place, draw) in &mut draws {
+            for (name, t) in &mut self.tenants {
+                if t.back > 0 && t.source == *place && t.in_flight.is_none() && t.terms.is_some() {
+                    let back = std::mem::take(&mut t.back);
+                    draw.wants.push(Want { tenant: name.clone(), need: 0, add: 0, back });
+                }
+            }
         }
-        for want in &wants {
-            if let Some(t) = self.tenants.get_mut(&want.tenant) {
-                t.back = 0;
+        let mut out = Vec::with_capacity(draws.len());
+        for (place, draw) in draws {
+            if let Some(source) = self.sources.get_mut(place) {
+                source.asked(now, draw.number);
+                out.push((source.name.clone(), draw));
             }
         }
-        self.numbers = number;
-        self.sent.push(Sent { number, at: now });
-        self.next_probe = now + PROBE;
-        Some(Draw { number, epoch: self.epoch, wants })
+        out
     }
 
     /// A holder's answer. That of a former holder, or to a draw given up, is ignored: its units stay counted until
     /// their window ends, and nobody spends them.
     pub fn granted(&mut self, now: Millis, grant: Grant, out: &mut Vec<(u64, Verdict)>) {
-        let Some(at) = self.sent.iter().position(|s| s.number == grant.number) else { return };
-        if grant.epoch < self.epoch {
-            return self.silent(now, grant.number);
-        }
-        let sent = self.sent.swap_remove(at);
-        if grant.epoch > self.epoch {
-            self.epoch = grant.epoch;
-            self.tenants.values_mut().for_each(|t| t.back = 0);
+        let found = self.sources.iter_mut().find_map(|source| Some((source.take(grant.number)?, source)));
+        let Some((sent, source)) = found else { return };
+        if grant.epoch < self.epoch && !self.ignores_epoch {
+            // It may not have heard of the newest assignment yet; without it its lease soon ends.
+            for t in self.tenants.values_mut().filter(|t| t.in_flight == Some(grant.number)) {
+                t.later_until = now + AGAIN;
+            }
+            return self.free_flights(grant.number);
         }
+        source.answered();
+        self.turn(grant.epoch);
         self.last_word = Some(now);
-        // A call that is late does not speak for the holder once a later one was answered.
-        self.silent = false;
         let gateways = self.gateways;
         for share in grant.shares {
             let lot = self.lot();
@@ -399,24 +442,22 @@
 
     /// A draw is given up: its answer is not waited for any more, and the holder counts as silent until it answers.
     pub fn silent(&mut self, now: Millis, number: u64) {
-        if let Some(at) = self.sent.iter().position(|s| s.number == number) {
-            self.sent.swap_remove(at);
-            self.silent = true;
-            self.next_probe = self.next_probe.max(now + PROBE * 0.5);
+        if let Some(source) = self.sources.iter_mut().find_map(|source| source.take(number).map(|_| source)) {
+            source.falls_silent(now);
             self.free_flights(number);
         }
     }
 
     /// Time has passed: requests that have waited long enough get their verdict.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<(u64, Verdict)>) {
-        while let Some(late) = self.sent.iter().find(|s| now >= s.at + GIVE_UP).map(|s| s.number) {
+        while let Some(late) = self.sources.iter().find_map(|source| source.late(now)) {
             self.silent(now, late);
         }
-        let silent = self.is_silent(now);
         let (gateways, slices) = (self.gateways, self.may_slice(now));
         let mut seed = self.seed;
         for t in self.tenants.values_mut().filter(|t| !t.waiting.is_empty()) {
             t.roll(now);
+            let silent = self.sources.get_mut(t.source).is_some_and(|source| source.is_silent(now));
             let before = t.waiting.len();
             let mut waiting = std::mem::take(&mut t.waiting);
             waiting.retain(|(request, until)| {
@@ -447,19 +488,17 @@
 
     /// When `tick` and `draw` have something to do at the latest, if nothing comes before.
     pub fn next_due(&self) -> Option<Millis> {
-        let mut due = f64::INFINITY;
-        for s in &self.sent {
-            due = due.min(s.at + if self.silent { GIVE_UP } else { SILENT_AFTER });
-        }
+        let mut due = self.sources.iter().fold(f64::INFINITY, |due, source| due.min(source.next_due()));
         for t in self.tenants.values() {
             due = t.waiting.iter().fold(due, |d, (_, until)| d.min(*until));
             if t.in_flight.is_none() && t.terms.is_some() {
+                let probe = self.sources.get(t.source).filter(|source| source.was_silent());
+                let from = probe.map_or(0.0, |source| source.next_probe).max(t.later_until);
                 if t.wanted {
-                    due = due.min(if self.silent { self.next_probe } else { t.slices_until });
+                    due = due.min(if probe.is_some() { from } else { from.max(t.slices_until) });
                 }
                 if t.ends_at > 0.0 && t.demand >= AHEAD {
-                    let from = t.ends_at.max(t.slices_until);
-                    due = due.min(if self.silent { from.max(self.next_probe) } else { from });
+                    due = due.min(from.max(t.ends_at).max(t.slices_until));
                 }
             }
         }
@@ -487,13 +526,10 @@
         }
     }
 
-    fn is_silent(&mut self, now: Millis) -> bool {
-        self.silent |= self.sent.iter().any(|s| now >= s.at + SILENT_AFTER);
-        self.silent
-    }
-
     fn may_slice(&self, now: Millis) -> bool {
-        self.last_word.is_some_and(|at| now < at + SLICES_FOR)
+        // Who has heard of a newer assignment than it knows may spend slices of a count that grants elsewhere.
+        let knows = self.roster.epoch >= self.epoch || self.roster.holders.is_empty();
+        knows && self.last_word.is_some_and(|at| now < at + SLICES_FOR)
     }
 
     fn lot(&mut self) -> f64 {
@@ -502,6 +538,25 @@
 }
 
 impl Tenant {
+    /// Whether a block is to be asked for now.
+    fn wants(&self, now: Millis) -> bool {
+        // Every window begins with an empty hand; who will need a block has it before the first request.
+        let fresh = now >= self.ends_at && self.ends_at > 0.0 && self.demand >= AHEAD;
+        (self.wanted || fresh) && !self.spent_out(now)
+    }
+
+    /// Units needed at once, and units to ask for.
+    fn size(&self, now: Millis, terms: Terms, gateways: f64) -> (u32, u32) {
+        let need = self.waiting.len() as u32;
+        let target = if self.known {
+            (self.ahead(now) * AMPLE + 0.5).floor()
+        } else {
+            (self.burst / gateways).max(1.0)
+        };
+        let target = target.min(terms.most) as u32;
+        (need, target.saturating_sub(self.block).max(need))
+    }
+
     fn gone(&mut self, now: Millis) {
         self.roll(now);
         (self.block, self.left, self.ends_at) = (0, 0, f64::INFINITY);
@@ -511,9 +566,16 @@
     /// Takes a share. The window's end is counted from when the draw was sent: it comes early rather than late.
     fn take(&mut self, now: Millis, sent: Millis, share: &Share) {
         let ends_at = sent + share.ends_in;
-        if share.slices {
-            self.slices_until = ends_at.max(now + PROBE * 0.25);
-            return;
+        match share.standing {
+            Standing::Slices => {
+                self.slices_until = ends_at.max(now + PROBE * 0.25);
+                return;
+            }
+            Standing::Later => {
+                self.later_until = now + AGAIN;
+                return;
+            }
+            Standing::Open => {}
         }
         if now >= ends_at {
             self.back = self.back.saturating_add(share.granted);
--- a/harbour/tally/src/holder.rs
+++ b/harbour/tally/src/holder.rs
@@ -2,7 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::{Draw, Grant, HEARD_FOR, Millis, Quota, SILENT_AFTER, Share, Terms, Want};
+use crate::{
+    Draw, Epoch, Grant, HEARD_FOR, Handed, Handover, Millis, Quota, SILENT_AFTER, Share, Standing, Terms,
+    Want,
+};
 
 /// A draw this close before a window's end is served from the next one: gateways count the end from when they asked,
 /// so their first draw for a new window is often a moment early.
@@ -15,6 +18,8 @@
 const EVEN_OVER: f64 = 1.5;
 /// The least even part, as a share of the refill over the gateways: else a busy tenant's blocks dwindle without end.
 const LEAST_PART: f64 = 0.2;
+/// A former holder's word on its counts is waited for this long; draws are put off meanwhile.
+const HANDOVER_WAIT: Millis = 80.0;
 /// Windows rolled one by one; after a longer rest the count is full anyway.
 const ROLLS_MOST: u32 = 64;
 
@@ -31,6 +36,8 @@
     /// The largest part of the gateways that was silent at some time of this window.
     silent: f64,
     shut_until: Millis,
+    /// Until then the former holder's word would open the count at once.
+    awaits_until: Millis,
     gone_at: Option<Millis>,
 }
 
@@ -50,8 +57,12 @@
 /// Holds the counts of all tenants under one epoch.
 #[derive(Debug)]
 pub struct Holder {
-    epoch: u64,
+    epoch: Epoch,
+    /// Where the grid of windows begins.
     office: Millis,
+    /// When the present assignment came, and how long after it a former holder may still have granted.
+    since: Millis,
+    shut: Millis,
     first: bool,
     configured: bool,
     known: u32,
@@ -61,14 +72,79 @@
 
 impl Holder {
     /// Takes office under an epoch. Unless no holder was there before (`first`), nothing is granted for one window of
-    /// each tenant: by then every block of the former holder has ended.
-    pub fn take_office(epoch: u64, first: bool, now: Millis) -> Self {
+    /// each tenant after `shut`, for which a former holder may still have granted: by then every block of it has ended.
+    pub fn take_office(epoch: Epoch, first: bool, now: Millis, shut: Millis) -> Self {
         let (heard, counts) = (HashMap::new(), BTreeMap::new());
-        Self { epoch, office: now, first, configured: false, known: 1, heard, counts }
+        Self { epoch, office: now, since: now, shut, first, configured: false, known: 1, heard, counts }
+    }
+
+    /// The next assignment leaves this process a holder. Tenants that come to it now are shut as at the start.
+    pub fn goes_on(&mut self, now: Millis, epoch: Epoch, shut: Millis) {
+        (self.epoch, self.since, self.shut, self.first) = (epoch, now, shut, false);
+    }
+
+    /// Gives up all counts but those that are `mine`; those that were open come back.
+    pub fn give_up(&mut self, now: Millis, mine: impl Fn(&str) -> bool) -> Vec<Handed> {
+        let others: Vec<String> = self.counts.keys().filter(|tenant| !mine(tenant)).cloned().collect();
+        let mut handed = Vec::new();
+        for tenant in others {
+            self.roll(now, &tenant);
+            let Some(count) = self.counts.remove(&tenant) else { continue };
+            if count.terms.is_none() || count.gone_at.is_some() || now < count.shut_until {
+                continue;
+            }
+            let (window, free, granted, silent) = (count.window, count.free, count.granted, count.silent);
+            handed.push(Handed {
+                tenant,
+                window,
+                ends_in: (count.end - now).max(0.0),
+                free,
+                granted,
+                silent,
+            });
+        }
+        handed
+    }
+
+    /// Takes over what a former holder says of counts that wait for it; others stay as they are.
+    pub fn take_over(&mut self, now: Millis, handover: Handover) {
+        for (gateway, ago) in &handover.heard {
+            self.heard(now - ago.max(0.0), gateway);
+        }
+        for handed in handover.counts {
+            let Some(count) = self.counts.get_mut(&handed.tenant).filter(|c| now < c.awaits_until) else {
+                continue;
+            };
+            let Some(terms) = count.terms else { continue };
+            let sound = handed.free.is_finite() && handed.granted.is_finite() && handed.ends_in.is_finite();
+            if !sound {
+                continue;
+            }
+            (count.awaits_until, count.shut_until) = (now, now);
+            (count.window, count.granted) = (handed.window, handed.granted.max(0.0));
+            count.free = handed.free.min(terms.most);
+            count.silent = handed.silent.clamp(0.0, 1.0);
+            count.end = now + handed.ends_in.clamp(0.0, terms.window * 4.0);
+        }
+    }
+
+    /// The gateways that were heard, and how long ago.
+    pub fn heard_ago(&self, now: Millis) -> Vec<(String, Millis)> {
+        self.heard.iter().map(|(name, at)| (name.clone(), (now - at).max(0.0))).collect()
+    }
+
+    /// Whether units of a tenant may be granted.
+    pub fn is_open(&self, now: Millis, tenant: &str) -> bool {
+        let open = |c: &Count| c.terms.is_some() && c.gone_at.is_none() && now + EARLY >= c.shut_until;
+        self.counts.get(tenant).is_some_and(open)
+    }
+
+    pub(crate) fn opens_at_once(&mut self) {
+        (self.first, self.shut) = (true, 0.0);
     }
 
     /// The epoch of this office.
-    pub fn epoch(&self) -> u64 {
+    pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
@@ -91,9 +167,15 @@
                 continue;
             }
             let window = terms.map_or(0.0, |t| t.window);
-            let shut = !self.first && (!self.configured || now < self.office + window);
-            let shut_until = if shut { self.office + window } else { now };
-            let free = if shut { 0.0 } else { terms.map_or(0.0, |t| t.most) };
+            let opens = self.since + self.shut + window;
+            let shut = !self.first && (!self.configured || now < opens);
+            let shut_until = if shut { opens.max(now) } else { now };
+            // A configuration that comes late to one of several holders may name tenants that others had before.
+            let whole = self.first || self.epoch.number <= 1;
+            let free = terms.map_or(0.0, |t| if whole { t.most } else { t.refill });
+            let free = if shut { 0.0 } else { free };
+            let awaits = shut && self.epoch.number > 1;
+            let awaits_until = if awaits { self.since + HANDOVER_WAIT } else { now };
             let end = if shut { shut_until } else { self.grid_end(now, window) };
             let count = Count {
                 terms,
@@ -104,6 +186,7 @@
                 granted: 0.0,
                 silent: 0.0,
                 shut_until,
+                awaits_until,
                 gone_at: None,
             };
             self.counts.insert(quota.tenant.clone(), count);
@@ -129,12 +212,33 @@
     /// Answers a gateway's draw.
     pub fn draw(&mut self, now: Millis, gateway: &str, draw: &Draw) -> Grant {
         self.forget_silent(now);
-        self.heard(now, gateway);
         let same = draw.epoch == self.epoch;
+        // One that knows an older assignment only may spend slices of counts that are granted from here.
+        if draw.epoch >= self.epoch || self.epoch.number <= 1 {
+            self.heard(now, gateway);
+        }
         let shares = draw.wants.iter().map(|want| self.share(now, want, same)).collect();
         Grant { number: draw.number, epoch: self.epoch, shares }
     }
 
+    /// Whether the present assignment came just now.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.epoch.number > 1 && now < self.since + HANDOVER_WAIT
+    }
+
+    /// Has a gateway ask again shortly.
+    pub fn put_off(&self, draw: &Draw) -> Grant {
+        let share = |want: &Want| Share {
+            tenant: want.tenant.clone(),
+            window: 0,
+            granted: 0,
+            left: 0,
+            ends_in: 0.0,
+            standing: Standing::Later,
+        };
+        Grant { number: draw.number, epoch: self.epoch, shares: draw.wants.iter().map(share).collect() }
+    }
+
     /// What operators see of each tenant.
     pub fn figures(&self) -> Vec<CountFigures> {
         let one = |(tenant, c): (&String, &Count)| CountFigures {
@@ -195,17 +299,34 @@
     fn share(&mut self, now: Millis, want: &Want, same: bool) -> Share {
         self.roll(now, &want.tenant);
         let active = (self.heard.len() as f64).max(1.0);
-        let mut share =
-            Share { tenant: want.tenant.clone(), window: 0, granted: 0, left: 0, ends_in: 0.0, slices: true };
-        // A tenant that this holder has not heard of may be one of a configuration on its way.
+        let mut share = Share {
+            tenant: want.tenant.clone(),
+            window: 0,
+            granted: 0,
+            left: 0,
+            ends_in: 0.0,
+            standing: Standing::Slices,
+        };
+        // A tenant that this holder has not heard of may be one of a configuration on its way, or another holder's:
+        // then a slice could be spent beside what that one grants.
+        let alone = self.epoch.number <= 1;
         let Some(count) = self.counts.get_mut(&want.tenant).filter(|c| c.gone_at.is_none()) else {
-            return share;
+            return if alone { share } else { Share { standing: Standing::Later, ..share } };
         };
         share.window = count.window;
         share.ends_in = (count.end - now).max(0.0);
         let Some(terms) = count.terms else {
-            return Share { granted: want.add, left: u32::MAX, ends_in: 1000.0, slices: false, ..share };
+            return Share {
+                granted: want.add,
+                left: u32::MAX,
+                ends_in: 1000.0,
+                standing: Standing::Open,
+                ..share
+            };
         };
+        if now < count.awaits_until {
+            return Share { standing: Standing::Later, ..share };
+        }
         if now + EARLY < count.shut_until {
             share.ends_in = (count.shut_until - now).max(0.0);
             return share;
@@ -221,7 +342,7 @@
         count.granted += granted;
         share.granted = granted as u32;
         share.left = (free - granted) as u32;
-        share.slices = false;
+        share.standing = Standing::Open;
         share
     }
 }
--- a/harbour/tally/src/lib.rs
+++ b/harbour/tally/src/lib.rs
@@ -1,7 +1,8 @@
 //! Counts of tenants and the lease caches that draw on them: state machines without I/O or clock.
 //!
-//! The leader of the control plane has a [`Holder`] with the count of each tenant's window; each gateway of the data
-//! plane has a [`Cache`] of blocks taken from these counts. Both are told the time by their hosts, each by its own
+//! The leader of the control plane, or several of its processes by the leader's assignment ([`Placer`], [`Roster`]),
+//! has an [`Office`] with the count of each of its tenants' windows ([`Holder`]); each gateway of the data plane has a
+//! [`Cache`] of blocks taken from these counts. Both are told the time by their hosts, each by its own
 //! steady clock: over the wire go spans only.
 
 #![forbid(unsafe_code)]
@@ -9,10 +10,19 @@
 
 mod cache;
 mod holder;
+mod office;
+mod placer;
+mod roster;
+mod source;
 mod terms;
 
 pub use cache::{Cache, TenantFigures, Verdict};
 pub use holder::{CountFigures, Holder};
+#[doc(hidden)]
+pub use office::Faults;
+pub use office::{Handed, Handover, Office};
+pub use placer::{HOLDERS_MOST, LOST, Placer};
+pub use roster::{Epoch, Roster};
 pub use terms::{Quota, Terms};
 
 use bitcode::{Decode, Encode};
@@ -25,6 +35,8 @@
 pub const SILENT_AFTER: Millis = 300.0;
 /// The holder counts a gateway as heard for this long after its last word.
 pub const HEARD_FOR: Millis = 1500.0;
+/// No lease of a deputy lasts longer than this from when it was asked for. The leader extends none beyond its own.
+pub const LEASE_MOST: Millis = 230.0;
 
 /// What a gateway wants of the counts: one message for all its tenants.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -32,7 +44,7 @@
     /// The cache's own number for this draw; the answer repeats it.
     pub number: u64,
     /// The highest epoch the cache has seen: units go back only to the holder that gave them.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// What each tenant wants.
     pub wants: Vec<Want>,
 }
@@ -56,7 +68,7 @@
     /// The draw's number.
     pub number: u64,
     /// The epoch of the holder.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// What each tenant got.
     pub shares: Vec<Share>,
 }
@@ -74,6 +86,17 @@
     pub left: u32,
     /// The span from the holder's answer to the window's end.
     pub ends_in: Millis,
-    /// The holder grants nothing yet: until the end the gateway has its even slice.
-    pub slices: bool,
+    /// Whether the holder grants units of this tenant.
+    pub standing: Standing,
+}
+
+/// How a holder stands to a tenant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Standing {
+    /// It has the count and grants from it.
+    Open,
+    /// It grants nothing yet: until the window's end the gateway has its even slice.
+    Slices,
+    /// The count is on its way here, or another's: it is worth asking again shortly, and no slice may be spent yet.
+    Later,
 }
--- /dev/null
+++ b/harbour/tally/src/office.rs
@@ -0,0 +1,218 @@
+//! One process' part in holding the counts: which are its own under the newest assignment, and until when.
+
+use bitcode::{Decode, Encode};
+
+use crate::{Draw, Epoch, Grant, Holder, LEASE_MOST, Millis, Quota, Roster};
+
+/// Faults that tests plant to see that they are found. All off in service.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Counts of a former holder are opened at once, without its word and before its blocks have ended.
+    pub opens_at_once: bool,
+    /// A deputy grants on when its lease is over.
+    pub outlives_lease: bool,
+}
+
+/// What a holder tells the next one of the counts that it gives up.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Handover {
+    /// The assignment by which they move: it may be news to the next holder.
+    pub roster: Roster,
+    /// The gateways that the holder has heard, and how long ago.
+    pub heard: Vec<(String, Millis)>,
+    /// The counts.
+    pub counts: Vec<Handed>,
+}
+
+/// A count on its way to another holder.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Handed {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The number of its present window.
+    pub window: u64,
+    /// The span to the window's end.
+    pub ends_in: Millis,
+    /// What may still be granted in it.
+    pub free: f64,
+    /// What was granted in it.
+    pub granted: f64,
+    /// The largest part of the gateways that was silent in it.
+    pub silent: f64,
+}
+
+/// Holds those counts that the newest assignment gives to this process, while its lease lasts.
+#[derive(Debug)]
+pub struct Office {
+    me: String,
+    roster: Roster,
+    lease_until: Millis,
+    holder: Option<Holder>,
+    quotas: Vec<Quota>,
+    known: u32,
+    faults: Faults,
+}
+
+impl Office {
+    /// The office of a process that holds nothing yet.
+    pub fn new(me: &str) -> Self {
+        Self {
+            me: me.to_owned(),
+            roster: Roster::default(),
+            lease_until: 0.0,
+            holder: None,
+            quotas: Vec::new(),
+            known: 1,
+            faults: Faults::default(),
+        }
+    }
+
+    #[doc(hidden)]
+    pub fn plant(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// The newest assignment that this process has taken.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The counts, if this process has any.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// Takes an assignment; older ones and the present one change nothing. Counts that go to others are given up at
+    /// once; what their new holders are to be told comes back, with their names. `first` says that no holder was there
+    /// before in the life of the harbour.
+    pub fn assume(&mut self, now: Millis, roster: &Roster, first: bool) -> Vec<(String, Handover)> {
+        if roster.epoch <= self.roster.epoch {
+            return Vec::new();
+        }
+        let follows = roster.epoch.follows(self.roster.epoch);
+        self.roster = roster.clone();
+        let mut told = Vec::new();
+        // Whoever missed an assignment may have lost a count in it and got it back: it starts anew with all of them.
+        let mut holder = self.holder.take().filter(|_| follows);
+        if let Some(holder) = &mut holder {
+            told = self.give_up(now, holder);
+        }
+        if !roster.has(&self.me) {
+            return told;
+        }
+        // Leases of an older term have ended before another leader could be elected; those of this term's former
+        // assignment have not.
+        let shut = if roster.epoch.number == 1 || self.faults.opens_at_once { 0.0 } else { LEASE_MOST };
+        let opens = first && roster.epoch.number == 1 || self.faults.opens_at_once;
+        let mut holder = match holder {
+            Some(mut holder) => {
+                holder.goes_on(now, roster.epoch, shut);
+                holder
+            }
+            None => Holder::take_office(roster.epoch, opens, now, shut),
+        };
+        if self.faults.opens_at_once {
+            holder.opens_at_once();
+        }
+        holder.fleet(now, self.known);
+        holder.quotas(now, &self.mine());
+        self.holder = Some(holder);
+        told
+    }
+
+    fn give_up(&self, now: Millis, holder: &mut Holder) -> Vec<(String, Handover)> {
+        let mut told: Vec<(String, Handover)> = Vec::new();
+        for count in holder.give_up(now, |tenant| self.roster.holder_of(tenant) == Some(&self.me)) {
+            let Some(to) = self.roster.holder_of(&count.tenant) else { continue };
+            if let Some((_, handover)) = told.iter_mut().find(|(name, _)| name == to) {
+                handover.counts.push(count);
+            } else {
+                let (roster, heard) = (self.roster.clone(), holder.heard_ago(now));
+                told.push((to.to_owned(), Handover { roster, heard, counts: vec![count] }));
+            }
+        }
+        told
+    }
+
+    /// A former holder's word on counts that are this one's now. What this one gives up by the same assignment, if it
+    /// had not heard of it, comes back as from `assume`.
+    pub fn handed(&mut self, now: Millis, handover: Handover) -> Vec<(String, Handover)> {
+        let told = self.assume(now, &handover.roster, false);
+        if handover.roster.epoch == self.roster.epoch
+            && let Some(holder) = &mut self.holder
+        {
+            holder.take_over(now, handover);
+        }
+        told
+    }
+
+    /// The lease lasts until then: the leader's own that of its log, a deputy's what the leader extended to it, counted
+    /// from when it asked.
+    pub fn lease(&mut self, until: Millis) {
+        self.lease_until = until;
+    }
+
+    /// When the lease ends.
+    pub fn lease_until(&self) -> Millis {
+        self.lease_until
+    }
+
+    /// The office is over: another term begins, or this process leads no more.
+    pub fn resign(&mut self) {
+        self.holder = None;
+        self.lease_until = 0.0;
+    }
+
+    /// Takes a configuration.
+    pub fn quotas(&mut self, now: Millis, quotas: Vec<Quota>) {
+        self.quotas = quotas;
+        let mine = self.mine();
+        if let Some(holder) = &mut self.holder {
+            holder.quotas(now, &mine);
+        }
+    }
+
+    fn mine(&self) -> Vec<Quota> {
+        let mine = |quota: &&Quota| self.roster.holder_of(&quota.tenant) == Some(&self.me);
+        self.quotas.iter().filter(mine).cloned().collect()
+    }
+
+    /// Takes the number of gateways in all.
+    pub fn fleet(&mut self, now: Millis, known: u32) {
+        self.known = known;
+        if let Some(holder) = &mut self.holder {
+            holder.fleet(now, known);
+        }
+    }
+
+    /// A gateway was heard otherwise than by a draw; it knows the assignment of that epoch.
+    pub fn heard(&mut self, now: Millis, gateway: &str, epoch: Epoch) {
+        if let Some(holder) = &mut self.holder
+            && (epoch >= holder.epoch() || holder.epoch().number <= 1)
+        {
+            holder.heard(now, gateway);
+        }
+    }
+
+    /// Whether it may grant.
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.holder.is_some() && (now < self.lease_until || self.faults.outlives_lease)
+    }
+
+    /// Whether it would grant units of a tenant.
+    pub fn holds(&self, now: Millis, tenant: &str) -> bool {
+        self.is_open(now) && self.holder.as_ref().is_some_and(|holder| holder.is_open(now, tenant))
+    }
+
+    /// Answers a gateway's draw; nothing while it may not grant.
+    pub fn draw(&mut self, now: Millis, gateway: &str, draw: &Draw) -> Option<Grant> {
+        let open = self.is_open(now);
+        let holder = self.holder.as_mut()?;
+        if open {
+            return Some(holder.draw(now, gateway, draw));
+        }
+        // Gateways may hear of a new holder before its first lease is there.
+        holder.is_fresh(now).then(|| holder.put_off(draw))
+    }
+}
--- /dev/null
+++ b/harbour/tally/tests/world/mod.rs
@@ -0,0 +1,678 @@
+//! A drawn harbour: masters that hold counts, gateways that draw on them, links and machines that fail, and clients.
+//! Time is the world's own; the log is played by a lease and elections as its state machine would have them.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use tally::{
+    Cache, Draw, Epoch, Faults, Grant, Handover, LEASE_MOST, Office, Placer, Quota, Roster, Verdict,
+};
+
+pub mod judge;
+mod troubles;
+use judge::Judge;
+
+const LOG_LEASE: f64 = 230.0;
+const ELECTION: f64 = 320.0;
+const PULSE: f64 = 350.0;
+const SIGN: f64 = 800.0;
+const DRAW_LOST: f64 = 400.0;
+const SILENT: f64 = 1300.0;
+const RENEW: f64 = 70.0;
+
+/// Random numbers (splitmix64).
+pub struct Lots(pub u64);
+
+impl Lots {
+    pub fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn below(&mut self, most: usize) -> usize {
+        ((self.unit() * most as f64) as usize).min(most.saturating_sub(1))
+    }
+
+    fn span(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+}
+
+/// A machine: `M` serves control, `Q` carries requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Who {
+    M(usize),
+    Q(usize),
+}
+
+#[derive(Debug, Clone)]
+enum Said {
+    Draw(Draw),
+    Grant(Grant),
+    NotHolder(u64),
+    Ask { number: u64, answered: u64, draws: f64 },
+    Lease { number: u64, roster: Roster, ends_in: f64 },
+    Roster(Roster),
+    Handover(Handover),
+    Pulse { roster: Roster, fresh: bool },
+    Here(Epoch),
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrives { from: Who, to: Who, life: u64, said: Said },
+    Ticks(Who),
+    Sign(usize),
+    Pulses(usize),
+    Request(usize),
+}
+
+struct Due {
+    at: f64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
+    }
+}
+
+struct Master {
+    office: Office,
+    placer: Option<Placer>,
+    known: Roster,
+    asks: VecDeque<(u64, f64)>,
+    answered: u64,
+    next_ask: f64,
+    next_round: f64,
+    draws: (f64, u64, f64),
+    life: u64,
+    up: bool,
+}
+
+struct Gateway {
+    cache: Cache,
+    follows: usize,
+    heard: f64,
+    drawn: BTreeMap<u64, f64>,
+    waits: HashMap<u64, (usize, f64)>,
+    life: u64,
+    up: bool,
+}
+
+/// What a tenant may and what it does.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub quota: Quota,
+    /// Its clients ask this often, of the quota's rate.
+    pub asks: f64,
+    /// From when to when, and how many times as often.
+    pub hot: (f64, f64, f64),
+}
+
+impl Load {
+    pub fn new(name: usize, rate: f64, burst: f64, asks: f64) -> Self {
+        let quota = Quota { tenant: format!("tenant-{name}"), rate_per_s: rate, burst };
+        Self { quota, asks, hot: (0.0, 0.0, 1.0) }
+    }
+}
+
+pub struct World {
+    pub now: f64,
+    pub lots: Lots,
+    /// The clients' own numbers: they ask the same whatever else is drawn.
+    clients: Lots,
+    pub judge: Judge,
+    loads: Vec<Load>,
+    masters: Vec<Master>,
+    gateways: Vec<Gateway>,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    requests: u64,
+    frozen: BTreeMap<Who, f64>,
+    cuts: BTreeSet<(Who, Who)>,
+    pub leader: Option<usize>,
+    term: u64,
+    lease: f64,
+    election: f64,
+    faults: Faults,
+    spread: bool,
+    /// Draws a second that one holder bears.
+    bears: f64,
+    /// Requests of a tenant come to this share of the gateways only.
+    pub reach: f64,
+    /// Requests wait at most this long for a block.
+    pub patience: f64,
+}
+
+impl World {
+    pub fn new(
+        seed: u64, masters: usize, gateways: usize, loads: Vec<Load>, bears: Option<f64>, faults: Faults,
+    ) -> Self {
+        let judge = Judge::new(&loads);
+        let quotas: Vec<Quota> = loads.iter().map(|load| load.quota.clone()).collect();
+        let mut world = Self {
+            now: 0.0,
+            lots: Lots(seed),
+            clients: Lots(seed ^ 0x5eed),
+            judge,
+            loads,
+            masters: Vec::new(),
+            gateways: Vec::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            requests: 0,
+            frozen: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            leader: None,
+            term: 0,
+            lease: 0.0,
+            election: 0.0,
+            faults,
+            spread: bears.is_some(),
+            bears: bears.unwrap_or(f64::INFINITY),
+            reach: 1.0,
+            patience: 72.0,
+        };
+        for place in 0..masters {
+            let master = world.master(place, 0, &quotas, gateways);
+            world.masters.push(master);
+            let (tick, pulse) = (world.lots.unit() * 50.0, world.lots.unit() * PULSE);
+            world.at(tick, Event::Ticks(Who::M(place)));
+            world.at(pulse, Event::Pulses(place));
+        }
+        for place in 0..gateways {
+            let gateway = world.gateway(place, 0, &quotas, gateways);
+            world.gateways.push(gateway);
+            let (tick, sign) = (world.lots.unit() * 10.0, world.lots.unit() * SIGN);
+            world.at(tick, Event::Ticks(Who::Q(place)));
+            world.at(sign, Event::Sign(place));
+        }
+        for tenant in 0..world.loads.len() {
+            world.next_request(tenant, 2000.0);
+        }
+        world
+    }
+
+    fn master(&mut self, place: usize, life: u64, quotas: &[Quota], gateways: usize) -> Master {
+        let mut office = Office::new(&name(place));
+        office.plant(self.faults);
+        office.fleet(self.now, gateways as u32);
+        office.quotas(self.now, quotas.to_vec());
+        Master {
+            office,
+            placer: None,
+            known: Roster::default(),
+            asks: VecDeque::new(),
+            answered: 0,
+            next_ask: 0.0,
+            next_round: 0.0,
+            draws: (self.now, 0, 0.0),
+            life,
+            up: true,
+        }
+    }
+
+    fn gateway(&mut self, place: usize, life: u64, quotas: &[Quota], gateways: usize) -> Gateway {
+        let mut cache = Cache::new(place as u64 + 77 + life * 1000);
+        cache.quotas(self.now, quotas.to_vec());
+        cache.fleet(gateways as u32);
+        let follows = place % self.masters.len().max(1);
+        let (drawn, waits) = (BTreeMap::new(), HashMap::new());
+        Gateway { cache, follows, heard: self.now, drawn, waits, life, up: true }
+    }
+
+    fn quotas(&self) -> Vec<Quota> {
+        self.loads.iter().map(|load| load.quota.clone()).collect()
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse(Due { at, order: self.order, event }));
+    }
+
+    fn next_request(&mut self, tenant: usize, from: f64) {
+        let Some(load) = self.loads.get(tenant) else { return };
+        let hot = if (load.hot.0..load.hot.1).contains(&from) { load.hot.2 } else { 1.0 };
+        let each = 1000.0 / (load.quota.rate_per_s * load.asks * hot).max(1e-6);
+        let at = from + self.clients.span(each);
+        self.at(at, Event::Request(tenant));
+    }
+
+    fn is_awake(&self, who: Who) -> bool {
+        let up = match who {
+            Who::M(place) => self.masters[place].up,
+            Who::Q(place) => self.gateways[place].up,
+        };
+        up && self.frozen.get(&who).is_none_or(|until| self.now >= *until)
+    }
+
+    fn life(&self, who: Who) -> u64 {
+        match who {
+            Who::M(place) => self.masters[place].life,
+            Who::Q(place) => self.gateways[place].life,
+        }
+    }
+
+    pub fn run_until(&mut self, end: f64) -> Result<(), String> {
+        while self.queue.peek().is_some_and(|Reverse(due)| due.at <= end) {
+            let Some(Reverse(due)) = self.queue.pop() else { break };
+            self.now = self.now.max(due.at);
+            self.play(due.event)?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    fn play(&mut self, event: Event) -> Result<(), String> {
+        let now = self.now;
+        match event {
+            Event::Arrives { from, to, life, said } => {
+                let frozen = self.frozen.get(&to).copied().filter(|until| now < *until);
+                if let Some(until) = frozen {
+                    self.at(until, Event::Arrives { from, to, life, said });
+                } else if self.is_awake(to) && self.life(to) == life {
+                    self.hear(from, to, said);
+                }
+            }
+            Event::Ticks(who) => {
+                if self.is_awake(who) {
+                    match who {
+                        Who::M(place) => self.tick_master(place),
+                        Who::Q(place) => self.tick_gateway(place),
+                    }
+                }
+                let pause = if matches!(who, Who::M(_)) { 25.0 } else { 4.0 };
+                self.at(now + pause, Event::Ticks(who));
+                if who == Who::M(0) {
+                    self.play_log();
+                    self.single()?;
+                }
+            }
+            Event::Sign(place) => {
+                if self.is_awake(Who::Q(place)) {
+                    for to in 0..self.masters.len() {
+                        let roster = self.roster_at(place);
+                        if roster.has(&name(to)) {
+                            self.send(Who::Q(place), Who::M(to), Said::Here(roster.epoch));
+                        }
+                    }
+                }
+                self.at(now + SIGN, Event::Sign(place));
+            }
+            Event::Pulses(place) => {
+                self.pulse(place);
+                self.at(now + PULSE, Event::Pulses(place));
+            }
+            Event::Request(tenant) => {
+                self.request(tenant);
+                self.next_request(tenant, now);
+            }
+        }
+        Ok(())
+    }
+
+    /// The log as its own tests prove it: a lease rests on a majority and ends before anyone else is elected.
+    fn play_log(&mut self) {
+        let now = self.now;
+        let reaches = |world: &Self, place: usize| {
+            let me = Who::M(place);
+            let both = |other: usize| {
+                let other = Who::M(other);
+                other == me
+                    || world.is_awake(other)
+                        && !world.cuts.contains(&(me, other))
+                        && !world.cuts.contains(&(other, me))
+            };
+            world.is_awake(me)
+                && (0..world.masters.len()).filter(|o| both(*o)).count() * 2 > world.masters.len()
+        };
+        if let Some(leader) = self.leader
+            && reaches(self, leader)
+            && now < self.lease + ELECTION - LOG_LEASE
+        {
+            self.lease = now + LOG_LEASE - 5.0;
+            self.election = now + ELECTION + self.lots.unit() * ELECTION;
+            let lease = self.lease;
+            self.masters[leader].office.lease(lease);
+            return;
+        }
+        if now >= self.election {
+            let able: Vec<usize> = (0..self.masters.len()).filter(|place| reaches(self, *place)).collect();
+            if able.is_empty() {
+                return;
+            }
+            let next = able[self.lots.below(able.len())];
+            let first = self.term == 0;
+            self.term += 1;
+            self.leader = Some(next);
+            self.lease = now + LOG_LEASE - 5.0;
+            let placer = Placer::new(&name(next), self.term, now, self.bears);
+            let roster = placer.roster().clone();
+            let lease = self.lease;
+            let m = &mut self.masters[next];
+            m.placer = Some(placer);
+            m.office.assume(now, &roster, first);
+            m.office.lease(lease);
+            m.known = roster;
+            self.tell(next);
+        }
+    }
+
+    fn tell(&mut self, leader: usize) {
+        let roster = self.masters[leader].known.clone();
+        for other in (0..self.masters.len()).filter(|other| *other != leader) {
+            self.send(Who::M(leader), Who::M(other), Said::Roster(roster.clone()));
+        }
+        self.pulse(leader);
+    }
+
+    /// No tenant's count is granted from by two.
+    fn single(&self) -> Result<(), String> {
+        for load in &self.loads {
+            let tenant = &load.quota.tenant;
+            let holds = |m: &&Master| m.up && m.office.holds(self.now, tenant);
+            if self.masters.iter().filter(holds).count() > 1 {
+                return Err(format!("{tenant} is held twice at {:.0} ms", self.now));
+            }
+        }
+        Ok(())
+    }
+
+    fn tick_master(&mut self, place: usize) {
+        let now = self.now;
+        let m = &mut self.masters[place];
+        if now >= m.draws.0 + 1000.0 {
+            m.draws = (now, 0, m.draws.1 as f64 * 1000.0 / (now - m.draws.0));
+        }
+        if self.leader != Some(place) && m.placer.take().is_some() {
+            m.office.resign();
+        }
+        if let Some(placer) = &mut m.placer {
+            if self.spread && now < m.office.lease_until() && placer.tend(now, m.draws.2) {
+                let roster = placer.roster().clone();
+                m.known = roster.clone();
+                let told = m.office.assume(now, &roster, false);
+                self.hand(place, told);
+                self.tell(place);
+            } else if now >= m.next_round {
+                m.next_round = now + 400.0;
+                self.tell(place);
+            }
+            return;
+        }
+        self.ask(place);
+    }
+
+    /// A lease, or an offer to hold counts.
+    fn ask(&mut self, place: usize) {
+        let (now, me) = (self.now, name(place));
+        let m = &mut self.masters[place];
+        let Some(leader) = self.leader.filter(|_| self.spread && now >= m.next_ask) else { return };
+        m.next_ask = now + if m.known.has(&me) { RENEW } else { 1000.0 };
+        let number = m.asks.back().map_or(1, |(number, _)| number + 1);
+        m.asks.push_back((number, now));
+        while m.asks.len() > 32 {
+            m.asks.pop_front();
+        }
+        let (draws, answered) = (m.draws.2, m.answered);
+        self.send(Who::M(place), Who::M(leader), Said::Ask { number, answered, draws });
+    }
+
+    fn hand(&mut self, place: usize, told: Vec<(String, Handover)>) {
+        for (to, handover) in told {
+            let to = (0..self.masters.len()).find(|other| name(*other) == to);
+            if let Some(to) = to {
+                self.send(Who::M(place), Who::M(to), Said::Handover(handover));
+            }
+        }
+    }
+
+    fn take_roster(&mut self, place: usize, roster: &Roster) {
+        let now = self.now;
+        let m = &mut self.masters[place];
+        if roster.epoch <= m.known.epoch {
+            return;
+        }
+        m.known = roster.clone();
+        m.next_ask = 0.0;
+        let told = m.office.assume(now, roster, false);
+        self.hand(place, told);
+        self.ask(place);
+        self.pulse(place);
+    }
+
+    fn pulse(&mut self, place: usize) {
+        if !self.is_awake(Who::M(place)) {
+            return;
+        }
+        let roster = self.masters[place].known.clone();
+        let fresh = self.leader.is_some_and(|leader| {
+            self.now < self.lease && !self.cuts.contains(&(Who::M(leader), Who::M(place)))
+        });
+        for gateway in 0..self.gateways.len() {
+            if self.gateways[gateway].follows == place {
+                self.send(Who::M(place), Who::Q(gateway), Said::Pulse { roster: roster.clone(), fresh });
+            }
+        }
+    }
+
+    fn roster_at(&self, place: usize) -> Roster {
+        self.gateways[place].cache.holders().clone()
+    }
+
+    fn send(&mut self, from: Who, to: Who, said: Said) {
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        self.judge.sent(match &said {
+            Said::Draw(draw) => Some(bitcode::encode(draw).len() + 5),
+            Said::Grant(grant) => Some(bitcode::encode(grant).len() + 5),
+            _ => None,
+        });
+        let at = self.now + 0.7 + self.lots.span(0.8);
+        let life = self.life(to);
+        self.at(at, Event::Arrives { from, to, life, said });
+    }
+
+    fn hear(&mut self, from: Who, to: Who, said: Said) {
+        match (to, from) {
+            (Who::M(place), Who::Q(gateway)) => self.serve_gateway(place, gateway, said),
+            (Who::M(place), Who::M(other)) => self.hear_master(place, other, said),
+            (Who::Q(place), _) => self.hear_gateway(place, said),
+        }
+    }
+
+    fn serve_gateway(&mut self, place: usize, gateway: usize, said: Said) {
+        let (now, quay) = (self.now, format!("quay-{gateway}"));
+        let m = &mut self.masters[place];
+        match said {
+            Said::Here(epoch) => m.office.heard(now, &quay, epoch),
+            Said::Draw(draw) => {
+                m.draws.1 += 1;
+                let answer = match m.office.draw(now, &quay, &draw) {
+                    Some(grant) => Said::Grant(grant),
+                    None => Said::NotHolder(draw.number),
+                };
+                if let Said::Grant(grant) = &answer {
+                    self.judge.granted(grant);
+                }
+                self.send(Who::M(place), Who::Q(gateway), answer);
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_master(&mut self, place: usize, other: usize, said: Said) {
+        let now = self.now;
+        match said {
+            Said::Ask { number, answered, draws } => {
+                let m = &mut self.masters[place];
+                let lease = m.office.lease_until();
+                let Some(placer) = &mut m.placer else { return };
+                let member = placer.asked(now, &name(other), answered, draws);
+                if now < lease {
+                    let (roster, ends_in) = (placer.roster().clone(), if member { lease - now } else { 0.0 });
+                    self.send(Who::M(place), Who::M(other), Said::Lease { number, roster, ends_in });
+                }
+            }
+            Said::Lease { number, roster, ends_in } => {
+                self.take_roster(place, &roster);
+                let m = &mut self.masters[place];
+                m.answered = m.answered.max(number);
+                if let Some((_, sent)) = m.asks.iter().find(|(n, _)| *n == number)
+                    && m.office.roster().epoch == roster.epoch
+                {
+                    let until = sent + ends_in.min(LEASE_MOST);
+                    let until = until.max(m.office.lease_until());
+                    m.office.lease(until);
+                }
+            }
+            Said::Roster(roster) => self.take_roster(place, &roster),
+            Said::Handover(handover) => {
+                let m = &mut self.masters[place];
+                if handover.roster.epoch > m.known.epoch {
+                    m.known = handover.roster.clone();
+                }
+                m.next_ask = 0.0;
+                let told = m.office.handed(now, handover);
+                self.hand(place, told);
+                self.ask(place);
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_gateway(&mut self, place: usize, said: Said) {
+        let now = self.now;
+        let g = &mut self.gateways[place];
+        let mut told = Vec::new();
+        match said {
+            Said::Pulse { roster, fresh } => {
+                g.heard = now;
+                if fresh {
+                    g.cache.word(now);
+                }
+                g.cache.roster(&roster);
+            }
+            Said::Grant(grant) => {
+                g.drawn.remove(&grant.number);
+                g.cache.granted(now, grant, &mut told);
+            }
+            Said::NotHolder(number) => {
+                g.drawn.remove(&number);
+                g.cache.silent(now, number);
+            }
+            _ => {}
+        }
+        self.verdicts(place, told);
+        self.draw(place);
+    }
+
+    fn tick_gateway(&mut self, place: usize) {
+        let now = self.now;
+        let masters = self.masters.len();
+        let lot = self.lots.below(masters);
+        let g = &mut self.gateways[place];
+        if now > g.heard + SILENT {
+            (g.follows, g.heard) = (lot, now);
+        }
+        let lost: Vec<u64> =
+            g.drawn.iter().filter(|(_, at)| now > **at + DRAW_LOST).map(|(n, _)| *n).collect();
+        for number in lost {
+            g.drawn.remove(&number);
+            g.cache.silent(now, number);
+        }
+        let mut told = Vec::new();
+        if g.cache.next_due().is_some_and(|due| now >= due) {
+            g.cache.tick(now, &mut told);
+        }
+        self.verdicts(place, told);
+        self.draw(place);
+    }
+
+    fn draw(&mut self, place: usize) {
+        let now = self.now;
+        for (to, draw) in self.gateways[place].cache.draw(now) {
+            self.judge.drew();
+            let to = (0..self.masters.len()).find(|other| *name(*other) == *to);
+            match to {
+                Some(to) => {
+                    self.gateways[place].drawn.insert(draw.number, now);
+                    self.send(Who::Q(place), Who::M(to), Said::Draw(draw));
+                }
+                None => self.gateways[place].cache.silent(now, draw.number),
+            }
+        }
+    }
+
+    fn request(&mut self, tenant: usize) {
+        let some = ((self.gateways.len() as f64 * self.reach).ceil() as usize).clamp(1, self.gateways.len());
+        let place = (self.clients.below(some) + tenant * 7) % self.gateways.len();
+        let (now, number) = (self.now, self.requests);
+        self.requests += 1;
+        if !self.gateways[place].up {
+            return;
+        }
+        self.judge.asked(now, tenant);
+        if !self.is_awake(Who::Q(place)) {
+            return;
+        }
+        let patience = self.patience;
+        let g = &mut self.gateways[place];
+        match g.cache.ask(now, number, &self.loads[tenant].quota.tenant, patience) {
+            Verdict::Granted => self.runs(tenant, 0.0),
+            Verdict::Refused { .. } => self.judge.refused(tenant),
+            Verdict::Wait { .. } => {
+                g.waits.insert(number, (tenant, now));
+            }
+        }
+        self.draw(place);
+    }
+
+    fn runs(&mut self, tenant: usize, waited: f64) {
+        let stray = self.lots.unit() * 100.0;
+        self.judge.runs(self.now + stray, tenant, waited);
+    }
+
+    fn verdicts(&mut self, place: usize, told: Vec<(u64, Verdict)>) {
+        for (request, verdict) in told {
+            let Some((tenant, since)) = self.gateways[place].waits.remove(&request) else { continue };
+            match verdict {
+                Verdict::Granted => self.runs(tenant, self.now - since),
+                _ => self.judge.refused(tenant),
+            }
+        }
+    }
+
+    /// Has the gateways take grants of older epochs.
+    pub fn plant_ignored_epoch(&mut self) {
+        self.gateways.iter_mut().for_each(|g| g.cache.plant_ignored_epoch());
+    }
+
+    /// Units that were spent as slices.
+    pub fn by_slice(&self) -> u64 {
+        self.gateways.iter().flat_map(|g| g.cache.figures()).map(|f| f.by_slice).sum()
+    }
+}
+
+fn name(place: usize) -> String {
+    format!("10.0.{place}.1:7000")
+}
--- /dev/null
+++ b/harbour/tally/tests/world/troubles.rs
@@ -0,0 +1,63 @@
+//! What happens to machines and links, and who there is to be struck.
+
+use super::{Who, World, name};
+
+impl World {
+    pub fn cut(&mut self, from: Who, to: Who) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub fn freeze(&mut self, who: Who, span: f64) {
+        self.frozen.insert(who, self.now + span);
+    }
+
+    pub fn kill(&mut self, who: Who) {
+        match who {
+            Who::M(place) => {
+                if let Some(m) = self.masters.get_mut(place) {
+                    m.up = false;
+                    m.life += 1;
+                }
+            }
+            Who::Q(place) => {
+                if let Some(g) = self.gateways.get_mut(place) {
+                    g.up = false;
+                    g.life += 1;
+                }
+            }
+        }
+    }
+
+    pub fn start(&mut self, who: Who) {
+        let (quotas, size) = (self.quotas(), self.gateways.len());
+        match who {
+            Who::M(place) if !self.masters[place].up => {
+                let life = self.masters[place].life;
+                self.masters[place] = self.master(place, life, &quotas, size);
+            }
+            Who::Q(place) if !self.gateways[place].up => {
+                let life = self.gateways[place].life;
+                self.gateways[place] = self.gateway(place, life, &quotas, size);
+            }
+            _ => {}
+        }
+    }
+
+    /// A holder beside the leader that has counts, if there is one.
+    pub fn deputy(&mut self) -> Option<usize> {
+        let leader = self.leader?;
+        let roster = self.masters[leader].placer.as_ref()?.roster().clone();
+        let others: Vec<usize> =
+            (0..self.masters.len()).filter(|place| *place != leader && roster.has(&name(*place))).collect();
+        (!others.is_empty()).then(|| others[self.lots.below(others.len())])
+    }
+
+    pub fn holders(&self) -> usize {
+        let placer = self.leader.and_then(|leader| self.masters[leader].placer.as_ref());
+        placer.map_or(0, |placer| placer.roster().holders.len())
+    }
+}
--- a/harbour/tideway/src/course.rs
+++ b/harbour/tideway/src/course.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use tally::{Epoch, Roster};
 
 /// Milliseconds of the host's steady clock.
 pub type Millis = u64;
@@ -43,7 +44,8 @@
     failed: BTreeMap<SocketAddr, Millis>,
     following: Option<Leading>,
     leader: Option<SocketAddr>,
-    epoch: u64,
+    /// Who holds the counts.
+    roster: Roster,
     started: Millis,
 }
 
@@ -59,7 +61,7 @@
             failed: BTreeMap::new(),
             following: None,
             leader: None,
-            epoch: 0,
+            roster: Roster::default(),
             started: now,
         }
     }
@@ -79,11 +81,22 @@
         self.following.as_ref().map(|f| f.to)
     }
 
-    /// Where the holder of the counts is, as far as known.
+    /// Who holds the counts, as far as known.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Where the leader is, as far as known; it holds counts, alone or with others.
     pub fn leader(&self) -> Option<SocketAddr> {
         self.leader
     }
 
+    /// Where the holders of the counts are.
+    pub fn holders(&self) -> impl Iterator<Item = SocketAddr> {
+        let all = self.roster.holders.iter().filter_map(|holder| holder.parse().ok());
+        all.filter(|_| self.leader.is_some())
+    }
+
     /// Who is to be dialed now, if nobody is followed.
     pub fn choose(&mut self, now: Millis) -> Option<SocketAddr> {
         if self.following.is_some() {
@@ -132,9 +145,15 @@
     pub fn pulse(&mut self, now: Millis, pulse: &Pulse) {
         let leader = pulse.leader.as_ref().and_then(|l| l.parse().ok());
         // One that is cut off may go on naming a leader of old.
-        if pulse.fresh && pulse.epoch >= self.epoch || self.leader.is_none() {
+        let epoch = Epoch { term: pulse.epoch, number: pulse.assignment.max(1) };
+        if pulse.fresh && epoch >= self.roster.epoch || self.leader.is_none() {
             self.leader = leader;
-            self.epoch = self.epoch.max(pulse.epoch);
+            if let Some(leader) = &pulse.leader
+                && epoch >= self.roster.epoch
+            {
+                let holders = std::iter::once(leader).chain(&pulse.deputies).cloned().collect();
+                self.roster = Roster { epoch, holders };
+            }
         }
         if let Some(following) = &mut self.following {
             if pulse.fresh {
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -7,6 +7,7 @@
 use flags::{Berth, Flag, Hail, MasterCard, Pulse, Sheet};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tally::Roster;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -31,6 +32,8 @@
     },
     /// How things stand.
     Pulse(Pulse),
+    /// Who holds the counts.
+    Roster(Roster),
     /// An answer to a draw.
     Grant(tally::Grant),
     /// A draw that gets no answer.
@@ -55,7 +58,7 @@
 }
 
 enum Order {
-    Draw(tally::Draw),
+    Draw(SocketAddr, tally::Draw),
     Seeds(Vec<SocketAddr>),
 }
 
@@ -67,9 +70,9 @@
         Self { orders }
     }
 
-    /// Sends a draw to the holder; false when it can't be sent.
-    pub fn draw(&self, draw: tally::Draw) -> bool {
-        self.orders.try_send(Order::Draw(draw)).is_ok()
+    /// Sends a draw to its holder; false when it can't be sent.
+    pub fn draw(&self, to: &str, draw: tally::Draw) -> bool {
+        to.parse().is_ok_and(|to| self.orders.try_send(Order::Draw(to, draw)).is_ok())
     }
 
     /// The settings name other seeds from now on.
@@ -94,6 +97,12 @@
     }
 }
 
+/// A holder of counts, and the draw that it has not answered.
+struct Holder {
+    voyage: Voyage,
+    drawn: Option<(u64, Instant)>,
+}
+
 struct Helm {
     settings: PilotSettings,
     news: Box<dyn FnMut(News)>,
@@ -101,12 +110,12 @@
     began: Instant,
     numbers: u64,
     master: Option<Voyage>,
-    holder: Option<Voyage>,
+    holders: Vec<Holder>,
     have: u64,
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<Sheet>,
     signed: Instant,
-    drawn: Option<(u64, Instant)>,
+    roster: Roster,
     events: mpsc::Sender<Event>,
     lines: mpsc::Sender<(u64, Line)>,
 }
@@ -124,11 +133,11 @@
             began,
             numbers: 0,
             master: None,
-            holder: None,
+            holders: Vec::new(),
             have: 0,
             doubtful: None,
             signed: began,
-            drawn: None,
+            roster: Roster::default(),
             events,
             lines,
         };
@@ -139,7 +148,7 @@
                 Some((number, line)) = up.recv() => helm.on_up(number, line),
                 Some((number, event)) = inbox.recv() => helm.on_event(number, event),
                 order = orders.recv() => match order {
-                    Some(Order::Draw(draw)) => helm.on_draw(draw),
+                    Some(Order::Draw(to, draw)) => helm.on_draw(to, draw),
                     Some(Order::Seeds(seeds)) => helm.course.seeds(seeds),
                     None => return,
                 },
@@ -201,28 +210,37 @@
             if let Some(line) = self.master.as_ref().and_then(|v| v.line.as_ref()) {
                 line.send(&sign);
             }
-            if let Some(line) = self.holder.as_ref().and_then(|v| v.line.as_ref()) {
-                line.send(&Flag::Here);
+            let here = Flag::Here { epoch: self.roster.epoch };
+            for line in self.holders.iter().filter_map(|holder| holder.voyage.line.as_ref()) {
+                line.send(&here);
             }
         }
-        if let Some((number, _)) = self.drawn.filter(|(_, since)| since.elapsed() > DRAW_LOST) {
-            self.drawn = None;
+        // A holder that says nothing may be cut off: another connection finds out sooner.
+        self.part(|holder| holder.drawn.is_some_and(|(_, since)| since.elapsed() > DRAW_LOST));
+        self.tend_holders();
+    }
+
+    /// Leaves holders; what was drawn from them gets no answer.
+    fn part(&mut self, leaves: impl Fn(&Holder) -> bool) {
+        let mut left = Vec::new();
+        self.holders.retain(|holder| {
+            let leaves = leaves(holder);
+            left.extend(holder.drawn.filter(|_| leaves));
+            !leaves
+        });
+        for (number, _) in left {
             (self.news)(News::Unanswered { number });
-            // A holder that says nothing may be cut off: another connection finds out sooner.
-            self.holder = None;
         }
-        self.tend_holder();
     }
 
-    fn tend_holder(&mut self) {
-        let leader = self.course.leader();
-        if self.holder.as_ref().is_some_and(|v| Some(v.to) != leader || v.is_lost()) {
-            self.holder = None;
-        }
-        if self.holder.is_none()
-            && let Some(leader) = leader
-        {
-            self.holder = Some(self.voyage(leader));
+    fn tend_holders(&mut self) {
+        let wanted: Vec<SocketAddr> = self.course.holders().collect();
+        self.part(|holder| holder.voyage.is_lost() || !wanted.contains(&holder.voyage.to));
+        for to in wanted {
+            if self.holders.iter().all(|holder| holder.voyage.to != to) {
+                let voyage = self.voyage(to);
+                self.holders.push(Holder { voyage, drawn: None });
+            }
         }
     }
 
@@ -230,37 +248,40 @@
         if let Some(voyage) = self.master.as_mut().filter(|v| v.number == number) {
             line.send(&Flag::Follow { have: self.have });
             voyage.line = Some(line);
-        } else if let Some(voyage) = self.holder.as_mut().filter(|v| v.number == number) {
-            voyage.line = Some(line);
+        } else if let Some(holder) = self.holders.iter_mut().find(|holder| holder.voyage.number == number) {
+            // Among several holders only one that says which assignment it knows counts as heard.
+            if self.roster.epoch.number > 1 {
+                line.send(&Flag::Here { epoch: self.roster.epoch });
+            }
+            holder.voyage.line = Some(line);
         }
     }
 
     fn on_event(&mut self, number: u64, event: Result<Flag, LineError>) {
         let from_master = self.master.as_ref().is_some_and(|v| v.number == number);
-        let from_holder = self.holder.as_ref().is_some_and(|v| v.number == number);
+        let holder = self.holders.iter_mut().find(|holder| holder.voyage.number == number);
         match event {
             Err(_) if from_master => {
                 self.leave();
                 self.on_tick();
             }
-            Err(_) if from_holder => {
-                self.holder = None;
-                if let Some((number, _)) = self.drawn.take() {
-                    (self.news)(News::Unanswered { number });
-                }
-            }
+            Err(_) => self.part(|holder| holder.voyage.number == number),
             Ok(flag) if from_master => {
                 let now = self.now();
                 self.course.heard(now);
                 self.on_news(flag, now);
             }
-            Ok(Flag::Grant(grant)) if from_holder => {
-                self.drawn = None;
-                (self.news)(News::Grant(grant));
+            Ok(Flag::Grant(grant)) => {
+                if let Some(holder) = holder {
+                    holder.drawn = None;
+                    (self.news)(News::Grant(grant));
+                }
             }
-            Ok(Flag::NotHolder { number }) if from_holder => {
-                self.drawn = None;
-                (self.news)(News::Unanswered { number });
+            Ok(Flag::NotHolder { number }) => {
+                if let Some(holder) = holder {
+                    holder.drawn = None;
+                    (self.news)(News::Unanswered { number });
+                }
             }
             _ => {}
         }
@@ -271,7 +292,11 @@
             Flag::Pulse(pulse) => {
                 self.course.pulse(now, &pulse);
                 self.take_doubtful();
-                self.tend_holder();
+                if self.roster != *self.course.roster() {
+                    self.roster = self.course.roster().clone();
+                    (self.news)(News::Roster(self.roster.clone()));
+                }
+                self.tend_holders();
                 (self.news)(News::Pulse(pulse));
             }
             Flag::Sheet(sheet) => {
@@ -297,13 +322,13 @@
         }
     }
 
-    fn on_draw(&mut self, draw: tally::Draw) {
+    fn on_draw(&mut self, to: SocketAddr, draw: tally::Draw) {
         let number = draw.number;
-        let line = self.holder.as_ref().and_then(|v| v.line.as_ref());
-        if line.is_some_and(|line| line.send(&Flag::Draw(draw))) {
-            self.drawn = Some((number, Instant::now()));
-        } else {
-            (self.news)(News::Unanswered { number });
+        let holder = self.holders.iter_mut().find(|holder| holder.voyage.to == to);
+        let sent = holder.filter(|h| h.voyage.line.as_ref().is_some_and(|line| line.send(&Flag::Draw(draw))));
+        match sent {
+            Some(holder) => holder.drawn = Some((number, Instant::now())),
+            None => (self.news)(News::Unanswered { number }),
         }
     }
 }
