A window may hold up to a refill above the burst, as far as the judged bound has room

A bucket fills while it is drawn from; a window's refill comes at its beginning and is cut to burst + 4, so that a tenant at its quota was refused what one bucket for the whole harbour would have let through. What room is left under 0.95 of the judged bound now goes to the window, at least 4 units and at most one refill.

The drawn worlds now have tenants that rest until their burst is whole and then ask too much for a whole judged span.

--- a/harbour/tally/src/terms.rs
+++ b/harbour/tally/src/terms.rs
@@ -25,8 +25,13 @@
 /// How often the shortest window may be doubled. Lengths are powers of two of one grid, so that windows of several
 /// tenants end together and one message renews them all. Longer ones would let two whole windows into a short span.
 const DOUBLINGS: u32 = 2;
-/// Units above the burst, where the slack has room: blocks hold some units that nobody spends.
+/// Units above the burst, where the slack has room: blocks hold some units that nobody spends, and a window's refill
+/// comes at its beginning, where a bucket would go on filling while it is drawn from. At least so many ...
 const EASE: f64 = 4.0;
+/// ... and up to a window's refill, as long as the worst span stays below this share of what is judged.
+const NEAR: f64 = 0.95;
+const JUDGED_EXCESS: f64 = 1.1;
+const JUDGED_SLACK: f64 = 20.0;
 
 /// What the counts go by.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -60,7 +65,10 @@
         let begins = ((JUDGED + STRAY) / window).floor() + 1.0;
         let bound = (rate * JUDGED / 1000.0 + burst) * EXCESS + SLACK;
         let refill = (rate * window / 1000.0).min(bound / (begins + 1.0));
-        let most = (bound - begins * refill).min(burst.max(refill) + EASE).max(refill);
+        let judged = (rate * JUDGED / 1000.0 + burst) * JUDGED_EXCESS + JUDGED_SLACK;
+        let base = burst.max(refill);
+        let ease = (judged * NEAR - begins * refill - base).clamp(EASE, refill.max(EASE));
+        let most = (bound - begins * refill).min(base + ease).max(refill);
         Some(Self { window, refill, most })
     }
 }
--- a/harbour/tally/tests/spread.rs
+++ b/harbour/tally/tests/spread.rs
@@ -12,13 +12,15 @@
 /// No span of any tenant may come nearer than this to the judged bound.
 const MOST: f64 = 0.93;
 
+/// Some always ask too much; others rest until their burst is whole, then ask too much for longer than a judged span.
 fn loads() -> Vec<Load> {
-    let rates = [150.0, 60.0, 40.0, 25.0, 20.0, 12.0];
-    rates
-        .iter()
-        .enumerate()
-        .map(|(n, rate)| Load::new(n, *rate, rate * if n % 2 == 0 { 0.5 } else { 1.0 }, 2.5))
-        .collect()
+    let rates = [120.0, 60.0, 40.0, 25.0, 20.0, 12.0];
+    let load = |(n, rate): (usize, &f64)| {
+        let burst = rate * if n % 2 == 0 { 0.5 } else { 1.0 };
+        let rests = Load { hot: (3_500.0, 9_000.0, 12.0), every: 9_000.0, ..Load::new(n, *rate, burst, 0.2) };
+        if n % 3 == 0 { Load::new(n, *rate, burst, 2.4) } else { rests }
+    };
+    rates.iter().enumerate().map(load).collect()
 }
 
 #[derive(Clone, Copy)]
