A shut count is granted from by need, not by even slices

A new leader keeps every count shut for a window; each gateway then had its even slice. Of a tenant with 20 requests a second and 85 gateways that is a unit each in one window of ten, so that nine of ten requests were refused although the tenant was far below its quota. The holder now grants the same refill by need to the gateways that it hears, once these are four fifths of all; the part of the others stays with them as slices.

Gateways that follow the new leader count as heard when it takes office, others from their connection on.

--- a/harbour/harbourmaster/src/master/office.rs
+++ b/harbour/harbourmaster/src/master/office.rs
@@ -28,6 +28,12 @@
             self.placer = Some(placer);
             self.office.fleet(now as f64, self.fleet.size());
             self.office.assume(now as f64, &self.roster, first);
+            let quays = self.peers.values().filter(|p| now < p.heard + QUAY_SILENT);
+            for (peer, hail) in quays.filter_map(|p| Some((p, p.hail.as_ref()?))) {
+                if hail.plane == Plane::Quay {
+                    self.office.heard(peer.heard as f64, &hail.name, Epoch::first(term));
+                }
+            }
             self.watch.note(now, self.settings.address.to_string(), Happened::Office(true));
         } else if holds {
             self.share_out(now);
--- a/harbour/tally/src/holder.rs
+++ b/harbour/tally/src/holder.rs
@@ -20,6 +20,9 @@
 const LEAST_PART: f64 = 0.2;
 /// A former holder's word on its counts is waited for this long; draws are put off meanwhile.
 const HANDOVER_WAIT: Millis = 80.0;
+/// A shut count is granted from by need once this share of the gateways was heard, and they are waited for so long.
+const ENOUGH: f64 = 0.8;
+const GATHER: Millis = 150.0;
 /// Windows rolled one by one; after a longer rest the count is full anyway.
 const ROLLS_MOST: u32 = 64;
 
@@ -209,6 +212,23 @@
         }
     }
 
+    /// While a count is shut, the slices of all gateways would come to one refill. Of this, gateways that are heard get
+    /// what they need instead of even parts: few requests come where an even part is, when gateways are many.
+    fn share_shut(&mut self, now: Millis, want: &Want, share: Share) -> Share {
+        let (heard, known) = (self.heard.len() as f64, f64::from(self.known));
+        let gather = self.since + self.shut;
+        let Some(count) = self.counts.get_mut(&want.tenant) else { return share };
+        let Some(terms) = count.terms.filter(|_| now >= gather) else { return share };
+        if heard < ENOUGH * known {
+            let standing = if now < gather + GATHER { Standing::Later } else { Standing::Slices };
+            return Share { standing, ..share };
+        }
+        let free = (terms.refill * (heard / known).min(1.0) - count.granted).max(0.0).floor();
+        let granted = f64::from(want.need).min(free);
+        count.granted += granted;
+        Share { granted: granted as u32, left: (free - granted) as u32, standing: Standing::Open, ..share }
+    }
+
     /// Answers a gateway's draw.
     pub fn draw(&mut self, now: Millis, gateway: &str, draw: &Draw) -> Grant {
         self.forget_silent(now);
@@ -329,7 +349,7 @@
         }
         if now + EARLY < count.shut_until {
             share.ends_in = (count.shut_until - now).max(0.0);
-            return share;
+            return self.share_shut(now, want, share);
         }
         if same {
             let most_back = (terms.most - count.free - count.granted).max(0.0);
--- a/harbour/tally/tests/world/mod.rs
+++ b/harbour/tally/tests/world/mod.rs
@@ -123,14 +123,15 @@
     pub quota: Quota,
     /// Its clients ask this often, of the quota's rate.
     pub asks: f64,
-    /// From when to when, and how many times as often.
+    /// From when to when, and how many times as often; again and again with this period.
     pub hot: (f64, f64, f64),
+    pub every: f64,
 }
 
 impl Load {
     pub fn new(name: usize, rate: f64, burst: f64, asks: f64) -> Self {
         let quota = Quota { tenant: format!("tenant-{name}"), rate_per_s: rate, burst };
-        Self { quota, asks, hot: (0.0, 0.0, 1.0) }
+        Self { quota, asks, hot: (0.0, 0.0, 1.0), every: f64::INFINITY }
     }
 }
 
@@ -250,7 +251,7 @@
 
     fn next_request(&mut self, tenant: usize, from: f64) {
         let Some(load) = self.loads.get(tenant) else { return };
-        let hot = if (load.hot.0..load.hot.1).contains(&from) { load.hot.2 } else { 1.0 };
+        let hot = if (load.hot.0..load.hot.1).contains(&(from % load.every)) { load.hot.2 } else { 1.0 };
         let each = 1000.0 / (load.quota.rate_per_s * load.asks * hot).max(1e-6);
         let at = from + self.clients.span(each);
         self.at(at, Event::Request(tenant));
@@ -570,7 +571,17 @@
                 if fresh {
                     g.cache.word(now);
                 }
+                let known = g.cache.holders().clone();
                 g.cache.roster(&roster);
+                let now_known = g.cache.holders().clone();
+                // A new connection says who has come.
+                for to in 0..self.masters.len() {
+                    if now_known.has(&name(to))
+                        && (!known.has(&name(to)) || known.epoch.term < now_known.epoch.term)
+                    {
+                        self.send(Who::Q(place), Who::M(to), Said::Here(now_known.epoch));
+                    }
+                }
             }
             Said::Grant(grant) => {
                 g.drawn.remove(&grant.number);
