Quays and masters watch each other where a setting wants it, and masters count by it

A master counts quays that the watch holds to be here, and counts no more, at once, those that have said after their last request that they end. One held dead counts on for 30 s as before: its witnesses can't know whether it is cut off and spends its slices. A master that hears nobody takes nothing from the watch. `reachlb status` shows watched neighbours.

--- a/harbour/buoys/src/fleet.rs
+++ b/harbour/buoys/src/fleet.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// A life of a quay said itself that it has ended: it spends nothing more.
+    pub fn left(&mut self, name: &str, life: u64) {
+        if self.quays.get(name).is_some_and(|(known, _)| *known == life) {
+            self.quays.remove(name);
+        }
+    }
+
     /// Forgets those of which nothing was heard for long; whether any was.
     pub fn sweep(&mut self, now: Millis) -> bool {
         let before = self.quays.len();
--- a/harbour/buoys/tests/register.rs
+++ b/harbour/buoys/tests/register.rs
@@ -130,4 +130,9 @@
     fleet.heard(20_000, "a", 2);
     assert!(!fleet.sweep(29_000) && fleet.sweep(31_000));
     assert_eq!(fleet.names().collect::<Vec<_>>(), ["a"]);
+    // Who says that it has ended counts no more, unless that was an earlier life.
+    fleet.left("a", 1);
+    assert_eq!(fleet.size(), 1);
+    fleet.left("a", 2);
+    assert_eq!(fleet.size(), 0);
 }
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tally::{Holder, Quota};
-use tideway::{Line, LineError, dial};
+use tideway::{Line, LineError, Lookout, dial};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -182,6 +182,8 @@
     told_quays: (Vec<(String, u64)>, u64),
     outputs: Vec<Output>,
     watch: Watch,
+    /// Who watches the neighbours, if anybody does.
+    lookout: Option<Rc<Lookout>>,
 }
 
 impl Master {
@@ -230,12 +232,18 @@
             told_quays: (Vec::new(), 0),
             outputs: Vec::new(),
             watch: Watch::new(),
+            lookout: None,
             settings,
         };
         master.renewed();
         master
     }
 
+    /// Goes by what the watch of the neighbours finds, too.
+    pub fn with_lookout(self, lookout: Option<Rc<Lookout>>) -> Self {
+        Self { lookout, ..self }
+    }
+
     fn now(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -1,6 +1,7 @@
 //! What followers and other masters are told, and when.
 
 use super::*;
+use coastwatch::State;
 
 impl Master {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
@@ -80,6 +81,7 @@
         self.tell_berths(changed);
         self.take_in();
         self.count_quays(now);
+        self.look_round(now);
         self.to_masters(&Flag::Masters(self.cards()));
         self.fleet.sweep(now);
         if !self.grown && now >= YOUNG {
@@ -107,6 +109,24 @@
         }
     }
 
+    /// Takes in what the watch of the neighbours knows of quays. Of a death only its witnesses are known: who is cut off
+    /// from them may go on spending, and counts on as one that is not heard. Who said that it ends does not.
+    fn look_round(&mut self, now: u64) {
+        let Some(lookout) = &self.lookout else { return };
+        if self.peers.values().any(|peer| peer.hail.is_some() && now < peer.heard + QUAY_SILENT) {
+            lookout.ashore();
+        }
+        if lookout.is_adrift() {
+            return;
+        }
+        let fleet = &mut self.fleet;
+        lookout.each(|word| match word.state {
+            State::Here if word.card.quay => fleet.heard(now, &word.card.name, word.card.life),
+            State::Left if word.card.quay => fleet.left(&word.card.name, word.card.life),
+            _ => {}
+        });
+    }
+
     pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
         if !berths.is_empty() {
             let now = self.now();
--- a/harbour/harbourmaster/src/master/told.rs
+++ b/harbour/harbourmaster/src/master/told.rs
@@ -49,10 +49,18 @@
             .map(|c| json!({ "tenant": c.tenant, "window": c.window, "granted": c.granted, "left": c.left }))
             .collect();
         let quays: Vec<_> = self.fleet.names().collect();
+        let watch = self.lookout.as_ref().map(|lookout| {
+            let standing = lookout.standing();
+            let watched = standing.watched.into_iter();
+            let watched: Vec<_> = watched
+                .map(|(name, silent, doubted)| json!({ "name": name, "silent_ms": silent, "doubted": doubted }))
+                .collect();
+            json!({ "adrift": standing.adrift, "here": standing.here, "watched": watched })
+        });
         let status = json!({ "name": self.settings.me.name, "zone": self.settings.me.zone, "up_ms": now, "frames": self.frames,
             "leader": leader.map(|l| l.to_string()), "epoch": epoch, "fresh": fresh,
             "version": format!("r{}", self.ledger.version()), "log": log, "masters": masters, "lines": lines,
-            "quays": quays, "backends": berths, "counts": counts });
+            "quays": quays, "backends": berths, "counts": counts, "watch": watch });
         Reply { status: 200, body: status.to_string().into_bytes() }
     }
 
--- a/harbour/manifest/src/settings.rs
+++ b/harbour/manifest/src/settings.rs
@@ -300,6 +300,8 @@
         election: Millis = 320, "reachlb.election_ms", |election| !election.is_zero() => "wants more than 0";
         /// How long the leader may act on the answer of a majority.
         lease: Millis = 230, "reachlb.lease_ms", |lease| !lease.is_zero() => "wants more than 0";
+        /// Whether processes watch each other, in sets of a few; the command line can say so as well.
+        watching: Flag = false, "reachlb.watching";
         /// Which lines are logged: off, error, warn, info, debug or trace.
         log_level: Text = "info", "reachlb.log_level",
             |level| matches!(&**level, "off" | "error" | "warn" | "info" | "debug" | "trace")
--- a/harbour/programs/src/lib.rs
+++ b/harbour/programs/src/lib.rs
@@ -29,20 +29,22 @@
     Harbourmaster,
 }
 
-/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file.
-pub fn serve(program: Program, settings: Option<PathBuf>) -> ExitCode {
+/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file. `watching`: processes
+/// watch each other, whatever the settings say.
+pub fn serve(program: Program, settings: Option<PathBuf>, watching: bool) -> ExitCode {
     let path = settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
     let Some(path) = path else {
         eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
         return ExitCode::from(UNUSABLE);
     };
-    let settings = match manifest::Settings::read(&path) {
+    let mut settings = match manifest::Settings::read(&path) {
         Ok(settings) => settings,
         Err(fault) => {
             eprintln!("{}: {fault}", path.display());
             return ExitCode::from(UNUSABLE);
         }
     };
+    settings.tuning.watching |= watching;
     if let Err(error) = logs::start(&settings.tuning.log_level) {
         eprintln!("logs: {error}");
         return ExitCode::from(UNUSABLE);
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -22,9 +22,9 @@
 #[derive(Debug, Options)]
 enum Command {
     /// carry requests from clients to backends
-    Quay(Nothing),
+    Quay(Plane),
     /// serve control: backends' beats, the operator's calls, the log, the counts
-    Harbourmaster(Nothing),
+    Harbourmaster(Plane),
     /// check a settings file (TOML) or a configuration (JSON), every fault on a line of its own
     Check(Check),
     /// how a harbour stands, as one of its processes knows it
@@ -46,9 +46,11 @@
 }
 
 #[derive(Debug, Options)]
-struct Nothing {
+struct Plane {
     /// print this help
     help: bool,
+    /// watch a few other processes, and be watched by them
+    watching: bool,
 }
 
 fn main() -> ExitCode {
@@ -57,14 +59,14 @@
         eprintln!("no command\n\n{}", Arguments::usage());
         return ExitCode::from(UNUSABLE);
     };
-    let program = match command {
+    let (program, watching) = match command {
         Command::Check(Check { file, .. }) => return check::run(&file),
         Command::Status(call) => return operate::run(operate::status(call)),
         Command::Config(call) => return operate::run(operate::config(call)),
         Command::Explain(call) => return operate::run(operate::explain(call)),
         Command::State(call) => return operate::told(operate::state(call)),
-        Command::Quay(_) => Program::Quay,
-        Command::Harbourmaster(_) => Program::Harbourmaster,
+        Command::Quay(plane) => (Program::Quay, plane.watching),
+        Command::Harbourmaster(plane) => (Program::Harbourmaster, plane.watching),
     };
-    serve(program, arguments.settings)
+    serve(program, arguments.settings, watching)
 }
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -75,7 +75,8 @@
         numbers.get()
     });
     spdlog::info!("serves control", kv: { step = "start", life, quorum = folder.is_some() });
-    let master = Master::new(master, log, commands.clone(), numbers.clone());
+    let lookout = start::watch(&settings, false, life)?;
+    let master = Master::new(master, log, commands.clone(), numbers.clone()).with_lookout(lookout.clone());
     tokio::task::spawn_local(harbourmaster::listen(peers, commands.clone(), move || numbers()));
     let callers = (settings.max_fds as usize).saturating_sub(KEPT).clamp(64, 4096);
     tokio::task::spawn_local(harbourmaster::serve(control, commands.clone(), callers));
@@ -84,9 +85,17 @@
     tokio::task::spawn_local(master.run(queue));
     loop {
         tokio::select! {
-            _ = end.recv() => return Ok(()),
+            _ = end.recv() => {
+                if let Some(lookout) = &lookout {
+                    lookout.leave();
+                }
+                return Ok(());
+            }
             _ = hangup.recv() => match Settings::read(&path) {
                 Ok(settings) => {
+                    if let Some(lookout) = &lookout {
+                        lookout.seeds(&start::watch_seeds(&settings));
+                    }
                     let seeds = start::seeds(&settings);
                     let _ = commands.send(harbourmaster::Command::Seeds(seeds)).await;
                 }
--- a/harbour/programs/src/operate/status.rs
+++ b/harbour/programs/src/operate/status.rs
@@ -61,6 +61,12 @@
     let quays = status["quays"].as_array().map_or(0, Vec::len);
     let names: Vec<_> = status["quays"].as_array().into_iter().flatten().map(cell).collect();
     let _ = writeln!(text, "quays: {quays}: {}", names.join(" "));
+    let watch = &status["watch"];
+    if !watch.is_null() {
+        let adrift =
+            if watch["adrift"] == true { "; adrift: it hears nobody, and judges nobody" } else { "" };
+        let _ = writeln!(text, "watch: {} processes are here{adrift}", cell(&watch["here"]));
+    }
     let mut section = |name: &str, list: &Value, fields: &[&str]| {
         if list.as_array().is_some_and(|list| !list.is_empty()) {
             let _ = write!(text, "\n{name}\n{}", of(list, fields));
@@ -77,6 +83,7 @@
         &status["counts"],
         &["tenant", "window", "granted", "left"],
     );
+    section("watched neighbours", &watch["watched"], &["name", "silent_ms", "doubted"]);
     section("connections here", &status["lines"], &["name", "plane", "address", "follows", "silent_ms"]);
     text
 }
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -83,8 +83,10 @@
             News::Unanswered { number } => purser.unanswered(number),
         }
     };
+    let lookout = start::watch(&settings, true, life)?;
     let seeds = start::seeds(&settings);
     *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, news));
+    let watch = lookout.clone();
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(async move {
@@ -94,6 +96,9 @@
                     if let Some(pilot) = pilot.borrow().as_ref() {
                         pilot.seeds(start::seeds(&settings));
                     }
+                    if let Some(watch) = &watch {
+                        watch.seeds(&start::watch_seeds(&settings));
+                    }
                 }
                 Err(fault) => spdlog::error!("settings not taken: {}", fault, kv: { step = "hangup" }),
             }
@@ -104,6 +109,10 @@
         end.recv().await;
     };
     quay.serve(front, readiness, ended).await;
+    // Only now: while it finishes its work it spends.
+    if let Some(lookout) = lookout {
+        lookout.leave();
+    }
     spdlog::info!("done", kv: { step = "end" });
     Ok(())
 }
--- a/harbour/programs/src/start.rs
+++ b/harbour/programs/src/start.rs
@@ -4,8 +4,10 @@
 use miette::{IntoDiagnostic, Result, WrapErr};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
-use std::net::SocketAddr;
-use tokio::net::TcpListener;
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use tideway::Lookout;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// A number that no other process draws: the standard library seeds its hashers from the system's randomness.
 pub fn draw() -> u64 {
@@ -32,6 +34,33 @@
     settings.seed_list.iter().map(|seed| SocketAddr::new(seed.ip(), peer_port(settings))).collect()
 }
 
+/// Starts the watch, where the settings want it. Quays take datagrams at the first of the ports that are theirs,
+/// processes that serve control at the second, so that two on one machine get along.
+pub fn watch(settings: &Settings, quay: bool, life: u64) -> Result<Option<Rc<Lookout>>> {
+    let (first, last) = settings.port_range;
+    let port = if quay { first } else { first.saturating_add(1) };
+    let (true, IpAddr::V4(ip)) = (settings.tuning.watching && port <= last, settings.ip) else {
+        return Ok(None);
+    };
+    let at = SocketAddrV4::new(ip, port);
+    let open = || {
+        let socket = std::net::UdpSocket::bind(at)?;
+        socket.set_nonblocking(true)?;
+        UdpSocket::from_std(socket)
+    };
+    let socket = open().into_diagnostic().wrap_err_with(|| format!("take datagrams at {at}"))?;
+    let card = tideway::card(at, &settings.node_name, quay, life);
+    Ok(Some(Lookout::start(socket, card, watch_seeds(settings), life)))
+}
+
+/// Where the processes on the seeds' machines take datagrams.
+pub fn watch_seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let (first, _) = settings.port_range;
+    let both =
+        |seed: &SocketAddr| [first, first.saturating_add(1)].map(|port| SocketAddr::new(seed.ip(), port));
+    settings.seed_list.iter().flat_map(both).collect()
+}
+
 /// Listens, with a queue that bears a herd.
 ///
 /// # Errors
--- a/harbour/tideway/src/lib.rs
+++ b/harbour/tideway/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod course;
 mod line;
+mod lookout;
 mod pilot;
 
 pub use course::Course;
 pub use line::{Line, LineError, Reader, attach, dial};
+pub use lookout::{Lookout, card};
 pub use pilot::{News, Pilot, PilotSettings};
 
 /// Runs a task for as long as the program runs.
--- /dev/null
+++ b/harbour/tideway/src/lookout.rs
@@ -0,0 +1,125 @@
+//! Watches the neighbours over datagrams: the socket and clock of a [`Keeper`].
+
+use crate::spawn;
+use coastwatch::{Card, Keeper, Mark, Message, Millis, Sent, Standing, Word};
+use std::cell::RefCell;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep_until};
+
+/// The longest datagram that is read, in bytes; those that are sent are about half as long at most.
+const LONGEST: usize = 4096;
+/// So many datagrams are read before others on this thread have their turn.
+const AT_ONCE: usize = 64;
+
+/// The watch of this process at work.
+pub struct Lookout {
+    keeper: RefCell<Keeper>,
+    socket: UdpSocket,
+    began: Instant,
+}
+
+impl Lookout {
+    /// Watches from now on at a socket that is bound to the card's address; `seed` is drawn for this life.
+    pub fn start(socket: UdpSocket, card: Card, seeds: Vec<SocketAddr>, seed: u64) -> Rc<Self> {
+        let keeper = RefCell::new(Keeper::new(card, marks(&seeds), seed, 0));
+        let lookout = Rc::new(Self { keeper, socket, began: Instant::now() });
+        spawn(Self::run(Rc::downgrade(&lookout)));
+        lookout
+    }
+
+    fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    async fn run(me: Weak<Self>) {
+        let mut buffer = vec![0; LONGEST];
+        loop {
+            let Some(lookout) = me.upgrade() else { return };
+            let mut out = Vec::new();
+            lookout.keeper.borrow_mut().step(lookout.now(), &mut out);
+            lookout.send(out);
+            let due = lookout.keeper.borrow().next_due().max(lookout.now() + 1);
+            tokio::select! {
+                // A socket in trouble says so at once, again and again: the next step looks again.
+                Ok(()) = lookout.socket.readable() => lookout.read(&mut buffer),
+                () = sleep_until(lookout.began + Duration::from_millis(due)) => {}
+            }
+        }
+    }
+
+    fn read(&self, buffer: &mut [u8]) {
+        for _ in 0..AT_ONCE {
+            let (length, from) = match self.socket.try_recv_from(buffer) {
+                Ok(read) => read,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                // An earlier datagram found nobody: that is not an answer of this one.
+                Err(_) => continue,
+            };
+            let message = buffer.get(..length).and_then(Message::decode);
+            let Some(message) = message.filter(|message| mark(from) == Some(message.from.card.at)) else {
+                continue;
+            };
+            let mut out = Vec::new();
+            self.keeper.borrow_mut().hear(message, self.now(), &mut out);
+            self.send(out);
+        }
+    }
+
+    fn send(&self, out: Vec<Sent>) {
+        for Sent { to, message } in out {
+            // A datagram that can't be sent is lost, as others are.
+            let _ = self.socket.try_send_to(&message.encode(), SocketAddr::V4(to.into()));
+        }
+    }
+
+    /// Another machine was heard by other means.
+    pub fn ashore(&self) {
+        self.keeper.borrow_mut().ashore(self.now());
+    }
+
+    /// The settings name other seeds.
+    pub fn seeds(&self, seeds: &[SocketAddr]) {
+        self.keeper.borrow_mut().seeds(marks(seeds));
+    }
+
+    /// The process is done: nobody has to find out.
+    pub fn leave(&self) {
+        let mut out = Vec::new();
+        self.keeper.borrow_mut().leave(self.now(), &mut out);
+        self.send(out);
+    }
+
+    /// What is held of all processes.
+    pub fn each(&self, see: impl FnMut(&Word)) {
+        self.keeper.borrow().words().for_each(see);
+    }
+
+    /// Whether this process hears nobody: what it holds is of old.
+    pub fn is_adrift(&self) -> bool {
+        self.keeper.borrow().is_adrift()
+    }
+
+    /// How it stands, for operators.
+    pub fn standing(&self) -> Standing {
+        self.keeper.borrow().standing(self.now())
+    }
+}
+
+fn mark(address: SocketAddr) -> Option<Mark> {
+    match address {
+        SocketAddr::V4(address) => Some(address.into()),
+        SocketAddr::V6(_) => None,
+    }
+}
+
+fn marks(addresses: &[SocketAddr]) -> Vec<Mark> {
+    addresses.iter().copied().filter_map(mark).collect()
+}
+
+/// The card of a process that takes datagrams at an address.
+pub fn card(at: SocketAddrV4, name: &str, quay: bool, life: u64) -> Card {
+    Card { at: at.into(), name: name.to_owned(), quay, life }
+}
