--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -1,6 +1,7 @@
 //! What followers and other masters are told, and when.
 
 use super::*;
+use coastwatch::State;
 
 impl Master {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
@@ -86,11 +87,8 @@
         let changed = self.register.sweep(now);
         self.tell_berths(changed);
         self.take_in();
-        let quays = self.quays_here(now);
-        for (name, life) in &quays {
-            self.fleet.heard(now, name, *life);
-        }
-        self.to_masters(&Flag::Quays(quays));
+        self.count_quays(now);
+        self.look_round(now);
         self.to_masters(&Flag::Masters(self.cards()));
         self.fleet.sweep(now);
         if !self.grown && now >= YOUNG {
@@ -102,6 +100,38 @@
         self.office.fleet(now as f64, fleet);
     }
 
+    /// Quays that are heard here, and those of which other masters say so: their word stands while they are heard.
+    fn count_quays(&mut self, now: u64) {
+        let mut quays = self.quays_here(now);
+        let told = self.peers.values().filter(|peer| now < peer.heard + QUAY_SILENT);
+        for (name, life) in quays.iter().chain(told.flat_map(|peer| &peer.quays)) {
+            self.fleet.heard(now, name, *life);
+        }
+        quays.sort_unstable();
+        if quays != self.told_quays.0 || now >= self.told_quays.1 + QUAYS_AGAIN {
+            self.to_masters(&Flag::Quays(quays.clone()));
+            self.told_quays = (quays, now);
+        }
+    }
+
+    /// Takes in what the watch of the neighbours knows of quays. Of a death only its witnesses are known: who is cut off
+    /// from them may go on spending, and counts on as one that is not heard. Who said that it ends does not.
+    fn look_round(&mut self, now: u64) {
+        let Some(lookout) = &self.lookout else { return };
+        if self.peers.values().any(|peer| peer.hail.is_some() && now < peer.heard + QUAY_SILENT) {
+            lookout.ashore();
+        }
+        if lookout.is_adrift() {
+            return;
+        }
+        let fleet = &mut self.fleet;
+        lookout.each(|word| match word.state {
+            State::Here if word.card.quay => fleet.heard(now, &word.card.name, word.card.life),
+            State::Left if word.card.quay => fleet.left(&word.card.name, word.card.life),
+            _ => {}
+        });
+    }
+
     pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
         if !berths.is_empty() {
             let now = self.now();
