Slipway: what both tools that try real processes share, moved out of the old one

Moved into the crate slipway; relays no longer know the old tool's parties but take any, with the address they listen at and the one they connect on from.

--- a/emulator/src/draw.rs
+++ b/emulator/src/draw.rs
@@ -1,10 +1,10 @@
 //! A day: one draw from a scenario, wholly determined by scenario and seed. All that does not answer to what
 //! gateways do is drawn here, ahead of the day.
 
-use crate::random::Random;
 use crate::scenario::{Backoff, Effect, Kind, Scenario, Shape, Span};
 use doorcourse::{Group, Name, Reports, Settings};
 use serde::Serialize;
+use slipway::Random;
 use std::sync::Arc;
 
 /// Time in whole microseconds since the day began.
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod experiment;
 pub mod judge;
 pub mod live;
-pub mod random;
 pub mod report;
 pub mod results;
 pub mod scenario;
--- a/emulator/src/live/load.rs
+++ b/emulator/src/live/load.rs
@@ -3,13 +3,13 @@
 //! (coordinated omission). Bounded in rate, time and requests out; loopback addresses only.
 
 use crate::live::history::{Ended, History, Seen};
-use crate::random::Random;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt as _, Empty};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use slipway::Random;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/emulator/src/live/process.rs
+++ b/emulator/src/live/process.rs
@@ -1,15 +1,15 @@
 //! Gateways as processes of their own. Every process that is started here is ended here: when its owner goes, when
 //! the program panics ([`end_with_panics`]), and when it is told to stop ([`end_all`]).
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::Value;
-use std::collections::BTreeSet;
+use slipway::running;
+pub use slipway::running::{end_all, end_with_panics, signal};
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
-use std::sync::{Mutex, Once, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -25,39 +25,6 @@
 /// The longest answer of a console.
 const LONGEST: u64 = 1 << 20;
 
-/// All processes that run.
-static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
-
-fn running() -> std::sync::MutexGuard<'static, BTreeSet<u32>> {
-    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Kills all processes that were started here and still run.
-pub fn end_all() {
-    for pid in std::mem::take(&mut *running()) {
-        signal(pid, Signal::KILL);
-    }
-}
-
-/// From now on a panic ends all processes too: a program that aborts on panics runs no destructors.
-pub fn end_with_panics() {
-    static ONCE: Once = Once::new();
-    ONCE.call_once(|| {
-        let before = std::panic::take_hook();
-        std::panic::set_hook(Box::new(move |info| {
-            end_all();
-            before(info);
-        }));
-    });
-}
-
-/// Sends a signal; one to a process that has just ended goes nowhere.
-pub fn signal(pid: u32, signal: Signal) {
-    if let Some(pid) = i32::try_from(pid).ok().and_then(Pid::from_raw) {
-        let _ = kill_process(pid, signal);
-    }
-}
-
 /// A gateway's process.
 pub struct Process {
     /// Its number with the system.
@@ -95,7 +62,7 @@
             .spawn()
             .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", program.display())))?;
         let pid = child.id().unwrap_or_default();
-        running().insert(pid);
+        running::add(pid);
         let mut process = Self { pid, log, child };
         match timeout(COMES_UP, process.comes_up()).await {
             Ok(up) => up.map(|()| process),
@@ -122,7 +89,7 @@
     pub fn ended(&mut self) -> Option<ExitStatus> {
         let status = self.child.try_wait().ok().flatten();
         if status.is_some() {
-            running().remove(&self.pid);
+            running::remove(self.pid);
         }
         status
     }
@@ -131,7 +98,7 @@
     pub async fn kill(&mut self) -> io::Result<ExitStatus> {
         signal(self.pid, Signal::KILL);
         let status = self.child.wait().await?;
-        running().remove(&self.pid);
+        running::remove(self.pid);
         Ok(status)
     }
 
@@ -140,7 +107,7 @@
         signal(self.pid, Signal::TERM);
         match timeout(within, self.child.wait()).await {
             Ok(status) => {
-                running().remove(&self.pid);
+                running::remove(self.pid);
                 Ok((status?, true))
             }
             Err(_) => Ok((self.kill().await?, false)),
@@ -161,7 +128,7 @@
         if self.ended().is_none() {
             // Stopped ones too: a signal to end would wait until they are continued.
             signal(self.pid, Signal::KILL);
-            running().remove(&self.pid);
+            running::remove(self.pid);
         }
     }
 }
--- a/emulator/src/live/stand_ins.rs
+++ b/emulator/src/live/stand_ins.rs
@@ -2,7 +2,6 @@
 //! Each can be put in trouble while it runs. They are for trying the program out, and measure nothing.
 
 use crate::live::history::{Entry, History, Seen, gateway_at};
-use crate::random::Random;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
@@ -12,6 +11,7 @@
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use serde_json::{Value, json};
+use slipway::Random;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -1,66 +1,16 @@
 //! What a day is drawn from: the figures of a site as ranges, and a day's size and troubles. Both are TOML files;
 //! every fault is told with the place in the file, and nothing is started on one.
 
-use serde::de::{Deserializer, Error as _, SeqAccess, Visitor};
+use serde::de::{Deserializer, Error as _};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
+pub use slipway::Span;
 use std::fmt;
 use std::path::{Path, PathBuf};
 
 /// Files longer than this are refused unread.
 const LONGEST_FILE: u64 = 1 << 20;
 
-/// A range of figures that are finite and not below 0; one number stands for itself.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Span {
-    /// The least.
-    pub least: f64,
-    /// The most.
-    pub most: f64,
-}
-
-struct SpanVisitor;
-
-impl<'de> Visitor<'de> for SpanVisitor {
-    type Value = Span;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a number or a range [least, most]")
-    }
-
-    fn visit_f64<E: serde::de::Error>(self, figure: f64) -> Result<Span, E> {
-        Ok(Span { least: figure, most: figure })
-    }
-
-    fn visit_i64<E: serde::de::Error>(self, figure: i64) -> Result<Span, E> {
-        self.visit_f64(figure as f64)
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut from: A) -> Result<Span, A::Error> {
-        let mut ends = [0.0; 2];
-        for (place, end) in ends.iter_mut().enumerate() {
-            *end = from.next_element()?.ok_or_else(|| A::Error::invalid_length(place, &self))?;
-        }
-        if from.next_element::<f64>()?.is_some() {
-            return Err(A::Error::invalid_length(3, &self));
-        }
-        Ok(Span { least: ends[0], most: ends[1] })
-    }
-}
-
-impl<'de> Deserialize<'de> for Span {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let Self { least, most } = from.deserialize_any(SpanVisitor)?;
-        if !(least.is_finite() && most.is_finite() && least >= 0.0) {
-            return Err(D::Error::custom("figures must be finite and not below 0"));
-        }
-        if least > most {
-            return Err(D::Error::custom(format!("the range is upside down: {least} is more than {most}")));
-        }
-        Ok(Self { least, most })
-    }
-}
-
 /// A range of shares, from 0 to 1.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Shares(pub Span);
--- a/emulator/src/trial/mod.rs
+++ b/emulator/src/trial/mod.rs
@@ -16,6 +16,7 @@
 use rustix::process::Signal;
 use schedule::{Fault, Kind, Schedule, Tmp};
 use serde_json::{Value, json};
+use slipway::clock::{MOST_LATE, keeps_time};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -39,10 +40,8 @@
 const TAKES_OVER: Duration = Duration::from_secs(8);
 /// How often processes are looked at.
 const LOOKS: Duration = Duration::from_millis(200);
-/// The tool looks at its own clock this often; later than this, and it did not keep its times.
+/// How often it is looked whether a new process has taken over.
 const TICK: Duration = Duration::from_millis(10);
-const MOST_LATE: Duration = Duration::from_millis(250);
-
 /// What ends a trial before its end.
 pub type TrialError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -219,16 +218,6 @@
     Ok(())
 }
 
-/// Notes by how much the tool's own clock is late at the worst.
-async fn keeps_time(late: Arc<AtomicU64>) {
-    let mut due = Instant::now() + TICK;
-    loop {
-        sleep_until(due).await;
-        late.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
-        due = Instant::now() + TICK;
-    }
-}
-
 impl Stage {
     /// Sets everything up and starts the gateways. Gives where clients find them.
     async fn set(
--- a/emulator/src/trial/relay.rs
+++ b/emulator/src/trial/relay.rs
@@ -1,34 +1,11 @@
-//! Relays: every connection between two parties of a trial runs through one that the tool owns, and each direction
-//! of it is a link of its own with its own faults.
-//!
-//! Invariants: bytes leave in the order in which they came, and none is made up; a half-close and a reset pass on;
-//! a reader that stops stops its writer (at most [`MOST_HELD`] bytes wait in a relay). A connection that a fault has
-//! taken bytes from never goes on as if nothing had been: it is reset when the fault ends.
+//! Who is connected in a trial, and the relays between them ([`slipway::relay`]).
 
 use crate::live::history::Addresses;
-use crate::random::Random;
-use bytes::{Buf as _, Bytes};
-use std::collections::VecDeque;
+pub use slipway::relay::{Flow, Link, MOST_HELD};
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout};
-
-/// Bytes read at once, and the most that wait in one direction of a connection.
-const PIECE: usize = 16 * 1024;
-/// See [`PIECE`].
-pub const MOST_HELD: usize = 64 * PIECE;
-/// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
-/// How long the relay tries to fill its own line of waiting connections when it hides.
-const FILLING: Duration = Duration::from_millis(200);
+use std::ops::Deref;
 
 /// Somebody with connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -64,373 +41,33 @@
     }
 }
 
-/// What one direction of a link does with bytes. Where several faults hold at once, the hardest one counts: the
-/// order of the variants.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub enum Flow {
-    /// They pass.
-    Free,
-    /// Only so many bytes a second pass.
-    Throttled(u64),
-    /// Each piece passes after a time drawn evenly from these two, in ms.
-    Delayed(f64, f64),
-    /// The connection is reset once this many bytes have passed since the fault began.
-    CutAfter(u64),
-    /// Connections come up, and what is written vanishes.
-    Mute,
-    /// As with a machine that vanished: open connections stay open and silent, new ones never come up.
-    Hole,
-    /// Connections are reset, new ones are refused.
-    Reset,
-}
-
-/// One direction between two parties.
-#[derive(Debug)]
-pub struct Link {
-    faults: Mutex<Vec<(usize, Flow)>>,
-    flow: watch::Sender<Flow>,
-    /// Bytes that have passed.
-    pub passed: AtomicU64,
-}
-
-impl Default for Link {
-    fn default() -> Self {
-        Self { faults: Mutex::default(), flow: watch::Sender::new(Flow::Free), passed: AtomicU64::new(0) }
-    }
-}
-
-impl Link {
-    /// A fault holds from now on.
-    pub fn begin(&self, fault: usize, flow: Flow) {
-        self.change(|faults| faults.push((fault, flow)));
-    }
-
-    /// A fault holds no longer.
-    pub fn end(&self, fault: usize) {
-        self.change(|faults| faults.retain(|(number, _)| *number != fault));
-    }
-
-    fn change(&self, how: impl FnOnce(&mut Vec<(usize, Flow)>)) {
-        let mut faults = self.faults.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        how(&mut faults);
-        let flows = faults.iter().map(|(_, flow)| *flow);
-        let hardest = flows.fold(Flow::Free, |hardest, flow| if flow > hardest { flow } else { hardest });
-        self.flow.send_if_modified(|now| std::mem::replace(now, hardest) != hardest);
-    }
-
-    fn flow(&self) -> Flow {
-        *self.flow.borrow()
-    }
-}
-
-/// One relay: a listener for one party's connections to another.
-pub struct Relay {
-    /// Where the party that connects finds the other one.
-    pub address: SocketAddr,
-    /// Bytes of the one that connects.
-    pub there: Arc<Link>,
-    /// Bytes of the other one.
-    pub back: Arc<Link>,
-    source: IpAddr,
-    target: SocketAddr,
-    /// Whether the target's process listens; otherwise connections are refused.
-    up: watch::Sender<bool>,
-    /// How often the relay itself failed, for want of descriptors or ports: a trial with such has no verdict.
-    failed: Arc<AtomicU64>,
-    /// Holds the port while nobody listens at it.
-    _place: TcpSocket,
-}
-
-/// Who the relay is to those that connect.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Door {
-    Open,
-    /// New connections never come up.
-    Hidden,
-    /// New connections are refused.
-    Closed,
-}
-
-fn bound(address: SocketAddr) -> io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
+/// Everything between the parties, on a trial's own addresses.
+#[derive(Default)]
+pub struct Net {
+    addresses: Addresses,
+    net: slipway::relay::Net<Party>,
 }
 
-impl Relay {
-    /// Starts one on an address of the connecting party's own. It lives as long as the runtime.
-    ///
-    /// # Errors
-    /// When there is no address for it.
-    pub fn start(
-        source: IpAddr, target: SocketAddr, there: Arc<Link>, back: Arc<Link>, up: bool,
-        failed: Arc<AtomicU64>,
-    ) -> io::Result<Arc<Self>> {
-        // The port is held by a socket that never listens, so that it can be closed and opened again.
-        let place = bound(SocketAddr::new(source, 0))?;
-        let address = place.local_addr()?;
-        let up = watch::Sender::new(up);
-        let relay = Arc::new(Self { address, there, back, source, target, up, failed, _place: place });
-        let first = relay.listen()?;
-        tokio::spawn(relay.clone().run(first));
-        Ok(relay)
-    }
-
-    /// Says whether the target's process listens.
-    pub fn set_up(&self, up: bool) {
-        self.up.send_if_modified(|now| std::mem::replace(now, up) != up);
-    }
-
-    fn listen(&self) -> io::Result<TcpListener> {
-        bound(self.address)?.listen(BACKLOG as u32)
-    }
-
-    fn door(&self) -> Door {
-        let (there, back) = (self.there.flow(), self.back.flow());
-        if !*self.up.borrow() || there == Flow::Reset || back == Flow::Reset {
-            Door::Closed
-        } else if there == Flow::Hole || back == Flow::Hole {
-            Door::Hidden
-        } else {
-            Door::Open
-        }
-    }
-
-    async fn run(self: Arc<Self>, first: TcpListener) {
-        let mut changes = (self.there.flow.subscribe(), self.back.flow.subscribe(), self.up.subscribe());
-        let (mut listener, mut filler) = (Some(first), None);
-        loop {
-            let door = {
-                changes.0.mark_unchanged();
-                changes.1.mark_unchanged();
-                changes.2.mark_unchanged();
-                self.door()
-            };
-            match (door, &listener) {
-                (Door::Closed, _) => (listener, filler) = (None, None),
-                (_, None) => match self.listen() {
-                    Ok(new) => {
-                        listener = Some(new);
-                        continue;
-                    }
-                    Err(_) => {
-                        self.failed.fetch_add(1, Ordering::Relaxed);
-                        tokio::time::sleep(Duration::from_millis(20)).await;
-                        continue;
-                    }
-                },
-                (Door::Hidden, Some(open)) if filler.is_none() => {
-                    // A line of waiting connections that is full makes the system drop what knocks.
-                    let _ = rustix::net::listen(open, 0);
-                    filler = Some(timeout(FILLING, TcpStream::connect(self.address)).await.ok());
-                }
-                (Door::Open, Some(open)) if filler.is_some() => {
-                    // What has waited in that line is reset, the relay's own connection too.
-                    let _ = rustix::net::listen(open, BACKLOG);
-                    while let Ok(Ok((stream, _))) = timeout(Duration::from_millis(1), open.accept()).await {
-                        let _ = stream.set_zero_linger();
-                    }
-                    filler = None;
-                }
-                _ => {}
-            }
-            let accepted = async {
-                match &listener {
-                    Some(open) if door == Door::Open => open.accept().await,
-                    _ => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                accepted = accepted => match accepted {
-                    Ok((stream, _)) => drop(tokio::spawn(self.clone().pass_on(stream))),
-                    Err(_) => {
-                        self.failed.fetch_add(1, Ordering::Relaxed);
-                        tokio::time::sleep(Duration::from_millis(10)).await;
-                    }
-                },
-                _ = changes.0.changed() => {}
-                _ = changes.1.changed() => {}
-                _ = changes.2.changed() => {}
-            }
-        }
-    }
-
-    async fn pass_on(self: Arc<Self>, mut near: TcpStream) {
-        let far = async {
-            let socket = TcpSocket::new_v4()?;
-            socket.bind(SocketAddr::new(self.source, 0))?;
-            socket.connect(self.target).await
-        };
-        let Ok(mut far) = far.await else {
-            let _ = near.set_zero_linger();
-            return;
-        };
-        let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let broke = {
-            let (near_read, near_write) = near.split();
-            let (far_read, far_write) = far.split();
-            tokio::try_join!(pump(near_read, far_write, &self.there), pump(far_read, near_write, &self.back))
-                .is_err()
-        };
-        if broke {
-            let _ = (near.set_zero_linger(), far.set_zero_linger());
-        }
-    }
-}
+impl Deref for Net {
+    type Target = slipway::relay::Net<Party>;
 
-/// Moves one direction's bytes until its end; an error resets the whole connection.
-async fn pump(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, link: &Link) -> io::Result<()> {
-    let mut flows = link.flow.subscribe();
-    let mut random = Random::new(std::process::id().into(), "relay", link.passed.load(Ordering::Relaxed));
-    let mut waiting: VecDeque<(Instant, Bytes)> = VecDeque::new();
-    let mut bytes = vec![0; PIECE];
-    let (mut ended, mut touched, mut held, mut not_before) = (false, false, 0, Instant::now());
-    let mut left = None;
-    loop {
-        let flow = *flows.borrow_and_update();
-        let (hole, mute) = (flow == Flow::Hole, flow == Flow::Mute);
-        if flow == Flow::Reset || (touched && !hole && !mute) {
-            return Err(io::ErrorKind::ConnectionReset.into());
-        }
-        touched |= hole && !waiting.is_empty();
-        left = match (flow, left) {
-            (Flow::CutAfter(most), None) => Some(most),
-            (Flow::CutAfter(_), left) => left,
-            _ => None,
-        };
-        if left == Some(0) {
-            return Err(io::ErrorKind::ConnectionReset.into());
-        }
-        if ended && waiting.is_empty() && !hole {
-            return to.shutdown().await;
-        }
-        let due = waiting.front().map(|(due, _)| (*due).max(not_before));
-        let most = match flow {
-            Flow::Throttled(rate) => (rate as usize / 20).clamp(1, PIECE),
-            Flow::CutAfter(_) => left.map_or(PIECE, |left| left as usize),
-            _ => PIECE,
-        };
-        let write = async {
-            match (due, waiting.front()) {
-                (Some(due), Some((_, head))) if !hole => {
-                    if due > Instant::now() {
-                        sleep_until(due).await;
-                    }
-                    to.write(&head[..head.len().min(most)]).await
-                }
-                _ => std::future::pending().await,
-            }
-        };
-        // In a hole bytes stay where they are; that there are some is what tells the connection from an idle one.
-        let read = async {
-            match (hole, ended || (hole && touched) || held >= MOST_HELD) {
-                (_, true) => std::future::pending().await,
-                (true, _) => from.readable().await.map(|()| None),
-                (false, _) => from.read(&mut bytes).await.map(Some),
-            }
-        };
-        tokio::select! {
-            biased;
-            changed = flows.changed() => changed.map_err(io::Error::other)?,
-            wrote = write => {
-                let wrote = wrote?;
-                link.passed.fetch_add(wrote as u64, Ordering::Relaxed);
-                held -= wrote;
-                left = left.map(|left| left.saturating_sub(wrote as u64));
-                if let Flow::Throttled(rate) = flow {
-                    not_before = Instant::now() + Duration::from_secs_f64(wrote as f64 / rate.max(1) as f64);
-                }
-                let spent = waiting.front_mut().is_some_and(|(_, head)| {
-                    head.advance(wrote);
-                    head.is_empty()
-                });
-                if spent {
-                    waiting.pop_front();
-                }
-            }
-            read = read => {
-                let Some(read) = read? else {
-                    touched = true;
-                    continue;
-                };
-                ended = read == 0;
-                touched |= mute;
-                if read > 0 && !mute {
-                    let after = match flow {
-                        Flow::Delayed(least, most) => least + (most - least) * random.unit(),
-                        _ => 0.0,
-                    };
-                    // What comes later leaves later.
-                    let due = Instant::now() + Duration::from_secs_f64(after.max(0.0) / 1000.0);
-                    let due = waiting.back().map_or(due, |(last, _)| due.max(*last));
-                    held += read;
-                    waiting.push_back((due, Bytes::copy_from_slice(&bytes[..read])));
-                }
-            }
-        }
+    fn deref(&self) -> &Self::Target {
+        &self.net
     }
 }
 
-/// Everything between the parties.
-#[derive(Default)]
-pub struct Net {
-    addresses: Addresses,
-    failed: Arc<AtomicU64>,
-    links: Mutex<std::collections::BTreeMap<(Party, Party), Arc<Link>>>,
-    relays: Mutex<Vec<(Party, Party, Arc<Relay>)>>,
-}
-
 impl Net {
     /// One on a trial's own addresses.
     pub fn new(addresses: Addresses) -> Self {
         Self { addresses, ..Self::default() }
     }
 
-    /// The link from one party to another.
-    pub fn link(&self, from: Party, to: Party) -> Arc<Link> {
-        let mut links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        links.entry((from, to)).or_default().clone()
-    }
-
     /// Opens the way from one party to another, which listens at an address. Gives the address to connect to.
     ///
     /// # Errors
     /// When there is no address for the relay.
     pub fn way(&self, from: Party, to: Party, target: SocketAddr, up: bool) -> io::Result<SocketAddr> {
         let source = from.source(self.addresses);
-        let relay =
-            Relay::start(source, target, self.link(from, to), self.link(to, from), up, self.failed.clone())?;
-        let address = relay.address;
-        self.relays.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((from, to, relay));
-        Ok(address)
-    }
-
-    /// Whether a party's process listens: where not, connections to it are refused.
-    pub fn set_up(&self, party: Party, up: bool) {
-        let relays = self.relays.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        relays.iter().filter(|(_, to, _)| *to == party).for_each(|(_, _, relay)| relay.set_up(up));
-    }
-
-    /// How often relays themselves have failed.
-    pub fn failed(&self) -> u64 {
-        self.failed.load(Ordering::Relaxed)
-    }
-
-    /// All links that there are, by who writes and who reads.
-    pub fn links(&self) -> Vec<(Party, Party)> {
-        let links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        links.keys().copied().collect()
-    }
-
-    /// A fault holds on these links from now on.
-    pub fn begin(&self, fault: usize, links: &[(Party, Party)], flow: Flow) {
-        links.iter().for_each(|(from, to)| self.link(*from, *to).begin(fault, flow));
-    }
-
-    /// A fault holds nowhere any longer.
-    pub fn end(&self, fault: usize) {
-        let links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        links.values().for_each(|link| link.end(fault));
+        self.net.way((from, to), SocketAddr::new(source, 0), source, target, up)
     }
 }
--- a/emulator/src/trial/schedule.rs
+++ b/emulator/src/trial/schedule.rs
@@ -1,10 +1,10 @@
 //! What a trial is: its fleet, its load, and its faults, written in TOML or drawn by a seed from stated ranges.
 //! A file is checked whole before anything starts; what is wrong with it is one line with its place.
 
-use crate::random::Random;
 use crate::scenario::Span;
 use crate::trial::relay::{Flow, Party};
 use serde::{Deserialize, Serialize};
+use slipway::Random;
 use std::fmt;
 use std::path::Path;
 use toml::Spanned;
@@ -346,12 +346,7 @@
     /// # Errors
     /// When it cannot be played: one line with the place.
     pub fn read(name: &str, text: &str, seed: u64, seconds: Option<f64>) -> Result<Self, ScheduleError> {
-        let place = |at: usize, what: &str| {
-            let before = &text[..at.min(text.len())];
-            let line = before.matches('\n').count() + 1;
-            let column = before.rsplit('\n').next().map_or(0, |last| last.chars().count()) + 1;
-            ScheduleError(format!("{name}:{line}:{column}: {}", what.replace('\n', " ")))
-        };
+        let place = |at: usize, what: &str| ScheduleError(slipway::place(name, text, at, what));
         let file: File = toml::from_str(text)
             .map_err(|error| place(error.span().map_or(0, |span| span.start), error.message()))?;
         let bad = |at: std::ops::Range<usize>, what: String| Err(place(at.start, &what));
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -9,7 +9,6 @@
 use crate::decider::{Decider, Policy, SEES_LATE, Seeing, SeenStore, Sight, Truth, numbers};
 use crate::draw::{Day, EPOCH, Micros, Store, micros, millis, mix};
 use crate::judge::{Judge, Reached, Rule};
-use crate::random::Random;
 use crate::scenario::Kind;
 use backend::{Life, Server, Taken};
 use counter::{Counter, Turn};
@@ -18,6 +17,7 @@
     Settings,
 };
 use event::{Due, Happens};
+use slipway::Random;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// A gateway that does nothing else for so many rounds in one instant is held to have gone wild.
--- a/emulator/src/random.rs
+++ b/harbour/slipway/src/random.rs
@@ -1,7 +1,7 @@
 //! Chance: one portable stream for each use, named by the day's seed, a label and a number, so that what is drawn
 //! for one thing does not move when another is drawn more or less often.
 
-use crate::scenario::Span;
+use crate::Span;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp1, StandardNormal};
