Settings: reachlb.ways names addresses that are reached under another one

Processes derive each other's address from the settings and backends' from their beats, and name each other by them.

reachlb.ways = ["own=other"] changes only where a connection goes, at the same port. Weighed: a listening address beside the known one, which can't tell callers apart, so that no single link could be cut. Empty by default; one look into an empty map for each connection.

--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -15,7 +15,7 @@
 use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
-use manifest::Config;
+use manifest::{Config, Detours};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -108,6 +108,8 @@
     pub timing: Timing,
     /// A number drawn for this life.
     pub seed: u64,
+    /// By which ways others are reached.
+    pub ways: Detours,
 }
 
 struct Peer {
--- a/harbour/harbourmaster/src/master/links.rs
+++ b/harbour/harbourmaster/src/master/links.rs
@@ -64,9 +64,9 @@
             }
             let number = (self.numbers)();
             self.dialing.insert(to, (number, now + DIALING));
-            let commands = self.commands.clone();
+            let (commands, ways) = (self.commands.clone(), self.settings.ways.clone());
             tideway::spawn(async move {
-                match dial(to).await {
+                match dial(to, &ways).await {
                     Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
                     Err(error) => {
                         let _ = commands.send(Command::Closed { number, error }).await;
--- a/harbour/manifest/src/kind.rs
+++ b/harbour/manifest/src/kind.rs
@@ -169,6 +169,38 @@
     }
 }
 
+/// Where others are reached: their own address, and the one that leads to it.
+///
+/// Empty, and each is reached at its own address. For whoever has something between two machines that takes
+/// connections and passes them on under another address, at the same port.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Detours(Arc<BTreeMap<IpAddr, IpAddr>>);
+
+impl Detours {
+    /// Where to connect to reach an address.
+    pub fn to(&self, address: SocketAddr) -> SocketAddr {
+        self.0.get(&address.ip()).map_or(address, |ip| SocketAddr::new(*ip, address.port()))
+    }
+}
+
+pub struct Ways;
+impl Kind for Ways {
+    type Out = Detours;
+    const NAME: &'static str = "a list of texts address=address";
+
+    fn read(value: &Value) -> Option<Self::Out> {
+        let one = |value: &Value| {
+            let (own, way) = value.as_str()?.split_once('=')?;
+            Some((own.trim().parse().ok()?, way.trim().parse().ok()?))
+        };
+        value.as_array()?.iter().map(one).collect::<Option<_>>().map(|ways| Detours(Arc::new(ways)))
+    }
+
+    fn empty() -> Option<Self::Out> {
+        Some(Detours::default())
+    }
+}
+
 pub struct Names;
 impl Kind for Names {
     type Out = BTreeMap<Arc<str>, Arc<str>>;
--- a/harbour/manifest/src/lib.rs
+++ b/harbour/manifest/src/lib.rs
@@ -14,4 +14,5 @@
 
 pub use config::{Config, ConfigFault, Limits, Route, Service, Tenant, Version};
 pub use differ::diff;
+pub use kind::Detours;
 pub use settings::{Bounds, Declared, Settings, SettingsFault, Tuning};
--- a/harbour/manifest/src/settings.rs
+++ b/harbour/manifest/src/settings.rs
@@ -14,7 +14,7 @@
 use toml::{Table, Value};
 
 use crate::kind::{
-    Addresses, Figure, Flag, Kind, Maybe, Millis, Names, Parsed, Ports, Seconds, Text, Texts, Whole,
+    Addresses, Figure, Flag, Kind, Maybe, Millis, Names, Parsed, Ports, Seconds, Text, Texts, Ways, Whole,
 };
 
 /// Name of the list of `name=value` texts.
@@ -304,6 +304,8 @@
         log_level: Text = "info", "reachlb.log_level",
             |level| matches!(&**level, "off" | "error" | "warn" | "info" | "debug" | "trace")
                 => "wants off, error, warn, info, debug or trace";
+        /// Addresses of machines and backends that are reached under another one, as `own=other`.
+        ways: Ways = empty, "reachlb.ways";
     }
 }
 
--- a/harbour/manifest/tests/settings.rs
+++ b/harbour/manifest/tests/settings.rs
@@ -26,6 +26,14 @@
     assert_eq!((settings.tuning.lease, &*settings.tuning.log_level), (Duration::from_millis(230), "info"));
 }
 
+#[test]
+fn a_way_leads_to_an_address_and_no_other() {
+    let detour = FILE.replacen("[zones]", "[reachlb]\nways = ['10.0.0.1=10.9.0.1']\n[zones]", 1);
+    let ways = Settings::parse(&detour).unwrap().tuning.ways;
+    let there = |text: &str| ways.to(text.parse().unwrap()).to_string();
+    assert_eq!((there("10.0.0.1:7"), there("10.0.0.2:7")), ("10.9.0.1:7".into(), "10.0.0.2:7".into()));
+}
+
 /// The least that a file may say.
 const LEAST: &str = "
 node_name = 'n'
@@ -66,6 +74,7 @@
     lease = { "[zones]", "[reachlb]\nlease_ms = 320\n[zones]", "reachlb.lease_ms: has to be below reachlb.election_ms" },
     pulse = { "[zones]", "[reachlb]\npulse_ms = 230\n[zones]", "reachlb.pulse_ms: has to be below reachlb.lease_ms" },
     level = { "[zones]", "[reachlb]\nlog_level = 'loud'\n[zones]", "reachlb.log_level: wants off, error" },
+    ways = { "[zones]", "[reachlb]\nways = ['10.0.0.1=there']\n[zones]", "reachlb.ways: wants a list of texts address=address" },
     toml = { "[limits]", "[limits", "(document): is not TOML" },
 )]
 fn faults_name_their_key(from: &str, to: &str, says: &str) {
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -68,6 +68,7 @@
             lease: millis(settings.tuning.lease),
         },
         seed: life,
+        ways: settings.tuning.ways.clone(),
     };
     let numbers = Rc::new(Cell::new(0));
     let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -45,6 +45,7 @@
     let about = QuaySettings {
         max_fds: settings.max_fds as usize,
         grace: settings.bounds.grace,
+        ways: settings.tuning.ways.clone(),
         log: Rc::new(|line| {
             let (step, version, left_out) = (line.step, line.version, line.left_out);
             spdlog::info!("{}", line.text, kv: { step, version, left_out });
@@ -84,7 +85,8 @@
         }
     };
     let seeds = start::seeds(&settings);
-    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, news));
+    *pilot.borrow_mut() =
+        Some(Pilot::start(PilotSettings { me, seeds, ways: settings.tuning.ways.clone() }, news));
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(async move {
--- a/harbour/quay/src/berths.rs
+++ b/harbour/quay/src/berths.rs
@@ -3,6 +3,7 @@
 
 use doorcourse::{BackendState, Name};
 use flags::{Berth, Phase};
+use manifest::Detours;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,9 +53,15 @@
     lives: HashMap<Name, Life>,
     /// Those that are over, in the order of their ends.
     over: VecDeque<Name>,
+    ways: Detours,
 }
 
 impl Lives {
+    /// None yet; they will be reached by these ways.
+    pub fn by(ways: Detours) -> Self {
+        Self { ways, ..Self::default() }
+    }
+
     /// Takes in a list or changes to it, and gives the lives that are told otherwise now.
     pub fn update(&mut self, berths: &[Berth], whole: bool) -> Vec<(Name, Life)> {
         let mut changed = Vec::new();
@@ -80,7 +87,7 @@
     }
 
     fn hear(&mut self, berth: &Berth) -> Option<(Name, Life)> {
-        let dial: SocketAddr = berth.address.parse().ok()?;
+        let dial = self.ways.to(berth.address.parse().ok()?);
         let Some(life) = self.lives.get_mut(&*berth.id) else {
             let id = Name::from(&*berth.id);
             let mut life = Life {
--- a/harbour/quay/src/lib.rs
+++ b/harbour/quay/src/lib.rs
@@ -24,6 +24,7 @@
 pub use purser::Purser;
 pub use quay::Quay;
 
+use manifest::Detours;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,6 +72,8 @@
     pub cancel: bool,
     /// Where lines for the log go.
     pub log: Log,
+    /// By which ways backends are reached.
+    pub ways: Detours,
 }
 
 impl QuaySettings {
@@ -87,6 +90,7 @@
             price_cross_zone: 0.04,
             cancel: false,
             log: Rc::new(|_| {}),
+            ways: Detours::default(),
         }
     }
 }
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -127,7 +127,7 @@
                 conf: RefCell::default(),
                 backends,
                 services: RefCell::default(),
-                lives: RefCell::default(),
+                lives: RefCell::new(Lives::by(settings.ways.clone())),
                 fleet: Cell::new((1, 0)),
                 front: Front::new(most_clients, seed, figures.clone()),
                 figures,
--- a/harbour/tideway/src/line.rs
+++ b/harbour/tideway/src/line.rs
@@ -3,6 +3,7 @@
 use crate::spawn;
 use bytes::{Buf, BytesMut};
 use flags::{Flag, Garbled};
+use manifest::Detours;
 use miette::Diagnostic;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -120,12 +121,12 @@
     (Line(sender), Reader { stream: read, peer, buffer: BytesMut::with_capacity(4096) })
 }
 
-/// Connects to a process.
+/// Connects to a process, by the way that leads to it.
 ///
 /// # Errors
 /// When no connection comes up in time.
-pub async fn dial(peer: SocketAddr) -> Result<(Line, Reader), LineError> {
-    let stream = match timeout(CONNECT, TcpStream::connect(peer)).await {
+pub async fn dial(peer: SocketAddr, ways: &Detours) -> Result<(Line, Reader), LineError> {
+    let stream = match timeout(CONNECT, TcpStream::connect(ways.to(peer))).await {
         Ok(stream) => stream,
         Err(late) => Err(late.into()),
     };
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -5,6 +5,7 @@
 use crate::line::{Line, LineError, Reader, dial};
 use crate::spawn;
 use flags::{Berth, Flag, Hail, MasterCard, Pulse, Sheet};
+use manifest::Detours;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -47,6 +48,8 @@
     pub me: Hail,
     /// Where the first ones to ask take connections.
     pub seeds: Vec<SocketAddr>,
+    /// By which ways others are reached.
+    pub ways: Detours,
 }
 
 /// A follower of the news.
@@ -156,8 +159,9 @@
         self.numbers += 1;
         let (number, events, lines) = (self.numbers, self.events.clone(), self.lines.clone());
         let hail = Flag::Hail(self.settings.me.clone());
+        let ways = self.settings.ways.clone();
         spawn(async move {
-            let (line, mut reader): (Line, Reader) = match dial(to).await {
+            let (line, mut reader): (Line, Reader) = match dial(to, &ways).await {
                 Ok(both) => both,
                 Err(error) => {
                     let _ = events.send((number, Err(error))).await;
