--- a/harbour/drydock/src/backend.rs
+++ b/harbour/drydock/src/backend.rs
@@ -4,19 +4,21 @@
 use crate::chance::{Chance, mix};
 use crate::control::Control;
 use crate::fault::Fault;
-use crate::ledger::{Arrival, Ledger};
+use crate::history::{History, Seen};
+use crate::mood::{Body, Mood};
 use crate::plan::SERVICES;
+use crate::site::sender;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -78,43 +80,68 @@
     slots: Semaphore,
     waiting: AtomicUsize,
     leaving: AtomicBool,
-    left_alone: OnceLock<Instant>,
     chance: Mutex<Chance>,
-    ledger: Option<Arc<Ledger>>,
+    /// Its number in the history.
+    pub number: u32,
+    history: Option<Arc<History>>,
+    mood: Mutex<Mood>,
     voice: Arc<Voice>,
     tasks: Mutex<Vec<AbortHandle>>,
 }
 
+/// What a life begins with.
+#[derive(Clone)]
+pub struct Cradle {
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens; port 0 is any free one.
+    pub at: SocketAddr,
+    /// What its pace is drawn from.
+    pub seed: u64,
+    /// Whether it is warm from the beginning.
+    pub warm: bool,
+    /// Whom it tells of itself.
+    pub control: Control,
+    /// Where it notes what it sees.
+    pub history: Option<Arc<History>>,
+}
+
 impl Backend {
     /// Starts one, which beats at once.
     ///
     /// # Errors
     /// When there is no address for it.
-    pub async fn start(
-        service: &str, zone: &str, number: u64, warm: bool, control: Control, ledger: Option<Arc<Ledger>>,
-    ) -> Result<Arc<Self>, Fault> {
+    pub fn start(cradle: Cradle) -> Result<Arc<Self>, Fault> {
+        static NUMBERS: AtomicU32 = AtomicU32::new(0);
+        let Cradle { service, zone, at, seed, warm, control, history } = cradle;
         let failed = |error| Fault::Socket { what: "a backend's address", error };
-        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(failed)?;
+        let listener = listen(at).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
-        let mut chance = Chance::new(number, 7);
+        let mut chance = Chance::new(seed, 7);
         let mean = SERVICES.iter().find(|(label, _)| *label == service).map_or(10.0, |(_, mean)| *mean);
         // Backends of one service differ in speed.
         let mean = Duration::from_secs_f64(mean / 1000.0 * (0.8 + 0.5 * chance.unit()));
-        let id = format!("i-{:08x}", mix(mix(number) ^ u64::from(std::process::id())) as u32);
+        let id = format!("i-{:08x}", mix(mix(seed) ^ u64::from(std::process::id())) as u32);
         let now = Instant::now();
         let warmup = if warm { Duration::ZERO } else { WARMUP };
         let about = About {
             id: id.clone(),
-            service: service.to_owned(),
+            service: service.clone(),
             address,
-            zone: zone.to_owned(),
+            zone: zone.clone(),
             capacity: SLOTS,
             born: now,
             warmup,
         };
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        if let Some(history) = &history {
+            history.note(Seen::Born { backend: number, id: id.clone(), service: service.clone() });
+        }
         let backend = Arc::new(Self {
-            service: service.to_owned(),
-            zone: zone.to_owned(),
+            service,
+            zone,
             id,
             address,
             mean,
@@ -122,9 +149,10 @@
             slots: Semaphore::new(SLOTS),
             waiting: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
-            left_alone: OnceLock::new(),
             chance: Mutex::new(chance),
-            ledger,
+            number,
+            history,
+            mood: Mutex::default(),
             voice: Voice::new(about, control),
             tasks: Mutex::default(),
         });
@@ -138,6 +166,21 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How it behaves from now on.
+    pub fn feels(&self, mood: Mood) {
+        *self.mood.lock().unwrap_or_else(PoisonError::into_inner) = mood;
+    }
+
+    fn mood(&self) -> Mood {
+        *self.mood.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self, seen: Seen) {
+        if let Some(history) = &self.history {
+            history.note(seen);
+        }
+    }
+
     async fn serve(self: Arc<Self>, listener: TcpListener) {
         let mut connections = JoinSet::new();
         loop {
@@ -146,11 +189,14 @@
             match accepted {
                 // Beyond its bound it resets, as backends do: closing with a linger of zero.
                 Ok((stream, _)) if connections.len() >= CONNECTIONS => drop(stream.set_zero_linger()),
-                Ok((stream, _)) => {
+                Ok((stream, _)) if self.mood() == Mood::Garbles => {
+                    connections.spawn(crate::mood::babble(stream));
+                }
+                Ok((stream, from)) => {
                     let _ = stream.set_nodelay(true);
-                    let of = self.clone();
+                    let (of, machine) = (self.clone(), sender(from.ip()));
                     connections.spawn(async move {
-                        let service = service_fn(|request| of.clone().answer(request));
+                        let service = service_fn(|request| of.clone().answer(request, machine));
                         let connection = hyper::server::conn::http1::Builder::new();
                         // A connection that breaks is its caller's affair; the request on it is dropped.
                         let _ = connection.serve_connection(TokioIo::new(stream), service).await;
@@ -164,9 +210,11 @@
     /// It leaves in order: says so, serves on, departs and ends. False when nobody acknowledged the drain.
     pub async fn leave(&self) -> bool {
         let told = self.voice.drains().await;
+        if told.is_some() {
+            self.note(Seen::Drained { backend: self.number });
+        }
         self.leaving.store(true, Ordering::Relaxed);
         if let Some(moment) = told {
-            let _ = self.left_alone.set(moment);
             sleep(moment.saturating_duration_since(Instant::now()) + BEYOND).await;
         }
         let departed = self.voice.departs().await;
@@ -182,72 +230,89 @@
     }
 
     async fn answer(
-        self: Arc<Self>, request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = self.work(request).await;
+        self: Arc<Self>, request: Request<Incoming>, machine: Option<usize>,
+    ) -> Result<Response<Body>, io::Error> {
+        let mut response = self.work(request, machine).await?;
         if self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
-    async fn work(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn work(
+        &self, request: Request<Incoming>, machine: Option<usize>,
+    ) -> Result<Response<Body>, io::Error> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         if head.method == Method::GET && head.uri.path() == "/health" {
-            return self.health().await;
+            return Ok(self.health().await);
         }
         if text("X-Target-Instance").is_some_and(|target| target != self.id) {
-            return not_run(StatusCode::MISDIRECTED_REQUEST);
+            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
         }
-        let Some(id) = text("X-Attempt-Id") else { return not_run(StatusCode::BAD_REQUEST) };
+        let Some(id) = text("X-Attempt-Id") else { return Ok(not_run(StatusCode::BAD_REQUEST)) };
         let number = u64::from_str_radix(id, 16).ok();
-        let mut arrival = Arrival {
-            id: number,
-            service: &self.service,
-            tenant: text("X-Tenant"),
-            key: head.headers.contains_key("Authorization"),
-            unchanged: false,
-            left_alone_since: self.left_alone.get().copied(),
-        };
-        if let Some(ledger) = &self.ledger {
-            ledger.arrived(&arrival);
+        let backend = self.number;
+        self.note(Seen::Arrived { id: number, backend, machine });
+        let mood = self.mood();
+        if mood == Mood::Silent {
+            self.note(Seen::Broke { id: number.unwrap_or_default() });
+            std::future::pending::<()>().await;
         }
         let Ok(body) = Limited::new(body, LONGEST).collect().await else {
-            return not_run(StatusCode::BAD_REQUEST);
+            return Ok(not_run(StatusCode::BAD_REQUEST));
         };
         let body = body.to_bytes();
         let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-        arrival.unchanged = number.is_some_and(|id| {
+        let unchanged = number.is_some_and(|id| {
             let due = if head.method == Method::GET { Bytes::new() } else { question(id) };
             body == due && path.ends_with(path_of("/", id).as_str())
         });
         let left = text("X-Deadline-Left").and_then(|left| left.parse().ok()).map(Duration::from_millis);
         let left = |longest: Duration| left.unwrap_or(longest).saturating_sub(arrived.elapsed());
-        let Some(place) = Place::take(&self.waiting) else { return not_run(StatusCode::SERVICE_UNAVAILABLE) };
+        let Some(place) = Place::take(&self.waiting) else {
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
+        };
         let longest = Duration::from_secs(30);
         let Ok(Ok(slot)) = timeout(left(longest), self.slots.acquire()).await else {
-            return not_run(StatusCode::SERVICE_UNAVAILABLE);
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
         };
         drop(place);
         if left(longest).is_zero() {
-            return not_run(StatusCode::SERVICE_UNAVAILABLE);
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
-        if let Some(ledger) = &self.ledger {
-            ledger.runs(&arrival, arrived);
+        if let Some(history) = &self.history {
+            let (tenant, arrived) = (text("X-Tenant").map(str::to_owned), history.at(arrived));
+            let key = head.headers.contains_key("Authorization");
+            history.note(Seen::Ran { id: number, backend, arrived, tenant, key, unchanged });
         }
-        let done = timeout(left(longest), sleep(self.takes())).await.is_ok();
+        let takes = if let Mood::Slow(factor) = mood { self.takes().mul_f64(factor) } else { self.takes() };
+        let done = timeout(left(longest), sleep(takes)).await.is_ok();
         drop(slot);
         if !done {
-            return plain(StatusCode::GATEWAY_TIMEOUT);
+            return Ok(plain(StatusCode::GATEWAY_TIMEOUT));
+        }
+        match mood {
+            Mood::Fails(share) if self.unit() < share => {
+                return Ok(plain(StatusCode::INTERNAL_SERVER_ERROR));
+            }
+            Mood::Loses(share) if self.unit() < share => {
+                self.note(Seen::Broke { id: number.unwrap_or_default() });
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            _ => {}
         }
-        let answer = match (number, &self.ledger) {
+        let answer = match (number, &self.history) {
             (Some(id), Some(_)) => answer_to(id),
             // Nobody checks it: a person may read it.
             _ => Bytes::from(format!("done by {} of {} in {}\n", self.id, self.service, self.zone)),
         };
-        let mut response = Response::new(Full::new(answer));
+        let breaks = mood == Mood::Garbles;
+        if breaks {
+            self.note(Seen::Broke { id: number.unwrap_or_default() });
+        }
+        let mut response = Response::new(Body::new(answer, breaks));
         let headers = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(id) {
             headers.insert("X-Attempt-Id", id);
@@ -255,10 +320,14 @@
         if let Ok(seal) = HeaderValue::from_str(&seal(&self.id, number.unwrap_or(0))) {
             headers.insert("X-Server-Seal", seal);
         }
-        response
+        Ok(response)
     }
 
-    async fn health(&self) -> Response<Full<Bytes>> {
+    fn unit(&self) -> f64 {
+        self.chance.lock().unwrap_or_else(PoisonError::into_inner).unit()
+    }
+
+    async fn health(&self) -> Response<Body> {
         let Some(_place) = Place::take(&self.waiting) else {
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         };
@@ -298,13 +367,21 @@
     }
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+/// A listener whose port is free again as soon as it is gone.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(1024)
+}
+
+fn plain(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::default());
     *response.status_mut() = status;
     response
 }
 
-fn not_run(status: StatusCode) -> Response<Full<Bytes>> {
+fn not_run(status: StatusCode) -> Response<Body> {
     let mut response = plain(status);
     response.headers_mut().insert("X-Not-Executed", HeaderValue::from_static("1"));
     response
--- a/harbour/drydock/src/clients.rs
+++ b/harbour/drydock/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{answer_to, path_of, question, sealed};
 use crate::chance::{Chance, mix};
-use crate::ledger::{Ledger, Sent};
+use crate::history::{End, History, Seen};
 use crate::plan::HOST;
 use crate::wire::{Connection, LONGEST, connect};
 use bytes::Bytes;
@@ -80,19 +80,23 @@
     }
 
     /// The gateway for a new connection. Where fewer than half are ready, all are used.
-    fn pick(&self, lot: u64) -> SocketAddr {
+    fn pick(&self, lot: u64) -> usize {
         let is_in = |index: &usize| self.missed[*index].load(Ordering::Relaxed) < MISSES;
         let all = 0..self.fronts.len();
         let ready: Vec<_> = all.clone().filter(is_in).collect();
         let among: Vec<_> = if ready.len() * 2 < self.fronts.len() { all.collect() } else { ready };
-        self.fronts[among[(lot % among.len() as u64) as usize]]
+        among[(lot % among.len() as u64) as usize]
     }
 }
 
 /// A request that a client has.
 pub struct Wish {
-    /// What is noted of its tries.
-    pub sent: Sent,
+    /// Its kind.
+    pub kind: usize,
+    /// Its tenant.
+    pub tenant: Option<usize>,
+    /// Whether it may run more than once.
+    pub pure: bool,
     /// Prefix of its path.
     pub prefix: Arc<str>,
     /// The key.
@@ -104,17 +108,6 @@
     pub due: Instant,
 }
 
-/// How a request ended for its client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// A success.
-    Served,
-    /// Refused at the last.
-    Refused,
-    /// Anything else: with the status, if there was one.
-    Failed(Option<u16>),
-}
-
 /// How a try ended.
 enum Tried {
     Served,
@@ -130,6 +123,7 @@
 }
 
 struct Kept {
+    machine: usize,
     connection: Connection,
     until: Instant,
 }
@@ -138,7 +132,7 @@
 pub struct Client {
     number: u64,
     platform: Arc<Platform>,
-    ledger: Arc<Ledger>,
+    history: Arc<History>,
     ids: Arc<Ids>,
     idle: Mutex<Vec<Kept>>,
     chance: Mutex<Chance>,
@@ -162,23 +156,25 @@
 
 impl Client {
     /// A client without connections.
-    pub fn new(number: u64, seed: u64, platform: Arc<Platform>, ledger: Arc<Ledger>, ids: Arc<Ids>) -> Self {
+    pub fn new(
+        number: u64, seed: u64, platform: Arc<Platform>, history: Arc<History>, ids: Arc<Ids>,
+    ) -> Self {
         let chance = Mutex::new(Chance::new(seed, 1000 + number));
-        Self { number, platform, ledger, ids, idle: Mutex::default(), chance }
+        Self { number, platform, history, ids, idle: Mutex::default(), chance }
     }
 
     fn unit(&self) -> f64 {
         self.chance.lock().unwrap_or_else(PoisonError::into_inner).unit()
     }
 
-    fn kept(&self) -> Option<Connection> {
+    fn kept(&self) -> Option<(usize, Connection)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         idle.retain(|kept| kept.until > now && !kept.connection.sender.is_closed());
-        idle.pop().map(|kept| kept.connection)
+        idle.pop().map(|kept| (kept.machine, kept.connection))
     }
 
-    fn keep(&self, connection: Connection, headers: &HeaderMap) {
+    fn keep(&self, machine: usize, connection: Connection, headers: &HeaderMap) {
         let closes = headers.get("Connection").is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         let stated = headers
             .get("Keep-Alive")
@@ -188,45 +184,46 @@
         if !closes && idle.len() < KEPT {
             // A second early, so that we don't write while the gateway closes.
             let keep = stated.map_or(KEEP, |s: u64| Duration::from_secs(s.saturating_sub(1)));
-            idle.push(Kept { connection, until: Instant::now() + keep });
+            idle.push(Kept { machine, connection, until: Instant::now() + keep });
         }
     }
 
-    /// Asks until it is served, may not ask again, or has no time left.
-    pub async fn ask(&self, wish: &Wish) -> End {
-        let mut end = End::Failed(None);
+    /// Asks until it is served, may not ask again, or has no time left. How it ended, and after how many tries.
+    pub async fn ask(&self, wish: &Wish) -> (End, u32) {
+        let (mut end, mut tries) = (End::Failed(None), 0);
         for turn in 0..MOST_TRIES {
             let left = wish.deadline.saturating_sub(wish.due.elapsed());
             if left < WORTH {
                 break;
             }
             let id = self.ids.draw();
-            if !self.ledger.sent(id, wish.sent.clone()) {
+            let (kind, tenant, pure) = (Some(wish.kind), wish.tenant, wish.pure);
+            if !self.history.note(Seen::Sent { id, kind, tenant, pure }) {
                 break;
             }
+            tries += 1;
             // A repeatable request that is not taken up is abandoned for another gateway.
-            let patience = if wish.sent.pure && turn + 1 < MOST_TRIES { (left / 3).max(WORTH) } else { left };
+            let patience = if wish.pure && turn + 1 < MOST_TRIES { (left / 3).max(WORTH) } else { left };
             let tried = timeout(patience, self.attempt(wish, id, left, turn)).await;
             let tried = tried.unwrap_or(Tried::Failed { status: None, unread: false });
             let pause = match tried {
-                Tried::Served => return End::Served,
-                Tried::Final(status) => return End::Failed(Some(status)),
+                Tried::Served => return (End::Served, tries),
+                Tried::Final(status) => return (End::Failed(Some(status)), tries),
                 Tried::Refused { after } => {
-                    self.ledger.refused(id);
                     end = End::Refused;
                     after.map(|after| after.min(left / 3))
                 }
                 Tried::Failed { status, unread } => {
                     end = End::Failed(status);
-                    if !(wish.sent.pure || unread) {
-                        return end;
+                    if !(wish.pure || unread) {
+                        return (end, tries);
                     }
                     None
                 }
             };
             sleep(pause.unwrap_or_else(|| Duration::from_secs_f64(0.02 + 0.06 * self.unit()))).await;
         }
-        end
+        (end, tries)
     }
 
     async fn attempt(&self, wish: &Wish, id: u64, left: Duration, turn: u32) -> Tried {
@@ -234,49 +231,49 @@
         let connection = match kept {
             Some(kept) => Some(kept),
             // The first goes where the client's hash says, further ones elsewhere.
-            None => connect(self.platform.pick(mix(self.number) + u64::from(turn)), COMES_UP).await,
+            None => {
+                let machine = self.platform.pick(mix(self.number) + u64::from(turn));
+                let connection = connect(self.platform.fronts[machine], COMES_UP).await;
+                connection.map(|connection| (machine, connection))
+            }
         };
         let unread = Tried::Failed { status: None, unread: true };
-        let Some(mut connection) = connection else { return unread };
+        let Some((machine, mut connection)) = connection else { return unread };
         let Some(request) = request(wish, id, left) else { return unread };
+        self.history.note(Seen::Took { id, machine });
         let answer = match connection.sender.send_request(request).await {
             Ok(answer) => answer,
             // Only this one says that nothing was written.
-            Err(error) => return Tried::Failed { status: None, unread: error.is_canceled() },
+            Err(error) => {
+                if !error.is_canceled() {
+                    self.history.note(Seen::Cut { id });
+                }
+                return Tried::Failed { status: None, unread: error.is_canceled() };
+            }
         };
         let (head, body) = answer.into_parts();
         let status = head.status.as_u16();
         let Ok(body) = Limited::new(body, LONGEST).collect().await else {
+            self.history.note(Seen::Cut { id });
             return Tried::Failed { status: Some(status), unread: false };
         };
         let body = body.to_bytes();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let echoed = text("X-Attempt-Id").is_some_and(|text| text == format!("{id:016x}"));
+        let (seal, whole) = (text("X-Server-Seal").map(str::to_owned), body == answer_to(id));
+        let own = echoed && whole && seal.as_deref().is_some_and(|seal| sealed(seal, id));
+        self.history.note(Seen::Answered { id, status, seal, echoed, whole });
         let tried = match status {
-            200..=299 => {
-                let echoed = text("X-Attempt-Id").is_some_and(|text| text == format!("{id:016x}"));
-                let seal = text("X-Server-Seal").is_some_and(|seal| sealed(seal, id));
-                if !(echoed && seal && body == answer_to(id)) {
-                    let seal = text("X-Server-Seal");
-                    self.ledger
-                        .mixed(format!("{id:016x}: {status} with seal {seal:?}, {} bytes", body.len()));
-                    Tried::Final(status)
-                } else {
-                    Tried::Served
-                }
-            }
+            200..=299 if own => Tried::Served,
+            200..=299 => Tried::Final(status),
             408 | 421 | 429 | 503 => {
                 let after = text("Retry-After").and_then(|after| after.trim().parse().ok());
                 Tried::Refused { after: after.and_then(|after| Duration::try_from_secs_f64(after).ok()) }
             }
-            300..=499 => {
-                if status != 409 {
-                    self.ledger.denied(format!("{id:016x} on {}: {status}", wish.prefix));
-                }
-                Tried::Final(status)
-            }
+            300..=499 => Tried::Final(status),
             _ => Tried::Failed { status: Some(status), unread: false },
         };
-        self.keep(connection, &head.headers);
+        self.keep(machine, connection, &head.headers);
         tried
     }
 }
@@ -284,8 +281,8 @@
 fn request(wish: &Wish, id: u64, left: Duration) -> Option<Request<Full<Bytes>>> {
     // Some clients claim a tenant's name themselves, which must not reach a backend.
     let claims = wish.key.is_some() && id.is_multiple_of(16);
-    let method = if wish.sent.pure { Method::GET } else { Method::POST };
-    let body = if wish.sent.pure { Bytes::new() } else { question(id) };
+    let method = if wish.pure { Method::GET } else { Method::POST };
+    let body = if wish.pure { Bytes::new() } else { question(id) };
     let mut request = Request::builder()
         .method(method)
         .uri(path_of(&wish.prefix, id))
--- a/harbour/drydock/src/control.rs
+++ b/harbour/drydock/src/control.rs
@@ -23,13 +23,26 @@
 #[derive(Clone)]
 pub struct Control {
     addresses: Arc<[SocketAddr]>,
+    /// What these call themselves, in the same order.
+    own: Arc<[SocketAddr]>,
     turn: Arc<AtomicUsize>,
 }
 
 impl Control {
     /// Calls go to these.
     pub fn new(addresses: impl Into<Arc<[SocketAddr]>>) -> Self {
-        Self { addresses: addresses.into(), turn: Arc::default() }
+        let addresses = addresses.into();
+        Self { own: addresses.clone(), addresses, turn: Arc::default() }
+    }
+
+    /// Calls go to these, which lead to others: a redirect to one of those goes the same way.
+    pub fn by_ways(addresses: impl Into<Arc<[SocketAddr]>>, own: impl Into<Arc<[SocketAddr]>>) -> Self {
+        Self { own: own.into(), ..Self::new(addresses) }
+    }
+
+    fn way(&self, to: SocketAddr) -> SocketAddr {
+        let known = self.own.iter().position(|own| *own == to);
+        known.and_then(|index| self.addresses.get(index)).copied().unwrap_or(to)
     }
 
     /// All addresses.
@@ -46,7 +59,7 @@
         &self, at: Option<SocketAddr>, method: &str, path: &str, headers: &[(&str, &str)], body: Bytes,
         within: Duration,
     ) -> Option<Answer> {
-        let mut address = at.unwrap_or_else(|| self.next());
+        let mut address = at.map_or_else(|| self.next(), |at| self.way(at));
         let mut path = path.to_owned();
         for _ in 0..=REDIRECTS {
             let answer = call(address, method, &path, headers, body.clone(), within).await?;
@@ -54,7 +67,7 @@
                 return Some(answer);
             };
             let (host, rest) = location.strip_prefix("http://")?.split_once('/')?;
-            (address, path) = (host.parse().ok()?, format!("/{rest}"));
+            (address, path) = (self.way(host.parse().ok()?), format!("/{rest}"));
         }
         None
     }
--- a/harbour/drydock/src/demo.rs
+++ b/harbour/drydock/src/demo.rs
@@ -1,17 +1,19 @@
 //! The demo: a harbour that is built, loaded, put in trouble, judged and taken down again.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, Cradle};
 use crate::clients::Platform;
 use crate::control::Control;
 use crate::fault::Fault;
 use crate::fleet::{self, Berth, Process};
-use crate::ledger::{Judged, Ledger};
-use crate::load::{Load, Tallies};
-use crate::plan::{FIRST, SERVICES, configuration};
+use crate::history::{Deed, History, Seen};
+use crate::judge::{Terms, judge};
+use crate::load::{Greed, Load, Tallies};
+use crate::operator::Operator;
+use crate::plan::{APPLY_MS, DRAIN_MS, FIRST, SERVICES};
 use crate::report::{Spent, Teller, judgement, print, tables};
 use crate::site::{MASTERS, Site, ZONES};
 use crate::trouble::{GREED, Scene, Trouble};
-use bytes::Bytes;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +28,17 @@
 /// Backends of a service in each zone but the fourth machine's, which is the first one's.
 const ZONES_OF_BACKENDS: [&str; 3] = ["north", "south", "east"];
 
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// What the judge goes by; the settings files say the same of the first two and of the grace.
+pub const TERMS: Terms = Terms {
+    drain: DRAIN_MS * 1000,
+    apply: APPLY_MS * 1000,
+    contact: 3_000_000,
+    grace: 6_000_000,
+    recovery: 5_000_000,
+};
+
 /// What starts the processes.
 #[derive(Clone, Debug)]
 pub struct Program {
@@ -51,6 +64,29 @@
         self.berth(name, "harbourmaster", settings, log)
     }
 
+    /// Writes all settings and starts all processes of a new harbour: the harbourmasters, and the quays.
+    ///
+    /// # Errors
+    /// When a file can't be written or a process started.
+    pub fn start_all(&self, folder: &Path, site: &Site) -> Result<(Vec<Process>, Vec<Process>), Fault> {
+        make_folders(folder)?;
+        let mut masters = Vec::new();
+        let mut quays = Vec::new();
+        for machine in 0..MASTERS {
+            let berth = self.master(folder, machine);
+            let text = site.master_settings(machine, &data(folder, machine), true);
+            std::fs::write(&berth.settings, text).map_err(Fault::file(&berth.settings))?;
+            masters.push(Process::start(berth)?);
+        }
+        for machine in 0..ZONES.len() {
+            let berth = self.quay(folder, machine);
+            std::fs::write(&berth.settings, site.quay_settings(machine))
+                .map_err(Fault::file(&berth.settings))?;
+            quays.push(Process::start(berth)?);
+        }
+        Ok((masters, quays))
+    }
+
     /// A quay's place in a folder.
     pub fn quay(&self, folder: &Path, machine: usize) -> Berth {
         let name = format!("machine-{}-quay", machine + 1);
@@ -84,15 +120,22 @@
 ///
 /// # Errors
 /// When there is no address for one.
-pub async fn backends(
-    services: &[&str], control: &Control, seed: u64, ledger: Option<&Arc<Ledger>>,
+pub fn backends(
+    services: &[&str], at: impl Fn(usize) -> IpAddr, control: impl Fn(usize) -> Control, seed: u64,
+    history: Option<&Arc<History>>,
 ) -> Result<Vec<Arc<Backend>>, Fault> {
     let mut backends = Vec::new();
     for service in services {
         for zone in ZONES_OF_BACKENDS {
-            let number = crate::chance::mix(seed).wrapping_add(backends.len() as u64);
-            let started = Backend::start(service, zone, number, true, control.clone(), ledger.cloned());
-            backends.push(started.await?);
+            backends.push(Backend::start(Cradle {
+                service: (*service).to_owned(),
+                zone: zone.to_owned(),
+                at: SocketAddr::new(at(backends.len()), 0),
+                seed: crate::chance::mix(seed).wrapping_add(backends.len() as u64),
+                warm: true,
+                control: control(backends.len()),
+                history: history.cloned(),
+            })?);
         }
     }
     Ok(backends)
@@ -129,6 +172,37 @@
     }
 }
 
+/// Has the operator send the first configuration.
+///
+/// # Errors
+/// When it is not taken, or not in time.
+pub async fn first_order(operator: &Operator, folder: &Path) -> Result<(), Fault> {
+    match operator.first(Instant::now() + COMES_UP).await {
+        Some(answer) if answer.status.is_success() => Ok(()),
+        Some(answer) => {
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            Err(Fault::Order { status: answer.status.as_u16(), body })
+        }
+        None => {
+            let what = "the first configuration is not acknowledged".to_owned();
+            Err(Fault::Late { what, within: COMES_UP, logs: folder.join("logs") })
+        }
+    }
+}
+
+/// Once the harbour stands, a harbourmaster that starts again is none of the first start's.
+///
+/// # Errors
+/// When a settings file can't be written.
+pub fn settle(site: &Site, masters: &[Process], folder: &Path) -> Result<(), Fault> {
+    for (machine, master) in masters.iter().enumerate() {
+        let settings = master.settings();
+        let text = site.master_settings(machine, &data(folder, machine), false);
+        std::fs::write(settings, text).map_err(Fault::file(settings))?;
+    }
+    Ok(())
+}
+
 /// Waits for a signal that wants the program's end.
 pub async fn told_to_end() -> &'static str {
     use tokio::signal::unix::{SignalKind, signal};
@@ -164,7 +238,7 @@
     /// # Errors
     /// When the harbour can't be built, or is told to end.
     pub async fn run(&self) -> Result<bool, Fault> {
-        fleet::end_with_panics();
+        slipway::running::end_with_panics();
         tokio::select! {
             done = self.play() => done,
             // All processes go with the future that owns them.
@@ -180,21 +254,7 @@
         // Another harbour on this machine has other addresses, whatever its ports.
         let pid = std::process::id();
         let site = Site::find(64 + (pid >> 8) as u8 % 128, pid as u8, u64::from(pid))?;
-        make_folders(folder)?;
-        let mut masters = Vec::new();
-        let mut quays = Vec::new();
-        for machine in 0..MASTERS {
-            let berth = self.program.master(folder, machine);
-            let text = site.master_settings(machine, &data(folder, machine), true);
-            std::fs::write(&berth.settings, text).map_err(Fault::file(&berth.settings))?;
-            masters.push(Process::start(berth)?);
-        }
-        for machine in 0..ZONES.len() {
-            let berth = self.program.quay(folder, machine);
-            std::fs::write(&berth.settings, site.quay_settings(machine))
-                .map_err(Fault::file(&berth.settings))?;
-            quays.push(Process::start(berth)?);
-        }
+        let (mut masters, mut quays) = self.program.start_all(folder, &site)?;
         teller.say(format!(
             "{} harbourmasters and {} quays start; logs in {}",
             MASTERS,
@@ -203,53 +263,34 @@
         ));
         let control: Vec<_> = (0..MASTERS).map(|machine| site.control(machine)).collect();
         let control = Control::new(control);
-        let ledger = Arc::new(Ledger::default());
+        let history = Arc::new(History::default());
         let services = SERVICES.map(|(label, _)| label);
-        let backends = backends(&services, &control, self.seed, Some(&ledger)).await?;
-        let newest = configuration(FIRST);
-        let body = Bytes::from(newest.to_string());
-        let until = Instant::now() + COMES_UP;
-        match control.replace(None, 0, &body, until).await {
-            Some(answer) if answer.status.is_success() => {}
-            Some(answer) => {
-                let body = String::from_utf8_lossy(&answer.body).into_owned();
-                return Err(Fault::Order { status: answer.status.as_u16(), body });
-            }
-            None => {
-                let what = "the first configuration is not acknowledged".to_owned();
-                return Err(Fault::Late { what, within: COMES_UP, logs: folder.join("logs") });
-            }
-        }
-        teller.say(format!("r{FIRST} is acknowledged"));
+        let backends = backends(&services, |_| LOOPBACK, |_| control.clone(), self.seed, Some(&history))?;
         let fronts: Vec<_> = (0..ZONES.len()).map(|machine| site.front(machine)).collect();
+        let operator = Operator::new(control.clone(), fronts.clone(), history.clone());
+        first_order(&operator, folder).await?;
+        teller.say(format!("r{FIRST} is acknowledged"));
         let readiness = (0..ZONES.len()).map(|machine| site.readiness(machine)).collect();
-        let platform = Arc::new(Platform::new(fronts.clone(), readiness));
+        let platform = Arc::new(Platform::new(fronts, readiness));
         let mut all: Vec<_> = masters.iter_mut().chain(&mut quays).collect();
         wait_ready(&platform, &mut all, folder).await?;
-        for (machine, master) in masters.iter().enumerate() {
-            let settings = master.settings();
-            let text = site.master_settings(machine, &data(folder, machine), false);
-            std::fs::write(settings, text).map_err(Fault::file(settings))?;
-        }
+        settle(&site, &masters, folder)?;
         teller.say(format!("all quays are ready; {} requests a second for {} s", self.rate, self.seconds));
         let lasts = Duration::from_secs(self.seconds);
         let mut scene = Scene {
             masters,
             data: (0..MASTERS).map(|machine| data(folder, machine)).collect(),
             quays,
-            fronts,
             control,
+            operator,
             backends,
-            ledger: ledger.clone(),
+            history: history.clone(),
             teller,
-            newest,
-            version: FIRST,
-            highest: FIRST,
             lasts,
             seed: self.seed,
         };
         let before = [spent(&scene.masters), spent(&scene.quays)];
-        let greed = if self.trouble == Trouble::Quota { GREED } else { 1.0 };
+        let greed = Greed::new(if self.trouble == Trouble::Quota { GREED } else { 1.0 });
         let load = Load { seed: self.seed, rate: self.rate, lasts, greed };
         let tallies = Tallies::default();
         let watched = platform.clone();
@@ -257,7 +298,7 @@
         tokio::select! {
             done = async {
                 let ((), done) = tokio::join!(
-                    load.play(platform.clone(), ledger.clone(), tallies.clone()),
+                    load.play(platform.clone(), history.clone(), tallies.clone()),
                     scene.play(self.trouble)
                 );
                 done
@@ -267,14 +308,9 @@
         platform_watch.abort();
         let after = [spent(&scene.masters), spent(&scene.quays)];
         teller.say("the load is over");
-        scene.read_back().await;
+        scene.operator.read_back().await;
         let Scene { mut masters, mut quays, backends, .. } = scene;
-        let mut ended = Vec::new();
-        for process in masters.iter_mut().chain(&mut quays) {
-            if let Some(status) = process.ended() {
-                ended.push(format!("{} ended by itself: {status}", process.name()));
-            }
-        }
+        look_for_ends(&mut masters, &mut quays, &history);
         masters.append(&mut quays);
         let killed = fleet::end(&mut masters).await;
         if !killed.is_empty() {
@@ -285,14 +321,27 @@
             ));
         }
         backends.iter().for_each(|backend| backend.end());
-        let Judged { faults, lines, uses, late } = ledger.judge();
+        let (lines, full) = history.take();
+        let verdict = judge(&lines, &TERMS, full.then(|| "the history is full".to_owned()));
         let spent = [
             Spent { name: "quays", count: ZONES.len(), time: after[1].saturating_sub(before[1]) },
             Spent { name: "harbourmasters", count: MASTERS, time: after[0].saturating_sub(before[0]) },
         ];
-        let told = tables(&tallies, &spent, &uses) + &judgement(&faults, &lines, &ended, &late);
+        let told = tables(&tallies, &spent, &verdict.uses) + &judgement(&verdict);
         print(told);
-        Ok(faults.total() == 0 && ended.is_empty())
+        Ok(verdict.void.is_none() && verdict.total() == 0)
+    }
+}
+
+/// Notes which processes have ended by themselves.
+pub fn look_for_ends(masters: &mut [Process], quays: &mut [Process], history: &History) {
+    for (quay, processes) in [(false, masters), (true, quays)] {
+        for (machine, process) in processes.iter_mut().enumerate() {
+            if let Some(status) = process.ended() {
+                let deed = Deed::Wrong(format!("ended by itself: {status}"));
+                history.note(Seen::Process { machine, quay, deed });
+            }
+        }
     }
 }
 
--- a/harbour/drydock/src/fault.rs
+++ b/harbour/drydock/src/fault.rs
@@ -86,7 +86,7 @@
         /// The folder.
         dir: PathBuf,
         /// Whose it is.
-        pid: i32,
+        pid: u32,
     },
     /// The operator's call was turned away.
     #[error("the configuration was not taken: {status} {body}")]
--- a/harbour/drydock/src/fleet.rs
+++ b/harbour/drydock/src/fleet.rs
@@ -1,13 +1,12 @@
 //! The processes. Every one that is started here is ended here: when its owner goes, when the program panics
-//! ([`end_with_panics`]), and, by the system itself, when this program is killed.
+//! ([`slipway::running`]), and, by the system itself, when this program is killed.
 
 use crate::fault::Fault;
-use rustix::process::{Pid, Signal, kill_process};
-use std::collections::BTreeSet;
+use rustix::process::Signal;
+use slipway::running::{self, signal};
 use std::fs::OpenOptions;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
-use std::sync::{Mutex, MutexGuard, Once, PoisonError};
 use std::time::Duration;
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
@@ -15,34 +14,6 @@
 /// Time from SIGTERM to SIGKILL: what the settings say, and a little more for a busy machine.
 pub const GRACE: Duration = Duration::from_secs(8);
 
-/// All processes that run.
-static RUNNING: Mutex<BTreeSet<i32>> = Mutex::new(BTreeSet::new());
-
-fn running() -> MutexGuard<'static, BTreeSet<i32>> {
-    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// From now on a panic ends all processes too: a program that aborts on panics runs no destructors.
-pub fn end_with_panics() {
-    static ONCE: Once = Once::new();
-    ONCE.call_once(|| {
-        let before = std::panic::take_hook();
-        std::panic::set_hook(Box::new(move |info| {
-            for pid in std::mem::take(&mut *running()) {
-                signal(pid, Signal::KILL);
-            }
-            before(info);
-        }));
-    });
-}
-
-/// Sends a signal; one to a process that has just ended goes nowhere.
-pub fn signal(pid: i32, signal: Signal) {
-    if let Some(pid) = Pid::from_raw(pid) {
-        let _ = kill_process(pid, signal);
-    }
-}
-
 /// What starts a process: the program that has both planes, and where it finds its settings and writes its log.
 #[derive(Clone, Debug)]
 pub struct Berth {
@@ -62,7 +33,7 @@
 pub struct Process {
     berth: Berth,
     child: Option<Child>,
-    pid: i32,
+    pid: u32,
     spent: Duration,
 }
 
@@ -96,8 +67,8 @@
             .kill_on_drop(true)
             .spawn()
             .map_err(failed)?;
-        self.pid = child.id().and_then(|id| i32::try_from(id).ok()).unwrap_or_default();
-        running().insert(self.pid);
+        self.pid = child.id().unwrap_or_default();
+        running::add(self.pid);
         self.child = Some(child);
         Ok(())
     }
@@ -108,7 +79,7 @@
     }
 
     /// Its number with the system.
-    pub fn pid(&self) -> i32 {
+    pub fn pid(&self) -> u32 {
         self.pid
     }
 
@@ -127,7 +98,7 @@
     }
 
     fn left(&mut self) {
-        running().remove(&self.pid);
+        running::remove(self.pid);
         self.child = None;
     }
 
@@ -172,7 +143,7 @@
     fn drop(&mut self) {
         if self.child.is_some() && self.ended().is_none() {
             signal(self.pid, Signal::KILL);
-            running().remove(&self.pid);
+            running::remove(self.pid);
         }
     }
 }
@@ -195,7 +166,7 @@
 }
 
 /// The fields of `/proc/PID/stat` behind the name, which may hold anything.
-fn account(pid: i32) -> Option<Vec<u64>> {
+fn account(pid: u32) -> Option<Vec<u64>> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     let (_, rest) = text.rsplit_once(')')?;
     // Ended, and only not asked after yet.
@@ -207,13 +178,13 @@
 }
 
 /// User and system time.
-fn processor_time(pid: i32) -> Option<Duration> {
+fn processor_time(pid: u32) -> Option<Duration> {
     let fields = account(pid)?;
     let ticks = fields.get(11)? + fields.get(12)?;
     Some(Duration::from_secs_f64(ticks as f64 / rustix::param::clock_ticks_per_second() as f64))
 }
 
 /// When it was started, in ticks since the machine's start: with the id it names one process and no later one.
-pub fn started(pid: i32) -> Option<u64> {
+pub fn started(pid: u32) -> Option<u64> {
     account(pid)?.get(19).copied()
 }
--- a/harbour/drydock/src/lib.rs
+++ b/harbour/drydock/src/lib.rs
@@ -11,18 +11,23 @@
 mod backend;
 mod beats;
 mod chance;
+mod changes;
 mod clients;
 mod control;
 pub mod demo;
 pub mod fault;
 mod fleet;
-pub mod ledger;
+pub mod history;
+pub mod judge;
 mod load;
+mod mood;
+mod operator;
 mod plan;
 pub mod report;
 mod site;
 mod trouble;
 pub mod up;
+mod windows;
 mod wire;
 
 pub use demo::Demo;
--- a/harbour/drydock/src/load.rs
+++ b/harbour/drydock/src/load.rs
@@ -1,11 +1,12 @@
 //! Requests that come when they come, whatever became of those before them (an open loop).
 
 use crate::chance::Chance;
-use crate::clients::{Client, End, Ids, Platform, Wish};
-use crate::ledger::{Ledger, Sent};
+use crate::clients::{Client, Ids, Platform, Wish};
+use crate::history::{End, History, Seen};
 use crate::plan::{KINDS, TENANTS};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
@@ -68,8 +69,28 @@
     pub rate: f64,
     /// For how long.
     pub lasts: Duration,
-    /// How many times its usual share the last tenant asks.
-    pub greed: f64,
+    /// How many times its usual share the last tenant asks, at each moment.
+    pub greed: Greed,
+}
+
+/// How greedy the last tenant is: a factor that may change while the load plays.
+#[derive(Clone)]
+pub struct Greed(Arc<AtomicU64>);
+
+impl Greed {
+    /// So many times its usual share.
+    pub fn new(factor: f64) -> Self {
+        Self(Arc::new(AtomicU64::new(factor.to_bits())))
+    }
+
+    /// From now on.
+    pub fn set(&self, factor: f64) {
+        self.0.store(factor.to_bits(), Ordering::Relaxed);
+    }
+
+    fn get(&self) -> f64 {
+        f64::from_bits(self.0.load(Ordering::Relaxed)).max(1.0)
+    }
 }
 
 /// What became of each kind so far, and how late we were ourselves.
@@ -128,21 +149,20 @@
 
 impl Load {
     /// Plays it; it ends once every request has ended, which their deadlines bound.
-    pub async fn play(&self, platform: Arc<Platform>, ledger: Arc<Ledger>, tallies: Tallies) {
+    pub async fn play(&self, platform: Arc<Platform>, history: Arc<History>, tallies: Tallies) {
         let ids = Arc::new(Ids::new(self.seed));
-        let client = |n| Arc::new(Client::new(n, self.seed, platform.clone(), ledger.clone(), ids.clone()));
+        let client = |n| Arc::new(Client::new(n, self.seed, platform.clone(), history.clone(), ids.clone()));
         let clients: Vec<_> = (0..CLIENTS as u64).map(client).collect();
         let out = Arc::new(Semaphore::new(MOST_OUT));
         let mut chance = Chance::new(self.seed, 0);
         // Greed comes on top of the usual load.
         let keyed: f64 = KINDS.iter().filter(|kind| !kind.public).map(|kind| kind.share).sum();
         let small = TENANTS[TENANTS.len() - 1].share;
-        let more = keyed * small * (self.greed - 1.0);
-        let rate = self.rate * (1.0 + more);
         let start = Instant::now();
         let mut at = Duration::ZERO;
         loop {
-            at += Duration::from_secs_f64(chance.exponential() / rate);
+            let more = keyed * small * (self.greed.get() - 1.0);
+            at += Duration::from_secs_f64(chance.exponential() / (self.rate * (1.0 + more)));
             if at >= self.lasts {
                 break;
             }
@@ -160,23 +180,27 @@
             sleep_until(due.into()).await;
             tallies.begins(due);
             if let Some(tenant) = tenant {
-                ledger.asked(tenant);
+                history.note(Seen::Asked { tenant });
             }
             let Ok(place) = out.clone().try_acquire_owned() else {
                 tallies.add(kind, End::Failed(None), due);
                 continue;
             };
             let wish = Wish {
-                sent: Sent { kind: Some(kind), tenant, pure: KINDS[kind].pure },
+                kind,
+                tenant,
+                pure: KINDS[kind].pure,
                 prefix: KINDS[kind].prefix.into(),
                 key: tenant.map(|tenant| TENANTS[tenant].key),
                 deadline: Duration::from_millis(KINDS[kind].deadline_ms),
                 due,
             };
-            let tallies = tallies.clone();
+            let (tallies, history) = (tallies.clone(), history.clone());
             tokio::spawn(async move {
-                let end = client.ask(&wish).await;
+                let (end, tries) = client.ask(&wish).await;
                 tallies.add(kind, end, due);
+                let due = history.at(due);
+                history.note(Seen::Done { kind, owed: !greedy, due, end, tries });
                 drop(place);
             });
         }
--- /dev/null
+++ b/harbour/drydock/src/operator.rs
@@ -0,0 +1,347 @@
+//! The operator: changes one after another, races of two, invalid ones, and what holds at the end.
+
+use crate::backend::path_of;
+use crate::chance::{Chance, mix, wild};
+use crate::control::Control;
+use crate::history::{History, Seen};
+use crate::plan::{APPLY_MS, FIRST, HOST, KINDS, SERVICES, TENANTS, configuration};
+use crate::wire::Answer;
+use bytes::Bytes;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// A change has to be acknowledged within this.
+pub const ACK: Duration = Duration::from_secs(5);
+/// At the end each harbourmaster has this long to say what it holds.
+const READ: Duration = Duration::from_secs(20);
+/// Time between two changes.
+const PACE: Duration = Duration::from_millis(350);
+
+/// The operator, who is alone: nobody else changes the configuration.
+pub struct Operator {
+    /// Whom it calls.
+    pub control: Control,
+    /// Where clients go, on each machine.
+    pub fronts: Vec<SocketAddr>,
+    /// Where it notes what it sees.
+    pub history: Arc<History>,
+    /// The newest configuration that was acknowledged.
+    pub newest: Value,
+    /// Its number.
+    pub version: u64,
+    /// The highest number that was ever sent: none is used twice, so that each names one body.
+    highest: u64,
+    /// Bodies without a clear answer: they may be in force.
+    open: Vec<(u64, Value)>,
+}
+
+/// The changes whose own routes a configuration has.
+fn routes(of: &Value) -> Vec<u64> {
+    let labels = of["route_table"].as_object().into_iter().flat_map(|table| table.keys());
+    labels.filter_map(|label| label.strip_prefix("more-")?.parse().ok()).collect()
+}
+
+/// The number of a configuration.
+fn number(of: &Value) -> Option<u64> {
+    of["generation"].as_str()?.strip_prefix('r')?.parse().ok()
+}
+
+impl Operator {
+    /// One whose first configuration is not sent yet.
+    pub fn new(control: Control, fronts: Vec<SocketAddr>, history: Arc<History>) -> Self {
+        let newest = configuration(FIRST);
+        Self { control, fronts, history, newest, version: FIRST, highest: FIRST, open: Vec::new() }
+    }
+
+    /// Sends the first configuration; nothing when there is no clear answer by then.
+    pub async fn first(&self, until: Instant) -> Option<Answer> {
+        let body = Bytes::from(self.newest.to_string());
+        self.send(None, FIRST, 0, &body, Vec::new(), until).await
+    }
+
+    /// Sends a change until the answer is clear, and notes all of it. An invalid one has no routes.
+    async fn send(
+        &self, first: Option<SocketAddr>, version: u64, base: u64, body: &Bytes, routes: Vec<u64>,
+        until: Instant,
+    ) -> Option<Answer> {
+        let valid = manifest::Config::parse(body).is_ok_and(|config| config.version.0 > base);
+        self.history.note(Seen::Order { version, base, valid, routes });
+        let answer = self.control.replace(first, base, body, until).await;
+        match &answer {
+            Some(answer) if answer.status.is_success() => self.history.note(Seen::Acked { version }),
+            Some(answer) => self.history.note(Seen::Turned { version, status: answer.status.as_u16() }),
+            None => false,
+        };
+        answer
+    }
+
+    /// The newest configuration with another number and a route of its own.
+    fn make(&self, version: u64) -> Value {
+        let mut next = self.newest.clone();
+        next["generation"] = json!(format!("r{version}"));
+        add_route(&mut next, version);
+        next
+    }
+
+    /// Numbers rise by uneven steps.
+    fn next(&mut self) -> u64 {
+        self.highest += 1 + self.highest % 3;
+        self.highest
+    }
+
+    /// Sends the next change: a further route. True when it was acknowledged.
+    pub async fn change(&mut self, first: Option<SocketAddr>, more: impl FnOnce(&mut Value)) -> bool {
+        let version = self.next();
+        let mut next = self.make(version);
+        more(&mut next);
+        let body = Bytes::from(next.to_string());
+        let answer =
+            self.send(first, version, self.version, &body, routes(&next), Instant::now() + ACK).await;
+        match answer {
+            Some(answer) if answer.status.is_success() => {
+                (self.newest, self.version) = (next, version);
+                true
+            }
+            Some(_) => false,
+            None => {
+                self.history.late(format!("r{version}: no acknowledgement in {} s", ACK.as_secs()));
+                self.open.push((version, next));
+                self.look().await;
+                false
+            }
+        }
+    }
+
+    /// Without a clear answer a change may be in force or not; what can be read is what holds.
+    async fn look(&mut self) {
+        let Some(read) = self.control.read(Instant::now() + ACK).await else { return };
+        if let Some(version) = number(&read).filter(|version| *version > self.version)
+            && self.open.iter().any(|(_, body)| *body == read)
+        {
+            (self.newest, self.version) = (read, version);
+        }
+    }
+
+    /// Changes of all sorts, each at its time. What came of them, in words.
+    pub async fn changes(&mut self, begin: Instant, until: Instant, seed: u64) -> String {
+        let mut chance = Chance::new(seed, 3);
+        let mut checks = JoinSet::new();
+        let (mut taken, mut raced, mut refused) = (0, 0, 0);
+        let mut slowest = Duration::ZERO;
+        for round in 0.. {
+            let at = begin + PACE * round;
+            if at >= until {
+                break;
+            }
+            sleep_until(at).await;
+            match round % 4 {
+                1 => refused += u32::from(self.invalid(round as usize / 4).await),
+                3 => {
+                    if let Some((won, lost)) = self.race(&mut chance).await {
+                        raced += 1;
+                        checks.spawn(self.check(won));
+                        checks.spawn(self.check(lost));
+                    }
+                }
+                _ => {
+                    let sent = Instant::now();
+                    if self.change(None, |_| ()).await {
+                        taken += 1;
+                        slowest = slowest.max(sent.elapsed());
+                        checks.spawn(self.check(self.version));
+                    }
+                }
+            }
+        }
+        while checks.join_next().await.is_some() {}
+        let ms = slowest.as_millis();
+        format!(
+            "{taken} changes acknowledged (slowest {ms} ms), {raced} races with one winner, {refused} invalid ones refused"
+        )
+    }
+
+    /// All added routes go again. In words.
+    pub async fn take_away(&mut self) -> String {
+        let old = routes(&self.newest);
+        let before = self.version;
+        let first = configuration(FIRST);
+        if !self.change(None, |next| next["route_table"] = first["route_table"].clone()).await {
+            return format!("the routes up to r{before} stay");
+        }
+        let mut checks = JoinSet::new();
+        for version in old.into_iter().take(8) {
+            checks.spawn(self.check(version));
+        }
+        while checks.join_next().await.is_some() {}
+        format!("r{} takes the routes up to r{before} away again", self.version)
+    }
+
+    /// Two changes on top of one version: exactly one may win. The winner and the loser.
+    async fn race(&mut self, chance: &mut Chance) -> Option<(u64, u64)> {
+        let base = self.version;
+        let (low, high) = (self.next(), self.next());
+        let (one, two) = (self.make(low), self.make(high));
+        let (body_one, body_two) = (Bytes::from(one.to_string()), Bytes::from(two.to_string()));
+        let addresses = self.control.addresses();
+        let first = chance.below(addresses.len());
+        let (here, there) = (addresses[first], addresses[(first + 1) % addresses.len()]);
+        let until = Instant::now() + ACK;
+        let (a, b) = tokio::join!(
+            self.send(Some(here), low, base, &body_one, routes(&one), until),
+            self.send(Some(there), high, base, &body_two, routes(&two), until)
+        );
+        let won = |answer: &Option<Answer>| answer.as_ref().is_some_and(|a| a.status.is_success());
+        let (won_one, won_two) = (won(&a), won(&b));
+        if a.is_none() || b.is_none() {
+            let late = format!("r{low} and r{high} raced on r{base}: no clear answer in {} s", ACK.as_secs());
+            self.history.late(late);
+        }
+        if won_two {
+            (self.newest, self.version) = (two, high);
+        } else if won_one {
+            (self.newest, self.version) = (one, low);
+        } else {
+            self.open.extend([(low, one), (high, two)]);
+            self.look().await;
+        }
+        match (won_one, won_two) {
+            (true, false) => Some((low, high)),
+            (false, true) => Some((high, low)),
+            _ => None,
+        }
+    }
+
+    /// An invalid change has to be refused.
+    async fn invalid(&mut self, turn: usize) -> bool {
+        let version = self.next();
+        let mut next = self.newest.clone();
+        next["generation"] = json!(format!("r{version}"));
+        let what = spoil(&mut next, turn, self.version);
+        let mut body = next.to_string();
+        if what == CUT {
+            body.truncate(body.len() / 2);
+        }
+        let (body, until) = (Bytes::from(body), Instant::now() + ACK);
+        // One that claims the number of the version in force is noted under a number of its own.
+        match self.send(None, version, self.version, &body, Vec::new(), until).await {
+            Some(answer) => answer.status.is_client_error(),
+            None => {
+                self.history.late(format!("{what}: no answer in {} s", ACK.as_secs()));
+                false
+            }
+        }
+    }
+
+    /// Once a configuration has to be in force, asks every quay for its own route.
+    fn check(&self, version: u64) -> impl Future<Output = ()> + Send + 'static {
+        let (fronts, history) = (self.fronts.clone(), self.history.clone());
+        async move {
+            sleep(Duration::from_millis(APPLY_MS)).await;
+            for (machine, front) in fronts.into_iter().enumerate() {
+                probe(machine, front, version, &history).await;
+            }
+        }
+    }
+
+    /// At the end: notes what each harbourmaster says that holds.
+    pub async fn read_back(&self) {
+        for (machine, address) in self.control.addresses().iter().enumerate() {
+            let read = Control::new([*address]).read(Instant::now() + READ).await;
+            let sent = |read: &Value| *read == self.newest || self.open.iter().any(|(_, body)| body == read);
+            let (version, same) = (read.as_ref().and_then(number), read.as_ref().is_some_and(sent));
+            self.history.note(Seen::Read { machine, version, same });
+        }
+    }
+}
+
+const CUT: &str = "a configuration that breaks off";
+
+/// Makes a valid configuration invalid in one of several ways.
+fn spoil(next: &mut Value, turn: usize, current: u64) -> &'static str {
+    let route = KINDS[0].label;
+    let route = &mut next["route_table"][route];
+    match turn % 8 {
+        0 => {
+            route["target"] = json!("nobody");
+            "a route to an unknown service"
+        }
+        1 => {
+            route["deadline_ms"] = json!(0);
+            "a deadline of 0"
+        }
+        2 => CUT,
+        3 => {
+            let shares = [json!({ "target": SERVICES[0].0, "share": 0 })];
+            *route = json!({ "authority": HOST, "path_prefix": "/none/", "variant": "pure", "deadline_ms": 1000,
+                "goal_ms": 100, "rank": 0, "max_tries": 1, "public": true, "weighted": shares });
+            "shares that add up to 0"
+        }
+        4 => {
+            next["tenant_table"][TENANTS[0].label]["api_keys"] = json!([TENANTS[1].key]);
+            "a key that two tenants share"
+        }
+        5 => {
+            next["generation"] = json!(format!("r{current}"));
+            next["limits"]["idle_timeout_ms"] = json!(14_000);
+            "a number that is not above the current one"
+        }
+        6 => {
+            route["authority"] = json!("");
+            "an empty host"
+        }
+        _ => {
+            route["deadline_ms"] = json!(600_001);
+            "a deadline of more than ten minutes"
+        }
+    }
+}
+
+/// Every change adds a route of its own, by which it is known whether it is in force.
+fn add_route(next: &mut Value, version: u64) {
+    let service = SERVICES[version as usize % SERVICES.len()].0;
+    next["route_table"][format!("more-{version}")] = json!({ "authority": HOST,
+        "path_prefix": format!("/more-{version}/"), "variant": "pure", "deadline_ms": 1000, "goal_ms": 300,
+        "rank": 3, "target": service, "max_tries": 2, "public": false });
+}
+
+/// A request on the route of one change: notes the answer, once it says something about the route.
+async fn probe(machine: usize, front: SocketAddr, version: u64, history: &History) {
+    let within = Duration::from_secs(1);
+    for _ in 0..5 {
+        let id = mix(wild());
+        history.note(Seen::Sent { id, kind: None, tenant: Some(0), pure: true });
+        let sent = history.at(Instant::now().into_std());
+        let (text, key) = (format!("{id:016x}"), format!("Bearer {}", TENANTS[0].key));
+        let headers =
+            [("Host", HOST), ("X-Attempt-Id", &*text), ("X-Deadline-Left", "1000"), ("Authorization", &*key)];
+        let path = path_of(&format!("/more-{version}/"), id);
+        let asked = crate::wire::call(front, "GET", &path, &headers, Bytes::new(), within);
+        let status = timeout(within, asked).await.ok().flatten().map(|answer| answer.status.as_u16());
+        if let Some(status @ (200 | 401 | 403 | 404)) = status {
+            history.note(Seen::Probed { version, machine, sent, status });
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn changes_are_valid_and_spoilt_ones_are_not() {
+        let mut next = configuration(4);
+        add_route(&mut next, 4);
+        assert!(manifest::Config::parse(next.to_string().as_bytes()).is_ok());
+        for turn in (0..8).filter(|turn| ![2, 5].contains(turn)) {
+            let mut spoilt = next.clone();
+            let what = spoil(&mut spoilt, turn, 3);
+            assert!(manifest::Config::parse(spoilt.to_string().as_bytes()).is_err(), "{what}");
+        }
+    }
+}
--- a/harbour/drydock/src/report.rs
+++ b/harbour/drydock/src/report.rs
@@ -1,6 +1,6 @@
 //! What is printed.
 
-use crate::ledger::{Faults, Use};
+use crate::judge::{RULES, Use, Verdict};
 use crate::load::Tallies;
 use crate::plan::{KINDS, TENANTS};
 use std::collections::BTreeMap;
@@ -119,22 +119,25 @@
 }
 
 /// The judge's lines.
-pub fn judgement(faults: &Faults, lines: &[String], ended: &[String], late: &[String]) -> String {
+pub fn judgement(verdict: &Verdict) -> String {
     let mut text = String::from("\nmust be 0:\n");
-    for (count, name) in faults.lines() {
+    for (rule, name) in RULES {
+        let count = verdict.counts.get(&rule).copied().unwrap_or_default();
         let _ = writeln!(text, "{count:>6}  {name}");
     }
-    let _ = writeln!(text, "{:>6}  processes that ended by themselves", ended.len());
-    for line in lines.iter().chain(ended).take(MOST_LINES) {
-        let _ = writeln!(text, "        {line}");
+    for broken in verdict.breaks.iter().take(MOST_LINES) {
+        let _ = writeln!(text, "        {:.3} s: {}", broken.at, broken.what);
+    }
+    if verdict.total() > MOST_LINES as u64 {
+        let _ = writeln!(text, "        and {} more", verdict.total() - MOST_LINES as u64);
     }
-    if lines.len() > MOST_LINES {
-        let _ = writeln!(text, "        and {} more", lines.len() - MOST_LINES);
+    if let Some(void) = &verdict.void {
+        let _ = writeln!(text, "no verdict: {void}");
     }
-    if !late.is_empty() {
+    if !verdict.late.is_empty() {
         let _ = writeln!(text, "\nlate, which may be the machine's fault:");
     }
-    for line in late.iter().take(MOST_LINES) {
+    for line in verdict.late.iter().take(MOST_LINES) {
         let _ = writeln!(text, "        {line}");
     }
     text
--- a/harbour/drydock/src/site.rs
+++ b/harbour/drydock/src/site.rs
@@ -8,6 +8,12 @@
 
 /// Zones of the machines: two in the first one. Each has a quay, the first three a harbourmaster as well.
 pub const ZONES: [&str; 4] = ["north", "south", "east", "north"];
+/// Backends that there are at once, each with an address of its own where there are ways.
+pub const SLOTS: usize = 6;
+/// Last parts of addresses: of the first backend, of the first machine's connections, and of those of others.
+const BACKENDS: u8 = 20;
+const SENDERS: u8 = 100;
+const OTHERS: u8 = 200;
 /// How many machines have a harbourmaster.
 pub const MASTERS: usize = 3;
 /// Ports that one machine needs: front, readiness, control, and one for the other processes.
@@ -22,6 +28,14 @@
 pub struct Site {
     ips: Vec<Ipv4Addr>,
     base: u16,
+    ways: bool,
+}
+
+/// Whose machine's connections come from this address, where they were passed on.
+pub fn sender(from: IpAddr) -> Option<usize> {
+    let IpAddr::V4(from) = from else { return None };
+    let last = from.octets()[3];
+    (SENDERS..SENDERS + ZONES.len() as u8).contains(&last).then(|| usize::from(last - SENDERS))
 }
 
 impl Site {
@@ -35,15 +49,59 @@
         let start = (from % u64::from(CANDIDATES)) as u16;
         let base = (0..CANDIDATES).map(|n| candidate(start + n)).find(|base| free(&ips, *base));
         match base {
-            Some(base) => Ok(Self { ips, base }),
+            Some(base) => Ok(Self { ips, base, ways: false }),
             None => Err(Fault::Ports(format!("127.{a}.{b}.1 to {}", ZONES.len()))),
         }
     }
 
+    /// The same site with something on every link: each machine reaches the others, and backends, by ways of its own.
+    pub fn with_ways(mut self) -> Self {
+        self.ways = true;
+        self
+    }
+
     fn at(&self, machine: usize, offset: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(self.ips[machine]), self.base + offset)
     }
 
+    /// Where processes take each other's connections.
+    pub fn peers(&self, machine: usize) -> SocketAddr {
+        self.at(machine, 3)
+    }
+
+    /// The address that a backend of a slot has to itself.
+    pub fn backend(&self, slot: usize) -> IpAddr {
+        self.ip(BACKENDS + slot as u8)
+    }
+
+    /// Where connections of a machine come from when they are passed on; without a machine, those of others.
+    pub fn source(&self, machine: Option<usize>) -> IpAddr {
+        self.ip(machine.map_or(OTHERS, |machine| SENDERS + machine as u8))
+    }
+
+    fn ip(&self, last: u8) -> IpAddr {
+        let [a, b, c, _] = self.ips[0].octets();
+        IpAddr::V4(Ipv4Addr::new(a, b, c, last))
+    }
+
+    /// Where a machine finds another address that has something before it.
+    pub fn way(&self, machine: usize, to: IpAddr) -> IpAddr {
+        let IpAddr::V4(ip) = to else { return to };
+        let [a, b, c, last] = ip.octets();
+        IpAddr::V4(Ipv4Addr::new(a, b, c + 1 + machine as u8, last))
+    }
+
+    /// All that a machine reaches by ways of its own.
+    fn ways(&self, machine: usize) -> String {
+        if !self.ways {
+            return String::new();
+        }
+        let others = (0..MASTERS).filter(|other| *other != machine).map(|other| IpAddr::V4(self.ips[other]));
+        let all = others.chain((0..SLOTS).map(|slot| self.backend(slot)));
+        let ways: Vec<_> = all.map(|ip| format!("\"{ip}={}\"", self.way(machine, ip))).collect();
+        format!("ways = [{}]\n", ways.join(", "))
+    }
+
     /// Where clients are served.
     pub fn front(&self, machine: usize) -> SocketAddr {
         self.at(machine, 0)
@@ -94,7 +152,8 @@
              [bind]\n{bind}\n\
              [limits]\nmemory_mb = 260\nmax_fds = 1024\n\n\
              [tolerance]\nmachine_losses = 1\n\n\
-             [reachlb]\nlog_level = \"info\"\n",
+             [reachlb]\nlog_level = \"info\"\n{ways}",
+            ways = self.ways(machine),
             number = machine + 1,
             last = peers + STEP - PORTS,
             beats = crate::beats::INTERVAL.as_millis(),
@@ -149,10 +208,14 @@
 
     #[test]
     fn settings_are_what_the_programs_read() {
-        let site = Site { ips: (1..=4).map(|n| Ipv4Addr::new(127, 0, 1, n)).collect(), base: 18_400 };
+        let site =
+            Site { ips: (1..=4).map(|n| Ipv4Addr::new(127, 0, 1, n)).collect(), base: 18_400, ways: true };
         let quay = Settings::parse(&site.quay_settings(3)).expect("valid");
         assert_eq!((quay.front, quay.port_range.0), (Some(site.front(3)), 18_403));
         assert_eq!(quay.seed_list.len(), MASTERS);
+        let (own, far) = (site.peers(0), SocketAddr::new(site.backend(5), 7));
+        assert_eq!(quay.tuning.ways.to(own).ip(), site.way(3, own.ip()));
+        assert_eq!(quay.tuning.ways.to(far).to_string(), "127.0.5.25:7");
         let master = site.master_settings(0, Path::new("/tmp/a \"b\""), true);
         let master = Settings::parse(&master).expect("valid");
         assert!(master.bootstrap && master.in_quorum);
--- a/harbour/drydock/src/up.rs
+++ b/harbour/drydock/src/up.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,7 +44,7 @@
     /// # Errors
     /// When the harbour can't be built.
     pub async fn run(&self) -> Result<(), Fault> {
-        fleet::end_with_panics();
+        slipway::running::end_with_panics();
         std::fs::create_dir_all(&self.dir).map_err(Fault::file(&self.dir))?;
         // A process finds its files by their whole path, wherever it runs.
         let dir = self.dir.canonicalize().map_err(Fault::file(&self.dir))?;
@@ -115,7 +115,13 @@
         record(dir, processes)?;
         let caller = Control::new(control.clone());
         let services: Vec<_> = config.services.keys().map(|label| &**label).collect();
-        let backends = backends(&services, &caller, u64::from(std::process::id()), None).await?;
+        let backends = backends(
+            &services,
+            |_| IpAddr::V4(Ipv4Addr::LOCALHOST),
+            |_| caller.clone(),
+            std::process::id().into(),
+            None,
+        )?;
         put(&caller, &body, config.version.0, &order, teller).await?;
         let platform = Platform::new(fronts.clone(), readiness);
         let mut all: Vec<_> = processes.iter_mut().collect();
@@ -224,7 +230,7 @@
 
 /// Notes who has to be ended: ourselves first, since we end the others in order.
 fn record(dir: &Path, processes: &[Process]) -> Result<(), Fault> {
-    let me = i32::try_from(std::process::id()).unwrap_or_default();
+    let me = std::process::id();
     let own = std::iter::once(("drydock", me));
     let all = own.chain(processes.iter().map(|process| (process.name(), process.pid())));
     let entries: Value = all
@@ -233,11 +239,11 @@
     write(&dir.join(IDS), &format!("{entries:#}\n"))
 }
 
-fn recorded(dir: &Path) -> Vec<(String, i32, u64)> {
+fn recorded(dir: &Path) -> Vec<(String, u32, u64)> {
     let text = std::fs::read(dir.join(IDS)).unwrap_or_default();
     let entries: Vec<Value> = serde_json::from_slice(&text).unwrap_or_default();
     let entry = |entry: &Value| {
-        let pid = i32::try_from(entry["pid"].as_i64()?).ok().filter(|pid| *pid > 1)?;
+        let pid = u32::try_from(entry["pid"].as_u64()?).ok().filter(|pid| *pid > 1)?;
         Some((entry["name"].as_str()?.to_owned(), pid, entry["started"].as_u64()?))
     };
     entries.iter().filter_map(entry).collect()
@@ -254,15 +260,15 @@
     let count = alive().count();
     let until = Instant::now() + ENDS;
     if let Some((_, pid, _)) = alive().find(|(name, ..)| name == "drydock") {
-        fleet::signal(*pid, Signal::TERM);
+        slipway::running::signal(*pid, Signal::TERM);
         while alive().any(|(name, ..)| name == "drydock") && Instant::now() < until {
             sleep(LOOKS).await;
         }
     }
     for which in [Signal::TERM, Signal::KILL] {
         for (_, pid, _) in alive() {
-            fleet::signal(*pid, which);
-            fleet::signal(*pid, Signal::CONT);
+            slipway::running::signal(*pid, which);
+            slipway::running::signal(*pid, Signal::CONT);
         }
         let until = Instant::now() + fleet::GRACE;
         while alive().next().is_some() && Instant::now() < until {
--- /dev/null
+++ b/harbour/drydock/tests/judge.rs
@@ -0,0 +1,350 @@
+//! Each rule of the judge, against histories made by hand: a fault that is planted is found and named, and a history
+//! in order accuses nobody.
+
+use drydock::demo::TERMS;
+use drydock::history::{Deed, End, Line, Seen};
+use drydock::judge::{Rule, Verdict, judge, seal};
+
+const SECOND: u64 = 1_000_000;
+
+/// A history that grows, a millisecond for each line unless told otherwise.
+#[derive(Default)]
+struct Tale {
+    lines: Vec<Line>,
+    now: u64,
+}
+
+impl Tale {
+    /// One with a backend of customs (1) and one of the chandler (2), and a first configuration.
+    fn new() -> Self {
+        let mut tale = Self::default();
+        for (backend, service) in [(1, "customs"), (2, "chandler")] {
+            tale.see(Seen::Born { backend, id: format!("i-{backend}"), service: service.into() });
+        }
+        tale.order(1, 0, true, Some(true));
+        tale
+    }
+
+    fn see(&mut self, seen: Seen) {
+        self.now += 1000;
+        self.lines.push(Line { at: self.now, seen });
+    }
+
+    fn wait(&mut self, us: u64) {
+        self.now += us;
+    }
+
+    /// An effectful request of the third tenant for customs.
+    fn sent(&mut self, id: u64) {
+        self.see(Seen::Sent { id, kind: Some(3), tenant: Some(2), pure: false });
+        self.see(Seen::Took { id, machine: 3 });
+    }
+
+    fn arrived(&mut self, id: u64, backend: u32) {
+        self.see(Seen::Arrived { id: Some(id), backend, machine: Some(3) });
+    }
+
+    fn ran(&mut self, id: u64, backend: u32) {
+        self.arrived(id, backend);
+        let (tenant, arrived) = (Some("cutter".into()), self.now);
+        self.see(Seen::Ran { id: Some(id), backend, arrived, tenant, key: false, unchanged: true });
+    }
+
+    fn answered(&mut self, id: u64, status: u16, by: &str) {
+        let seal = (status == 200).then(|| seal(by, id));
+        self.see(Seen::Answered { id, status, seal, echoed: true, whole: true });
+    }
+
+    fn served(&mut self, id: u64) {
+        self.sent(id);
+        self.ran(id, 1);
+        self.answered(id, 200, "i-1");
+    }
+
+    fn done(&mut self, end: End) {
+        let due = self.now;
+        self.see(Seen::Done { kind: 3, owed: true, due, end, tries: 1 });
+    }
+
+    fn process(&mut self, machine: usize, quay: bool, deed: Deed) {
+        self.see(Seen::Process { machine, quay, deed });
+    }
+
+    /// A change; acknowledged, refused, or neither.
+    fn order(&mut self, version: u64, base: u64, valid: bool, taken: Option<bool>) {
+        self.see(Seen::Order { version, base, valid, routes: vec![version] });
+        match taken {
+            Some(true) => self.see(Seen::Acked { version }),
+            Some(false) => self.see(Seen::Turned { version, status: 412 }),
+            None => {}
+        }
+    }
+
+    fn probed(&mut self, version: u64, status: u16) {
+        let sent = self.now;
+        self.see(Seen::Probed { version, machine: 3, sent, status });
+    }
+
+    fn read(&mut self, version: Option<u64>, same: bool) {
+        for machine in 0..3 {
+            self.see(Seen::Read { machine, version, same });
+        }
+    }
+
+    fn judged(&self) -> Verdict {
+        judge(&self.lines, &TERMS, None)
+    }
+}
+
+/// A day on which much happens and all is in order.
+#[test]
+fn what_is_in_order_is_no_fault() {
+    let mut tale = Tale::new();
+    for id in 0..40 {
+        tale.served(id);
+        tale.done(End::Served);
+        tale.wait(SECOND / 20);
+    }
+    // Refused and never run; a pure one that ran at two backends, whose first answer came.
+    tale.sent(100);
+    tale.answered(100, 503, "");
+    tale.see(Seen::Sent { id: 101, kind: Some(2), tenant: Some(2), pure: true });
+    tale.ran(101, 1);
+    tale.ran(101, 2);
+    tale.answered(101, 200, "i-1");
+    // A drain, and a request just before its time is over.
+    tale.see(Seen::Drained { backend: 2 });
+    tale.wait(TERMS.drain - 10_000);
+    tale.see(Seen::Sent { id: 102, kind: Some(0), tenant: None, pure: true });
+    tale.arrived(102, 2);
+    // A race with one winner, an invalid one refused, a change with no clear answer.
+    tale.order(3, 1, true, Some(true));
+    tale.order(4, 1, true, Some(false));
+    tale.order(6, 3, false, Some(false));
+    tale.order(7, 3, true, None);
+    tale.wait(TERMS.apply + SECOND);
+    tale.probed(3, 200);
+    tale.probed(4, 404);
+    tale.probed(7, 200);
+    tale.probed(7, 404);
+    tale.read(Some(7), true);
+    let verdict = tale.judged();
+    assert_eq!((verdict.total(), verdict.breaks), (0, vec![]));
+    assert!(verdict.worth.iter().all(|(owed, earned)| owed == earned));
+}
+
+fn runs_again(tale: &mut Tale) {
+    tale.served(9);
+    tale.ran(9, 1);
+}
+
+fn refused_then_run(tale: &mut Tale) {
+    tale.sent(9);
+    tale.answered(9, 429, "");
+    tale.wait(SECOND);
+    tale.ran(9, 1);
+}
+
+fn sealed_by_another(tale: &mut Tale) {
+    tale.sent(9);
+    tale.ran(9, 1);
+    tale.answered(9, 200, "i-2");
+}
+
+fn success_that_never_ran(tale: &mut Tale) {
+    tale.sent(9);
+    tale.answered(9, 200, "i-1");
+}
+
+fn body_of_another(tale: &mut Tale) {
+    tale.sent(9);
+    tale.ran(9, 1);
+    let seal = Some(seal("i-1", 9));
+    tale.see(Seen::Answered { id: 9, status: 200, seal, echoed: true, whole: false });
+}
+
+fn unknown_id(tale: &mut Tale) {
+    tale.ran(9, 1);
+}
+
+fn other_tenant(tale: &mut Tale) {
+    tale.sent(9);
+    let (tenant, arrived) = (Some("albatross".into()), tale.now);
+    tale.see(Seen::Ran { id: Some(9), backend: 1, arrived, tenant, key: false, unchanged: true });
+}
+
+fn key_shown(tale: &mut Tale) {
+    tale.sent(9);
+    let (tenant, arrived) = (Some("cutter".into()), tale.now);
+    tale.see(Seen::Ran { id: Some(9), backend: 1, arrived, tenant, key: true, unchanged: true });
+}
+
+fn changed_on_the_way(tale: &mut Tale) {
+    tale.sent(9);
+    let (tenant, arrived) = (Some("cutter".into()), tale.now);
+    tale.see(Seen::Ran { id: Some(9), backend: 1, arrived, tenant, key: false, unchanged: false });
+}
+
+fn other_service(tale: &mut Tale) {
+    tale.sent(9);
+    tale.ran(9, 2);
+    tale.answered(9, 200, "i-2");
+}
+
+fn turned_down(tale: &mut Tale) {
+    tale.sent(9);
+    tale.answered(9, 404, "");
+}
+
+fn drained(tale: &mut Tale) {
+    tale.see(Seen::Drained { backend: 1 });
+    tale.wait(TERMS.drain + SECOND / 5);
+    tale.served(9);
+}
+
+fn cut_by_a_restart(tale: &mut Tale) {
+    tale.sent(9);
+    tale.arrived(9, 1);
+    tale.process(3, true, Deed::Told);
+    tale.see(Seen::Cut { id: 9 });
+}
+
+fn configuration_gone(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(true));
+    tale.read(Some(1), true);
+}
+
+fn two_winners(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(true));
+    tale.order(4, 1, true, Some(true));
+}
+
+fn invalid_taken(tale: &mut Tale) {
+    tale.order(3, 1, false, Some(true));
+}
+
+fn no_winner(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(false));
+}
+
+fn loser_in_force(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(true));
+    tale.order(4, 1, true, Some(false));
+    tale.wait(TERMS.apply + SECOND);
+    tale.probed(4, 200);
+}
+
+fn old_version_in_force(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(true));
+    tale.wait(TERMS.apply + SECOND);
+    tale.probed(3, 404);
+}
+
+fn read_back_changed(tale: &mut Tale) {
+    tale.see(Seen::Read { machine: 0, version: Some(1), same: false });
+}
+
+fn read_back_by_some_only(tale: &mut Tale) {
+    tale.order(3, 1, true, Some(true));
+    for (machine, version) in [(0, Some(3)), (1, None), (2, Some(3))] {
+        tale.see(Seen::Read { machine, version, same: true });
+    }
+}
+
+fn many_further_tries(tale: &mut Tale) {
+    for id in 0..70 {
+        tale.see(Seen::Sent { id, kind: Some(2), tenant: None, pure: true });
+        tale.arrived(id, 1);
+        tale.arrived(id, 1);
+        tale.arrived(id, 1);
+    }
+}
+
+fn beyond_the_quota(tale: &mut Tale) {
+    for id in 0..219 {
+        tale.sent(id);
+        tale.ran(id, 1);
+        tale.wait(SECOND / 100);
+    }
+}
+
+fn service_that_stays_away(tale: &mut Tale) {
+    (0..40).for_each(|_| tale.done(End::Served));
+    tale.wait(SECOND);
+    tale.process(3, true, Deed::Killed);
+    tale.wait(SECOND);
+    tale.process(3, true, Deed::Started);
+    tale.wait(TERMS.recovery + SECOND);
+    (0..40).for_each(|_| tale.done(End::Failed(None)));
+}
+
+fn process_gone(tale: &mut Tale) {
+    tale.process(0, false, Deed::Wrong("ended by itself".into()));
+}
+
+#[yare::parameterized(
+    twice = { runs_again, Rule::Twice },
+    refused = { refused_then_run, Rule::Refused },
+    mixed_seal = { sealed_by_another, Rule::Mixed },
+    mixed_unrun = { success_that_never_ran, Rule::Mixed },
+    mixed_body = { body_of_another, Rule::Mixed },
+    unasked_id = { unknown_id, Rule::Unasked },
+    unasked_tenant = { other_tenant, Rule::Unasked },
+    unasked_key = { key_shown, Rule::Unasked },
+    unasked_change = { changed_on_the_way, Rule::Unasked },
+    route = { other_service, Rule::Route },
+    denied = { turned_down, Rule::Denied },
+    drain = { drained, Rule::Drain },
+    lost_request = { cut_by_a_restart, Rule::Lost },
+    lost_configuration = { configuration_gone, Rule::Lost },
+    config_two = { two_winners, Rule::Config },
+    config_invalid = { invalid_taken, Rule::Config },
+    config_none = { no_winner, Rule::Config },
+    config_loser = { loser_in_force, Rule::Config },
+    config_old = { old_version_in_force, Rule::Config },
+    config_changed = { read_back_changed, Rule::Config },
+    config_silent = { read_back_by_some_only, Rule::Config },
+    budget = { many_further_tries, Rule::Budget },
+    quota = { beyond_the_quota, Rule::Quota },
+    recover = { service_that_stays_away, Rule::Recover },
+    ended = { process_gone, Rule::Ended },
+)]
+fn a_planted_fault_is_found_and_named(plant: fn(&mut Tale), rule: Rule) {
+    let mut tale = Tale::new();
+    plant(&mut tale);
+    let verdict = tale.judged();
+    assert_eq!(verdict.counts.into_iter().collect::<Vec<_>>(), [(rule, 1)], "{:?}", verdict.breaks);
+    assert_eq!((verdict.breaks.len(), verdict.breaks[0].rule), (1, rule));
+}
+
+/// What has a time bound holds only for machines in touch, and planned work is not to blame for a kill.
+#[yare::parameterized(
+    drain = { drained, Rule::Drain },
+    denied = { turned_down, Rule::Denied },
+    old_version = { old_version_in_force, Rule::Config },
+    cut = { cut_by_a_restart, Rule::Lost },
+)]
+fn who_is_out_of_touch_is_excused(plant: fn(&mut Tale), rule: Rule) {
+    for core in [false, true] {
+        let mut tale = Tale::new();
+        let machine = if core { 0 } else { 3 };
+        tale.see(Seen::Begins { fault: 0, text: "cut".into(), machines: vec![machine] });
+        plant(&mut tale);
+        assert_eq!(tale.judged().total(), 0, "{:?}", tale.judged().breaks);
+        // Once it has ended and the time of contact is over, the same is a break.
+        tale.see(Seen::Ends { fault: 0 });
+        tale.wait(TERMS.contact);
+        let mut again = Tale { lines: Vec::new(), now: tale.now };
+        plant(&mut again);
+        tale.lines.extend(again.lines.into_iter().filter(|line| !matches!(line.seen, Seen::Drained { .. })));
+        assert!(tale.judged().counts.contains_key(&rule));
+    }
+}
+
+#[test]
+fn breaks_name_the_faults_in_force() {
+    let mut tale = Tale::new();
+    tale.see(Seen::Begins { fault: 0, text: "cut m4-m1".into(), machines: vec![3] });
+    runs_again(&mut tale);
+    assert_eq!(tale.judged().breaks[0].faults, ["cut m4-m1"]);
+}
