Drydock: trials of the whole harbour with a relay on every link

Wanted: schedules in TOML or by seed, faults of links between our own processes and to backends, of processes, disks, backends, clients and the operator, judged from outside, with no verdict where the tool could not keep its times.

Each machine reaches the others and the backends by ways of its own (reachlb.ways), each a relay of slipway, so that one link of many, or one direction of it, can be cut. Every trial has a runtime and a thread of its own, which its processes end with.

--- a/emulator/src/trial/schedule.rs
+++ b/emulator/src/trial/schedule.rs
@@ -5,6 +5,7 @@
 use crate::trial::relay::{Flow, Party};
 use serde::{Deserialize, Serialize};
 use slipway::Random;
+use slipway::relay::{Harm, links_between};
 use std::fmt;
 use std::path::Path;
 use toml::Spanned;
@@ -80,8 +81,17 @@
 }
 
 impl Kind {
-    fn is_of_links(self) -> bool {
-        matches!(self, Self::Cut | Self::Reset | Self::Mute | Self::Delay | Self::Throttle | Self::CutAfter)
+    /// What it does, if it is one of links.
+    fn harm(self) -> Option<Harm> {
+        Some(match self {
+            Self::Cut => Harm::Cut,
+            Self::Reset => Harm::Reset,
+            Self::Mute => Harm::Mute,
+            Self::Delay => Harm::Delay,
+            Self::Throttle => Harm::Throttle,
+            Self::CutAfter => Harm::CutAfter,
+            _ => return None,
+        })
     }
 }
 
@@ -292,22 +302,7 @@
     /// The links between two groups, in the direction from the one to the other and, unless `one_way`, back. Where
     /// the second group holds parties of the first, these keep each other: a zone that is cut is whole inside.
     pub fn links(&self, from: &[Party], to: &[Party], one_way: bool) -> Vec<(Party, Party)> {
-        let whole = from.len() == self.parties().len();
-        let mut links = Vec::new();
-        for a in from {
-            for b in to.iter().filter(|b| whole || !from.contains(b)) {
-                if !Self::talk(*a, *b) && !Self::talk(*b, *a) {
-                    continue;
-                }
-                links.push((*a, *b));
-                if !one_way {
-                    links.push((*b, *a));
-                }
-            }
-        }
-        links.sort();
-        links.dedup();
-        links
+        links_between(from, to, one_way, from.len() == self.parties().len(), Self::talk)
     }
 }
 
@@ -430,27 +425,13 @@
     }
     let (mut links, mut on, mut flow) = (Vec::new(), Vec::new(), Flow::Free);
     let mut text = name;
-    if kind.is_of_links() {
+    if let Some(harm) = kind.harm() {
         let (from, to) = (whom(&row.from, "from")?, whom(&row.to, "to")?);
         links = fleet.links(&from, &to, one_way);
         if links.is_empty() {
             return Err("nobody in from talks with anybody in to".into());
         }
-        let bytes = || row.bytes.filter(|bytes| *bytes > 0).ok_or("bytes, above 0, is missing");
-        flow = match kind {
-            Kind::Cut => Flow::Hole,
-            Kind::Reset => Flow::Reset,
-            Kind::Mute => Flow::Mute,
-            Kind::Throttle => Flow::Throttled(bytes()?),
-            Kind::CutAfter => Flow::CutAfter(bytes()?),
-            _ => {
-                let (least, most) = row.ms.unwrap_or((-1.0, -1.0));
-                if !(least >= 0.0 && most >= least && most <= 60_000.0) {
-                    return Err("ms = [least, most] is missing or out of order".into());
-                }
-                Flow::Delayed(least, most)
-            }
-        };
+        flow = harm.flow(row.ms, row.bytes)?;
         let arrow = if one_way { ">" } else { "-" };
         text =
             format!("{text} {}{arrow}{}", row.from.as_deref().unwrap_or(""), row.to.as_deref().unwrap_or(""));
--- a/harbour/drydock/src/demo.rs
+++ b/harbour/drydock/src/demo.rs
@@ -194,11 +194,11 @@
 ///
 /// # Errors
 /// When a settings file can't be written.
-pub fn settle(site: &Site, masters: &[Process], folder: &Path) -> Result<(), Fault> {
-    for (machine, master) in masters.iter().enumerate() {
-        let settings = master.settings();
+pub fn settle(program: &Program, site: &Site, folder: &Path) -> Result<(), Fault> {
+    for machine in 0..MASTERS {
+        let settings = program.master(folder, machine).settings;
         let text = site.master_settings(machine, &data(folder, machine), false);
-        std::fs::write(settings, text).map_err(Fault::file(settings))?;
+        std::fs::write(&settings, text).map_err(Fault::file(&settings))?;
     }
     Ok(())
 }
@@ -274,7 +274,7 @@
         let platform = Arc::new(Platform::new(fronts, readiness));
         let mut all: Vec<_> = masters.iter_mut().chain(&mut quays).collect();
         wait_ready(&platform, &mut all, folder).await?;
-        settle(&site, &masters, folder)?;
+        settle(&self.program, &site, folder)?;
         teller.say(format!("all quays are ready; {} requests a second for {} s", self.rate, self.seconds));
         let lasts = Duration::from_secs(self.seconds);
         let mut scene = Scene {
@@ -312,7 +312,7 @@
         let Scene { mut masters, mut quays, backends, .. } = scene;
         look_for_ends(&mut masters, &mut quays, &history);
         masters.append(&mut quays);
-        let killed = fleet::end(&mut masters).await;
+        let killed = fleet::end(&mut masters.iter_mut().collect::<Vec<_>>()).await;
         if !killed.is_empty() {
             teller.say(format!(
                 "had to be killed, {} s after SIGTERM: {}",
--- a/harbour/drydock/src/fault.rs
+++ b/harbour/drydock/src/fault.rs
@@ -97,6 +97,21 @@
         /// Its body.
         body: String,
     },
+    /// A trial that cannot be played.
+    #[error(transparent)]
+    #[diagnostic(code(drydock::schedule))]
+    Schedule(#[from] crate::trial::schedule::ScheduleError),
+    /// Results that are none.
+    #[error("{}:{line}: {wrong}", path.display())]
+    #[diagnostic(code(drydock::results))]
+    Results {
+        /// The file.
+        path: PathBuf,
+        /// The line.
+        line: usize,
+        /// What is wrong.
+        wrong: String,
+    },
     /// Someone wants it to end.
     #[error("ended by {0}")]
     #[diagnostic(code(drydock::ended))]
--- a/harbour/drydock/src/fleet.rs
+++ b/harbour/drydock/src/fleet.rs
@@ -149,7 +149,7 @@
 }
 
 /// Tells all to end, and waits for that together. The names of those that had to be killed.
-pub async fn end(processes: &mut [Process]) -> Vec<String> {
+pub async fn end(processes: &mut [&mut Process]) -> Vec<String> {
     for process in &*processes {
         process.signal(Signal::TERM);
         // A stopped one would hear of it only when it goes on.
--- a/harbour/drydock/src/lib.rs
+++ b/harbour/drydock/src/lib.rs
@@ -25,6 +25,7 @@
 mod plan;
 pub mod report;
 mod site;
+pub mod trial;
 mod trouble;
 pub mod up;
 mod windows;
--- a/harbour/drydock/src/main.rs
+++ b/harbour/drydock/src/main.rs
@@ -2,19 +2,29 @@
 
 #![forbid(unsafe_code)]
 
-use drydock::demo::Program;
+use drydock::demo::{Program, told_to_end};
 use drydock::report::print;
+use drydock::trial::schedule::{self, SHIPPED, Schedule};
+use drydock::trial::several::several;
+use drydock::trial::{self, Figures, compare};
 use drydock::{Demo, Fault, Trouble, up};
 use gumdrop::Options;
 use miette::Diagnostic as _;
 use rustix::process::{Pid, Signal, getppid, set_parent_process_death_signal};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::str::FromStr;
 
 /// Faults were found.
 const FAULTS: u8 = 1;
 /// The arguments, or a file, can't be used, or the harbour can't be built.
 const UNUSABLE: u8 = 2;
+/// Some trial has no verdict, and no other one found a fault.
+const NO_VERDICT: u8 = 3;
+/// Seeds of one call.
+const MOST_SEEDS: u64 = 100_000;
+/// Trials at once: each has seven processes.
+const MOST_SIDE: usize = 16;
 /// The longest demo, in seconds, and the highest rate.
 const LONGEST: u64 = 600;
 const FASTEST: f64 = 5000.0;
@@ -32,6 +42,10 @@
 enum Command {
     /// build a harbour, load it, put it in trouble, judge it and take it down
     Demo(DemoArguments),
+    /// play trials: a relay on every link, faults, and a judge of what was seen from outside
+    Trial(TrialArguments),
+    /// how the second of two files of trials' figures differs from the first
+    Compare(CompareArguments),
     /// build a harbour and keep it up until Ctrl-C or `drydock down`
     Up(UpArguments),
     /// end the harbour that `drydock up` keeps up
@@ -61,6 +75,58 @@
     keep: bool,
 }
 
+#[derive(Debug, Options)]
+struct TrialArguments {
+    /// print this help
+    help: bool,
+    /// a shipped trial by name, or a file; without it, the shipped ones are listed
+    #[options(free)]
+    name: Option<String>,
+    /// seeds, both ends included
+    #[options(meta = "A..B", default = "1..1")]
+    seeds: Seeds,
+    /// so many trials at once
+    #[options(meta = "N", default = "1", no_short)]
+    side: usize,
+    /// a `reachlb` to try, instead of what is built into this program
+    #[options(meta = "FILE")]
+    program: Option<PathBuf>,
+    /// play each trial with this `reachlb` as well, and say how the other one differs
+    #[options(meta = "FILE", no_short)]
+    against: Option<PathBuf>,
+    /// history, verdict, logs and a page of each trial go into a folder in this one
+    #[options(meta = "DIR")]
+    keep: Option<PathBuf>,
+    /// figures of each trial, one JSON object a line
+    #[options(meta = "FILE")]
+    out: Option<PathBuf>,
+}
+
+#[derive(Debug, Options)]
+struct CompareArguments {
+    /// print this help
+    help: bool,
+    /// the first file, and the second
+    #[options(free)]
+    files: Vec<PathBuf>,
+}
+
+/// Seeds from a first to a last one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seeds(u64, u64);
+
+impl FromStr for Seeds {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (first, last) = text.split_once("..").unwrap_or((text, text));
+        match (first.parse(), last.trim_start_matches('=').parse()) {
+            (Ok(first), Ok(last)) if first <= last && last - first < MOST_SEEDS => Ok(Self(first, last)),
+            _ => Err(format!("{text:?} is not A..B with at most {MOST_SEEDS} seeds")),
+        }
+    }
+}
+
 #[derive(Debug, Options)]
 struct UpArguments {
     /// print this help
@@ -126,6 +192,17 @@
             let good = runtime.block_on(demo.run())?;
             Ok(if good { ExitCode::SUCCESS } else { ExitCode::from(FAULTS) })
         }
+        Command::Trial(arguments) => trial(&runtime, arguments),
+        Command::Compare(CompareArguments { files, .. }) => match &files[..] {
+            [old, new] => {
+                print(compare(&read_figures(old)?, &read_figures(new)?));
+                Ok(ExitCode::SUCCESS)
+            }
+            _ => {
+                eprintln!("two files are wanted");
+                Ok(ExitCode::from(UNUSABLE))
+            }
+        },
         Command::Up(UpArguments { dir, program, .. }) => {
             let up = up::Up { program: program_or(program)?, dir };
             runtime.block_on(up.run())?;
@@ -139,6 +216,68 @@
     }
 }
 
+fn trial(runtime: &tokio::runtime::Runtime, arguments: TrialArguments) -> Result<ExitCode, Fault> {
+    let TrialArguments { name, seeds, side, program, against, keep, out, .. } = arguments;
+    let Some(name) = name else {
+        SHIPPED.iter().for_each(|(name, _)| print(format_args!("{name}\n")));
+        return Ok(ExitCode::SUCCESS);
+    };
+    if !(1..=MOST_SIDE).contains(&side) {
+        eprintln!("--side wants 1 to {MOST_SIDE}");
+        return Ok(ExitCode::from(UNUSABLE));
+    }
+    let text = schedule::text(&name)?;
+    let all: Result<Vec<_>, _> = (seeds.0..=seeds.1).map(|seed| Schedule::read(&name, &text, seed)).collect();
+    let all = all?;
+    slipway::running::end_with_panics();
+    let play = |program, keep| {
+        let options = trial::Options { program, keep };
+        let all = all.clone();
+        runtime.block_on(async {
+            tokio::select! {
+                sum = several(all, &options, side, |text| print(text)) => sum,
+                // All processes go with the threads that started them.
+                why = told_to_end() => Err(Fault::Ended(why)),
+            }
+        })
+    };
+    let old = match against {
+        Some(file) => {
+            let sum = play(program_or(Some(file))?, keep.as_ref().map(|keep| keep.join("against")))?;
+            print(format_args!("against: {}", sum.text()));
+            Some(sum)
+        }
+        None => None,
+    };
+    let sum = play(program_or(program)?, keep)?;
+    print(sum.text());
+    if let Some(old) = old {
+        print(compare(&old.figures, &sum.figures));
+    }
+    if let Some(out) = out {
+        let line = |figures| serde_json::to_string(figures).unwrap_or_default() + "\n";
+        let text: String = sum.figures.iter().map(line).collect();
+        std::fs::write(&out, text).map_err(Fault::file(&out))?;
+    }
+    Ok(match (sum.broken(), sum.void()) {
+        (0, 0) => ExitCode::SUCCESS,
+        (0, _) => ExitCode::from(NO_VERDICT),
+        _ => ExitCode::from(FAULTS),
+    })
+}
+
+fn read_figures(path: &Path) -> Result<Vec<Figures>, Fault> {
+    let text = std::fs::read_to_string(path).map_err(Fault::file(path))?;
+    let read = |(number, line): (usize, &str)| {
+        serde_json::from_str(line).map_err(|error| Fault::Results {
+            path: path.to_owned(),
+            line: number + 1,
+            wrong: error.to_string(),
+        })
+    };
+    text.lines().enumerate().map(read).collect()
+}
+
 /// What is built in, unless another one is named.
 fn program_or(named: Option<PathBuf>) -> Result<Program, Fault> {
     if let Some(file) = named {
--- /dev/null
+++ b/harbour/drydock/src/trial/mod.rs
@@ -0,0 +1,160 @@
+//! Trials: the real processes among stand-ins, with a relay on every link between them, faults, and a judge of what
+//! clients, backends and the operator saw.
+
+mod draw;
+mod page;
+mod parties;
+mod results;
+mod rude;
+pub mod schedule;
+pub mod several;
+mod stage;
+
+use crate::clients::Platform;
+use crate::demo::{Program, TERMS, first_order, settle, wait_ready};
+use crate::fault::Fault as Failure;
+use crate::fleet;
+use crate::history::{Deed, Line, Seen};
+use crate::judge::{Verdict, judge};
+use crate::load::{Load, Tallies};
+use crate::site::{Site, ZONES};
+pub use results::{Figures, compare};
+use schedule::Schedule;
+use slipway::clock::{MOST_LATE, keeps_time};
+use stage::Stage;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How trials are played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// What starts the processes.
+    pub program: Program,
+    /// Where history, logs and page go; nowhere, and they are not kept.
+    pub keep: Option<PathBuf>,
+}
+
+/// A trial that was played.
+#[derive(Debug)]
+pub struct Played {
+    /// What was played.
+    pub schedule: Schedule,
+    /// The judge's word.
+    pub verdict: Verdict,
+    /// Its figures.
+    pub figures: Figures,
+}
+
+/// A site on addresses that no other trial of this machine is likely to have; two that meet have other ports.
+fn site() -> Result<Site, Failure> {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = std::process::id().wrapping_mul(64) + NUMBER.fetch_add(1, Ordering::Relaxed);
+    // Eight neighbours each: the machines' own addresses, and one for what each of them reaches by ways.
+    let (a, b) = (64 + (number / 32 % 128) as u8, (number % 32) as u8 * 8);
+    Ok(Site::find(a, b, u64::from(number) * 7)?.with_ways())
+}
+
+/// Plays a trial to its end, on a local set of the thread that starts the processes.
+///
+/// # Errors
+/// When something cannot be started or written.
+pub async fn play(schedule: Schedule, options: &Options) -> Result<Played, Failure> {
+    let place = tempfile::Builder::new().prefix("drydock-trial-").tempdir();
+    let place = place.map_err(Failure::file(std::env::temp_dir()))?;
+    let folder = place.path();
+    let stage = Rc::new(Stage::set(&options.program, folder, site()?, schedule.seed)?);
+    first_order(&*stage.operator.lock().await, folder).await?;
+    let readiness = (0..ZONES.len()).map(|machine| stage.site.readiness(machine)).collect();
+    let platform = Arc::new(Platform::new(stage.fronts.to_vec(), readiness));
+    {
+        let mut held = Vec::new();
+        for process in stage.masters.iter().chain(&stage.quays) {
+            held.push(process.lock().await);
+        }
+        let mut all: Vec<_> = held.iter_mut().map(|process| &mut **process).collect();
+        wait_ready(&platform, &mut all, folder).await?;
+    }
+    settle(&options.program, &stage.site, folder)?;
+    let late = Arc::new(AtomicU64::new(0));
+    let punctual = tokio::spawn(keeps_time(late.clone()));
+    let watched = platform.clone();
+    let watch = tokio::spawn(async move { watched.watch().await });
+    let lasts = Duration::from_secs_f64(schedule.seconds);
+    let load = Load { seed: schedule.seed, rate: schedule.rate, lasts, greed: stage.greed.clone() };
+    let (begun, begun_at) = (Instant::now(), stage.history.at(std::time::Instant::now()));
+    let played = async {
+        tokio::join!(
+            load.play(platform.clone(), stage.history.clone(), Tallies::default()),
+            stage.troubled(&schedule.faults, begun)
+        );
+    };
+    tokio::select! {
+        () = played => {}
+        () = stage.looked_at() => {}
+    }
+    watch.abort();
+    punctual.abort();
+    stage.look_for_ends();
+    stage.operator.lock().await.read_back().await;
+    let mut processes = Vec::new();
+    for process in stage.masters.iter().chain(&stage.quays) {
+        processes.push(process.lock().await);
+    }
+    let mut all: Vec<_> = processes.iter_mut().map(|process| &mut **process).collect();
+    for name in fleet::end(&mut all).await {
+        let deed = Deed::Wrong(format!("{name} did not end when told to"));
+        stage.history.note(Seen::Process { machine: 0, quay: false, deed });
+    }
+    drop(processes);
+    for backend in &stage.backends {
+        backend.lock().await.end();
+    }
+    let (lines, full) = stage.history.take();
+    let late = Duration::from_micros(late.load(Ordering::Relaxed));
+    let failed = stage.failed.borrow().join("; ");
+    let void = if full {
+        Some("the history is full".to_owned())
+    } else if late > MOST_LATE {
+        Some(format!("the tool itself was {} ms late", late.as_millis()))
+    } else if stage.net.failed() > 0 {
+        Some(format!("the tool's own relays failed {} times", stage.net.failed()))
+    } else {
+        (!failed.is_empty()).then_some(failed)
+    };
+    let verdict = judge(&lines, &TERMS, void);
+    let figures = Figures::of(&schedule, &verdict, &lines, begun_at);
+    if let Some(keep) = &options.keep {
+        write_down(&keep.join(schedule.folder()), folder, &schedule, &lines, &verdict, begun_at)?;
+    }
+    Ok(Played { schedule, verdict, figures })
+}
+
+fn write_down(
+    keep: &Path, folder: &Path, schedule: &Schedule, lines: &[Line], verdict: &Verdict, begun: u64,
+) -> Result<(), Failure> {
+    std::fs::create_dir_all(keep).map_err(Failure::file(keep))?;
+    let write = |name: &str, text: String| {
+        let path = keep.join(name);
+        std::fs::write(&path, text).map_err(Failure::file(&path))
+    };
+    let mut text = String::new();
+    for line in lines {
+        text.push_str(&serde_json::to_string(line).unwrap_or_default());
+        text.push('\n');
+    }
+    write("history.jsonl", text)?;
+    write("verdict.json", serde_json::to_string_pretty(verdict).unwrap_or_default())?;
+    write(
+        "page.html",
+        page::page(schedule, lines, verdict, begun).unwrap_or_else(|error| error.to_string()),
+    )?;
+    let logs = folder.join("logs");
+    for log in std::fs::read_dir(&logs).map_err(Failure::file(&logs))?.flatten() {
+        std::fs::copy(log.path(), keep.join(log.file_name())).map_err(Failure::file(log.path()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/harbour/drydock/src/trial/results.rs
@@ -0,0 +1,175 @@
+//! The figures of one trial, as a line of a file, and how two files of them differ.
+
+use super::schedule::Schedule;
+use crate::history::{End, Line, Seen};
+use crate::judge::{BUCKET, Verdict};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use slipway::Estimate;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+
+/// Figures of a trial.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figures {
+    /// The trial's name.
+    pub name: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Why there is no verdict, if there is none.
+    pub void: Option<String>,
+    /// How often rules were broken.
+    pub broken: u64,
+    /// Share of all worth that was earned.
+    pub worth: f64,
+    /// The same while faults held.
+    pub troubled: Option<f64>,
+    /// Shares of requests that were served, refused at the last, and failed.
+    pub ends: [f64; 3],
+    /// Time of those that were served, in ms: the median, and for one in a hundred.
+    pub took: [f64; 2],
+    /// Tries of clients beyond the first, and arrivals at backends beyond the first, for each request.
+    pub tries: [f64; 2],
+    /// Seconds in which no harbourmaster said that it leads.
+    pub leaderless: f64,
+}
+
+impl Figures {
+    /// Those of a trial whose load began at this time of its history.
+    pub fn of(schedule: &Schedule, verdict: &Verdict, lines: &[Line], begun: u64) -> Self {
+        let mut ends = [0.0; 3];
+        let (mut requests, mut further) = (0.0, [0.0; 2]);
+        let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).ok();
+        let mut arrivals: HashMap<u64, u32> = HashMap::new();
+        let (mut leads, mut last, mut leaderless) = (BTreeMap::new(), begun, 0);
+        let mut troubled = vec![false; verdict.worth.len()];
+        let mut held: HashMap<usize, u64> = HashMap::new();
+        let span = |troubled: &mut Vec<bool>, from: u64, to: u64| {
+            let (from, to) = ((from / BUCKET) as usize, (to / BUCKET) as usize + 1);
+            let to = to.min(troubled.len());
+            troubled.iter_mut().take(to).skip(from).for_each(|held| *held = true);
+        };
+        for Line { at, seen } in lines {
+            match seen {
+                Seen::Done { due, end, tries, .. } => {
+                    requests += 1.0;
+                    further[0] += f64::from(tries.saturating_sub(1));
+                    let end = match end {
+                        End::Served => 0,
+                        End::Refused => 1,
+                        End::Failed(_) => 2,
+                    };
+                    ends[end] += 1.0;
+                    if let Some(times) = times.as_mut().filter(|_| end == 0) {
+                        times.saturating_record(at.saturating_sub(*due));
+                    }
+                }
+                Seen::Arrived { id: Some(id), .. } => {
+                    let count = arrivals.entry(*id).or_default();
+                    further[1] += f64::from(*count > 0);
+                    *count += 1;
+                }
+                Seen::Stands { machine, leads: is, .. } => {
+                    leads.insert(*machine, (*is, *at));
+                    // Who has not answered for a second says nothing.
+                    let fresh = |(is, seen): &(bool, u64)| *is && at.saturating_sub(*seen) < 1_000_000;
+                    if !leads.values().any(fresh) {
+                        leaderless += at.saturating_sub(last);
+                    }
+                    last = *at;
+                }
+                Seen::Begins { fault, .. } => drop(held.insert(*fault, *at)),
+                Seen::Ends { fault } => {
+                    if let Some(from) = held.remove(fault) {
+                        span(&mut troubled, from, *at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let during = verdict.worth.iter().zip(&troubled).filter(|(_, held)| **held).map(|(worth, _)| worth);
+        let (owed, earned) = during.fold((0.0, 0.0), |sum, (owed, earned)| (sum.0 + owed, sum.1 + earned));
+        let requests = f64::max(requests, 1.0);
+        let at = |share| times.as_ref().map_or(0.0, |t| t.value_at_quantile(share) as f64 / 1000.0);
+        Self {
+            name: schedule.name.clone(),
+            seed: schedule.seed,
+            void: verdict.void.clone(),
+            broken: verdict.total(),
+            worth: verdict.earned(),
+            troubled: (owed > 0.0).then(|| earned / owed),
+            ends: ends.map(|count| count / requests),
+            took: [at(0.5), at(0.99)],
+            tries: further.map(|count| count / requests),
+            leaderless: leaderless as f64 / 1e6,
+        }
+    }
+
+    /// Each figure with its name; what is better is told by its sign: higher for worth and served, lower for others.
+    fn named(&self) -> [(&'static str, f64); 9] {
+        let [served, refused, failed] = self.ends;
+        [
+            ("worth", self.worth),
+            ("worth in trouble", self.troubled.unwrap_or(self.worth)),
+            ("served", served),
+            ("refused", refused),
+            ("failed", failed),
+            ("p50 ms", self.took[0]),
+            ("p99 ms", self.took[1]),
+            ("further arrivals", self.tries[1]),
+            ("leaderless s", self.leaderless),
+        ]
+    }
+}
+
+/// How the second of two lots of figures differs from the first, in pairs of one name and seed. Trials that only one
+/// has, or that have no verdict in either, are left out and counted.
+pub fn compare(old: &[Figures], new: &[Figures]) -> String {
+    let key = |figures: &Figures| (figures.name.clone(), figures.seed);
+    let usable = |figures: &&Figures| figures.void.is_none();
+    let by_key: HashMap<_, _> = old.iter().filter(usable).map(|figures| (key(figures), figures)).collect();
+    let pairs: Vec<_> =
+        new.iter().filter(usable).filter_map(|new| Some((*by_key.get(&key(new))?, new))).collect();
+    let left_out = old.len() + new.len() - 2 * pairs.len();
+    let mut text = format!("{} pairs, {left_out} left out\n", pairs.len());
+    let (broken_old, broken_new) =
+        pairs.iter().fold((0, 0), |sum, (old, new)| (sum.0 + old.broken, sum.1 + new.broken));
+    // Writing to a text can't fail.
+    let _ = writeln!(text, "rules broken: {broken_old}, then {broken_new}");
+    let mut names: Vec<&str> = pairs.iter().map(|(_, new)| &*new.name).collect();
+    names.sort_unstable();
+    names.dedup();
+    for name in names {
+        let of: Vec<_> = pairs.iter().filter(|(_, new)| new.name == name).collect();
+        let _ = writeln!(text, "\n{name}: {} pairs", of.len());
+        for (row, (figure, _)) in of[0].1.named().into_iter().enumerate() {
+            let moves: Vec<f64> =
+                of.iter().map(|(old, new)| new.named()[row].1 - old.named()[row].1).collect();
+            let mean = of.iter().map(|(old, _)| old.named()[row].1).sum::<f64>() / of.len() as f64;
+            let Estimate { mean: moved, within, .. } = Estimate::of(&moves);
+            let within = within.map_or("-".to_owned(), |within| format!("{within:.3}"));
+            let _ = writeln!(text, "  {figure:<18} {mean:>9.3}  moved {moved:>+9.3} +- {within}");
+        }
+        let worst = of.iter().map(|(old, new)| (new.worth - old.worth, new.seed));
+        if let Some((moved, seed)) = worst.min_by(|a, b| a.0.total_cmp(&b.0)) {
+            let _ = writeln!(text, "  worst seed {seed}: worth {moved:+.3}");
+        }
+    }
+    text
+}
+
+/// A short line on a trial's figures.
+pub fn line(figures: &Figures) -> String {
+    let [served, refused, failed] = figures.ends.map(|share| share * 100.0);
+    let troubled = figures.troubled.map_or("-".to_owned(), |share| format!("{share:.2}"));
+    format!(
+        "  worth {:.3} ({troubled} in trouble), served {served:.1}%, refused {refused:.1}%, failed {failed:.1}%, \
+         p50 {:.0} ms, p99 {:.0} ms, further tries {:.3} by clients and {:.3} by us, {:.1} s without a leader",
+        figures.worth,
+        figures.took[0],
+        figures.took[1],
+        figures.tries[0],
+        figures.tries[1],
+        figures.leaderless
+    )
+}
--- /dev/null
+++ b/harbour/drydock/src/trial/rude.rs
@@ -0,0 +1,87 @@
+//! Clients that are slow, break off, talk nonsense or smuggle.
+
+use crate::backend::{path_of, question};
+use crate::chance::{Chance, mix};
+use crate::history::{History, Seen};
+use crate::plan::{HOST, KINDS, TENANTS};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The longest that one connection is played with.
+const LONGEST: Duration = Duration::from_secs(2);
+
+/// One rude client, until a moment. What it sends whole is noted; what it smuggles is not, and must never run.
+pub async fn rude(number: u64, seed: u64, fronts: Arc<[SocketAddr]>, history: Arc<History>, until: Instant) {
+    let mut chance = Chance::new(seed, 5000 + number);
+    while Instant::now() < until {
+        let front = fronts[chance.below(fronts.len())];
+        let manner = chance.below(5);
+        let id = mix(seed ^ mix(number) ^ (chance.unit() * 1e15) as u64);
+        let played = play(manner, id, front, &history, &mut chance);
+        let _ = timeout(LONGEST.min(until.saturating_duration_since(Instant::now())), played).await;
+        sleep(Duration::from_millis(20 + chance.below(200) as u64)).await;
+    }
+}
+
+fn head(method: &str, id: u64, more: &str) -> String {
+    // The effectful kind of the third tenant.
+    let path = path_of(KINDS[3].prefix, id);
+    let key = TENANTS[2].key;
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id:016x}\r\nX-Deadline-Left: 1500\r\n\
+         Authorization: Bearer {key}\r\n{more}\r\n"
+    )
+}
+
+async fn play(
+    manner: usize, id: u64, front: SocketAddr, history: &History, chance: &mut Chance,
+) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(front).await?;
+    let body = question(id);
+    let length = format!("Content-Length: {}\r\n", body.len());
+    match manner {
+        // Byte by byte, never to its end.
+        0 => {
+            for byte in head("POST", id, &length).bytes() {
+                stream.write_all(&[byte]).await?;
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        // Whole, and gone before the answer.
+        1 => {
+            history.note(Seen::Sent { id, kind: Some(3), tenant: Some(2), pure: false });
+            stream.write_all(head("POST", id, &length).as_bytes()).await?;
+            stream.write_all(&body).await?;
+            sleep(Duration::from_millis(chance.below(20) as u64)).await;
+            stream.set_zero_linger()?;
+        }
+        // A body that is shorter than it says.
+        2 => {
+            stream.write_all(head("POST", id, "Content-Length: 100000\r\n").as_bytes()).await?;
+            stream.write_all(&body).await?;
+        }
+        // No HTTP at all.
+        3 => {
+            let noise: Vec<u8> = (0..400).map(|_| chance.below(256) as u8).collect();
+            stream.write_all(&noise).await?;
+            let mut answer = Vec::new();
+            stream.take(10_000).read_to_end(&mut answer).await?;
+        }
+        // A length beside chunks, and behind the last chunk what must not be taken for a request.
+        _ => {
+            let hidden = head("POST", mix(id), &length);
+            let more = format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n", hidden.len() + 5);
+            stream.write_all(head("POST", mix(!id), &more).as_bytes()).await?;
+            stream.write_all(b"0\r\n\r\n").await?;
+            stream.write_all(hidden.as_bytes()).await?;
+            stream.write_all(&body).await?;
+            let mut answer = Vec::new();
+            stream.take(10_000).read_to_end(&mut answer).await?;
+        }
+    }
+    Ok(())
+}
--- a/harbour/drydock/src/up.rs
+++ b/harbour/drydock/src/up.rs
@@ -67,7 +67,7 @@
             },
             why = told_to_end() => Err(Fault::Ended(why)),
         };
-        let killed = fleet::end(&mut processes).await;
+        let killed = fleet::end(&mut processes.iter_mut().collect::<Vec<_>>()).await;
         if !killed.is_empty() {
             print(format_args!("had to be killed: {}\n", killed.join(", ")));
         }
--- a/harbour/slipway/src/relay.rs
+++ b/harbour/slipway/src/relay.rs
@@ -48,6 +48,70 @@
     Reset,
 }
 
+/// What a fault of links does to them, as schedules name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    /// [`Flow::Hole`].
+    Cut,
+    /// [`Flow::Reset`].
+    Reset,
+    /// [`Flow::Mute`].
+    Mute,
+    /// [`Flow::Delayed`], which wants `ms`.
+    Delay,
+    /// [`Flow::Throttled`], which wants `bytes`.
+    Throttle,
+    /// [`Flow::CutAfter`], which wants `bytes`.
+    CutAfter,
+}
+
+impl Harm {
+    /// What the links do.
+    ///
+    /// # Errors
+    /// When a figure is missing or of no use; in words.
+    pub fn flow(self, ms: Option<(f64, f64)>, bytes: Option<u64>) -> Result<Flow, &'static str> {
+        let bytes = || bytes.filter(|bytes| *bytes > 0).ok_or("bytes, above 0, is missing");
+        Ok(match self {
+            Self::Cut => Flow::Hole,
+            Self::Reset => Flow::Reset,
+            Self::Mute => Flow::Mute,
+            Self::Throttle => Flow::Throttled(bytes()?),
+            Self::CutAfter => Flow::CutAfter(bytes()?),
+            Self::Delay => {
+                let (least, most) = ms.unwrap_or((-1.0, -1.0));
+                if !(least >= 0.0 && most >= least && most <= 60_000.0) {
+                    return Err("ms = [least, most] is missing or out of order");
+                }
+                Flow::Delayed(least, most)
+            }
+        })
+    }
+}
+
+/// The links between two groups, in the direction from the one to the other and, unless `one_way`, back; `talk` says
+/// who connects to whom. Unless the first group is `whole`, parties of both keep each other: a zone that is cut from
+/// all is whole inside.
+pub fn links_between<P: Copy + Ord>(
+    from: &[P], to: &[P], one_way: bool, whole: bool, talk: impl Fn(P, P) -> bool,
+) -> Vec<(P, P)> {
+    let mut links = Vec::new();
+    for a in from {
+        for b in to.iter().filter(|b| whole || !from.contains(b)) {
+            if !talk(*a, *b) && !talk(*b, *a) {
+                continue;
+            }
+            links.push((*a, *b));
+            if !one_way {
+                links.push((*b, *a));
+            }
+        }
+    }
+    links.sort();
+    links.dedup();
+    links
+}
+
 /// One direction between two parties.
 #[derive(Debug)]
 pub struct Link {
