Readers of bytes from outside are tried with bytes that are nearly right

Configurations, settings, beats and other calls, frames between processes and records of the disk all meet bytes that others wrote.

--- /dev/null
+++ b/harbour/harbourmaster/tests/bytes.rs
@@ -0,0 +1,154 @@
+//! All readers of bytes from outside, against bytes that are nearly right: none panics, each says what is wrong in
+//! few words, and what is taken for right is read the same again.
+
+use flags::{Berth, Flag, Hail, Phase, Plane, Pulse, frame, unframe};
+use harbourmaster::{CALLS, Call, Change, Ledger, Place};
+use hyper::header::{HeaderMap, HeaderValue};
+use manifest::{Config, Settings};
+use slipway::mutate::Mutator;
+
+/// Changed texts for each reader: some seconds, also on a slow machine.
+const EACH: usize = 3000;
+/// The longest complaint, in bytes.
+const WORDS: usize = 64 * 1024;
+
+fn corpus(names: &[&str]) -> Vec<Vec<u8>> {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus");
+    let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/../manifest/tests/data");
+    let read = |name: &&str| {
+        let near = std::fs::read(format!("{folder}/{name}"));
+        near.or_else(|_| std::fs::read(format!("{manifest}/{name}"))).expect("it is kept")
+    };
+    names.iter().map(read).collect()
+}
+
+/// Feeds a reader, which says whether it took what it was given; some are taken and most are not.
+fn feed(seed: u64, corpus: Vec<Vec<u8>>, mut read: impl FnMut(&[u8]) -> bool) {
+    corpus.iter().for_each(|whole| assert!(read(whole), "{}", String::from_utf8_lossy(whole)));
+    let mut mutator = Mutator::new(seed, corpus);
+    let taken = (0..EACH).filter(|_| read(&mutator.spoil())).count();
+    assert!((1..EACH).contains(&taken), "{taken} of {EACH} were taken");
+}
+
+#[test]
+fn configurations() {
+    feed(1, corpus(&["config.json"]), |bytes| match Config::parse(bytes) {
+        Ok(config) => {
+            assert_eq!(Config::parse(bytes).expect("the same again").version, config.version);
+            true
+        }
+        Err(fault) => {
+            assert!(fault.to_string().len() < WORDS, "{} bytes of words", fault.to_string().len());
+            false
+        }
+    });
+}
+
+#[test]
+fn settings() {
+    feed(2, corpus(&["settings.toml"]), |bytes| match Settings::parse(&String::from_utf8_lossy(bytes)) {
+        Ok(settings) => {
+            assert!(settings.port_range.0 > 0 && !settings.node_name.is_empty());
+            true
+        }
+        Err(fault) => {
+            assert!(fault.to_string().len() < WORDS);
+            false
+        }
+    });
+}
+
+#[test]
+fn beats() {
+    let heartbeat = CALLS.iter().find(|call| call.path == "/Backends.Heartbeat/").expect("it is declared");
+    feed(3, corpus(&["beat.json", "beat-draining.json"]), |bytes| {
+        match (heartbeat.read)("i-1", &HeaderMap::new(), bytes) {
+            Ok(Call::Beat(berth)) => {
+                assert!(berth.capacity > 0 && berth.address.parse::<std::net::SocketAddr>().is_ok());
+                assert!(berth.warmup_left_ms <= 600_000);
+                true
+            }
+            Ok(_) => panic!("a beat is a beat"),
+            Err(_) => false,
+        }
+    });
+}
+
+#[test]
+fn calls_with_odd_ids_and_headers() {
+    let mut mutator = Mutator::new(4, [b"r12".to_vec(), b"limit=5&after=r3".to_vec(), b"i-0a1b2c".to_vec()]);
+    for _ in 0..EACH {
+        let (id, base, body) = (mutator.spoil(), mutator.spoil(), mutator.spoil());
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_bytes(&base) {
+            headers.insert("x-base-version", value);
+        }
+        for call in &CALLS {
+            let _ = (call.read)(&String::from_utf8_lossy(&id), &headers, &body);
+        }
+    }
+}
+
+fn berth(id: &str, count: u64) -> Berth {
+    Berth {
+        id: id.into(),
+        service: "customs".into(),
+        address: "10.0.0.1:80".into(),
+        zone: "north".into(),
+        generation: "v1".into(),
+        capacity: 6,
+        phase: Phase::Serving,
+        warmup_left_ms: 0,
+        call_count: count,
+        overdue: false,
+    }
+}
+
+#[test]
+fn frames() {
+    let hail = Hail {
+        name: "m1".into(),
+        life: 7,
+        plane: Plane::Quay,
+        address: "10.0.0.1:80".into(),
+        zone: "north".into(),
+        quorum: false,
+        birth: None,
+    };
+    let whole = [
+        Flag::Hail(hail),
+        Flag::Follow { have: 7 },
+        Flag::Pulse(Pulse::default()),
+        Flag::Heard(vec![("i-1".into(), 3), ("i-2".into(), 9)]),
+        Flag::Berths { whole: true, berths: vec![berth("i-1", 4), berth("i-2", u64::MAX)] },
+    ];
+    feed(5, whole.iter().map(frame).collect(), |bytes| match unframe::<Flag>(bytes) {
+        Ok(Some((flag, taken))) => {
+            assert!(taken <= bytes.len());
+            let again = unframe::<Flag>(&frame(&flag)).expect("whole").expect("whole");
+            assert_eq!(format!("{:?}", again.0), format!("{flag:?}"));
+            true
+        }
+        Ok(None) | Err(_) => false,
+    });
+}
+
+#[test]
+fn records_of_the_disk() {
+    let change = |base, version| Change { base, version, digest: [7; 32], body: b"{\"a\":1}".to_vec() };
+    let changes = [change(0, 1), change(1, u64::MAX)];
+    feed(6, changes.iter().map(bitcode::encode).collect(), |bytes| Change::read(bytes).is_ok());
+    let mut ledger = Ledger::default();
+    for version in 1..=9 {
+        ledger.apply(Place::default(), change(version - 1, version));
+    }
+    feed(7, vec![bitcode::encode(&ledger)], |bytes| match Ledger::restore(bytes) {
+        Ok(mut ledger) => {
+            // What was restored can be used, whatever it is.
+            ledger.apply(Place::default(), change(ledger.version(), ledger.version().saturating_add(1)));
+            let _ = (ledger.body(), ledger.history().count());
+            true
+        }
+        Err(_) => false,
+    });
+}
--- a/harbour/slipway/src/lib.rs
+++ b/harbour/slipway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 mod estimate;
+pub mod mutate;
 mod place;
 pub mod plot;
 mod random;
