Trials: a blackout of all machines, and storms of several shapes at once

Harbourmasters are asked together how they stand: one that was stopped kept the others waiting, so that times without a leader came out a second too long.

--- a/harbour/drydock/src/trial/draw.rs
+++ b/harbour/drydock/src/trial/draw.rs
@@ -43,12 +43,15 @@
     Hot,
     /// Clients are slow and rude.
     Rude,
+    /// All machines lose their power at once.
+    Blackout,
 }
 
-/// Draws one to three shapes of faults.
-pub(super) fn draw(shapes: &[Shape], seconds: f64, seed: u64) -> Vec<Row> {
+/// Draws so many shapes of faults, or up to two more; without a number, one to three.
+pub(super) fn draw(shapes: &[Shape], number: Option<usize>, seconds: f64, seed: u64) -> Vec<Row> {
     let mut random = Random::new(seed, "nemesis", 0);
-    let count = 1 + usize::from(random.happens(0.6)) + usize::from(random.happens(0.2));
+    let more = usize::from(random.happens(0.6)) + usize::from(random.happens(0.2));
+    let count = number.unwrap_or(1) + more;
     let mut rows = Vec::new();
     let mut left = shapes.to_vec();
     for _ in 0..count.min(shapes.len()) {
@@ -208,6 +211,9 @@
             Self::Hot => {
                 vec![Row { factor: Some(random.within(span(2.0, 12.0))), ..row(at, lasts, Kind::Hot) }]
             }
+            Self::Blackout => {
+                vec![on(at, random.within(span(0.2, 2.0)).min(last - at), Kind::Kill, "machines")]
+            }
             Self::Rude => vec![Row { count: Some(5 + random.below(60)), ..row(at, lasts, Kind::Rude) }],
         }
     }
--- a/harbour/drydock/src/trial/schedule.rs
+++ b/harbour/drydock/src/trial/schedule.rs
@@ -10,13 +10,15 @@
 use toml::Spanned;
 
 /// The trials that come with the program.
-pub const SHIPPED: [(&str, &str); 7] = [
+pub const SHIPPED: [(&str, &str); 9] = [
     ("calm", include_str!("../../trials/calm.toml")),
     ("zone-cut", include_str!("../../trials/zone-cut.toml")),
     ("leader-disk", include_str!("../../trials/leader-disk.toml")),
     ("rolling", include_str!("../../trials/rolling.toml")),
     ("backends", include_str!("../../trials/backends.toml")),
     ("crowd", include_str!("../../trials/crowd.toml")),
+    ("blackout", include_str!("../../trials/blackout.toml")),
+    ("storm", include_str!("../../trials/storm.toml")),
     ("drawn", include_str!("../../trials/drawn.toml")),
 ];
 
@@ -144,6 +146,8 @@
     /// Shapes of faults, of which each seed draws one or two.
     #[serde(default)]
     nemesis: Vec<Shape>,
+    /// How many shapes, at the least.
+    shapes: Option<usize>,
 }
 
 /// Whom a fault is about.
@@ -249,7 +253,7 @@
             faults.push(read.map_err(|what| place(row.span().start, &what))?);
         }
         if !file.nemesis.is_empty() {
-            for row in draw(&file.nemesis, seconds, seed) {
+            for row in draw(&file.nemesis, file.shapes, seconds, seed) {
                 // What is drawn is read as if it had been written.
                 faults.push(fault(&row, seconds).map_err(|what| place(0, &format!("drawn: {what}")))?);
             }
--- a/harbour/drydock/src/trial/stage.rs
+++ b/harbour/drydock/src/trial/stage.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// How often harbourmasters are asked how they stand, and processes are looked at.
 const LOOKS: Duration = Duration::from_millis(200);
@@ -343,8 +343,15 @@
         loop {
             sleep(LOOKS).await;
             self.look_for_ends();
+            let mut asked = JoinSet::new();
             for machine in 0..MASTERS {
-                let Some(status) = control.status(control.addresses()[machine]).await else { continue };
+                let control = control.clone();
+                asked.spawn(async move { (machine, control.status(control.addresses()[machine]).await) });
+            }
+            // One that is stopped keeps nobody waiting: its answer is left for the next look.
+            let until = Instant::now() + LOOKS;
+            while let Ok(Some(answer)) = timeout_at(until, asked.join_next()).await {
+                let Ok((machine, Some(status))) = answer else { continue };
                 let version = status["version"].as_str().and_then(|v| v.strip_prefix('r')?.parse().ok());
                 let (leads, version) = (status["log"]["leads"] == true, version.unwrap_or_default());
                 self.history.note(Seen::Stands { machine, leads, version });
