--- a/harbour/drydock/src/trial/mod.rs
+++ b/harbour/drydock/src/trial/mod.rs
@@ -22,6 +22,7 @@
 use schedule::Schedule;
 use slipway::clock::{MOST_LATE, keeps_time};
 use stage::Stage;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,13 +50,23 @@
     pub figures: Figures,
 }
 
-/// A site on addresses that no other trial of this machine is likely to have; two that meet have other ports.
-fn site() -> Result<Site, Failure> {
+/// The port whose owner has the addresses of a trial to itself.
+const CLAIM: u16 = 18_390;
+/// So many lots of addresses there are.
+const LOTS: u32 = 128 * 32;
+
+/// A site on addresses that no other trial of this machine has, as long as the listener is held.
+fn site() -> Result<(Site, TcpListener), Failure> {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let number = std::process::id().wrapping_mul(64) + NUMBER.fetch_add(1, Ordering::Relaxed);
-    // Eight neighbours each: the machines' own addresses, and one for what each of them reaches by ways.
-    let (a, b) = (64 + (number / 32 % 128) as u8, (number % 32) as u8 * 8);
-    Ok(Site::find(a, b, u64::from(number) * 7)?.with_ways())
+    let first = std::process::id().wrapping_mul(64).wrapping_add(NUMBER.fetch_add(1, Ordering::Relaxed));
+    for number in (0..LOTS).map(|more| first.wrapping_add(more)) {
+        // Eight neighbours each: the machines' own addresses, and one for what each of them reaches by ways.
+        let (a, b) = (64 + (number / 32 % 128) as u8, (number % 32) as u8 * 8);
+        if let Ok(claim) = TcpListener::bind((Ipv4Addr::new(127, a, b, 250), CLAIM)) {
+            return Ok((Site::find(a, b, u64::from(number) * 7)?.with_ways(), claim));
+        }
+    }
+    Err(Failure::Ports("127.64.0.0 to 127.191.255.255".to_owned()))
 }
 
 /// Plays a trial to its end, on a local set of the thread that starts the processes.
@@ -79,7 +90,8 @@
     let place = tempfile::Builder::new().prefix("drydock-trial-").tempdir();
     let place = place.map_err(Failure::file(std::env::temp_dir()))?;
     let folder = place.path();
-    let stage = Rc::new(Stage::set(&options.program, folder, site()?, schedule.seed)?);
+    let (site, _claim) = site()?;
+    let stage = Rc::new(Stage::set(&options.program, folder, site, schedule.seed)?);
     first_order(&*stage.operator.lock().await, folder).await?;
     let readiness = (0..ZONES.len()).map(|machine| stage.site.readiness(machine)).collect();
     let platform = Arc::new(Platform::new(stage.fronts.to_vec(), readiness));
@@ -171,3 +183,20 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_two_trials_have_the_same_addresses() {
+        let sites: Vec<_> = (0..4).map(|_| site().expect("there are many")).collect();
+        let mut ips: Vec<_> = sites.iter().map(|(site, _)| site.backend(0)).collect();
+        // Another run that begins at the same number.
+        let (_, claim) = &sites[0];
+        assert!(TcpListener::bind(claim.local_addr().expect("bound")).is_err());
+        ips.sort_unstable();
+        ips.dedup();
+        assert_eq!(ips.len(), 4);
+    }
+}
