--- a/harbour/drydock/src/trial/mod.rs
+++ b/harbour/drydock/src/trial/mod.rs
@@ -132,9 +132,13 @@
         processes.push(process.lock().await);
     }
     let mut all: Vec<_> = processes.iter_mut().map(|process| &mut **process).collect();
-    for name in fleet::end(&mut all).await {
-        let deed = Deed::Wrong(format!("{name} did not end when told to"));
-        stage.history.note(Seen::Process { machine: 0, quay: false, deed });
+    let names: Vec<_> = all.iter().map(|process| process.name().to_owned()).collect();
+    for killed in fleet::end(&mut all).await {
+        let Some(number) = names.iter().position(|name| *name == killed) else { continue };
+        let (quay, masters) = (number >= stage.masters.len(), stage.masters.len());
+        let machine = if quay { number - masters } else { number };
+        let deed = Deed::Wrong("did not end when told to".to_owned());
+        stage.history.note(Seen::Process { machine, quay, deed });
     }
     drop(processes);
     writes.abort();
