--- a/harbour/drydock/src/trial/several.rs
+++ b/harbour/drydock/src/trial/several.rs
@@ -50,6 +50,22 @@
     }
 }
 
+/// Threads of trials, which end with this: they take down their processes and folders first.
+struct Threads {
+    /// Whoever waits no longer for the trials drops this, and they end.
+    wanted: Option<watch::Sender<()>>,
+    all: Vec<thread::JoinHandle<()>>,
+}
+
+impl Drop for Threads {
+    fn drop(&mut self) {
+        self.wanted = None;
+        for thread in self.all.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Plays trials, so many at once; `tell` gets some lines on each as it ends.
 ///
 /// # Errors
@@ -58,12 +74,11 @@
     trials: Vec<Schedule>, options: &Options, side: usize, mut tell: impl FnMut(&str),
 ) -> Result<Sum, Fault> {
     let (ended, mut ends) = mpsc::unbounded_channel();
-    // Whoever waits no longer for the trials drops this, and they end.
-    let (wanted, _) = watch::channel(());
+    let (wanted, every) = watch::channel(());
     let mut left = trials.into_iter();
     let mut sum = Sum::default();
     let begin = |schedule: Schedule| {
-        let (options, ended, mut wanted) = (options.clone(), ended.clone(), wanted.subscribe());
+        let (options, ended, mut wanted) = (options.clone(), ended.clone(), every.clone());
         // A runtime of its own: with it go the trial's listeners, relays and all that waits on them; and a thread of
         // its own, since processes end with the thread that started them.
         thread::spawn(move || {
@@ -80,17 +95,18 @@
             let _ = ended.send(played);
         })
     };
-    let mut threads: Vec<_> = left.by_ref().take(side.max(1)).map(begin).collect();
-    let mut running = threads.len();
+    let all: Vec<_> = left.by_ref().take(side.max(1)).map(begin).collect();
+    let mut threads = Threads { wanted: Some(wanted), all };
+    let mut running = threads.all.len();
     while running > 0 {
         let Some(played) = ends.recv().await else { break };
         running -= 1;
         let played = played?;
         tell(&lines(&played));
         sum.figures.push(played.figures);
-        threads.retain(|thread| !thread.is_finished());
+        threads.all.retain(|thread| !thread.is_finished());
         if let Some(next) = left.next() {
-            threads.push(begin(next));
+            threads.all.push(begin(next));
             running += 1;
         }
     }
