--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -65,6 +65,7 @@
                     timing,
                     draws_a_holder: 0.0,
                     seed,
+                    ways: manifest::Detours::default(),
                 };
                 let numbers = Rc::new(Cell::new(0));
                 let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -69,6 +69,7 @@
         },
         draws_a_holder: settings.tuning.draws_a_holder,
         seed: life,
+        ways: settings.tuning.ways.clone(),
     };
     let numbers = Rc::new(Cell::new(0));
     let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
