A floor in the log for each quiet tenant: a new holder of counts need not begin with nothing

Need: after a closing fault most of what was refused was refused by quotas. A new holder kept each count shut for a window and began without any burst, while all clients came back together.

Ruled out: election (0.4 s after the first voter's start), news (0.02 s after it), backends (all known by then, no refusal for want of room).

Weighed: assuming that nothing was granted breaks the bound; asking the quays helps only where they lived on; a disk write for each block costs a sync. docs/leases.md has it.

--- a/harbour/harbourmaster/src/ledger.rs
+++ b/harbour/harbourmaster/src/ledger.rs
@@ -5,6 +5,8 @@
 
 /// So many versions are remembered by their digest: an operator repeats a call within seconds, not thousands later.
 const REMEMBERED: usize = 4096;
+/// Floors of more counts than this are not kept: their tenants begin with nothing under a new holder.
+const FLOORS: usize = 4096;
 /// Of so many versions it is remembered when they were taken.
 const DATED: usize = 64;
 /// Bodies before the newest one are kept for operators who compare: so many ...
@@ -35,6 +37,32 @@
     }
 }
 
+/// What the log says besides changes: facts of the counts and of who is there, for whoever holds them next.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Marks {
+    /// Floors of counts that are other ones from here on, in units: see [`tally::Floor`].
+    pub floors: Vec<(String, u32)>,
+    /// How many quays there are.
+    pub fleet: u32,
+}
+
+/// Entries that hold marks begin with this; no change of the versions so far does.
+const MARKS: &[u8] = b"harbour marks 1\n";
+
+impl Marks {
+    /// The marks as an entry.
+    pub fn entry(&self) -> Vec<u8> {
+        let mut entry = MARKS.to_vec();
+        entry.extend_from_slice(&bitcode::encode(self));
+        entry
+    }
+
+    /// Reads an entry that holds marks; none for others.
+    pub fn read(entry: &[u8]) -> Option<Result<Self, bitcode::Error>> {
+        entry.strip_prefix(MARKS).map(bitcode::decode)
+    }
+}
+
 /// What became of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -72,6 +100,20 @@
     places: BTreeMap<u64, Place>,
     /// The bodies of versions before the newest.
     bodies: BTreeMap<u64, Vec<u8>>,
+    /// Floors of counts; those that are not here are zero.
+    floors: BTreeMap<String, u32>,
+    /// How many quays there were when last it was said.
+    fleet: u32,
+}
+
+/// What snapshots held before there were marks.
+#[derive(Decode)]
+struct Unmarked {
+    version: u64,
+    body: Vec<u8>,
+    digests: BTreeMap<u64, [u8; 32]>,
+    places: BTreeMap<u64, Place>,
+    bodies: BTreeMap<u64, Vec<u8>>,
 }
 
 /// What snapshots held before bodies were kept.
@@ -89,6 +131,9 @@
     /// When it holds something else.
     pub fn restore(state: &[u8]) -> Result<Self, bitcode::Error> {
         bitcode::decode(state).or_else(|error| {
+            if let Ok(Unmarked { version, body, digests, places, bodies }) = bitcode::decode(state) {
+                return Ok(Self { version, body, digests, places, bodies, ..Self::default() });
+            }
             let Bare { version, body, digests } = bitcode::decode(state).map_err(|_| error)?;
             Ok(Self { version, body, digests, ..Self::default() })
         })
@@ -135,6 +180,28 @@
         verdict
     }
 
+    /// Takes marks in.
+    pub fn mark(&mut self, marks: Marks) {
+        self.fleet = marks.fleet;
+        for (tenant, units) in marks.floors {
+            if units == 0 {
+                self.floors.remove(&tenant);
+            } else if self.floors.len() < FLOORS || self.floors.contains_key(&tenant) {
+                self.floors.insert(tenant, units);
+            }
+        }
+    }
+
+    /// Floors of counts, in units; those that are not here are zero.
+    pub fn floors(&self) -> &BTreeMap<String, u32> {
+        &self.floors
+    }
+
+    /// How many quays there were when last it was said; 0 before that.
+    pub fn fleet(&self) -> u32 {
+        self.fleet
+    }
+
     /// The last versions that were taken, the newest first: number, digest, and when.
     pub fn history(&self) -> impl Iterator<Item = (u64, &[u8; 32], Place)> {
         let dated = self.places.iter().rev();
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -9,7 +9,7 @@
 
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
-use crate::ledger::{Change, Ledger, Place, Verdict};
+use crate::ledger::{Change, Ledger, Marks, Place, Verdict};
 use crate::lines::carry;
 use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
@@ -51,7 +51,9 @@
 /// More calls than this don't wait.
 const CALLS_WAITING: usize = 256;
 /// After so many changes the log is compacted: each holds a whole configuration.
-const COMPACT_AFTER: u64 = 16;
+const COMPACT_AFTER: f64 = 16.0;
+/// Marks weigh so much of a change then: they are some hundred bytes.
+const MARKS_WEIGH: f64 = 0.1;
 /// ... or so many bytes of them: the disk is small, and a change of 4 MB takes 8 of the file.
 const COMPACT_BYTES: usize = 4_000_000;
 /// A master this young may not have heard of all backends yet: its list says who is there, not who is not.
@@ -198,7 +200,9 @@
     proposed: BTreeMap<u64, Proposed>,
     /// What to answer once entries come back, by their index: emptied when this process leads no more.
     accepted: BTreeMap<u64, u64>,
-    changes: u64,
+    changes: f64,
+    /// Marks that are on their way through the log, by their token: one entry of them at a time.
+    marking: Option<u64>,
     change_bytes: usize,
     grown: bool,
     /// Messages of other processes since the start.
@@ -256,7 +260,8 @@
             waiting: HashMap::new(),
             proposed: BTreeMap::new(),
             accepted: BTreeMap::new(),
-            changes: 0,
+            changes: 0.0,
+            marking: None,
             change_bytes: 0,
             grown: false,
             frames: 0,
--- a/harbour/harbourmaster/src/master/entries.rs
+++ b/harbour/harbourmaster/src/master/entries.rs
@@ -49,6 +49,7 @@
                 self.accepted.insert(index, token);
             }
             Output::Refused { token, .. } => {
+                self.marking.take_if(|marking| *marking == token);
                 self.answer_proposed(token, Reply::why(503, "this process does not lead"));
             }
             Output::Unclear { token } => {
@@ -67,6 +68,7 @@
             let now = self.now();
             self.resign(now);
             self.accepted.clear();
+            self.marking = None;
         }
     }
 
@@ -78,10 +80,18 @@
                 let list = voters.iter().map(|voter| voter.address.clone().into()).collect();
                 return self.watch.note(now, "voters", Happened::Voters(list));
             }
+            // The first entry of this leader: all that others left in the log has been taken in, so that the counts can
+            // be held from here on.
+            What::Nothing if self.node.as_ref().is_some_and(|node| node.term() == at.epoch) => {
+                return self.tend_office(now);
+            }
             What::Nothing => return,
         };
         self.change_bytes += change.len();
-        let Ok(change) = bitcode::decode::<Change>(&change) else { return };
+        if let Some(marks) = Marks::read(&change) {
+            return self.on_marks(index, marks.ok());
+        }
+        let Ok(change) = Change::read(&change) else { return };
         let version = change.version;
         let verdict = self.ledger.apply(at, change);
         self.watch.change(now, version, verdict);
@@ -89,9 +99,26 @@
         if let Some(token) = self.accepted.remove(&index) {
             self.answer_proposed(token, reply_to(verdict));
         }
-        self.changes += 1;
+        self.written(index, 1.0);
+    }
+
+    /// Marks are decided.
+    fn on_marks(&mut self, index: u64, marks: Option<Marks>) {
+        if let Some(marks) = marks {
+            self.ledger.mark(marks);
+        }
+        let token = self.accepted.remove(&index);
+        if token.is_some() && token == self.marking.take_if(|marking| Some(*marking) == token) {
+            self.office.decided();
+        }
+        self.written(index, MARKS_WEIGH);
+    }
+
+    /// Another entry is in the log, which weighs so much of a change.
+    fn written(&mut self, index: u64, weight: f64) {
+        self.changes += weight;
         if self.changes >= COMPACT_AFTER || self.change_bytes >= COMPACT_BYTES {
-            (self.changes, self.change_bytes) = (0, 0);
+            (self.changes, self.change_bytes) = (0.0, 0);
             let state = bitcode::encode(&self.ledger);
             self.log(Input::Compact { index, state });
         }
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -32,7 +32,7 @@
             assignment,
             deputies,
             version: self.ledger.version(),
-            fleet: self.fleet.size().max(1),
+            fleet: self.quay_count(now).max(1),
             number: self.fleet.number(name),
         }
     }
@@ -96,7 +96,7 @@
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
         }
         self.watch.quays(now, self.fleet.lives());
-        let fleet = self.fleet.size();
+        let fleet = self.quay_count(now);
         self.office.fleet(now as f64, fleet);
     }
 
--- a/harbour/harbourmaster/src/master/office.rs
+++ b/harbour/harbourmaster/src/master/office.rs
@@ -9,6 +9,11 @@
 /// Offers of which an answer is still worth anything.
 const OFFERS: usize = 16;
 
+/// The log is told of another number of quays once it is off by more than one in so many.
+const FLEET_MOVES: u32 = 8;
+/// A process this old has heard of all quays that there are, or they count no more.
+const SETTLED: u64 = 30_000;
+
 impl Master {
     /// Whoever holds the lease of the log holds the counts, and may share them out.
     pub(super) fn tend_office(&mut self, now: u64) {
@@ -26,7 +31,11 @@
             let placer = Placer::new(&self.settings.address.to_string(), term, now as f64, bears);
             self.roster = placer.roster().clone();
             self.placer = Some(placer);
-            self.office.fleet(now as f64, self.fleet.size());
+            self.office.fleet(now as f64, self.quay_count(now));
+            // Deputies' counts have no floors.
+            if self.settings.draws_a_holder <= 0.0 {
+                self.office.floors(self.ledger.floors().clone());
+            }
             self.office.assume(now as f64, &self.roster, first);
             let quays = self.peers.values().filter(|p| now < p.heard + QUAY_SILENT);
             for (peer, hail) in quays.filter_map(|p| Some((p, p.hail.as_ref()?))) {
@@ -48,6 +57,34 @@
         {
             self.office.lease(until as f64);
         }
+        self.tend_marks(now);
+    }
+
+    /// Has the log say what whoever holds the counts next ought to know. One entry at a time, and no more than a few a
+    /// second: floors rise after seconds, and fall once for each tenant that becomes busy.
+    pub(super) fn tend_marks(&mut self, now: u64) {
+        if self.placer.is_none() || self.marking.is_some() {
+            return;
+        }
+        let alone = self.settings.draws_a_holder <= 0.0;
+        let floors = if alone { self.office.floors_wanted(now as f64) } else { Vec::new() };
+        let (fleet, said) = (self.fleet.size(), self.ledger.fleet());
+        // A few more or less change nobody's part by much.
+        let other = now >= YOUNG && fleet > 0 && fleet.abs_diff(said) * FLEET_MOVES > said;
+        if floors.is_empty() && !other {
+            return;
+        }
+        self.tokens += 1;
+        self.marking = Some(self.tokens);
+        let fleet = if other { fleet } else { said };
+        let change = Marks { floors, fleet }.entry();
+        self.log(Input::Propose { token: self.tokens, change });
+    }
+
+    /// How many quays there are. A process that has just started has yet to hear of most of those that the log knows of.
+    pub(super) fn quay_count(&self, now: u64) -> u32 {
+        let said = if now < SETTLED { self.ledger.fleet() } else { 0 };
+        self.fleet.size().max(said)
     }
 
     pub(super) fn resign(&mut self, now: u64) {
@@ -199,5 +236,8 @@
             }
         };
         peer.line.send(&flag);
+        if self.office.presses() {
+            self.tend_marks(now);
+        }
     }
 }
--- a/harbour/harbourmaster/tests/ledger.rs
+++ b/harbour/harbourmaster/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! The configurations that were taken: what becomes of a change, and of the same one again.
 
-use harbourmaster::{Change, Ledger, Place, Verdict};
+use bitcode::Encode;
+use harbourmaster::{Change, Ledger, Marks, Place, Verdict};
+use std::collections::BTreeMap;
 
 fn change(base: u64, version: u64, digest: u8) -> Change {
     Change { base, version, digest: [digest; 32], body: vec![digest] }
@@ -64,3 +66,53 @@
     let newest = ledger.history().next().map(|(version, digest, at)| (version, digest[0], at));
     assert_eq!((newest, ledger.history().count()), (Some((12, 12, Place { index: 19, epoch: 2 })), 12));
 }
+
+fn marks(floors: &[(&str, u32)], fleet: u32) -> Marks {
+    Marks { floors: floors.iter().map(|(tenant, units)| ((*tenant).to_owned(), *units)).collect(), fleet }
+}
+
+#[test]
+fn marks_are_told_from_changes_and_the_newest_count() {
+    let mut ledger = Ledger::default();
+    for marks in [marks(&[("a", 5), ("b", 7)], 13), marks(&[("a", 0), ("c", 1)], 12)] {
+        let entry = marks.entry();
+        assert!(Change::read(&entry).is_err());
+        ledger.mark(Marks::read(&entry).expect("marks").expect("whole"));
+    }
+    let floors: Vec<_> = ledger.floors().iter().map(|(tenant, units)| (tenant.as_str(), *units)).collect();
+    assert_eq!((floors, ledger.fleet()), (vec![("b", 7), ("c", 1)], 12));
+    let again = Ledger::restore(&bitcode::encode(&ledger)).expect("a ledger");
+    assert_eq!(again, ledger);
+    assert!(Marks::read(&bitcode::encode(&change(1, 2, 3))).is_none());
+    assert!(Marks::read(&entry_cut(&marks(&[("a", 5)], 3))).is_some_and(|marks| marks.is_err()));
+}
+
+fn entry_cut(marks: &Marks) -> Vec<u8> {
+    let mut entry = marks.entry();
+    entry.pop();
+    entry
+}
+
+/// A snapshot as the version before marks wrote it.
+#[derive(Encode)]
+struct Former {
+    version: u64,
+    body: Vec<u8>,
+    digests: BTreeMap<u64, [u8; 32]>,
+    places: BTreeMap<u64, Place>,
+    bodies: BTreeMap<u64, Vec<u8>>,
+}
+
+#[test]
+fn a_snapshot_of_the_version_before_is_read() {
+    let former = Former {
+        version: 3,
+        body: vec![9],
+        digests: [(3, [1; 32])].into(),
+        places: [(3, Place { index: 8, epoch: 2 })].into(),
+        bodies: [(2, vec![4])].into(),
+    };
+    let ledger = Ledger::restore(&bitcode::encode(&former)).expect("a ledger");
+    assert_eq!((ledger.version(), ledger.body(), ledger.body_of(2)), (3, Some(&[9][..]), Some(&[4][..])));
+    assert!(ledger.floors().is_empty() && ledger.fleet() == 0);
+}
--- a/harbour/programs/src/operate/state.rs
+++ b/harbour/programs/src/operate/state.rs
@@ -2,7 +2,7 @@
 
 use super::Trouble;
 use gumdrop::Options;
-use harbourmaster::{Change, Ledger};
+use harbourmaster::{Change, Ledger, Marks};
 use logbook::store::{Store, StoreError};
 use logbook::{Entry, Saved, What};
 use serde_json::{Value, json};
@@ -102,6 +102,11 @@
                 let list: Vec<_> = list.iter().map(ToString::to_string).collect();
                 format!("voters {}", list.join(" "))
             }
+            What::Change(change) if let Some(marks) = Marks::read(change) => {
+                let marks = marks
+                    .map_err(|error| damaged(path, format!("the marks in entry {}: {error}", entry.index)))?;
+                format!("marks: {} floors of counts, {} quays", marks.floors.len(), marks.fleet)
+            }
             What::Change(change) => {
                 let change = Change::read(change).map_err(|error| {
                     damaged(path, format!("the change in entry {}: {error}", entry.index))
--- /dev/null
+++ b/harbour/tally/src/floor.rs
@@ -0,0 +1,77 @@
+//! What the log says of a count, so that a new holder need not begin with nothing: it has never been below a floor.
+//!
+//! A holder that dies takes its counts with it. Its successor knows neither what was granted nor which blocks are out,
+//! and without more has to wait for a window and to begin with none of the burst. A floor is a word in the log that
+//! bounds what can be gone: while it stands, no grant takes the count below it. Whoever comes next begins with that much,
+//! at once. Tenants far below their quota have a floor that never changes; one that goes near it has its floor taken
+//! away by an entry of the log before more is granted.
+
+use crate::Millis;
+
+/// A count's least over this long decides whether its floor may rise: longer than the judged span of a quota.
+const SEEN_FOR: Millis = 6000.0;
+/// The floor of a quiet tenant, as a share of the most that a window may grant: its usual blocks stay above it.
+const SHARE: f64 = 0.5;
+/// A count this close to its floor, as a share of a refill, is about to need what lies below.
+const NEAR: f64 = 0.25;
+
+/// A tenant's floor, in units.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Floor {
+    /// No grant goes below: the highest of what the log says and what was asked of it and may yet be decided.
+    held: u32,
+    /// What the newest entry says that was asked for, or the log itself.
+    asked: u32,
+    least: f64,
+    since: Millis,
+}
+
+impl Floor {
+    /// A floor as the log has it.
+    pub fn new(now: Millis, units: u32) -> Self {
+        Self { held: units, asked: units, least: f64::INFINITY, since: now }
+    }
+
+    /// Units that no grant may take.
+    pub fn held(&self) -> f64 {
+        f64::from(self.held)
+    }
+
+    /// The count has so many units free now.
+    pub fn seen(&mut self, free: f64) {
+        self.least = self.least.min(free);
+    }
+
+    /// Whether the count is about to need what lies below its floor.
+    pub fn presses(&self, refill: f64) -> bool {
+        self.asked > 0 && self.least < self.held() + refill * NEAR
+    }
+
+    /// Another floor that the log should say, if any; `most` and `refill` are those of the tenant's windows.
+    pub fn wanted(&mut self, now: Millis, most: f64, refill: f64) -> Option<u32> {
+        let level = (most * SHARE).max(0.0) as u32;
+        if self.presses(refill) || self.asked > level {
+            let lower = if self.presses(refill) { 0 } else { level };
+            (self.least, self.since) = (f64::INFINITY, now);
+            return Some(lower);
+        }
+        if now < self.since + SEEN_FOR {
+            return None;
+        }
+        let least = std::mem::replace(&mut self.least, f64::INFINITY);
+        self.since = now;
+        (self.asked < level && least.is_finite() && least >= f64::from(level) + refill * NEAR * 2.0)
+            .then_some(level)
+    }
+
+    /// An entry with this floor is on its way: it may be decided whatever becomes of this holder.
+    pub fn asks(&mut self, units: u32) {
+        self.asked = units;
+        self.held = self.held.max(units);
+    }
+
+    /// The log says what was asked for last.
+    pub fn decided(&mut self) {
+        self.held = self.asked;
+    }
+}
--- a/harbour/tally/src/holder.rs
+++ b/harbour/tally/src/holder.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::{
-    Draw, Epoch, Grant, HEARD_FOR, Handed, Handover, Millis, Quota, SILENT_AFTER, Share, Standing, Terms,
-    Want,
+    Draw, Epoch, Floor, Grant, HEARD_FOR, Handed, Handover, Millis, Quota, SILENT_AFTER, Share, Standing,
+    Terms, Want,
 };
 
 /// A draw this close before a window's end is served from the next one: gateways count the end from when they asked,
@@ -39,6 +39,7 @@
     /// The largest part of the gateways that was silent at some time of this window.
     silent: f64,
     shut_until: Millis,
+    floor: Floor,
     /// Until then the former holder's word would open the count at once.
     awaits_until: Millis,
     gone_at: Option<Millis>,
@@ -69,6 +70,8 @@
     first: bool,
     configured: bool,
     known: u32,
+    /// What the log says that counts had at the least when this office began.
+    floors: BTreeMap<String, u32>,
     heard: HashMap<String, Millis>,
     counts: BTreeMap<String, Count>,
 }
@@ -78,7 +81,25 @@
     /// each tenant after `shut`, for which a former holder may still have granted: by then every block of it has ended.
     pub fn take_office(epoch: Epoch, first: bool, now: Millis, shut: Millis) -> Self {
         let (heard, counts) = (HashMap::new(), BTreeMap::new());
-        Self { epoch, office: now, since: now, shut, first, configured: false, known: 1, heard, counts }
+        let floors = BTreeMap::new();
+        Self {
+            epoch,
+            office: now,
+            since: now,
+            shut,
+            first,
+            configured: false,
+            known: 1,
+            floors,
+            heard,
+            counts,
+        }
+    }
+
+    /// What the log says of counts. Those with a floor begin with it, at once: what was granted before this office is
+    /// gone from what lies above.
+    pub fn floors(&mut self, floors: BTreeMap<String, u32>) {
+        self.floors = floors;
     }
 
     /// The next assignment leaves this process a holder. Tenants that come to it now are shut as at the start.
@@ -172,14 +193,21 @@
             let window = terms.map_or(0.0, |t| t.window);
             let opens = self.since + self.shut + window;
             let shut = !self.first && (!self.configured || now < opens);
+            let floor = self.floors.remove(&quota.tenant).unwrap_or(0);
+            // Less than a window's refill is what slices would give: those reach all gateways at once.
+            let floored = shut && terms.is_some_and(|t| f64::from(floor) >= t.refill);
+            let shut = shut && !floored;
             let shut_until = if shut { opens.max(now) } else { now };
             // A configuration that comes late to one of several holders may name tenants that others had before.
             let whole = self.first || self.epoch.number <= 1;
             let free = terms.map_or(0.0, |t| if whole { t.most } else { t.refill });
+            let free = if floored { free.min(floor.into()) } else { free };
             let free = if shut { 0.0 } else { free };
             let awaits = shut && self.epoch.number > 1;
             let awaits_until = if awaits { self.since + HANDOVER_WAIT } else { now };
             let end = if shut { shut_until } else { self.grid_end(now, window) };
+            let mut floor = Floor::new(now, floor);
+            floor.seen(free);
             let count = Count {
                 terms,
                 next: terms,
@@ -189,6 +217,7 @@
                 granted: 0.0,
                 silent: 0.0,
                 shut_until,
+                floor,
                 awaits_until,
                 gone_at: None,
             };
@@ -241,6 +270,38 @@
         Grant { number: draw.number, epoch: self.epoch, shares }
     }
 
+    /// Whether a count is about to need what lies below its floor: the log should say so before more is granted.
+    pub fn presses(&self) -> bool {
+        let of = |c: &Count| c.terms.is_some_and(|t| c.gone_at.is_none() && c.floor.presses(t.refill));
+        self.counts.values().any(of)
+    }
+
+    /// Floors that the log should say from now on, by tenant. They are on their way once this has told them: the holder
+    /// keeps to the higher of old and new until [`Holder::decided`].
+    pub fn floors_wanted(&mut self, now: Millis) -> Vec<(String, u32)> {
+        let mut wanted = Vec::new();
+        for (tenant, count) in &mut self.counts {
+            let (most, refill) = match count.terms {
+                Some(terms) if count.gone_at.is_none() => (terms.most, terms.refill),
+                _ => (0.0, 0.0),
+            };
+            if let Some(units) = count.floor.wanted(now, most, refill) {
+                count.floor.asks(units);
+                wanted.push((tenant.clone(), units));
+            }
+        }
+        // Tenants that no configuration names any more.
+        if self.configured {
+            wanted.extend(std::mem::take(&mut self.floors).into_keys().map(|tenant| (tenant, 0)));
+        }
+        wanted
+    }
+
+    /// The log says the floors that were wanted last.
+    pub fn decided(&mut self) {
+        self.counts.values_mut().for_each(|count| count.floor.decided());
+    }
+
     /// Whether the present assignment came just now.
     pub fn is_fresh(&self, now: Millis) -> bool {
         self.epoch.number > 1 && now < self.since + HANDOVER_WAIT
@@ -285,6 +346,11 @@
         }
     }
 
+    /// The share of all gateways that was not heard lately.
+    fn silent(&self) -> f64 {
+        f64::from(self.known.saturating_sub(self.heard.len() as u32)) / f64::from(self.known)
+    }
+
     fn grid_end(&self, now: Millis, window: Millis) -> Millis {
         if window <= 0.0 {
             return now;
@@ -293,7 +359,7 @@
     }
 
     fn roll(&mut self, now: Millis, tenant: &str) {
-        let silent = f64::from(self.known.saturating_sub(self.heard.len() as u32)) / f64::from(self.known);
+        let silent = self.silent();
         let Some(mut count) = self.counts.remove(tenant) else { return };
         let mut rolls = 0;
         while let Some(terms) = count.terms.filter(|t| now + EARLY.min(t.window * 0.05) >= count.end) {
@@ -312,7 +378,8 @@
             count.granted = 0.0;
             count.silent = silent;
         }
-        count.silent = count.silent.max(silent);
+        let first = count.terms.is_some_and(|terms| now < self.office + terms.window);
+        count.silent = if first { silent } else { count.silent.max(silent) };
         self.counts.insert(tenant.to_owned(), count);
     }
 
@@ -355,13 +422,20 @@
             let most_back = (terms.most - count.free - count.granted).max(0.0);
             count.free += f64::from(want.back).min(most_back);
         }
-        let free = (count.free - terms.refill * count.silent).max(0.0).floor();
+        // In the first window of an office all are silent until they ask, and what they have spent of slices until then
+        // comes off their first block: to keep their slices back would refuse most of what the floor left.
+        let silent = if now < self.office + terms.window { 0.0 } else { count.silent };
+        let left = count.free - terms.refill * silent;
+        count.floor.seen(left);
+        let (all, free) = (left.max(0.0).floor(), (left - count.floor.held()).max(0.0).floor());
         let even = (free / (EVEN_OVER * active)).max(LEAST_PART * terms.refill / active);
         let granted = f64::from(want.add).min(even.floor()).max(f64::from(want.need)).min(free);
         count.free -= granted;
         count.granted += granted;
         share.granted = granted as u32;
-        share.left = (free - granted) as u32;
+        count.floor.seen(left - granted);
+        // What lies below the floor is there as soon as the log says so.
+        share.left = (all - granted) as u32;
         share.standing = Standing::Open;
         share
     }
--- a/harbour/tally/src/lib.rs
+++ b/harbour/tally/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod cache;
+mod floor;
 mod holder;
 mod office;
 mod placer;
@@ -17,6 +18,7 @@
 mod terms;
 
 pub use cache::{Cache, TenantFigures, Verdict};
+pub use floor::Floor;
 pub use holder::{CountFigures, Holder};
 #[doc(hidden)]
 pub use office::Faults;
--- a/harbour/tally/src/office.rs
+++ b/harbour/tally/src/office.rs
@@ -1,6 +1,7 @@
 //! One process' part in holding the counts: which are its own under the newest assignment, and until when.
 
 use bitcode::{Decode, Encode};
+use std::collections::BTreeMap;
 
 use crate::{Draw, Epoch, Grant, Holder, LEASE_MOST, Millis, Quota, Roster};
 
@@ -51,6 +52,8 @@
     holder: Option<Holder>,
     quotas: Vec<Quota>,
     known: u32,
+    /// What the log says of counts, for the next office of one that holds them all.
+    floors: BTreeMap<String, u32>,
     faults: Faults,
 }
 
@@ -64,6 +67,7 @@
             holder: None,
             quotas: Vec::new(),
             known: 1,
+            floors: BTreeMap::new(),
             faults: Faults::default(),
         }
     }
@@ -73,6 +77,26 @@
         self.faults = faults;
     }
 
+    /// What the log says of counts, before an office that holds all of them is taken.
+    pub fn floors(&mut self, floors: BTreeMap<String, u32>) {
+        self.floors = floors;
+    }
+
+    /// See [`Holder::presses`].
+    pub fn presses(&self) -> bool {
+        self.holder.as_ref().is_some_and(Holder::presses)
+    }
+
+    /// See [`Holder::floors_wanted`].
+    pub fn floors_wanted(&mut self, now: Millis) -> Vec<(String, u32)> {
+        self.holder.as_mut().map(|holder| holder.floors_wanted(now)).unwrap_or_default()
+    }
+
+    /// See [`Holder::decided`].
+    pub fn decided(&mut self) {
+        self.holder.iter_mut().for_each(Holder::decided);
+    }
+
     /// The newest assignment that this process has taken.
     pub fn roster(&self) -> &Roster {
         &self.roster
@@ -115,6 +139,7 @@
         if self.faults.opens_at_once {
             holder.opens_at_once();
         }
+        holder.floors(std::mem::take(&mut self.floors));
         holder.fleet(now, self.known);
         holder.quotas(now, &self.mine());
         self.holder = Some(holder);
