A request that comes before the first configuration waits for it 100 ms

Ruled out: taking what a master has on disk before there is a leader: an entry that lost its race could come into force.

Change: the request waits for the first configuration for 100 ms, less than a quarter of usual goals; who is refused then comes back after 0.3 to 0.5 s, by lot.

--- a/harbour/quay/src/front.rs
+++ b/harbour/quay/src/front.rs
@@ -42,8 +42,15 @@
 /// of its time gone, as no client follows longer advice.
 const ADVICE: (f64, f64) = (0.2, 0.6);
 const ADVICE_MOST: f64 = 0.33;
-/// Before there is a configuration, or a backend.
-const NOT_YET: Duration = Duration::from_millis(300);
+/// A request that comes before there is a configuration waits for it this long: a process that has just started gets
+/// it within moments where there is a leader, and a refusal after more than a quarter of a goal costs. No goal is known
+/// yet; few are shorter than four times this.
+const UNCONFIGURED: Duration = Duration::from_millis(100);
+/// Who is refused then comes again after a time between these: where all were down, a leader is elected first, and
+/// clients try again only a few times.
+const NOT_YET: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(500));
+/// Who waits for a unit in vain comes again after this.
+const NO_WORD: Duration = Duration::from_millis(300);
 /// Read buffers hold one request's head, whatever the configuration says beyond these.
 const BUFFERS: (u64, u64) = (8 * 1024, 256 * 1024);
 /// A connection's limits before there is a configuration.
@@ -166,7 +173,7 @@
         let mut trail = Trail::new(self, arrived, request.headers().get(ATTEMPT_ID).cloned());
         let taken = self.take(request, arrived, &mut trail).await;
         let fault = taken.as_ref().err().map(Why::from);
-        let reaction = taken.unwrap_or_else(refuse);
+        let reaction = taken.unwrap_or_else(|fault| refuse(fault, self.front().chance()));
         trail.answered(reaction.status().as_u16(), fault);
         reaction
     }
@@ -175,7 +182,10 @@
         &self, request: Request<Incoming>, arrived: Instant, trail: &mut Trail<'_>,
     ) -> Result<Reaction, Fault> {
         let (head, body) = request.into_parts();
-        let conf = self.conf();
+        let conf = match self.conf() {
+            None => self.configured_within(UNCONFIGURED).await,
+            conf => conf,
+        };
         let order = conf.as_ref().ok_or(Fault::NotYet).and_then(|conf| Order::read(conf, head));
         // Also what is refused is read, as far as it would be held: closing on it unread would reset the connection,
         // and the answer with it.
@@ -205,7 +215,7 @@
             // The host answers by then; this guards against one that does not.
             Asked::Wait(unit) => match timeout(wait * 2, unit).await {
                 Ok(Ok(unit)) => unit?,
-                Ok(Err(_)) | Err(_) => return Err(NOT_YET),
+                Ok(Err(_)) | Err(_) => return Err(NO_WORD),
             },
         }
         Ok(Unit { admission: self.admission().clone(), tenant: tenant.clone(), request: None })
@@ -368,11 +378,12 @@
     Ok((start.freeze(), None))
 }
 
-/// The answer to a request that did not run.
-fn refuse(fault: Fault) -> Reaction {
+/// The answer to a request that did not run; the lot, from 0 to 1, spreads those that all come at one moment.
+fn refuse(fault: Fault, lot: f64) -> Reaction {
     let (mut response, wait, closes) = match fault {
         Fault::NotYet => {
-            (plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"), Some(NOT_YET), true)
+            let wait = NOT_YET.0 + (NOT_YET.1 - NOT_YET.0).mul_f64(lot);
+            (plain(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"), Some(wait), true)
         }
         Fault::Bad(what) => (plain(StatusCode::BAD_REQUEST, what), None, true),
         Fault::NoRoute => (plain(StatusCode::NOT_FOUND, "no such route\n"), None, false),
--- a/harbour/quay/src/quay.rs
+++ b/harbour/quay/src/quay.rs
@@ -18,7 +18,8 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
 
 /// A new connection to a backend comes up within this time, or not: its machine is dark.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -90,6 +91,7 @@
     seed: u64,
     admission: Rc<dyn Admission>,
     conf: RefCell<Option<Rc<Conf>>>,
+    configured: Notify,
     backends: Rc<Backends<Speech>>,
     services: RefCell<BTreeMap<Name, Rc<Service>>>,
     lives: RefCell<Lives>,
@@ -125,6 +127,7 @@
                 seed,
                 admission,
                 conf: RefCell::default(),
+                configured: Notify::new(),
                 backends,
                 services: RefCell::default(),
                 lives: RefCell::new(Lives::by(settings.ways.clone())),
@@ -145,6 +148,7 @@
             self.watch.stands(config.version.0);
             self.watch.note("config", format_args!("configuration {} in force", config.version));
             self.conf.replace(Some(config));
+            self.configured.notify_waiters();
             self.limit();
         }
     }
@@ -210,6 +214,12 @@
         self.conf.borrow().clone()
     }
 
+    /// The configuration in force, waiting for the first one for so long.
+    pub(crate) async fn configured_within(&self, wait: Duration) -> Option<Rc<Conf>> {
+        let _ = timeout(wait, self.configured.notified()).await;
+        self.conf()
+    }
+
     pub(crate) fn admission(&self) -> &Rc<dyn Admission> {
         &self.admission
     }
--- a/harbour/quay/tests/forward.rs
+++ b/harbour/quay/tests/forward.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{
-    Backend, Client, Do, World, conf, good, on_one_thread, other, request, route, says_good, usual,
+    Backend, Client, Do, World, conf, good, on_one_thread, other, request, route, says_good, until, usual,
 };
 use std::time::Duration;
 
@@ -254,3 +254,21 @@
         assert_eq!(two.count(), before + 10);
     });
 }
+
+#[test]
+fn who_comes_before_the_first_configuration_waits_for_it_a_moment_and_no_longer() {
+    on_one_thread(async {
+        let backend = Backend::start("i-1", "one", says_good).await;
+        let world = World::blank(&[&backend]).await;
+        let mut early = Client::connect(world.front).await;
+        let reply = early.ask(&request("GET", "/p/x", "", "")).await.expect("an answer");
+        assert_eq!((reply.status(), reply.header("connection")), (503, Some("close")));
+        assert!((0.3..=0.5).contains(&reply.wait().expect("a time to come back")));
+        let mut client = Client::connect(world.front).await;
+        client.send(&request("GET", "/p/x", "", "")).await;
+        let asked = || world.quay.figures().cost().told()["requests"].as_u64();
+        until(|| asked() == Some(2)).await;
+        world.quay.configure(usual());
+        assert_eq!(client.hear().await.expect("an answer").status(), 200);
+    });
+}
--- a/harbour/quay/tests/helper/mod.rs
+++ b/harbour/quay/tests/helper/mod.rs
@@ -262,6 +262,13 @@
 
 impl World {
     pub async fn start(conf: Rc<Conf>, backends: &[&Backend]) -> Self {
+        let world = Self::blank(backends).await;
+        world.quay.configure(conf);
+        world
+    }
+
+    /// A quay that knows no configuration yet.
+    pub async fn blank(backends: &[&Backend]) -> Self {
         let front = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let readiness = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addresses =
@@ -270,7 +277,6 @@
         settings.linger = Duration::from_millis(100);
         let purser = Rc::<Purser>::default();
         let quay = Quay::new(settings, purser.clone(), 7);
-        quay.configure(conf);
         quay.berths(&backends.iter().map(|backend| backend.berth.clone()).collect::<Vec<_>>(), true);
         let (end, ended) = oneshot::channel::<()>();
         let served = spawn_local(quay.clone().serve(front, readiness, async move { drop(ended.await) }));
