--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -9,19 +9,19 @@
 
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
-use crate::ledger::{Change, Ledger, Place, Verdict};
+use crate::ledger::{Change, Ledger, Marks, Place, Verdict};
 use crate::lines::carry;
 use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
-use manifest::Config;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use manifest::{Config, Detours};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tally::{Holder, Quota};
-use tideway::{Line, LineError, dial};
+use tally::{Office, Placer, Quota, Roster};
+use tideway::{Line, LineError, Lookout, dial};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -31,8 +31,14 @@
 const PULSE: u64 = 350;
 /// ... and news of the leader no more often than this.
 const LEAST_PULSE: u64 = 40;
+/// What others told of the leader is of this moment for so long: two of their pulses and some room. Quays leave whoever
+/// is behind 0.9 s after its last good word, so that those behind a relay that was cut off have news again within 2 s.
+const WORD: u64 = 800;
 /// Other masters hear whose beats came here, and who else serves control, this often.
 const ROUND: u64 = 400;
+/// ... and which quays are heard here when that changes, or after this long: what was said stands as long as the line.
+/// Processes of the version before take the word itself for a sign of life, and count a quay on for 30 s.
+const QUAYS_AGAIN: u64 = 8000;
 /// A master that could not be reached is dialed again after this, drawn up to twice as long: after a herd's death the
 /// first election waits for these connections.
 const REDIAL: u64 = 80;
@@ -45,7 +51,11 @@
 /// More calls than this don't wait.
 const CALLS_WAITING: usize = 256;
 /// After so many changes the log is compacted: each holds a whole configuration.
-const COMPACT_AFTER: u64 = 16;
+const COMPACT_AFTER: f64 = 16.0;
+/// Marks weigh so much of a change then: they are some hundred bytes.
+const MARKS_WEIGH: f64 = 0.1;
+/// ... or so many bytes of them: the disk is small, and a change of 4 MB takes 8 of the file.
+const COMPACT_BYTES: usize = 4_000_000;
 /// A master this young may not have heard of all backends yet: its list says who is there, not who is not.
 const YOUNG: u64 = 4000;
 /// A quay's connection that has said nothing for this long is no sign of life.
@@ -106,8 +116,23 @@
     pub beat_interval: u64,
     /// The log's times.
     pub timing: Timing,
+    /// Draws a second that one holder of counts bears: more, and the leader shares the counts out. 0 for never.
+    pub draws_a_holder: f64,
     /// A number drawn for this life.
     pub seed: u64,
+    /// By which ways others are reached.
+    pub ways: Detours,
+}
+
+/// What this process has asked the leader for, to hold counts.
+#[derive(Default)]
+struct Offers {
+    /// Numbers, and when they were sent.
+    sent: VecDeque<(u64, u64)>,
+    answered: u64,
+    next: u64,
+    /// Draws answered when last looked at, when that was, and how many a second then.
+    draws: (u64, u64, f64),
 }
 
 struct Peer {
@@ -117,6 +142,8 @@
     follows: bool,
     heard: u64,
     opened: u64,
+    /// The quays that it said it hears, until it says otherwise.
+    quays: Vec<(String, u64)>,
 }
 
 struct Waiting {
@@ -155,9 +182,16 @@
     ledger: Ledger,
     config: Option<Config>,
     sheet: Option<Rc<[u8]>>,
+    /// Entries have brought another configuration into force, and followers are yet to be told.
+    changed: bool,
     node: Option<Node>,
     disk: Option<Disk>,
-    holder: Option<Holder>,
+    office: Office,
+    /// Of the leader.
+    placer: Option<Placer>,
+    /// The newest assignment of counts heard of.
+    roster: Roster,
+    offers: Offers,
     /// Known from others, of a master without a log of its own.
     told: Pulse,
     told_at: u64,
@@ -166,15 +200,22 @@
     proposed: BTreeMap<u64, Proposed>,
     /// What to answer once entries come back, by their index: emptied when this process leads no more.
     accepted: BTreeMap<u64, u64>,
-    changes: u64,
+    changes: f64,
+    /// Marks that are on their way through the log, by their token: one entry of them at a time.
+    marking: Option<u64>,
+    change_bytes: usize,
     grown: bool,
     /// Messages of other processes since the start.
     frames: u64,
     /// The leader that followers were told of last, and whether as of this moment.
     pulsed: (Option<SocketAddr>, bool),
     next: [u64; 3],
+    /// The quays that the other masters were told of last, and when.
+    told_quays: (Vec<(String, u64)>, u64),
     outputs: Vec<Output>,
     watch: Watch,
+    /// Who watches the neighbours, if anybody does.
+    lookout: Option<Rc<Lookout>>,
 }
 
 impl Master {
@@ -206,28 +247,41 @@
             ledger,
             config: None,
             sheet: None,
+            changed: false,
             node,
             disk,
-            holder: None,
+            office: Office::new(&settings.address.to_string()),
+            placer: None,
+            roster: Roster::default(),
+            offers: Offers::default(),
             told: Pulse::default(),
             told_at: 0,
             tokens: 0,
             waiting: HashMap::new(),
             proposed: BTreeMap::new(),
             accepted: BTreeMap::new(),
-            changes: 0,
+            changes: 0.0,
+            marking: None,
+            change_bytes: 0,
             grown: false,
             frames: 0,
             pulsed: (None, false),
             next: [0; 3],
+            told_quays: (Vec::new(), 0),
             outputs: Vec::new(),
             watch: Watch::new(),
+            lookout: None,
             settings,
         };
         master.renewed();
         master
     }
 
+    /// Goes by what the watch of the neighbours finds, too.
+    pub fn with_lookout(self, lookout: Option<Rc<Lookout>>) -> Self {
+        Self { lookout, ..self }
+    }
+
     fn now(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
@@ -272,6 +326,11 @@
         if self.node.as_ref().is_some_and(|node| now >= node.next_due()) {
             self.log(Input::Tick);
         }
+        // A log that is told again after a start brings many versions at once. Followers need the last one only, and
+        // the word that it is of this moment waits behind whatever is sent before it.
+        if std::mem::take(&mut self.changed) {
+            self.renewed();
+        }
         if now >= self.next[0] {
             self.next[0] = now + TICK;
             self.tend_calls(now);
--- a/harbour/harbourmaster/src/master/links.rs
+++ b/harbour/harbourmaster/src/master/links.rs
@@ -9,7 +9,8 @@
             self.dialing.remove(&to);
             line.send(&Flag::Hail(self.settings.me.clone()));
         }
-        let peer = Peer { line, hail: None, dialed, follows: false, heard: now, opened: now };
+        let peer =
+            Peer { line, hail: None, dialed, follows: false, heard: now, opened: now, quays: Vec::new() };
         self.peers.insert(number, peer);
         if dialed.is_some() {
             self.tell_everything(number, now);
@@ -64,9 +65,9 @@
             }
             let number = (self.numbers)();
             self.dialing.insert(to, (number, now + DIALING));
-            let commands = self.commands.clone();
+            let (commands, ways) = (self.commands.clone(), self.settings.ways.clone());
             tideway::spawn(async move {
-                match dial(to).await {
+                match dial(to, &ways).await {
                     Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
                     Err(error) => {
                         let _ = commands.send(Command::Closed { number, error }).await;
@@ -137,13 +138,21 @@
                 let back = self.register.alive(now, &heard);
                 self.tell_berths(back);
             }
-            Flag::Quays(quays) => quays.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life)),
-            Flag::Here => {
-                let name = peer.hail.as_ref().map(|hail| hail.name.clone());
-                if let (Some(name), Some(holder)) = (name, &mut self.holder) {
-                    holder.heard(now as f64, &name);
+            Flag::Quays(quays) => {
+                quays.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life));
+                peer.quays = quays;
+            }
+            Flag::Here { epoch } => {
+                if let Some(hail) = &peer.hail {
+                    self.office.heard(now as f64, &hail.name, epoch);
                 }
             }
+            Flag::Offer { number: offer, answered, draws } => {
+                self.on_offer(number, offer, answered, draws, now)
+            }
+            Flag::Lease { number: offer, roster, ends_in } => self.on_lease(offer, &roster, ends_in, now),
+            Flag::Roster(roster) => self.on_roster(&roster, now),
+            Flag::Handover(handover) => self.on_handover(handover, now),
             Flag::Draw(draw) => self.on_draw(number, draw, now),
             Flag::Ask { token, order } => self.on_order(Asker::There { peer: number, token }, order, now),
             Flag::Told { token, status, body } => {
@@ -162,7 +171,10 @@
         let Some(peer) = self.peers.get_mut(&number) else { return };
         peer.hail = Some(hail.clone());
         match hail.plane {
-            Plane::Quay => self.fleet.heard(now, &hail.name, hail.life),
+            Plane::Quay => {
+                self.fleet.heard(now, &hail.name, hail.life);
+                self.office.heard(now as f64, &hail.name, tally::Epoch::default());
+            }
             Plane::Master => {
                 let mut me = self.settings.me.clone();
                 me.birth = self.node.as_ref().map(|node| node.me().birth);
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -1,6 +1,7 @@
 //! What followers and other masters are told, and when.
 
 use super::*;
+use coastwatch::State;
 
 impl Master {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
@@ -11,10 +12,10 @@
             }
             Some(node) => {
                 let leader = node.leader().and_then(|voter| voter.address.parse().ok());
-                (leader, node.term(), leader.is_some() && node.commit() > 0)
+                (leader, node.term(), leader.is_some() && node.commit() > 0 && !node.lags())
             }
             None => {
-                let fresh = self.told.fresh && now < self.told_at + 1300;
+                let fresh = self.told.fresh && now < self.told_at + WORD;
                 (self.told.leader.as_ref().and_then(|l| l.parse().ok()), self.told.epoch, fresh)
             }
         }
@@ -22,13 +23,16 @@
 
     pub(super) fn pulse_for(&self, number: u64, now: u64) -> Pulse {
         let (leader, epoch, fresh) = self.leader(now);
+        let (assignment, deputies) = self.deputies(epoch);
         let name = self.peers.get(&number).and_then(|p| p.hail.as_ref()).map_or("", |h| h.name.as_str());
         Pulse {
             leader: leader.map(|l| l.to_string()),
             epoch,
             fresh,
+            assignment,
+            deputies,
             version: self.ledger.version(),
-            fleet: self.fleet.size().max(1),
+            fleet: self.quay_count(now).max(1),
             number: self.fleet.number(name),
         }
     }
@@ -55,8 +59,12 @@
 
     pub(super) fn on_pulse(&mut self, pulse: Pulse, now: u64) {
         let newer = pulse.fresh && pulse.epoch >= self.told.epoch;
-        if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + 1300) {
-            (self.told, self.told_at) = (pulse, now);
+        if self.node.is_none() && pulse.leader.is_some() && (newer || now > self.told_at + WORD) {
+            let known = (self.told.epoch, self.told.assignment);
+            // Two that are followed may tell of assignments in either order.
+            if (pulse.epoch, pulse.assignment) >= known || pulse.epoch != known.0 {
+                (self.told, self.told_at) = (pulse, now);
+            }
         }
     }
 
@@ -79,11 +87,8 @@
         let changed = self.register.sweep(now);
         self.tell_berths(changed);
         self.take_in();
-        let quays = self.quays_here(now);
-        for (name, life) in &quays {
-            self.fleet.heard(now, name, *life);
-        }
-        self.to_masters(&Flag::Quays(quays));
+        self.count_quays(now);
+        self.look_round(now);
         self.to_masters(&Flag::Masters(self.cards()));
         self.fleet.sweep(now);
         if !self.grown && now >= YOUNG {
@@ -91,10 +96,40 @@
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
         }
         self.watch.quays(now, self.fleet.lives());
-        let fleet = self.fleet.size();
-        if let Some(holder) = &mut self.holder {
-            holder.fleet(now as f64, fleet);
+        let fleet = self.quay_count(now);
+        self.office.fleet(now as f64, fleet);
+    }
+
+    /// Quays that are heard here, and those of which other masters say so: their word stands while they are heard.
+    fn count_quays(&mut self, now: u64) {
+        let mut quays = self.quays_here(now);
+        let told = self.peers.values().filter(|peer| now < peer.heard + QUAY_SILENT);
+        for (name, life) in quays.iter().chain(told.flat_map(|peer| &peer.quays)) {
+            self.fleet.heard(now, name, *life);
         }
+        quays.sort_unstable();
+        if quays != self.told_quays.0 || now >= self.told_quays.1 + QUAYS_AGAIN {
+            self.to_masters(&Flag::Quays(quays.clone()));
+            self.told_quays = (quays, now);
+        }
+    }
+
+    /// Takes in what the watch of the neighbours knows of quays. Of a death only its witnesses are known: who is cut off
+    /// from them may go on spending, and counts on as one that is not heard. Who said that it ends does not.
+    fn look_round(&mut self, now: u64) {
+        let Some(lookout) = &self.lookout else { return };
+        if self.peers.values().any(|peer| peer.hail.is_some() && now < peer.heard + QUAY_SILENT) {
+            lookout.ashore();
+        }
+        if lookout.is_adrift() {
+            return;
+        }
+        let fleet = &mut self.fleet;
+        lookout.each(|word| match word.state {
+            State::Here if word.card.quay => fleet.heard(now, &word.card.name, word.card.life),
+            State::Left if word.card.quay => fleet.left(&word.card.name, word.card.life),
+            _ => {}
+        });
     }
 
     pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
@@ -117,9 +152,7 @@
         }
         self.sheet = Some(frame);
         let (now, quotas) = (self.now(), self.quotas());
-        if let Some(holder) = &mut self.holder {
-            holder.quotas(now as f64, &quotas);
-        }
+        self.office.quotas(now as f64, quotas);
     }
 
     pub(super) fn quotas(&self) -> Vec<Quota> {
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -57,7 +57,16 @@
                 };
                 let timing = Timing { pulse: 40, election: 300, lease: 200 };
                 let seed = at as u64 + 5;
-                let settings = MasterSettings { me, address, seeds, beat_interval: 500, timing, seed };
+                let settings = MasterSettings {
+                    me,
+                    address,
+                    seeds,
+                    beat_interval: 500,
+                    timing,
+                    draws_a_holder: 0.0,
+                    seed,
+                    ways: manifest::Detours::default(),
+                };
                 let numbers = Rc::new(Cell::new(0));
                 let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
                     numbers.set(numbers.get() + 1);
@@ -279,6 +288,81 @@
     assert_eq!(masters[lost].read(), (200, config(2)));
 }
 
+#[test]
+fn a_voter_that_is_gone_is_taken_off_the_list_and_one_that_lives_is_not() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    let first = leader(&masters);
+    let (gone, other) = ((first + 1) % 3, (first + 2) % 3);
+    let remove = |by: &Process, address: &str| {
+        until(|| {
+            let answer = by.call(&format!("POST /Voters.Remove/{address} HTTP/1.1"), "");
+            answer.filter(|(status, _)| *status < 500 && *status != 202)
+        })
+    };
+    let address = harbour.peers[gone].to_string();
+    assert_eq!(remove(&masters[other], &address).0, 409, "it lives");
+    assert_eq!(remove(&masters[other], "127.0.0.1:1").0, 404);
+    assert_eq!(remove(&masters[other], "m1").0, 400);
+    until(|| {
+        let (status, why) = remove(&masters[other], &harbour.peers[leader(&masters)].to_string());
+        (status == 409 && why.contains("leads")).then_some(())
+    });
+    masters[gone].kill();
+    // Heard a moment ago, it counts as alive; who does not lead passes the call on.
+    let (_, why) = until(|| Some(remove(&masters[other], &address)).filter(|(status, _)| *status == 404));
+    let left = [first, other].map(|at| harbour.peers[at].to_string());
+    assert!(left.iter().all(|voter| why.contains(voter)) && why.matches(&address).count() == 1, "{why}");
+    assert_eq!(masters[other].insist(1, &config(2)), 200);
+    // Started again with its disk, it joins again.
+    masters[gone] = harbour.start(gone, false);
+    until(|| Some(remove(&masters[other], &address)).filter(|(status, _)| *status == 409));
+}
+
+#[test]
+fn a_log_that_is_told_again_sends_followers_its_last_configuration_only() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    for version in 1..=9 {
+        assert_eq!(masters[0].insist(version - 1, &config(version)), 200);
+    }
+    masters.iter_mut().for_each(Process::kill);
+    let _masters = harbour.all(false);
+    // It follows before there is a leader, as all do whose machines come back together.
+    let mut follower = until(|| TcpStream::connect(harbour.peers[0]).ok());
+    let hail = Hail {
+        name: "q".into(),
+        life: 1,
+        plane: Plane::Quay,
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        quorum: false,
+        birth: None,
+    };
+    let frames = [Flag::Hail(hail), Flag::Follow { have: 0 }].map(|flag| flags::frame(&flag)).concat();
+    follower.write_all(&frames).expect("sent");
+    follower.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    let (mut read, mut sheets) = (Vec::new(), Vec::new());
+    loop {
+        while let Some((flag, length)) = flags::unframe::<Flag>(&read).expect("a frame") {
+            read.drain(..length);
+            match flag {
+                Flag::Sheet(sheet) => sheets.push(sheet.version),
+                Flag::Pulse(pulse) if pulse.fresh => {
+                    assert_eq!((pulse.version, sheets), (9, vec![9]));
+                    return;
+                }
+                _ => {}
+            }
+        }
+        let mut bytes = [0; 4096];
+        let length = follower.read(&mut bytes).expect("news");
+        assert!(length > 0, "the line is over");
+        read.extend_from_slice(&bytes[..length]);
+    }
+}
+
 #[test]
 fn masters_without_a_log_do_not_send_each_other_round_in_a_circle() {
     let harbour = Harbour::new();
--- a/harbour/logbook/src/node.rs
+++ b/harbour/logbook/src/node.rs
@@ -10,6 +10,7 @@
 /// Faults that tests plant to see that they are found. All off in service.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, Default)]
+#[cfg_attr(test, derive(Hash))]
 pub struct Faults {
     /// Votes are not written to disk.
     pub vote_unsaved: bool,
@@ -27,7 +28,8 @@
 
 /// What waits for a save.
 #[derive(Debug)]
-struct Waiting {
+#[cfg_attr(test, derive(Clone, Hash))]
+pub(crate) struct Waiting {
     ticket: u64,
     /// Up to where the log is on disk with it.
     upto: u64,
@@ -39,6 +41,7 @@
 
 /// What one input has changed of what must be on disk.
 #[derive(Debug, Default)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Unsaved {
     pub(crate) ballot: bool,
     pub(crate) truncate: Option<u64>,
@@ -49,6 +52,7 @@
 
 /// One voter, or one that wants to become one.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub struct Node {
     pub(crate) me: VoterId,
     pub(crate) timing: Timing,
@@ -57,6 +61,8 @@
     pub(crate) vote: Option<VoterId>,
     pub(crate) log: Log,
     pub(crate) commit: u64,
+    /// Up to where a leader has said that the log is committed.
+    pub(crate) told_commit: u64,
     pub(crate) leader: Option<VoterId>,
     /// Present while this node leads.
     pub(crate) lead: Option<Lead>,
@@ -73,12 +79,12 @@
     /// Up to where the log is on disk.
     pub(crate) durable: u64,
     pub(crate) durable_term: u64,
-    tickets: u64,
-    waiting: VecDeque<Waiting>,
+    pub(crate) tickets: u64,
+    pub(crate) waiting: VecDeque<Waiting>,
     pub(crate) unsaved: Unsaved,
     answers: Vec<Output>,
-    told: Role,
-    random: u64,
+    pub(crate) told: Role,
+    pub(crate) random: u64,
 }
 
 impl Node {
@@ -94,6 +100,7 @@
             term,
             vote,
             commit: log.base(),
+            told_commit: 0,
             leader: None,
             lead: None,
             canvass: None,
@@ -162,6 +169,12 @@
         self.commit
     }
 
+    /// Whether entries are committed that this node lacks. A leader sends no more of them than its window holds to one
+    /// whose answers do not reach it; its pulses still come, so that hearing them proves nothing about the log here.
+    pub fn lags(&self) -> bool {
+        self.told_commit > self.commit
+    }
+
     /// The voters, as of the newest list in the log.
     pub fn members(&self) -> &[VoterId] {
         self.log.members()
@@ -177,6 +190,18 @@
         self.is_member(&self.me)
     }
 
+    /// Whether the newest list of voters is committed.
+    pub fn voters_settled(&self) -> bool {
+        self.log.members_index() <= self.commit
+    }
+
+    /// Whether this leader has heard a voter: it has answered a pulse that was sent within an election before now.
+    pub fn hears(&self, voter: &VoterId, now: Millis) -> bool {
+        let answered = |lead: &Lead| lead.peers.iter().find(|peer| peer.id == *voter)?.answered;
+        let answered = self.lead.as_ref().and_then(answered);
+        answered.is_some_and(|at| at.saturating_add(self.timing.election) > now)
+    }
+
     /// When `Tick` is wanted next.
     pub fn next_due(&self) -> Millis {
         self.lead.as_ref().map_or(self.election_due, |lead| lead.pulse_due)
--- a/harbour/logbook/src/replication.rs
+++ b/harbour/logbook/src/replication.rs
@@ -12,7 +12,7 @@
 const MOST_UNDER_WAY: usize = 4;
 /// How many accepted entries may wait for their commitment, and how large a change may be.
 const MOST_UNCOMMITTED: u64 = 1024;
-const MOST_UNCOMMITTED_BYTES: usize = 16 << 20;
+const MOST_UNCOMMITTED_BYTES: usize = 6 << 20;
 const LARGEST_CHANGE: usize = 4 << 20;
 /// How many of the newest pulses can still be answered.
 const MOST_ECHOES: usize = 256;
@@ -22,15 +22,16 @@
 
 /// What a leader keeps.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Lead {
     pub(crate) since: Millis,
     pub(crate) pulse_due: Millis,
     pub(crate) peers: Vec<Peer>,
     /// Proposals that wait for their commitment.
     pub(crate) tokens: VecDeque<Accepted>,
-    echo: u64,
+    pub(crate) echo: u64,
     /// When the newest pulses were sent.
-    echoes: VecDeque<(u64, Millis)>,
+    pub(crate) echoes: VecDeque<(u64, Millis)>,
 }
 
 impl Lead {
@@ -52,6 +53,7 @@
 
 /// A proposal in the leader's log.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Accepted {
     index: u64,
     pub(crate) token: u64,
@@ -60,6 +62,7 @@
 
 /// What a leader knows of another node.
 #[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Peer {
     pub(crate) id: VoterId,
     /// Up to where its disk has this log.
@@ -67,19 +70,20 @@
     next: u64,
     /// Whether `next` is a guess: one message at a time then.
     probing: bool,
-    under_way: VecDeque<UnderWay>,
+    pub(crate) under_way: VecDeque<UnderWay>,
     /// When the newest pulse was sent that it has answered.
-    answered: Option<Millis>,
+    pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
     pub(crate) until: Millis,
     pub(crate) wanted: bool,
 }
 
 #[derive(Debug)]
-struct UnderWay {
+#[cfg_attr(test, derive(Clone, Hash))]
+pub(crate) struct UnderWay {
     prev: u64,
     last: u64,
-    lost_at: Millis,
+    pub(crate) lost_at: Millis,
 }
 
 impl Peer {
@@ -107,9 +111,14 @@
     /// Whether this leader is surely the only one now: a majority, itself counted, has answered a pulse that was sent
     /// within `lease` before now, and an entry of its own term is committed.
     pub fn holds_lease(&self, now: Millis) -> bool {
-        let own = self.log.term_at(self.commit) == Some(self.term);
-        let answered = self.answered_at(now);
-        self.lead.is_some() && own && answered.is_some_and(|at| at.saturating_add(self.timing.lease) > now)
+        self.lease_until(now).is_some_and(|until| until > now)
+    }
+
+    /// When the lease of this leader ends or has ended, unless it is renewed; nothing if it never had one.
+    pub fn lease_until(&self, now: Millis) -> Option<Millis> {
+        let own = self.lead.is_some() && self.log.term_at(self.commit) == Some(self.term);
+        let answered = self.answered_at(now).filter(|_| own);
+        answered.map(|at| at.saturating_add(self.timing.lease))
     }
 
     /// When the newest pulse was sent that a majority has answered.
@@ -347,7 +356,7 @@
         &mut self, now: Millis, from: VoterId, term: u64, echo: u64, commit: u64, out: &mut Vec<Output>,
     ) {
         if self.follows(now, &from, term, out) {
-            self.commit_to(commit.min(self.verified), out);
+            self.learn_commit(commit, out);
         } else if term >= self.term {
             return;
         }
@@ -389,10 +398,15 @@
             self.log.push(entry);
         }
         self.verified = self.verified.max(upto);
-        self.commit_to(commit.min(self.verified), out);
+        self.learn_commit(commit, out);
         Some(Message::Matched { term: self.term, index: upto })
     }
 
+    fn learn_commit(&mut self, commit: u64, out: &mut Vec<Output>) {
+        self.told_commit = self.told_commit.max(commit);
+        self.commit_to(commit.min(self.verified), out);
+    }
+
     /// Up to where the logs may agree: not the entries of a term that the leader has not at that place.
     fn hint(&self, prev_index: u64) -> u64 {
         let mut hint = prev_index.saturating_sub(1).min(self.log.last());
--- a/harbour/logbook/src/store.rs
+++ b/harbour/logbook/src/store.rs
@@ -1,10 +1,15 @@
 //! The disk of a node: one `redb` file. A save is one transaction, durable when it returns.
 
+use std::fs::{File, OpenOptions};
+use std::ops::Bound;
 use std::path::{Path, PathBuf};
 
 use bitcode::{DecodeOwned, Encode};
 use miette::Diagnostic;
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+use redb::backends::FileBackend;
+use redb::{
+    Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, TableError,
+};
 
 use crate::types::{Entry, Save, Saved, Snapshot, VoterId};
 
@@ -17,6 +22,12 @@
 /// A file that is longer than this is made smaller when it is opened.
 const LONG: u64 = 24 << 20;
 
+/// `redb`'s own: the bytes of its mark at the start, of the header that they are in, and (at most) of a file before
+/// its first transaction.
+const MARK: usize = 9;
+const HEADER: usize = 512;
+const LONGEST_HALF_MADE: u64 = 1 << 20;
+
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const SNAPSHOT: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshot");
@@ -113,11 +124,33 @@
     /// Opens the file, or makes an empty one, and checks all that is in it. An empty one has nothing saved yet: see
     /// [`Store::create`].
     pub fn open(path: impl AsRef<Path>) -> Result<(Store, Option<Saved>), StoreError> {
-        let path = path.as_ref().to_path_buf();
-        let db = Database::builder().set_cache_size(CACHE).create(&path).map_err(fail(&path, "opening"))?;
+        let path = path.as_ref();
+        let new = !path.exists();
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+        let file = file.map_err(fail(path, "opening"))?;
+        if new && let Some(folder) = path.parent().filter(|folder| !folder.as_os_str().is_empty()) {
+            // A file that is on disk while its name is not would be gone with all that it had promised.
+            File::open(folder).and_then(|folder| folder.sync_all()).map_err(fail(path, "beginning"))?;
+        }
+        Store::on(FileBackend::new(file).map_err(fail(path, "opening"))?, path)
+    }
+
+    /// As above, on what need not be a file; `path` is what errors call it.
+    pub fn on(
+        backend: impl StorageBackend, path: impl Into<PathBuf>,
+    ) -> Result<(Store, Option<Saved>), StoreError> {
+        let path = path.into();
+        if half_made(&backend).map_err(fail(&path, "opening"))? {
+            clear(&backend).map_err(fail(&path, "beginning"))?;
+        }
+        let long = backend.len().map_err(fail(&path, "opening"))? > LONG;
+        let mut builder = Database::builder();
+        // Otherwise `redb` trusts a file that was closed properly: a byte changed in it later would end this process
+        // in the midst of the library, at each start anew.
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        let db = builder.create_with_backend(backend).map_err(fail(&path, "opening"))?;
         let mut store = Store { db, path };
         let saved = store.read()?;
-        let long = std::fs::metadata(&store.path).is_ok_and(|data| data.len() > LONG);
         if long {
             // Room that is free inside the file goes back to the disk, which is small.
             store.db.compact().map_err(fail(&store.path, "making smaller"))?;
@@ -141,6 +174,28 @@
         Ok(Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders })
     }
 
+    /// Writes who this node is, and a snapshot that its log begins with: for a log whose voters were not known when
+    /// the file was made, and for the last voter of one that goes on alone under another birth. The term only rises;
+    /// the vote in it stays if it does not. A file that has a log already is left as it is.
+    pub fn begin(&self, me: VoterId, term: u64, snapshot: Snapshot) -> Result<Saved, StoreError> {
+        let found = self.read()?;
+        if found.as_ref().is_some_and(|saved| saved.snapshot.is_some() || !saved.entries.is_empty()) {
+            return Err(StoreError::Taken { path: self.path.clone() });
+        }
+        let (known, voted) = found.map_or((0, None), |saved| (saved.term, saved.vote));
+        let term = term.max(known).max(snapshot.term);
+        let vote = voted.filter(|_| term == known);
+        // All of it in one step: half of it would be a voter that has forgotten its log.
+        self.write("beginning", |tables| {
+            tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
+            tables.meta.insert("me", sealed(&me).as_slice())?;
+            tables.meta.insert("founders", sealed(&Vec::<VoterId>::new()).as_slice())?;
+            tables.meta.insert("ballot", sealed(&(term, vote.clone())).as_slice())?;
+            tables.replace(&snapshot)
+        })?;
+        Ok(Saved { me, term, vote, snapshot: Some(snapshot), entries: Vec::new(), founders: Vec::new() })
+    }
+
     /// Writes a save: it is on disk when this returns.
     pub fn save(&self, save: &Save) -> Result<(), StoreError> {
         self.write("saving", |tables| {
@@ -152,19 +207,16 @@
                 tables.entries.insert(entry.index, sealed(entry).as_slice())?;
             }
             if let Some(snapshot) = &save.snapshot {
-                let bytes = sealed(snapshot);
-                tables.snapshot.retain(|_, _| false)?;
-                for (number, piece) in bytes.chunks(PIECE).enumerate() {
-                    tables.snapshot.insert(number as u64, piece)?;
-                }
-                // As many bytes must come back: a lost piece would otherwise only show in the sum.
-                tables.meta.insert("snapshot", (bytes.len() as u64).to_be_bytes().as_slice())?;
-                tables.entries.retain_in(..=snapshot.index, |_, _| false)?;
+                tables.replace(snapshot)?;
             }
             Ok(())
         })
     }
 
+    pub(crate) fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Moves the file out of the way, as `<name>.damaged`, over a former one: the disk has no room for many.
     pub fn set_aside(path: impl AsRef<Path>) -> Result<PathBuf, StoreError> {
         let path = path.as_ref();
@@ -273,6 +325,20 @@
     snapshot: redb::Table<'t, u64, &'static [u8]>,
 }
 
+impl Tables<'_> {
+    /// The snapshot takes the place of the former one, and of the entries up to its index.
+    fn replace(&mut self, snapshot: &Snapshot) -> Result<(), redb::StorageError> {
+        let bytes = sealed(snapshot);
+        self.snapshot.retain(|_, _| false)?;
+        for (number, piece) in bytes.chunks(PIECE).enumerate() {
+            self.snapshot.insert(number as u64, piece)?;
+        }
+        // As many bytes must come back: a lost piece would otherwise only show in the sum.
+        self.meta.insert("snapshot", (bytes.len() as u64).to_be_bytes().as_slice())?;
+        self.entries.retain_in(..=snapshot.index, |_, _| false)
+    }
+}
+
 fn sealed<T: Encode>(value: &T) -> Vec<u8> {
     let body = bitcode::encode(value);
     let mut bytes = Vec::with_capacity(body.len() + 8);
@@ -288,11 +354,41 @@
         .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
 }
 
+/// Whether power went while `redb` made the file: it writes its mark last, and nobody was told anything before. Taken for
+/// damaged, founders that lose their power at the first start would not be founders any more.
+fn half_made(backend: &impl StorageBackend) -> std::io::Result<bool> {
+    let length = backend.len()?;
+    if length == 0 || length > LONGEST_HALF_MADE {
+        return Ok(false);
+    }
+    let mut bytes = vec![0; length as usize];
+    backend.read(0, &mut bytes)?;
+    let (mark, rest) = (bytes.iter().take(MARK), bytes.iter().skip(HEADER));
+    Ok(mark.chain(rest).all(|byte| *byte == 0))
+}
+
+/// Empties a half made file, unless another process is making it right now.
+fn clear(backend: &impl StorageBackend) -> std::io::Result<()> {
+    let all = (Bound::Unbounded, Bound::Unbounded);
+    let locked = backend.try_lock_range(all.0, all.1);
+    if !matches!(locked, Ok(false)) && half_made(backend)? {
+        backend.set_len(0)?;
+    }
+    if matches!(locked, Ok(true)) {
+        backend.unlock_range(all.0, all.1).map_err(std::io::Error::other)?;
+    }
+    Ok(())
+}
+
 /// A failure of the file, told as damage where that is what `redb` says.
 fn fail<E: Into<redb::Error>>(path: &Path, step: &'static str) -> impl FnOnce(E) -> StoreError {
     let path = path.to_path_buf();
     move |cause| match cause.into() {
         redb::Error::Corrupted(what) => StoreError::Damaged { what, path },
+        // This program never wrote a file of an older format.
+        redb::Error::UpgradeRequired(found) => {
+            StoreError::Damaged { what: format!("it has the file format {found}"), path }
+        }
         redb::Error::Io(cause) if cause.kind() == std::io::ErrorKind::InvalidData => {
             StoreError::Damaged { what: cause.to_string(), path }
         }
--- a/harbour/logbook/tests/rules.rs
+++ b/harbour/logbook/tests/rules.rs
@@ -115,6 +115,29 @@
     assert!(out.contains(&Output::Refused { token: 8, leader: None }), "{out:?}");
 }
 
+/// Its answers are lost, the leader's words are not: the leader keeps to its window and goes on telling that it lives.
+#[test]
+fn who_hears_of_commits_but_gets_no_entries_knows_that_it_lags() {
+    let mut node = Node::start(saved(three()), TIMING, 1, 0);
+    let entry = |index| Entry { index, term: 1, what: What::Change(vec![1]) };
+    let append = |at, entries, commit| {
+        let prev_term = u64::from(at > 0);
+        heard(1, Message::Append { term: 1, prev_index: at, prev_term, entries, commit })
+    };
+    let pulse = |echo, commit| heard(1, Message::Pulse { term: 1, echo, commit });
+    step(&mut node, 1, append(0, vec![entry(1)], 0));
+    step(&mut node, 2, pulse(1, 1));
+    assert!(node.commit() == 1 && !node.lags(), "the usual order: entries first, then that they count");
+    for echo in 2..20 {
+        step(&mut node, echo * 50, pulse(echo, 3));
+        assert!(node.leader() == Some(&voter(1, 0)) && node.lags());
+    }
+    step(&mut node, 1000, append(1, vec![entry(2)], 3));
+    assert!(node.lags(), "one of two");
+    step(&mut node, 1001, append(2, vec![entry(3)], 3));
+    assert!(node.commit() == 3 && !node.lags());
+}
+
 /// When three nodes whose disks take this long for each save have a leader.
 fn leader_with_disks_of(sync: u64, seed: u64) -> Option<u64> {
     let one = |at: usize| Saved { me: voter(at, 0), ..saved(three()) };
@@ -153,3 +176,32 @@
         assert!(led.is_some_and(|at| at <= at_most), "seed {seed}: {led:?}");
     }
 }
+
+/// Without the pulse's answer the leader of one would lose its majority as it takes in the second, and give way.
+#[test]
+fn who_has_answered_no_pulse_lately_is_not_taken_in() {
+    let mut node = Node::start(saved(vec![voter(0, 0)]), TIMING, 1, 0);
+    step(&mut node, 200, Input::Tick);
+    step(&mut node, 201, Input::Saved { ticket: 1 });
+    step(&mut node, 202, Input::Saved { ticket: 2 });
+    assert!(node.holds_lease(202));
+    step(&mut node, 5000, Input::AddVoter(voter(1, 0)));
+    step(&mut node, 5001, heard(1, Message::Matched { term: 1, index: 1 }));
+    assert_eq!(node.members().len(), 1);
+    let out = step(&mut node, 5100, Input::Tick);
+    let echo = messages(&out).into_iter().find_map(|message| match message {
+        Message::Pulse { echo, .. } => Some(*echo),
+        _ => None,
+    });
+    let echo = echo.expect("a pulse");
+    step(&mut node, 5101, heard(1, Message::Pulsed { term: 1, echo, matched: 1 }));
+    assert_eq!(node.members().len(), 2);
+    step(&mut node, 5102, Input::Tick);
+    assert!(node.is_leader() && node.holds_lease(5102));
+    // One that has fallen silent again waits for its next word.
+    step(&mut node, 5103, Input::Saved { ticket: 3 });
+    step(&mut node, 5104, heard(1, Message::Matched { term: 1, index: 2 }));
+    step(&mut node, 5105, Input::AddVoter(voter(2, 0)));
+    step(&mut node, 5106, heard(2, Message::Matched { term: 1, index: 2 }));
+    assert_eq!((node.commit(), node.members().len()), (2, 2));
+}
--- a/harbour/manifest/src/settings.rs
+++ b/harbour/manifest/src/settings.rs
@@ -14,7 +14,7 @@
 use toml::{Table, Value};
 
 use crate::kind::{
-    Addresses, Figure, Flag, Kind, Maybe, Millis, Names, Parsed, Ports, Seconds, Text, Texts, Whole,
+    Addresses, Figure, Flag, Kind, Maybe, Millis, Names, Parsed, Ports, Seconds, Text, Texts, Ways, Whole,
 };
 
 /// Name of the list of `name=value` texts.
@@ -296,14 +296,20 @@
     pub struct Tuning, TUNING {
         /// How often a leader and whoever has news to tell give a sign of life.
         pulse: Millis = 60, "reachlb.pulse_ms", |pulse| !pulse.is_zero() => "wants more than 0";
+        /// Draws a second that one holder of counts bears: more, and the leader shares the counts out; 0 for never.
+        draws_a_holder: Figure = 0.0, "reachlb.draws_a_holder", |draws| *draws >= 0.0 => "wants 0 or more";
         /// Silence of the leader after which another one stands for election.
         election: Millis = 320, "reachlb.election_ms", |election| !election.is_zero() => "wants more than 0";
         /// How long the leader may act on the answer of a majority.
         lease: Millis = 230, "reachlb.lease_ms", |lease| !lease.is_zero() => "wants more than 0";
+        /// Whether processes watch each other, in sets of a few; the command line can say so as well.
+        watching: Flag = false, "reachlb.watching";
         /// Which lines are logged: off, error, warn, info, debug or trace.
         log_level: Text = "info", "reachlb.log_level",
             |level| matches!(&**level, "off" | "error" | "warn" | "info" | "debug" | "trace")
                 => "wants off, error, warn, info, debug or trace";
+        /// Addresses of machines and backends that are reached under another one, as `own=other`.
+        ways: Ways = empty, "reachlb.ways";
     }
 }
 
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -40,11 +40,12 @@
     // The pilot's news and the purser's draws need each other.
     let pilot: Rc<RefCell<Option<Pilot>>> = Rc::default();
     let wire = pilot.clone();
-    let send = move |draw| wire.borrow().as_ref().is_some_and(|pilot| pilot.draw(draw));
+    let send = move |to: &str, draw| wire.borrow().as_ref().is_some_and(|pilot| pilot.draw(to, draw));
     let purser = Purser::start(life, Box::new(send));
     let about = QuaySettings {
         max_fds: settings.max_fds as usize,
         grace: settings.bounds.grace,
+        ways: settings.tuning.ways.clone(),
         log: Rc::new(|line| {
             let (step, version, left_out) = (line.step, line.version, line.left_out);
             spdlog::info!("{}", line.text, kv: { step, version, left_out });
@@ -79,12 +80,16 @@
                 purser.fleet(pulse.fleet, pulse.fresh);
                 quay.fleet(pulse.fleet, pulse.number);
             }
+            News::Roster(roster) => purser.roster(&roster),
             News::Grant(grant) => purser.granted(grant),
             News::Unanswered { number } => purser.unanswered(number),
         }
     };
+    let lookout = start::watch(&settings, true, life)?;
     let seeds = start::seeds(&settings);
-    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, news));
+    let ways = settings.tuning.ways.clone();
+    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds, ways }, news));
+    let watch = lookout.clone();
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(async move {
@@ -94,6 +99,9 @@
                     if let Some(pilot) = pilot.borrow().as_ref() {
                         pilot.seeds(start::seeds(&settings));
                     }
+                    if let Some(watch) = &watch {
+                        watch.seeds(&start::watch_seeds(&settings));
+                    }
                 }
                 Err(fault) => spdlog::error!("settings not taken: {}", fault, kv: { step = "hangup" }),
             }
@@ -104,6 +112,10 @@
         end.recv().await;
     };
     quay.serve(front, readiness, ended).await;
+    // Only now: while it finishes its work it spends.
+    if let Some(lookout) = lookout {
+        lookout.leave();
+    }
     spdlog::info!("done", kv: { step = "end" });
     Ok(())
 }
--- a/harbour/tally/src/holder.rs
+++ b/harbour/tally/src/holder.rs
@@ -2,7 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::{Draw, Grant, HEARD_FOR, Millis, Quota, SILENT_AFTER, Share, Terms, Want};
+use crate::{
+    Draw, Epoch, Floor, Grant, HEARD_FOR, Handed, Handover, Millis, Quota, SILENT_AFTER, Share, Standing,
+    Terms, Want,
+};
 
 /// A draw this close before a window's end is served from the next one: gateways count the end from when they asked,
 /// so their first draw for a new window is often a moment early.
@@ -15,6 +18,11 @@
 const EVEN_OVER: f64 = 1.5;
 /// The least even part, as a share of the refill over the gateways: else a busy tenant's blocks dwindle without end.
 const LEAST_PART: f64 = 0.2;
+/// A former holder's word on its counts is waited for this long; draws are put off meanwhile.
+const HANDOVER_WAIT: Millis = 80.0;
+/// A shut count is granted from by need once this share of the gateways was heard, and they are waited for so long.
+const ENOUGH: f64 = 0.5;
+const GATHER: Millis = 80.0;
 /// Windows rolled one by one; after a longer rest the count is full anyway.
 const ROLLS_MOST: u32 = 64;
 
@@ -31,6 +39,9 @@
     /// The largest part of the gateways that was silent at some time of this window.
     silent: f64,
     shut_until: Millis,
+    floor: Floor,
+    /// Until then the former holder's word would open the count at once.
+    awaits_until: Millis,
     gone_at: Option<Millis>,
 }
 
@@ -50,25 +61,114 @@
 /// Holds the counts of all tenants under one epoch.
 #[derive(Debug)]
 pub struct Holder {
-    epoch: u64,
+    epoch: Epoch,
+    /// Where the grid of windows begins.
     office: Millis,
+    /// When the present assignment came, and how long after it a former holder may still have granted.
+    since: Millis,
+    shut: Millis,
     first: bool,
     configured: bool,
     known: u32,
+    /// What the log says that counts had at the least when this office began.
+    floors: BTreeMap<String, u32>,
     heard: HashMap<String, Millis>,
     counts: BTreeMap<String, Count>,
 }
 
 impl Holder {
     /// Takes office under an epoch. Unless no holder was there before (`first`), nothing is granted for one window of
-    /// each tenant: by then every block of the former holder has ended.
-    pub fn take_office(epoch: u64, first: bool, now: Millis) -> Self {
+    /// each tenant after `shut`, for which a former holder may still have granted: by then every block of it has ended.
+    pub fn take_office(epoch: Epoch, first: bool, now: Millis, shut: Millis) -> Self {
         let (heard, counts) = (HashMap::new(), BTreeMap::new());
-        Self { epoch, office: now, first, configured: false, known: 1, heard, counts }
+        let floors = BTreeMap::new();
+        Self {
+            epoch,
+            office: now,
+            since: now,
+            shut,
+            first,
+            configured: false,
+            known: 1,
+            floors,
+            heard,
+            counts,
+        }
+    }
+
+    /// What the log says of counts. Those with a floor begin with it, at once: what was granted before this office is
+    /// gone from what lies above.
+    pub fn floors(&mut self, floors: BTreeMap<String, u32>) {
+        self.floors = floors;
+    }
+
+    /// The next assignment leaves this process a holder. Tenants that come to it now are shut as at the start.
+    pub fn goes_on(&mut self, now: Millis, epoch: Epoch, shut: Millis) {
+        (self.epoch, self.since, self.shut, self.first) = (epoch, now, shut, false);
+    }
+
+    /// Gives up all counts but those that are `mine`; those that were open come back.
+    pub fn give_up(&mut self, now: Millis, mine: impl Fn(&str) -> bool) -> Vec<Handed> {
+        let others: Vec<String> = self.counts.keys().filter(|tenant| !mine(tenant)).cloned().collect();
+        let mut handed = Vec::new();
+        for tenant in others {
+            self.roll(now, &tenant);
+            let Some(count) = self.counts.remove(&tenant) else { continue };
+            if count.terms.is_none() || count.gone_at.is_some() || now < count.shut_until {
+                continue;
+            }
+            let (window, free, granted, silent) = (count.window, count.free, count.granted, count.silent);
+            handed.push(Handed {
+                tenant,
+                window,
+                ends_in: (count.end - now).max(0.0),
+                free,
+                granted,
+                silent,
+            });
+        }
+        handed
+    }
+
+    /// Takes over what a former holder says of counts that wait for it; others stay as they are.
+    pub fn take_over(&mut self, now: Millis, handover: Handover) {
+        for (gateway, ago) in &handover.heard {
+            self.heard(now - ago.max(0.0), gateway);
+        }
+        for handed in handover.counts {
+            let Some(count) = self.counts.get_mut(&handed.tenant).filter(|c| now < c.awaits_until) else {
+                continue;
+            };
+            let Some(terms) = count.terms else { continue };
+            let sound = handed.free.is_finite() && handed.granted.is_finite() && handed.ends_in.is_finite();
+            if !sound {
+                continue;
+            }
+            (count.awaits_until, count.shut_until) = (now, now);
+            (count.window, count.granted) = (handed.window, handed.granted.max(0.0));
+            count.free = handed.free.min(terms.most);
+            count.silent = handed.silent.clamp(0.0, 1.0);
+            count.end = now + handed.ends_in.clamp(0.0, terms.window * 4.0);
+        }
+    }
+
+    /// The gateways that were heard, and how long ago.
+    pub fn heard_ago(&self, now: Millis) -> Vec<(String, Millis)> {
+        self.heard.iter().map(|(name, at)| (name.clone(), (now - at).max(0.0))).collect()
+    }
+
+    /// Whether units of a tenant may be granted.
+    pub fn is_open(&self, now: Millis, tenant: &str) -> bool {
+        let open = |c: &Count| c.terms.is_some() && c.gone_at.is_none() && now + EARLY >= c.shut_until;
+        self.counts.get(tenant).is_some_and(open)
+    }
+
+    pub(crate) fn opens_at_once(&mut self) {
+        (self.first, self.shut) = (true, 0.0);
     }
 
     /// The epoch of this office.
-    pub fn epoch(&self) -> u64 {
+    pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
@@ -91,10 +191,23 @@
                 continue;
             }
             let window = terms.map_or(0.0, |t| t.window);
-            let shut = !self.first && (!self.configured || now < self.office + window);
-            let shut_until = if shut { self.office + window } else { now };
-            let free = if shut { 0.0 } else { terms.map_or(0.0, |t| t.most) };
+            let opens = self.since + self.shut + window;
+            let shut = !self.first && (!self.configured || now < opens);
+            let floor = self.floors.remove(&quota.tenant).unwrap_or(0);
+            // Less than a window's refill is what slices would give: those reach all gateways at once.
+            let floored = shut && terms.is_some_and(|t| f64::from(floor) >= t.refill);
+            let shut = shut && !floored;
+            let shut_until = if shut { opens.max(now) } else { now };
+            // A configuration that comes late to one of several holders may name tenants that others had before.
+            let whole = self.first || self.epoch.number <= 1;
+            let free = terms.map_or(0.0, |t| if whole { t.most } else { t.refill });
+            let free = if floored { free.min(floor.into()) } else { free };
+            let free = if shut { 0.0 } else { free };
+            let awaits = shut && self.epoch.number > 1;
+            let awaits_until = if awaits { self.since + HANDOVER_WAIT } else { now };
             let end = if shut { shut_until } else { self.grid_end(now, window) };
+            let mut floor = Floor::new(now, floor);
+            floor.seen(free);
             let count = Count {
                 terms,
                 next: terms,
@@ -104,6 +217,8 @@
                 granted: 0.0,
                 silent: 0.0,
                 shut_until,
+                floor,
+                awaits_until,
                 gone_at: None,
             };
             self.counts.insert(quota.tenant.clone(), count);
@@ -126,15 +241,85 @@
         }
     }
 
+    /// While a count is shut, the slices of all gateways would come to one refill. Of this, gateways that are heard get
+    /// what they need instead of even parts: few requests come where an even part is, when gateways are many.
+    fn share_shut(&mut self, now: Millis, want: &Want, share: Share) -> Share {
+        let (heard, known) = (self.heard.len() as f64, f64::from(self.known));
+        let gather = self.since + self.shut;
+        let Some(count) = self.counts.get_mut(&want.tenant) else { return share };
+        let Some(terms) = count.terms.filter(|_| now >= gather) else { return share };
+        if heard < ENOUGH * known {
+            let standing = if now < gather + GATHER { Standing::Later } else { Standing::Slices };
+            return Share { standing, ..share };
+        }
+        let free = (terms.refill * (heard / known).min(1.0) - count.granted).max(0.0).floor();
+        let granted = f64::from(want.need).min(free);
+        count.granted += granted;
+        Share { granted: granted as u32, left: (free - granted) as u32, standing: Standing::Open, ..share }
+    }
+
     /// Answers a gateway's draw.
     pub fn draw(&mut self, now: Millis, gateway: &str, draw: &Draw) -> Grant {
         self.forget_silent(now);
-        self.heard(now, gateway);
         let same = draw.epoch == self.epoch;
+        // One that knows an older assignment only may spend slices of counts that are granted from here.
+        if draw.epoch >= self.epoch || self.epoch.number <= 1 {
+            self.heard(now, gateway);
+        }
         let shares = draw.wants.iter().map(|want| self.share(now, want, same)).collect();
         Grant { number: draw.number, epoch: self.epoch, shares }
     }
 
+    /// Whether a count is about to need what lies below its floor: the log should say so before more is granted.
+    pub fn presses(&self) -> bool {
+        let of = |c: &Count| c.terms.is_some_and(|t| c.gone_at.is_none() && c.floor.presses(t.refill));
+        self.counts.values().any(of)
+    }
+
+    /// Floors that the log should say from now on, by tenant. They are on their way once this has told them: the holder
+    /// keeps to the higher of old and new until [`Holder::decided`].
+    pub fn floors_wanted(&mut self, now: Millis) -> Vec<(String, u32)> {
+        let mut wanted = Vec::new();
+        for (tenant, count) in &mut self.counts {
+            let (most, refill) = match count.terms {
+                Some(terms) if count.gone_at.is_none() => (terms.most, terms.refill),
+                _ => (0.0, 0.0),
+            };
+            if let Some(units) = count.floor.wanted(now, most, refill) {
+                count.floor.asks(units);
+                wanted.push((tenant.clone(), units));
+            }
+        }
+        // Tenants that no configuration names any more.
+        if self.configured {
+            wanted.extend(std::mem::take(&mut self.floors).into_keys().map(|tenant| (tenant, 0)));
+        }
+        wanted
+    }
+
+    /// The log says the floors that were wanted last.
+    pub fn decided(&mut self) {
+        self.counts.values_mut().for_each(|count| count.floor.decided());
+    }
+
+    /// Whether the present assignment came just now.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.epoch.number > 1 && now < self.since + HANDOVER_WAIT
+    }
+
+    /// Has a gateway ask again shortly.
+    pub fn put_off(&self, draw: &Draw) -> Grant {
+        let share = |want: &Want| Share {
+            tenant: want.tenant.clone(),
+            window: 0,
+            granted: 0,
+            left: 0,
+            ends_in: 0.0,
+            standing: Standing::Later,
+        };
+        Grant { number: draw.number, epoch: self.epoch, shares: draw.wants.iter().map(share).collect() }
+    }
+
     /// What operators see of each tenant.
     pub fn figures(&self) -> Vec<CountFigures> {
         let one = |(tenant, c): (&String, &Count)| CountFigures {
@@ -161,6 +346,11 @@
         }
     }
 
+    /// The share of all gateways that was not heard lately.
+    fn silent(&self) -> f64 {
+        f64::from(self.known.saturating_sub(self.heard.len() as u32)) / f64::from(self.known)
+    }
+
     fn grid_end(&self, now: Millis, window: Millis) -> Millis {
         if window <= 0.0 {
             return now;
@@ -169,7 +359,7 @@
     }
 
     fn roll(&mut self, now: Millis, tenant: &str) {
-        let silent = f64::from(self.known.saturating_sub(self.heard.len() as u32)) / f64::from(self.known);
+        let silent = self.silent();
         let Some(mut count) = self.counts.remove(tenant) else { return };
         let mut rolls = 0;
         while let Some(terms) = count.terms.filter(|t| now + EARLY.min(t.window * 0.05) >= count.end) {
@@ -188,40 +378,65 @@
             count.granted = 0.0;
             count.silent = silent;
         }
-        count.silent = count.silent.max(silent);
+        let first = count.terms.is_some_and(|terms| now < self.office + terms.window);
+        count.silent = if first { silent } else { count.silent.max(silent) };
         self.counts.insert(tenant.to_owned(), count);
     }
 
     fn share(&mut self, now: Millis, want: &Want, same: bool) -> Share {
         self.roll(now, &want.tenant);
         let active = (self.heard.len() as f64).max(1.0);
-        let mut share =
-            Share { tenant: want.tenant.clone(), window: 0, granted: 0, left: 0, ends_in: 0.0, slices: true };
-        // A tenant that this holder has not heard of may be one of a configuration on its way.
+        let mut share = Share {
+            tenant: want.tenant.clone(),
+            window: 0,
+            granted: 0,
+            left: 0,
+            ends_in: 0.0,
+            standing: Standing::Slices,
+        };
+        // A tenant that this holder has not heard of may be one of a configuration on its way, or another holder's:
+        // then a slice could be spent beside what that one grants.
+        let alone = self.epoch.number <= 1;
         let Some(count) = self.counts.get_mut(&want.tenant).filter(|c| c.gone_at.is_none()) else {
-            return share;
+            return if alone { share } else { Share { standing: Standing::Later, ..share } };
         };
         share.window = count.window;
         share.ends_in = (count.end - now).max(0.0);
         let Some(terms) = count.terms else {
-            return Share { granted: want.add, left: u32::MAX, ends_in: 1000.0, slices: false, ..share };
+            return Share {
+                granted: want.add,
+                left: u32::MAX,
+                ends_in: 1000.0,
+                standing: Standing::Open,
+                ..share
+            };
         };
+        if now < count.awaits_until {
+            return Share { standing: Standing::Later, ..share };
+        }
         if now + EARLY < count.shut_until {
             share.ends_in = (count.shut_until - now).max(0.0);
-            return share;
+            return self.share_shut(now, want, share);
         }
         if same {
             let most_back = (terms.most - count.free - count.granted).max(0.0);
             count.free += f64::from(want.back).min(most_back);
         }
-        let free = (count.free - terms.refill * count.silent).max(0.0).floor();
+        // In the first window of an office all are silent until they ask, and what they have spent of slices until then
+        // comes off their first block: to keep their slices back would refuse most of what the floor left.
+        let silent = if now < self.office + terms.window { 0.0 } else { count.silent };
+        let left = count.free - terms.refill * silent;
+        count.floor.seen(left);
+        let (all, free) = (left.max(0.0).floor(), (left - count.floor.held()).max(0.0).floor());
         let even = (free / (EVEN_OVER * active)).max(LEAST_PART * terms.refill / active);
         let granted = f64::from(want.add).min(even.floor()).max(f64::from(want.need)).min(free);
         count.free -= granted;
         count.granted += granted;
         share.granted = granted as u32;
-        share.left = (free - granted) as u32;
-        share.slices = false;
+        count.floor.seen(left - granted);
+        // What lies below the floor is there as soon as the log says so.
+        share.left = (all - granted) as u32;
+        share.standing = Standing::Open;
         share
     }
 }
