fairway: the tree of relays as a state machine

The need: each master feeds all quays that chose it, so its load grows with the fleet; news is to go down a tree of relays that mends itself.

Bounded followers by link, referral to places with room, pulses made by roots alone and passed on once with the way they came, adrift branches that move as a whole, changes numbered by a root's epoch and handed over by whoever kept them.

Not wired into the programs with this change.

--- /dev/null
+++ b/harbour/fairway/src/chart.rs
@@ -0,0 +1,122 @@
+//! What a relay knows: backends, the last changes of them, and the newest configuration.
+
+use flags::relay::{Batch, Mark, Word};
+use flags::{Berth, Phase, Sheet};
+use std::collections::{BTreeMap, VecDeque};
+
+/// So many changes are kept for those that missed some.
+const KEPT: usize = 256;
+
+#[derive(Debug)]
+pub(crate) struct Chart {
+    mark: Mark,
+    berths: BTreeMap<String, Berth>,
+    kept: VecDeque<Batch>,
+    sheet: Option<Sheet>,
+}
+
+/// What becomes of a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// It is the next one.
+    Next,
+    /// It was taken before.
+    Old,
+    /// Something is missing before it.
+    Gap,
+}
+
+impl Chart {
+    pub(crate) fn new(mark: Mark) -> Self {
+        Self { mark, berths: BTreeMap::new(), kept: VecDeque::new(), sheet: None }
+    }
+
+    pub(crate) fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.sheet.as_ref().map_or(0, |sheet| sheet.version)
+    }
+
+    /// A root's own change: it gets the next number.
+    pub(crate) fn change(&mut self, mut berths: Vec<Berth>) -> Batch {
+        // A stable order: what must be sent nothing new is known before whatever may take its place.
+        berths.sort_by_key(|berth| berth.phase == Phase::Serving);
+        let mark = Mark { sequence: self.mark.sequence + 1, ..self.mark };
+        let batch = Batch { mark, berths };
+        self.take(batch.clone());
+        batch
+    }
+
+    pub(crate) fn order(&self, mark: Mark) -> Order {
+        if mark.epoch != self.mark.epoch || mark.sequence > self.mark.sequence + 1 {
+            Order::Gap
+        } else if mark.sequence <= self.mark.sequence {
+            Order::Old
+        } else {
+            Order::Next
+        }
+    }
+
+    /// Takes the next batch.
+    pub(crate) fn take(&mut self, batch: Batch) {
+        self.mark = batch.mark;
+        for berth in &batch.berths {
+            self.put(berth.clone());
+        }
+        self.kept.push_back(batch);
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+    }
+
+    fn put(&mut self, berth: Berth) {
+        if berth.phase == Phase::Gone {
+            self.berths.remove(&berth.id);
+        } else {
+            self.berths.insert(berth.id.clone(), berth);
+        }
+    }
+
+    /// Takes a list of all; false when it is older than what is here.
+    pub(crate) fn replace(&mut self, all: &Batch) -> bool {
+        if all.mark.epoch == self.mark.epoch && all.mark.sequence <= self.mark.sequence {
+            return false;
+        }
+        self.mark = all.mark;
+        self.kept.clear();
+        self.berths.clear();
+        all.berths.iter().for_each(|berth| self.put(berth.clone()));
+        true
+    }
+
+    /// Takes a configuration; false when it is none newer.
+    pub(crate) fn sheet(&mut self, sheet: &Sheet) -> bool {
+        let newer = sheet.version > self.version();
+        if newer {
+            self.sheet = Some(sheet.clone());
+        }
+        newer
+    }
+
+    /// All that somebody lacks who has that much: the changes since, or where they are not kept, everything.
+    pub(crate) fn since(&self, mark: Mark, version: u64) -> Vec<Word> {
+        let mut words = Vec::new();
+        if let Some(sheet) = self.sheet.as_ref().filter(|sheet| sheet.version > version) {
+            words.push(Word::Sheet(sheet.clone()));
+        }
+        if self.mark.epoch == 0 || mark.epoch == self.mark.epoch && mark.sequence >= self.mark.sequence {
+            return words;
+        }
+        let oldest = self.kept.front().map_or(u64::MAX, |batch| batch.mark.sequence);
+        if mark.epoch == self.mark.epoch && oldest <= mark.sequence + 1 {
+            let missed = self.kept.iter().filter(|batch| batch.mark.sequence > mark.sequence);
+            words.extend(missed.cloned().map(Word::Batch));
+        } else {
+            let berths = self.berths.values().cloned().collect();
+            words.push(Word::Whole(Batch { mark: self.mark, berths }));
+        }
+        words
+    }
+}
--- a/harbour/flags/src/lib.rs
+++ b/harbour/flags/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod relay;
+
 use bitcode::{Decode, DecodeOwned, Encode};
 
 /// The longest frame that is read, in bytes: a whole configuration of some thousand routes fits.
