Quays may be fed through other quays: the tree in the programs, off

The need: the state machine of the tree was in no program, so no process was ever fed through another.

With `reachlb.relays` or `--relays` masters are its roots, and quays take a place in it instead of following a master: a listener at the second port of the range, words as one more message, configurations compressed. The decisions on draws stay as they are; a quay's sign to the holder of the counts also tells masters that it lives. Weighed: quays that serve the masters' own protocol to others, which needs no words of its own, but has no numbers, no way in a pulse and no bound.

Nothing changes while the switch is off.

--- a/harbour/drydock/src/main.rs
+++ b/harbour/drydock/src/main.rs
@@ -166,5 +166,5 @@
         eprintln!("is started by drydock only");
         return ExitCode::from(UNUSABLE);
     }
-    harbour::serve(program, None)
+    harbour::serve(program, None, false)
 }
--- a/harbour/fairway/src/above.rs
+++ b/harbour/fairway/src/above.rs
@@ -2,7 +2,8 @@
 
 use crate::chart::Order;
 use crate::{
-    ADRIFT, AGAIN, ANSWER, ASK, AVOIDED, DEEPEST, LATER, Millis, NAMED, Output, Relay, SIGN, SILENT, SOON,
+    ADRIFT, AGAIN, ANSWER, ASK, AVOIDED, BEHIND, DEEPEST, LATER, Millis, NAMED, Output, Relay, SIGN, SILENT,
+    SOON,
 };
 use flags::relay::{Place, Word};
 use std::collections::BTreeMap;
@@ -31,6 +32,9 @@
     pub(crate) next_pulse: Millis,
     /// The one that is followed looks for another place itself.
     adrift: bool,
+    pub(crate) told: flags::Pulse,
+    /// Since when the root has not heard the leader just now.
+    behind: Option<Millis>,
     next_ask: Millis,
     next_sign: Millis,
     next_missed: Millis,
@@ -98,9 +102,9 @@
         });
         let Some(to) = to else { return };
         let (mark, version) = self.stands();
-        let tries = self.above.tries;
+        let (tries, at) = (self.above.tries, self.settings.me.to_string());
         self.above.state = State::Asking(to, now + ANSWER);
-        self.say(to, Word::Join { mark, version, tries });
+        self.say(to, Word::Join { at, mark, version, tries });
     }
 
     /// Nothing is to be had from this one any more.
@@ -195,12 +199,15 @@
                 self.outputs.push(Output::Berths { whole: true, mark, berths });
             }
             Word::Sheet(sheet) => self.take_sheet(sheet),
+            Word::Roots(roots) => {
+                self.take_roots(roots.iter().filter_map(|root| root.parse().ok()).collect())
+            }
             _ => {}
         }
     }
 
     fn on_pulse(&mut self, now: Millis, from: SocketAddr, word: Word) {
-        let Word::Pulse { epoch, beat, path, mark, version } = word else { return };
+        let Word::Pulse { epoch, beat, path, mark, version, told } = word else { return };
         if path.contains(&self.settings.me.to_string()) || path.len() > DEEPEST {
             return self.lost(now, from);
         }
@@ -212,7 +219,16 @@
         let above = &mut self.above;
         (above.epoch, above.beat, above.adrift) = (epoch, beat, false);
         above.state = State::Following(from, now);
+        above.told = told;
+        above.behind = if above.told.fresh { None } else { above.behind.or(Some(now)) };
+        // Who is next to a root that has lost the leader looks for another; those below come along.
+        if above.path.len() == 1 && above.behind.is_some_and(|since| now > since + BEHIND) {
+            above.behind = None;
+            return self.lost(now, from);
+        }
+        let told = above.told.clone();
         self.pass_pulse();
+        self.outputs.push(Output::Pulse(told));
         let own = self.chart.mark();
         let newer = mark.epoch != own.epoch || mark.sequence > own.sequence;
         if mark.epoch != 0 && newer || version > self.chart.version() {
--- a/harbour/fairway/src/below.rs
+++ b/harbour/fairway/src/below.rs
@@ -29,7 +29,7 @@
         path.push(self.settings.me.to_string());
         let (mark, version) = self.stands();
         let epoch = self.settings.epoch.unwrap_or(self.above.epoch);
-        Word::Pulse { epoch, beat: self.above.beat, path, mark, version }
+        Word::Pulse { epoch, beat: self.above.beat, path, mark, version, told: self.above.told.clone() }
     }
 
     pub(crate) fn pass_pulse(&mut self) {
@@ -53,6 +53,8 @@
         self.below.insert(from, Follower { heard: now, version, places: Vec::new() });
         let pulse = self.pulse();
         self.say(from, pulse);
+        let roots = self.roots();
+        self.say(from, roots);
         for word in words {
             self.say(from, word);
         }
--- a/harbour/fairway/src/lib.rs
+++ b/harbour/fairway/src/lib.rs
@@ -13,7 +13,7 @@
 
 use chart::Chart;
 use flags::relay::{Mark, Word};
-use flags::{Berth, Sheet};
+use flags::{Berth, Pulse, Sheet};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -30,6 +30,8 @@
 pub const SILENT: Millis = 1300;
 /// ... and so much longer for each relay between: who is nearer to the trouble mends it, with all below.
 const LATER: Millis = 100;
+/// A root that has not heard the leader for this long is left.
+const BEHIND: Millis = 900;
 /// A relay that looks for another place is given so much longer by those below it.
 const ADRIFT: Millis = 1500;
 /// A follower that says nothing for this long is none any more.
@@ -48,6 +50,8 @@
 const NAMED: usize = 4;
 /// So often in a row nobody is named until a root takes the asker beyond its room.
 const PATIENT: u8 = 6;
+/// Roots are some dozens; more are somebody's fault.
+const MOST_ROOTS: usize = 256;
 /// A root takes so many times its room then, at least so many.
 const PRESSED: usize = 4;
 
@@ -66,9 +70,9 @@
     pub seed: u64,
 }
 
-/// How many may follow a process with such a link: one for each 10 Mbit/s, 16 at most. Below that a process is a leaf.
-pub fn room(link_mbps: f64) -> usize {
-    (link_mbps / 10.0).clamp(0.0, 16.0) as usize
+/// How many may follow a process with such a link: one for each share of it, 16 at most. Below that it is a leaf.
+pub fn room(link_mbps: f64, share_mbps: f64) -> usize {
+    (link_mbps / share_mbps).clamp(0.0, 16.0) as usize
 }
 
 /// What happens to a relay.
@@ -85,11 +89,15 @@
     },
     /// The connection with a process is lost, or none came up.
     Lost(SocketAddr),
+    /// The connection on which it followed is over.
+    Left(SocketAddr),
     /// Backends changed; of a root.
     Change(Vec<Berth>),
     /// A configuration is in force; of a root.
     Sheet(Sheet),
-    /// Other roots are known from now on.
+    /// What goes with the next pulses; of a root.
+    Told(Pulse),
+    /// These are the roots from now on; those that follow hear it.
     Roots(Vec<SocketAddr>),
 }
 
@@ -114,6 +122,8 @@
     },
     /// A configuration newer than all before.
     Sheet(Sheet),
+    /// A root lives, and says this of the harbour.
+    Pulse(Pulse),
 }
 
 /// One process of the tree.
@@ -153,20 +163,24 @@
                 self.below.remove(&peer);
                 self.lost(now, peer);
             }
+            Input::Left(peer) => {
+                self.below.remove(&peer);
+            }
             Input::Change(berths) if self.is_root() => {
                 let batch = self.chart.change(berths);
                 self.tell(&Word::Batch(batch));
             }
             Input::Sheet(sheet) if self.is_root() => self.take_sheet(sheet),
             Input::Change(_) | Input::Sheet(_) => {}
-            Input::Roots(roots) => self.settings.roots = roots,
+            Input::Told(told) => self.above.told = told,
+            Input::Roots(roots) => self.take_roots(roots),
         }
         outputs.append(&mut self.outputs);
     }
 
     fn hear(&mut self, now: Millis, from: SocketAddr, word: Word) {
         match word {
-            Word::Join { mark, version, tries } => self.on_join(now, from, mark, version, tries),
+            Word::Join { mark, version, tries, .. } => self.on_join(now, from, mark, version, tries),
             Word::Sign { places } => self.on_sign(now, from, places),
             Word::Missed { mark, version } => self.on_missed(now, from, mark, version),
             Word::Leave => {
@@ -219,6 +233,21 @@
         }
     }
 
+    fn take_roots(&mut self, mut roots: Vec<SocketAddr>) {
+        // Each root names them in another order, which is no news.
+        roots.sort_unstable();
+        roots.truncate(MOST_ROOTS);
+        if !roots.is_empty() && roots != self.settings.roots {
+            self.settings.roots = roots;
+            let roots = self.roots();
+            self.tell(&roots);
+        }
+    }
+
+    fn roots(&self) -> Word {
+        Word::Roots(self.settings.roots.iter().map(SocketAddr::to_string).collect())
+    }
+
     fn draw(&mut self, below: u64) -> u64 {
         self.random =
             self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
--- a/harbour/fairway/tests/circle.rs
+++ b/harbour/fairway/tests/circle.rs
@@ -22,11 +22,13 @@
             (me, Relay::new(settings))
         };
         // The second one knows the first as a root: it will be told by it where to go.
-        Self {
+        let mut row = Self {
             relays: vec![relay(0, Some(7), 0), relay(1, None, 0), relay(2, None, 1)],
             deaf: vec![],
             pathless,
-        }
+        };
+        row.play(0, 0, Input::Told(flags::Pulse { fresh: true, ..flags::Pulse::default() }));
+        row
     }
 
     fn play(&mut self, now: u64, at: usize, input: Input) {
@@ -36,6 +38,10 @@
         relay.handle(now, input, &mut outputs);
         for output in outputs {
             let Output::Send { to, mut word } = output else { continue };
+            if matches!(word, Word::Roots(_)) {
+                // They would tell the second one of the root.
+                continue;
+            }
             if let (Word::Pulse { path, .. }, true) = (&mut word, self.pathless) {
                 path.clear();
             }
--- a/harbour/fairway/tests/world/mod.rs
+++ b/harbour/fairway/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 use fairway::{DEEPEST, Input, Output, Relay, Settings};
 use flags::relay::{Mark, Word};
-use flags::{Berth, Phase, Sheet};
+use flags::{Berth, Phase, Pulse, Sheet};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -94,10 +94,6 @@
     (0..bytes).map(|n| (n * 167 + n / 7) as u8).collect()
 }
 
-fn is_up(word: &Word) -> bool {
-    matches!(word, Word::Join { .. } | Word::Sign { .. } | Word::Missed { .. } | Word::Leave)
-}
-
 impl World {
     pub fn new(seed: u64, kinds: &[Kind], planted: Planted) -> Self {
         let node = |kind: &Kind| Node {
@@ -171,10 +167,11 @@
         node.table.clear();
         node.stored.clear();
         let epoch = node.kind.root.then_some(seed << 8 | at as u64);
-        let room = fairway::room(node.kind.mbps);
+        let room = fairway::room(node.kind.mbps, 10.0);
         node.relay = Some(Relay::new(Settings { me: address(at), room, epoch, roots, seed }));
         let life = node.life;
         if node.kind.root {
+            self.work(at, Input::Told(Pulse { fresh: true, ..Pulse::default() }));
             // A root that starts hears from the others what there is.
             let all: Vec<_> = self.truth.values().cloned().collect();
             self.work(at, Input::Change(all));
@@ -194,6 +191,7 @@
             match output {
                 Output::Send { to, word } => self.send(at, number(&to), word),
                 Output::Berths { whole, mark, berths } => self.told(at, whole, mark, &berths),
+                Output::Pulse(_) => {}
                 Output::Sheet(sheet) => {
                     if sheet.version <= self.nodes[at].version {
                         self.wrong.push(format!("{at} goes back to r{}", sheet.version));
@@ -235,7 +233,7 @@
     }
 
     fn send(&mut self, from: usize, to: usize, word: Word) {
-        let pair = if is_up(&word) { (from, to) } else { (to, from) };
+        let pair = if word.is_up() { (from, to) } else { (to, from) };
         if matches!(word, Word::Join { .. }) {
             // A new connection; what was on an old one is lost.
             self.counter += 1;
@@ -268,7 +266,7 @@
             self.nodes[to].stored.push((from, line, word));
             return;
         }
-        let pair = if is_up(&word) { (from, to) } else { (to, from) };
+        let pair = if word.is_up() { (from, to) } else { (to, from) };
         if self.lines.get(&pair) != Some(&line) {
             return;
         }
@@ -446,7 +444,8 @@
     /// How many follow the busiest process, against its room.
     pub fn fan_out(&self) -> (usize, usize) {
         let relays = self.nodes.iter().filter_map(|node| Some((node, node.relay.as_ref()?)));
-        let most = relays.map(|(node, relay)| (relay.followers().count(), fairway::room(node.kind.mbps)));
+        let most =
+            relays.map(|(node, relay)| (relay.followers().count(), fairway::room(node.kind.mbps, 10.0)));
         most.max().unwrap_or_default()
     }
 
--- a/harbour/flags/src/lib.rs
+++ b/harbour/flags/src/lib.rs
@@ -262,4 +262,6 @@
     Splice(Splice),
     /// Asks for the newest configuration whole: what came made none.
     Whole,
+    /// Between relays and those that follow them. A configuration goes as a [`Flag::Splice`] instead.
+    Relay(relay::Word),
 }
--- a/harbour/flags/src/relay.rs
+++ b/harbour/flags/src/relay.rs
@@ -37,6 +37,8 @@
 pub enum Word {
     /// Up, the first on a connection: asks to follow.
     Join {
+        /// Where the asker takes connections, `ip:port`.
+        at: String,
         /// What the asker has of the changes.
         mark: Mark,
         /// The newest configuration that it has.
@@ -61,7 +63,11 @@
         mark: Mark,
         /// The newest configuration that the sender has.
         version: u64,
+        /// What the root says of the harbour; the receiver's own number is not in it.
+        told: crate::Pulse,
     },
+    /// Down: where roots take connections.
+    Roots(Vec<String>),
     /// Down: the sender has lost whom it follows, and looks for another.
     Adrift,
     /// Up: a sign of life.
@@ -85,3 +91,10 @@
     /// Down: a configuration.
     Sheet(Sheet),
 }
+
+impl Word {
+    /// Whether a follower says it to the one that it follows or asks.
+    pub fn is_up(&self) -> bool {
+        matches!(self, Self::Join { .. } | Self::Sign { .. } | Self::Missed { .. } | Self::Leave)
+    }
+}
--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -6,6 +6,7 @@
 mod office;
 mod orders;
 mod told;
+mod tree;
 
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
@@ -107,6 +108,8 @@
     pub beat_interval: u64,
     /// The log's times.
     pub timing: Timing,
+    /// How many relays may follow it, if the tree is in use.
+    pub relay_room: Option<usize>,
     /// A number drawn for this life.
     pub seed: u64,
 }
@@ -116,6 +119,8 @@
     hail: Option<Hail>,
     dialed: Option<SocketAddr>,
     follows: bool,
+    /// Whether it draws on the counts here, and is to be known to the others by that.
+    here: bool,
     /// What it has, or will have once it has read all that was sent.
     has: Held,
     heard: u64,
@@ -158,6 +163,7 @@
     ledger: Ledger,
     config: Option<Config>,
     sheets: Sheets,
+    root: Option<tree::Root>,
     node: Option<Node>,
     disk: Option<Disk>,
     holder: Option<Holder>,
@@ -209,6 +215,7 @@
             ledger,
             config: None,
             sheets: Sheets::default(),
+            root: None,
             node,
             disk,
             holder: None,
@@ -280,6 +287,7 @@
             self.tend_calls(now);
             self.tend_lines(now);
             self.tend_office(now);
+            self.tend_tree(now);
         }
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
--- a/harbour/harbourmaster/src/master/links.rs
+++ b/harbour/harbourmaster/src/master/links.rs
@@ -9,8 +9,16 @@
             self.dialing.remove(&to);
             line.send(&Flag::Hail(self.settings.me.clone()));
         }
-        let peer =
-            Peer { line, hail: None, dialed, follows: false, has: Held::default(), heard: now, opened: now };
+        let peer = Peer {
+            line,
+            hail: None,
+            dialed,
+            follows: false,
+            here: false,
+            has: Held::default(),
+            heard: now,
+            opened: now,
+        };
         self.peers.insert(number, peer);
         if dialed.is_some() {
             self.tell_everything(number, now);
@@ -108,7 +116,7 @@
     }
 
     pub(super) fn quays_here(&self, now: u64) -> Vec<(String, u64)> {
-        let hails = self.peers.values().filter(|p| p.follows && now < p.heard + QUAY_SILENT);
+        let hails = self.peers.values().filter(|p| (p.follows || p.here) && now < p.heard + QUAY_SILENT);
         let quays = hails.filter_map(|p| p.hail.as_ref()).filter(|h| h.plane == Plane::Quay);
         quays.map(|h| (h.name.clone(), h.life)).collect()
     }
@@ -141,6 +149,8 @@
             Flag::Quays(quays) => quays.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life)),
             Flag::Here => {
                 let name = peer.hail.as_ref().map(|hail| hail.name.clone());
+                // Below a relay a quay follows no master: its sign to the holder of the counts says that it lives.
+                peer.here = self.root.is_some();
                 if let (Some(name), Some(holder)) = (name, &mut self.holder) {
                     holder.heard(now as f64, &name);
                 }
@@ -157,6 +167,7 @@
             Flag::Sheet(sheet) => self.on_sheet(sheet),
             Flag::Splice(splice) => self.on_splice(number, &splice),
             Flag::Whole => self.on_whole(number),
+            Flag::Relay(word) => self.on_relay(number, word),
             Flag::Grant(_) | Flag::NotHolder { .. } => {}
         }
     }
--- a/harbour/harbourmaster/src/master/news.rs
+++ b/harbour/harbourmaster/src/master/news.rs
@@ -123,6 +123,7 @@
         if !self.grown && now >= YOUNG {
             self.grown = true;
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
+            self.take_root(now);
         }
         self.watch.quays(now, self.fleet.lives());
         let fleet = self.fleet.size();
@@ -135,7 +136,8 @@
         if !berths.is_empty() {
             let now = self.now();
             self.watch.berths(now, &berths);
-            self.to_followers(&Flag::Berths { whole: false, berths });
+            self.to_followers(&Flag::Berths { whole: false, berths: berths.clone() });
+            self.tell_tree(fairway::Input::Change(berths));
         }
     }
 
@@ -148,6 +150,7 @@
         for number in followers {
             self.send_sheet(number);
         }
+        self.tell_tree_sheet();
         let (now, quotas) = (self.now(), self.quotas());
         if let Some(holder) = &mut self.holder {
             holder.quotas(now as f64, &quotas);
--- a/harbour/harbourmaster/tests/harbour.rs
+++ b/harbour/harbourmaster/tests/harbour.rs
@@ -58,7 +58,8 @@
                 };
                 let timing = Timing { pulse: 40, election: 300, lease: 200 };
                 let seed = at as u64 + 5;
-                let settings = MasterSettings { me, address, seeds, beat_interval: 500, timing, seed };
+                let settings =
+                    MasterSettings { me, address, seeds, beat_interval: 500, timing, relay_room: None, seed };
                 let numbers = Rc::new(Cell::new(0));
                 let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
                     numbers.set(numbers.get() + 1);
--- a/harbour/programs/src/lib.rs
+++ b/harbour/programs/src/lib.rs
@@ -29,15 +29,19 @@
     Harbourmaster,
 }
 
-/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file.
-pub fn serve(program: Program, settings: Option<PathBuf>) -> ExitCode {
+/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file. With `relays` news
+/// goes down a tree of relays, whatever the settings say.
+pub fn serve(program: Program, settings: Option<PathBuf>, relays: bool) -> ExitCode {
     let path = settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
     let Some(path) = path else {
         eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
         return ExitCode::from(UNUSABLE);
     };
     let settings = match manifest::Settings::read(&path) {
-        Ok(settings) => settings,
+        Ok(mut settings) => {
+            settings.tuning.relays |= relays;
+            settings
+        }
         Err(fault) => {
             eprintln!("{}: {fault}", path.display());
             return ExitCode::from(UNUSABLE);
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -22,9 +22,9 @@
 #[derive(Debug, Options)]
 enum Command {
     /// carry requests from clients to backends
-    Quay(Nothing),
+    Quay(Serve),
     /// serve control: backends' beats, the operator's calls, the log, the counts
-    Harbourmaster(Nothing),
+    Harbourmaster(Serve),
     /// check a settings file (TOML) or a configuration (JSON), every fault on a line of its own
     Check(Check),
     /// how a harbour stands, as one of its processes knows it
@@ -46,9 +46,12 @@
 }
 
 #[derive(Debug, Options)]
-struct Nothing {
+struct Serve {
     /// print this help
     help: bool,
+    /// news goes down a tree of relays, whatever the settings say; the same on all machines
+    #[options(no_short)]
+    relays: bool,
 }
 
 fn main() -> ExitCode {
@@ -57,14 +60,14 @@
         eprintln!("no command\n\n{}", Arguments::usage());
         return ExitCode::from(UNUSABLE);
     };
-    let program = match command {
+    let (program, relays) = match command {
         Command::Check(Check { file, .. }) => return check::run(&file),
         Command::Status(call) => return operate::run(operate::status(call)),
         Command::Config(call) => return operate::run(operate::config(call)),
         Command::Explain(call) => return operate::run(operate::explain(call)),
         Command::State(call) => return operate::told(operate::state(call)),
-        Command::Quay(_) => Program::Quay,
-        Command::Harbourmaster(_) => Program::Harbourmaster,
+        Command::Quay(serve) => (Program::Quay, serve.relays),
+        Command::Harbourmaster(serve) => (Program::Harbourmaster, serve.relays),
     };
-    serve(program, arguments.settings)
+    serve(program, arguments.settings, relays)
 }
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -67,6 +67,7 @@
             election: millis(settings.tuning.election),
             lease: millis(settings.tuning.lease),
         },
+        relay_room: settings.tuning.relays.then(|| start::room(&settings)),
         seed: life,
     };
     let numbers = Rc::new(Cell::new(0));
--- a/harbour/programs/src/quays.rs
+++ b/harbour/programs/src/quays.rs
@@ -10,7 +10,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tally::Quota;
-use tideway::{News, Pilot, PilotSettings};
+use tideway::{News, Pilot, PilotSettings, Place};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs until the platform ends it.
@@ -79,12 +79,19 @@
                 purser.fleet(pulse.fleet, pulse.fresh);
                 quay.fleet(pulse.fleet, pulse.number);
             }
+            News::Follows(relay) => {
+                spdlog::info!("the news comes from another one", kv: { step = "relay", peer = relay.to_string().as_str() });
+            }
             News::Grant(grant) => purser.granted(grant),
             News::Unanswered { number } => purser.unanswered(number),
         }
     };
     let seeds = start::seeds(&settings);
-    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, news));
+    let place = match settings.tuning.relays {
+        true => Some(place(&settings)?),
+        false => None,
+    };
+    *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds }, place, news));
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(async move {
@@ -108,6 +115,13 @@
     Ok(())
 }
 
+/// The second of the ports between gateways: the first is a harbourmaster's on the same machine.
+fn place(settings: &Settings) -> Result<Place> {
+    let port = start::peer_port(settings).saturating_add(1);
+    let at = SocketAddr::new(settings.ip, port);
+    Ok(Place { at, listener: start::listen("relays", at)?, room: start::room(settings) })
+}
+
 fn quotas(config: &Config) -> Vec<Quota> {
     let tenants = config.tenants.iter().flat_map(|tenants| tenants.values());
     let quota = |t: &manifest::Tenant| Quota {
--- a/harbour/programs/src/start.rs
+++ b/harbour/programs/src/start.rs
@@ -32,6 +32,11 @@
     settings.seed_list.iter().map(|seed| SocketAddr::new(seed.ip(), peer_port(settings))).collect()
 }
 
+/// How many may follow this process in the tree of relays.
+pub fn room(settings: &Settings) -> usize {
+    fairway::room(settings.link_mbps, settings.tuning.relay_share)
+}
+
 /// Listens, with a queue that bears a herd.
 ///
 /// # Errors
--- a/harbour/tideway/src/lib.rs
+++ b/harbour/tideway/src/lib.rs
@@ -10,10 +10,12 @@
 mod line;
 mod pilot;
 pub mod sheets;
+mod tree;
 
 pub use course::Course;
 pub use line::{Line, LineError, Reader, attach, dial};
-pub use pilot::{News, Pilot, PilotSettings};
+pub use pilot::{News, Pilot, PilotSettings, Place};
+pub use tree::{Signals, word_of};
 
 /// Runs a task for as long as the program runs.
 pub fn spawn(task: impl Future<Output = ()> + 'static) {
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -5,9 +5,13 @@
 use crate::line::{Line, LineError, Reader, dial};
 use crate::sheets;
 use crate::spawn;
+use crate::tree::{self, Tree};
+use fairway::{Input, Output};
 use flags::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -32,6 +36,8 @@
     },
     /// How things stand.
     Pulse(Pulse),
+    /// Whom this process follows in the tree of relays.
+    Follows(SocketAddr),
     /// An answer to a draw.
     Grant(tally::Grant),
     /// A draw that gets no answer.
@@ -50,6 +56,17 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// What a follower is told that takes a place in the tree of relays.
+#[derive(Debug)]
+pub struct Place {
+    /// Where it takes connections of those that follow it.
+    pub at: SocketAddr,
+    /// There.
+    pub listener: TcpListener,
+    /// How many may.
+    pub room: usize,
+}
+
 /// A follower of the news.
 pub struct Pilot {
     orders: mpsc::Sender<Order>,
@@ -62,9 +79,11 @@
 
 impl Pilot {
     /// Follows from now on; `news` hears all of it, in order.
-    pub fn start(settings: PilotSettings, news: impl FnMut(News) + 'static) -> Self {
+    ///
+    /// With a place it follows whom the tree names, and passes the news on; else a process that serves control.
+    pub fn start(settings: PilotSettings, place: Option<Place>, news: impl FnMut(News) + 'static) -> Self {
         let (orders, queue) = mpsc::channel(64);
-        spawn(Helm::run(settings, Box::new(news), queue));
+        spawn(Helm::run(settings, place, Box::new(news), queue));
         Self { orders }
     }
 
@@ -102,12 +121,16 @@
     began: Instant,
     numbers: u64,
     master: Option<Voyage>,
+    tree: Option<Tree>,
     holder: Option<Voyage>,
     /// What was taken last, and its body: what comes next may be a change of it.
     have: Held,
     body: Vec<u8>,
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<Sheet>,
+    above: Option<SocketAddr>,
+    /// What the last root heard of said of itself, with a place in the tree.
+    root_fresh: bool,
     signed: Instant,
     drawn: Option<(u64, Instant)>,
     events: mpsc::Sender<Event>,
@@ -115,10 +138,14 @@
 }
 
 impl Helm {
-    async fn run(settings: PilotSettings, news: Box<dyn FnMut(News)>, mut orders: mpsc::Receiver<Order>) {
+    async fn run(
+        settings: PilotSettings, place: Option<Place>, news: Box<dyn FnMut(News)>,
+        mut orders: mpsc::Receiver<Order>,
+    ) {
         let (events, mut inbox) = mpsc::channel(256);
         let (lines, mut up) = mpsc::channel(8);
         let (me, began) = (&settings.me, Instant::now());
+        let (tree, mut said) = place.map(|place| moored(place, &settings)).unzip();
         let course = Course::new(0, &me.name, &me.zone, me.address.parse().ok(), settings.seeds.clone());
         let mut helm = Self {
             settings,
@@ -127,10 +154,13 @@
             began,
             numbers: 0,
             master: None,
+            tree,
             holder: None,
             have: Held::default(),
             body: Vec::new(),
             doubtful: None,
+            above: None,
+            root_fresh: false,
             signed: began,
             drawn: None,
             events,
@@ -142,9 +172,10 @@
             tokio::select! {
                 Some((number, line)) = up.recv() => helm.on_up(number, line),
                 Some((number, event)) = inbox.recv() => helm.on_event(number, event),
+                Some(event) = next(&mut said) => helm.on_tree(event),
                 order = orders.recv() => match order {
                     Some(Order::Draw(draw)) => helm.on_draw(draw),
-                    Some(Order::Seeds(seeds)) => helm.course.seeds(seeds),
+                    Some(Order::Seeds(seeds)) => helm.on_seeds(seeds),
                     None => return,
                 },
                 _ = tick.tick() => helm.on_tick(),
@@ -191,10 +222,14 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
+        if self.tree.is_some() {
+            self.tend_tree(now);
+        } else if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
             self.leave();
         }
-        if let Some(to) = self.course.choose(now) {
+        if self.tree.is_none()
+            && let Some(to) = self.course.choose(now)
+        {
             self.master = Some(self.voyage(to));
         }
         self.take_doubtful();
@@ -314,7 +349,7 @@
     }
 
     fn take_doubtful(&mut self) {
-        if self.doubtful.is_none() || self.have.version == 0 && !self.course.may_begin(self.now()) {
+        if self.doubtful.is_none() || self.have.version == 0 && !self.may_begin() {
             return;
         }
         if let Some(sheet) = self.doubtful.take().filter(|sheet| sheet.version > self.have.version) {
@@ -324,6 +359,56 @@
         }
     }
 
+    fn on_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        if self.tree.is_some() {
+            self.work_tree(self.now(), Input::Roots(seeds.clone()));
+        }
+        self.course.seeds(seeds);
+    }
+
+    fn may_begin(&self) -> bool {
+        self.root_fresh || self.course.may_begin(self.now())
+    }
+
+    fn tend_tree(&mut self, now: u64) {
+        let lost = self.tree.as_mut().and_then(|tree| tree.lost(now));
+        for input in lost.into_iter().chain([Input::Tick]) {
+            self.work_tree(now, input);
+        }
+    }
+
+    fn on_tree(&mut self, event: tree::Event) {
+        let now = self.now();
+        if let Some(input) = self.tree.as_mut().and_then(|tree| tree.input(now, event)) {
+            self.work_tree(now, input);
+        }
+    }
+
+    fn work_tree(&mut self, now: u64, input: Input) {
+        let news = self.tree.as_mut().map(|tree| tree.work(now, input));
+        let above = self.tree.as_ref().and_then(Tree::follows);
+        if let Some(above) = above.filter(|_| above != self.above) {
+            (self.news)(News::Follows(above));
+        }
+        self.above = above;
+        for output in news.into_iter().flatten() {
+            let flag = match output {
+                Output::Pulse(mut pulse) => {
+                    self.root_fresh = pulse.fresh;
+                    // The root does not count those that it does not know one by one.
+                    let mut hasher = DefaultHasher::new();
+                    self.settings.me.name.hash(&mut hasher);
+                    pulse.number = (hasher.finish() % u64::from(pulse.fleet.max(1))) as u32;
+                    Flag::Pulse(pulse)
+                }
+                Output::Sheet(sheet) => Flag::Sheet(sheet),
+                Output::Berths { whole, berths, .. } => Flag::Berths { whole, berths },
+                Output::Send { .. } => continue,
+            };
+            self.on_news(flag, now);
+        }
+    }
+
     fn on_draw(&mut self, draw: tally::Draw) {
         let number = draw.number;
         let line = self.holder.as_ref().and_then(|v| v.line.as_ref());
@@ -334,3 +419,18 @@
         }
     }
 }
+
+fn moored(place: Place, settings: &PilotSettings) -> (Tree, mpsc::Receiver<tree::Event>) {
+    let Place { at, listener, room } = place;
+    let (roots, seed) = (settings.seeds.clone(), settings.me.life | 1);
+    let about = fairway::Settings { me: at, room, epoch: None, roots, seed };
+    Tree::start(about, settings.me.clone(), listener)
+}
+
+/// The next event of a tree, if there is one.
+async fn next(said: &mut Option<mpsc::Receiver<tree::Event>>) -> Option<tree::Event> {
+    match said {
+        Some(said) => said.recv().await,
+        None => std::future::pending().await,
+    }
+}
