--- a/harbour/harbourmaster/src/master.rs
+++ b/harbour/harbourmaster/src/master.rs
@@ -6,6 +6,7 @@
 mod office;
 mod orders;
 mod told;
+mod tree;
 
 use crate::calls::{Call, Reply};
 use crate::disk::Disk;
@@ -13,7 +14,7 @@
 use crate::lines::carry;
 use crate::watch::{Watch, What as Happened};
 use buoys::{Fleet, Judgement, Register};
-use flags::{Berth, Flag, Hail, MasterCard, Order, Plane, Pulse, Sheet};
+use flags::{Berth, Flag, Hail, Held, MasterCard, Order, Plane, Pulse, Sheet, Splice};
 use logbook::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
 use manifest::{Config, Detours};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -21,6 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tally::{Office, Placer, Quota, Roster};
+use tideway::sheets::{self, Sheets};
 use tideway::{Line, LineError, Lookout, dial};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -118,6 +120,8 @@
     pub timing: Timing,
     /// Draws a second that one holder of counts bears: more, and the leader shares the counts out. 0 for never.
     pub draws_a_holder: f64,
+    /// How many relays may follow it, if the tree is in use.
+    pub relay_room: Option<usize>,
     /// A number drawn for this life.
     pub seed: u64,
     /// By which ways others are reached.
@@ -140,6 +144,10 @@
     hail: Option<Hail>,
     dialed: Option<SocketAddr>,
     follows: bool,
+    /// Whether it draws on the counts here, and is to be known to the others by that.
+    here: bool,
+    /// What it has, or will have once it has read all that was sent.
+    has: Held,
     heard: u64,
     opened: u64,
     /// The quays that it said it hears, until it says otherwise.
@@ -181,9 +189,10 @@
     fleet: Fleet,
     ledger: Ledger,
     config: Option<Config>,
-    sheet: Option<Rc<[u8]>>,
+    sheets: Sheets,
     /// Entries have brought another configuration into force, and followers are yet to be told.
     changed: bool,
+    root: Option<tree::Root>,
     node: Option<Node>,
     disk: Option<Disk>,
     office: Office,
@@ -246,8 +255,9 @@
             fleet: Fleet::default(),
             ledger,
             config: None,
-            sheet: None,
+            sheets: Sheets::default(),
             changed: false,
+            root: None,
             node,
             disk,
             office: Office::new(&settings.address.to_string()),
@@ -336,6 +346,7 @@
             self.tend_calls(now);
             self.tend_lines(now);
             self.tend_office(now);
+            self.tend_tree(now);
         }
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
--- a/harbour/harbourmaster/tests/bytes.rs
+++ b/harbour/harbourmaster/tests/bytes.rs
@@ -1,7 +1,8 @@
 //! All readers of bytes from outside, against bytes that are nearly right: none panics, each says what is wrong in
 //! few words, and what is taken for right is read the same again.
 
-use flags::{Berth, Flag, Hail, Phase, Plane, Pulse, frame, unframe};
+use flags::relay::{Mark, Word};
+use flags::{Berth, Flag, Hail, Held, Phase, Plane, Pulse, Splice, frame, unframe};
 use harbourmaster::{CALLS, Call, Change, Ledger, Place};
 use hyper::header::{HeaderMap, HeaderValue};
 use manifest::{Config, Settings};
@@ -117,7 +118,9 @@
     };
     let whole = [
         Flag::Hail(hail),
-        Flag::Follow { have: 7 },
+        Flag::Follow { have: Held { version: 7, mark: 9 } },
+        Flag::Splice(Splice { version: 8, base: 7, digest: [7; 32], length: 9, bytes: vec![1, 2, 3] }),
+        Flag::Relay(Word::Missed { mark: Mark { epoch: 3, sequence: 4 }, version: 7 }),
         Flag::Pulse(Pulse::default()),
         Flag::Heard(vec![("i-1".into(), 3), ("i-2".into(), 9)]),
         Flag::Berths { whole: true, berths: vec![berth("i-1", 4), berth("i-2", u64::MAX)] },
--- a/harbour/programs/src/lib.rs
+++ b/harbour/programs/src/lib.rs
@@ -29,9 +29,17 @@
     Harbourmaster,
 }
 
-/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file. `watching`: processes
-/// watch each other, whatever the settings say.
-pub fn serve(program: Program, settings: Option<PathBuf>, watching: bool) -> ExitCode {
+/// What the command line turns on, whatever the settings say.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Switches {
+    /// Processes watch each other.
+    pub watching: bool,
+    /// News goes down a tree of relays.
+    pub relays: bool,
+}
+
+/// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file.
+pub fn serve(program: Program, settings: Option<PathBuf>, switches: Switches) -> ExitCode {
     let path = settings.or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from));
     let Some(path) = path else {
         eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
@@ -44,7 +52,8 @@
             return ExitCode::from(UNUSABLE);
         }
     };
-    settings.tuning.watching |= watching;
+    settings.tuning.watching |= switches.watching;
+    settings.tuning.relays |= switches.relays;
     if let Err(error) = logs::start(&settings.tuning.log_level) {
         eprintln!("logs: {error}");
         return ExitCode::from(UNUSABLE);
--- a/harbour/programs/src/main.rs
+++ b/harbour/programs/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use gumdrop::Options;
-use harbour::{Program, UNUSABLE, check, operate, serve};
+use harbour::{Program, Switches, UNUSABLE, check, operate, serve};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -53,6 +53,9 @@
     help: bool,
     /// watch a few other processes, and be watched by them
     watching: bool,
+    /// news goes down a tree of relays, whatever the settings say; the same on all machines
+    #[options(no_short)]
+    relays: bool,
 }
 
 fn main() -> ExitCode {
@@ -61,15 +64,16 @@
         eprintln!("no command\n\n{}", Arguments::usage());
         return ExitCode::from(UNUSABLE);
     };
-    let (program, watching) = match command {
+    let (program, plane) = match command {
         Command::Check(Check { file, .. }) => return check::run(&file),
         Command::Status(call) => return operate::run(operate::status(call)),
         Command::Config(call) => return operate::run(operate::config(call)),
         Command::Explain(call) => return operate::run(operate::explain(call)),
         Command::State(call) => return operate::told(operate::state(call)),
         Command::Voter(call) => return operate::run(operate::voter(call)),
-        Command::Quay(plane) => (Program::Quay, plane.watching),
-        Command::Harbourmaster(plane) => (Program::Harbourmaster, plane.watching),
+        Command::Quay(plane) => (Program::Quay, plane),
+        Command::Harbourmaster(plane) => (Program::Harbourmaster, plane),
     };
-    serve(program, arguments.settings, watching)
+    let Plane { watching, relays, .. } = plane;
+    serve(program, arguments.settings, Switches { watching, relays })
 }
