--- a/harbour/drydock/src/main.rs
+++ b/harbour/drydock/src/main.rs
@@ -305,5 +305,5 @@
         eprintln!("is started by drydock only");
         return ExitCode::from(UNUSABLE);
     }
-    harbour::serve(program, None, false)
+    harbour::serve(program, None, harbour::Switches::default())
 }
--- a/harbour/harbourmaster/src/master/links.rs
+++ b/harbour/harbourmaster/src/master/links.rs
@@ -9,8 +9,17 @@
             self.dialing.remove(&to);
             line.send(&Flag::Hail(self.settings.me.clone()));
         }
-        let peer =
-            Peer { line, hail: None, dialed, follows: false, heard: now, opened: now, quays: Vec::new() };
+        let peer = Peer {
+            line,
+            hail: None,
+            dialed,
+            follows: false,
+            here: false,
+            has: Held::default(),
+            heard: now,
+            opened: now,
+            quays: Vec::new(),
+        };
         self.peers.insert(number, peer);
         if dialed.is_some() {
             self.tell_everything(number, now);
@@ -108,7 +117,7 @@
     }
 
     pub(super) fn quays_here(&self, now: u64) -> Vec<(String, u64)> {
-        let hails = self.peers.values().filter(|p| p.follows && now < p.heard + QUAY_SILENT);
+        let hails = self.peers.values().filter(|p| (p.follows || p.here) && now < p.heard + QUAY_SILENT);
         let quays = hails.filter_map(|p| p.hail.as_ref()).filter(|h| h.plane == Plane::Quay);
         quays.map(|h| (h.name.clone(), h.life)).collect()
     }
@@ -143,6 +152,8 @@
                 peer.quays = quays;
             }
             Flag::Here { epoch } => {
+                // Below a relay a quay follows no master: its sign to the holders of the counts says that it lives.
+                peer.here = self.root.is_some();
                 if let Some(hail) = &peer.hail {
                     self.office.heard(now as f64, &hail.name, epoch);
                 }
@@ -163,6 +174,9 @@
             // News of another master, for those without a log.
             Flag::Pulse(pulse) => self.on_pulse(pulse, now),
             Flag::Sheet(sheet) => self.on_sheet(sheet),
+            Flag::Splice(splice) => self.on_splice(number, &splice),
+            Flag::Whole => self.on_whole(number),
+            Flag::Relay(word) => self.on_relay(number, word),
             Flag::Grant(_) | Flag::NotHolder { .. } => {}
         }
     }
@@ -222,8 +236,7 @@
         }
     }
 
-    pub(super) fn on_follow(&mut self, number: u64, have: u64, now: u64) {
-        let version = self.ledger.version();
+    pub(super) fn on_follow(&mut self, number: u64, have: Held, now: u64) {
         let pulse = self.pulse_for(number, now);
         let Some(peer) = self.peers.get_mut(&number) else { return };
         if let Some(hail) = &peer.hail
@@ -231,20 +244,20 @@
         {
             self.fleet.heard(now, &hail.name, hail.life);
         }
+        // A sign of life may have been on its way while a newer one was sent.
+        if have.version >= peer.has.version {
+            peer.has = have;
+        }
         if std::mem::replace(&mut peer.follows, true) {
             return;
         }
         peer.line.send(&Flag::Pulse(pulse));
-        if version > have
-            && let Some(sheet) = &self.sheet
-        {
-            peer.line.send_frame(sheet.clone());
-        }
+        self.send_sheet(number);
         let young = now < YOUNG;
         let berths = if young { self.register.everything(now) } else { self.register.all(now) };
-        peer.line.send(&Flag::Berths { whole: !young, berths });
         let cards = self.cards();
         if let Some(peer) = self.peers.get(&number) {
+            peer.line.send(&Flag::Berths { whole: !young, berths });
             peer.line.send(&Flag::Masters(cards));
         }
     }
--- a/harbour/programs/src/master.rs
+++ b/harbour/programs/src/master.rs
@@ -68,6 +68,7 @@
             lease: millis(settings.tuning.lease),
         },
         draws_a_holder: settings.tuning.draws_a_holder,
+        relay_room: settings.tuning.relays.then(|| start::room(&settings)),
         seed: life,
         ways: settings.tuning.ways.clone(),
     };
--- a/harbour/tideway/src/pilot.rs
+++ b/harbour/tideway/src/pilot.rs
@@ -3,12 +3,17 @@
 
 use crate::course::Course;
 use crate::line::{Line, LineError, Reader, dial};
+use crate::sheets;
 use crate::spawn;
-use flags::{Berth, Flag, Hail, MasterCard, Pulse, Sheet};
+use crate::tree::{self, Tree};
+use fairway::{Input, Output};
+use flags::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
 use manifest::Detours;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tally::Roster;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -35,6 +40,8 @@
     Pulse(Pulse),
     /// Who holds the counts.
     Roster(Roster),
+    /// Whom this process follows in the tree of relays.
+    Follows(SocketAddr),
     /// An answer to a draw.
     Grant(tally::Grant),
     /// A draw that gets no answer.
@@ -55,6 +62,17 @@
     pub ways: Detours,
 }
 
+/// What a follower is told that takes a place in the tree of relays.
+#[derive(Debug)]
+pub struct Place {
+    /// Where it takes connections of those that follow it.
+    pub at: SocketAddr,
+    /// There.
+    pub listener: TcpListener,
+    /// How many may.
+    pub room: usize,
+}
+
 /// A follower of the news.
 pub struct Pilot {
     orders: mpsc::Sender<Order>,
@@ -67,9 +85,11 @@
 
 impl Pilot {
     /// Follows from now on; `news` hears all of it, in order.
-    pub fn start(settings: PilotSettings, news: impl FnMut(News) + 'static) -> Self {
+    ///
+    /// With a place it follows whom the tree names, and passes the news on; else a process that serves control.
+    pub fn start(settings: PilotSettings, place: Option<Place>, news: impl FnMut(News) + 'static) -> Self {
         let (orders, queue) = mpsc::channel(64);
-        spawn(Helm::run(settings, Box::new(news), queue));
+        spawn(Helm::run(settings, place, Box::new(news), queue));
         Self { orders }
     }
 
@@ -113,10 +133,16 @@
     began: Instant,
     numbers: u64,
     master: Option<Voyage>,
+    tree: Option<Tree>,
     holders: Vec<Holder>,
-    have: u64,
+    /// What was taken last, and its body: what comes next may be a change of it.
+    have: Held,
+    body: Vec<u8>,
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<Sheet>,
+    above: Option<SocketAddr>,
+    /// What the last root heard of said of itself, with a place in the tree.
+    root_fresh: bool,
     signed: Instant,
     roster: Roster,
     events: mpsc::Sender<Event>,
@@ -124,10 +150,14 @@
 }
 
 impl Helm {
-    async fn run(settings: PilotSettings, news: Box<dyn FnMut(News)>, mut orders: mpsc::Receiver<Order>) {
+    async fn run(
+        settings: PilotSettings, place: Option<Place>, news: Box<dyn FnMut(News)>,
+        mut orders: mpsc::Receiver<Order>,
+    ) {
         let (events, mut inbox) = mpsc::channel(256);
         let (lines, mut up) = mpsc::channel(8);
         let (me, began) = (&settings.me, Instant::now());
+        let (tree, mut said) = place.map(|place| moored(place, &settings)).unzip();
         let course = Course::new(0, &me.name, &me.zone, me.address.parse().ok(), settings.seeds.clone());
         let mut helm = Self {
             settings,
@@ -136,9 +166,13 @@
             began,
             numbers: 0,
             master: None,
+            tree,
             holders: Vec::new(),
-            have: 0,
+            have: Held::default(),
+            body: Vec::new(),
             doubtful: None,
+            above: None,
+            root_fresh: false,
             signed: began,
             roster: Roster::default(),
             events,
@@ -150,9 +184,10 @@
             tokio::select! {
                 Some((number, line)) = up.recv() => helm.on_up(number, line),
                 Some((number, event)) = inbox.recv() => helm.on_event(number, event),
+                Some(event) = next(&mut said) => helm.on_tree(event),
                 order = orders.recv() => match order {
                     Some(Order::Draw(to, draw)) => helm.on_draw(to, draw),
-                    Some(Order::Seeds(seeds)) => helm.course.seeds(seeds),
+                    Some(Order::Seeds(seeds)) => helm.on_seeds(seeds),
                     None => return,
                 },
                 _ = tick.tick() => helm.on_tick(),
@@ -200,10 +235,14 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
+        if self.tree.is_some() {
+            self.tend_tree(now);
+        } else if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
             self.leave();
         }
-        if let Some(to) = self.course.choose(now) {
+        if self.tree.is_none()
+            && let Some(to) = self.course.choose(now)
+        {
             self.master = Some(self.voyage(to));
         }
         self.take_doubtful();
@@ -307,6 +346,7 @@
                 self.doubtful = Some(sheet);
                 self.take_doubtful();
             }
+            Flag::Splice(splice) => self.on_splice(&splice),
             Flag::Berths { whole, berths } => (self.news)(News::Berths { whole, berths }),
             Flag::Masters(cards) => {
                 let read = |card: MasterCard| Some((card.address.parse().ok()?, card.zone));
@@ -316,16 +356,88 @@
         }
     }
 
+    /// A configuration as a difference. Whoever sent one that makes nothing here is asked for the whole.
+    fn on_splice(&mut self, splice: &Splice) {
+        if splice.version <= self.have.version {
+            return;
+        }
+        let doubtful = self.doubtful.as_ref().filter(|sheet| sheet.version == splice.base);
+        let taken = (splice.base == self.have.version).then_some(&self.body);
+        let base = doubtful.map(|sheet| &sheet.body).or(taken).map(Vec::as_slice);
+        match sheets::rebuild(base, splice) {
+            Ok(sheet) => {
+                self.doubtful = Some(sheet);
+                self.take_doubtful();
+            }
+            Err(_) => {
+                if let Some(line) = self.master.as_ref().and_then(|v| v.line.as_ref()) {
+                    line.send(&Flag::Whole);
+                }
+            }
+        }
+    }
+
     fn take_doubtful(&mut self) {
-        if self.doubtful.is_none() || self.have == 0 && !self.course.may_begin(self.now()) {
+        if self.doubtful.is_none() || self.have.version == 0 && !self.may_begin() {
             return;
         }
-        if let Some(sheet) = self.doubtful.take().filter(|sheet| sheet.version > self.have) {
-            self.have = sheet.version;
+        if let Some(sheet) = self.doubtful.take().filter(|sheet| sheet.version > self.have.version) {
+            self.have = sheets::held(sheet.version, &sheet.body);
+            self.body.clone_from(&sheet.body);
             (self.news)(News::Sheet(sheet));
         }
     }
 
+    fn on_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        if self.tree.is_some() {
+            self.work_tree(self.now(), Input::Roots(seeds.clone()));
+        }
+        self.course.seeds(seeds);
+    }
+
+    fn may_begin(&self) -> bool {
+        self.root_fresh || self.course.may_begin(self.now())
+    }
+
+    fn tend_tree(&mut self, now: u64) {
+        let lost = self.tree.as_mut().and_then(|tree| tree.lost(now));
+        for input in lost.into_iter().chain([Input::Tick]) {
+            self.work_tree(now, input);
+        }
+    }
+
+    fn on_tree(&mut self, event: tree::Event) {
+        let now = self.now();
+        if let Some(input) = self.tree.as_mut().and_then(|tree| tree.input(now, event)) {
+            self.work_tree(now, input);
+        }
+    }
+
+    fn work_tree(&mut self, now: u64, input: Input) {
+        let news = self.tree.as_mut().map(|tree| tree.work(now, input));
+        let above = self.tree.as_ref().and_then(Tree::follows);
+        if let Some(above) = above.filter(|_| above != self.above) {
+            (self.news)(News::Follows(above));
+        }
+        self.above = above;
+        for output in news.into_iter().flatten() {
+            let flag = match output {
+                Output::Pulse(mut pulse) => {
+                    self.root_fresh = pulse.fresh;
+                    // The root does not count those that it does not know one by one.
+                    let mut hasher = DefaultHasher::new();
+                    self.settings.me.name.hash(&mut hasher);
+                    pulse.number = (hasher.finish() % u64::from(pulse.fleet.max(1))) as u32;
+                    Flag::Pulse(pulse)
+                }
+                Output::Sheet(sheet) => Flag::Sheet(sheet),
+                Output::Berths { whole, berths, .. } => Flag::Berths { whole, berths },
+                Output::Send { .. } => continue,
+            };
+            self.on_news(flag, now);
+        }
+    }
+
     fn on_draw(&mut self, to: SocketAddr, draw: tally::Draw) {
         let number = draw.number;
         let holder = self.holders.iter_mut().find(|holder| holder.voyage.to == to);
@@ -336,3 +448,18 @@
         }
     }
 }
+
+fn moored(place: Place, settings: &PilotSettings) -> (Tree, mpsc::Receiver<tree::Event>) {
+    let Place { at, listener, room } = place;
+    let (roots, seed) = (settings.seeds.clone(), settings.me.life | 1);
+    let about = fairway::Settings { me: at, room, epoch: None, roots, seed };
+    Tree::start(about, settings.me.clone(), settings.ways.clone(), listener)
+}
+
+/// The next event of a tree, if there is one.
+async fn next(said: &mut Option<mpsc::Receiver<tree::Event>>) -> Option<tree::Event> {
+    match said {
+        Some(said) => said.recv().await,
+        None => std::future::pending().await,
+    }
+}
