--- a/crates/harbourmaster/src/disk.rs
+++ b/crates/harbourmaster/src/disk.rs
@@ -2,9 +2,9 @@
 
 use crate::ledger::Ledger;
 use crate::master::Command;
-use logbook::store::Store;
-use logbook::{Save, Saved, Told, VoterId, Writer};
 use miette::Diagnostic;
+use raft::store::Store;
+use raft::{Save, Saved, Told, VoterId, Writer};
 use std::path::Path;
 use thiserror::Error;
 use tokio::sync::mpsc;
--- a/crates/harbourmaster/tests/harbour.rs
+++ b/crates/harbourmaster/tests/harbour.rs
@@ -2,7 +2,7 @@
 
 use flags::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use harbourmaster::{Disk, Master, MasterSettings};
-use logbook::{Timing, VoterId};
+use raft::{Timing, VoterId};
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/programs/src/master.rs
+++ b/crates/programs/src/master.rs
@@ -3,9 +3,9 @@
 use crate::start;
 use flags::{Hail, Plane};
 use harbourmaster::{Disk, Master, MasterSettings};
-use logbook::{Timing, VoterId};
 use manifest::Settings;
 use miette::{Result, miette};
+use raft::{Timing, VoterId};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/programs/src/operate/state.rs
+++ b/crates/programs/src/operate/state.rs
@@ -3,8 +3,8 @@
 use super::Trouble;
 use gumdrop::Options;
 use harbourmaster::{Change, Ledger, Marks};
-use logbook::store::{Store, StoreError};
-use logbook::{Entry, Saved, What};
+use raft::store::{Store, StoreError};
+use raft::{Entry, Saved, What};
 use serde_json::{Value, json};
 use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
@@ -122,7 +122,7 @@
         _ => None,
     });
     let members = newest.or(saved.snapshot.as_ref().map(|s| &s.members)).unwrap_or(&saved.founders);
-    let all = |list: &[logbook::VoterId]| list.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let all = |list: &[raft::VoterId]| list.iter().map(ToString::to_string).collect::<Vec<_>>();
     Ok(
         json!({ "me": saved.me.to_string(), "term": saved.term, "vote": saved.vote.as_ref().map(ToString::to_string),
         "founders": all(&saved.founders), "members": all(members), "snapshot": snapshot, "entries": entries }),
@@ -159,7 +159,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use logbook::{Save, Snapshot, VoterId};
+    use raft::{Save, Snapshot, VoterId};
 
     fn called(folder: &Path, kind: fn(Folder) -> Kind) -> Result<String, u8> {
         let folder = Folder { help: false, json: false, folder: folder.to_path_buf() };
--- a/crates/logbook/src/agreement/mod.rs
+++ b/crates/raft/src/agreement/mod.rs
@@ -118,7 +118,7 @@
     from_exchanged = { exchanged },
     from_compacted = { compacted },
 )]
-#[ignore = "some minutes: cargo test --release -p logbook --lib -- --ignored --nocapture --test-threads 2"]
+#[ignore = "some minutes: cargo test --release -p raft --lib -- --ignored --nocapture --test-threads 2"]
 fn nothing_that_must_never_be_is_far_off(start: fn(Plant) -> World) {
     let reach = search(start(Plant::Nothing), 100, 1_000_000).unwrap_or_else(|fault| panic!("{fault}"));
     println!("{:?} {reach:?}", std::thread::current().name());
--- a/crates/logbook/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -20,7 +20,7 @@
 
 // What tests share names this crate as they do.
 #[cfg(test)]
-extern crate self as logbook;
+extern crate self as raft;
 
 pub use node::{Faults, Node};
 pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
--- a/crates/logbook/src/store.rs
+++ b/crates/raft/src/store.rs
@@ -43,7 +43,7 @@
 #[derive(Debug, Diagnostic)]
 pub enum StoreError {
     /// The file, or the disk under it, failed.
-    #[diagnostic(code(logbook::store::failed), help("look at the disk: its room, its rights, its errors"))]
+    #[diagnostic(code(raft::store::failed), help("look at the disk: its room, its rights, its errors"))]
     Failed {
         /// What was being done.
         step: &'static str,
@@ -53,7 +53,7 @@
         cause: Box<redb::Error>,
     },
     /// What is in the file is not what was written.
-    #[diagnostic(code(logbook::store::damaged), help("set the file aside and join as a new voter"))]
+    #[diagnostic(code(raft::store::damaged), help("set the file aside and join as a new voter"))]
     Damaged {
         /// What is damaged.
         what: String,
@@ -61,10 +61,7 @@
         path: PathBuf,
     },
     /// The file was written by another version of this program.
-    #[diagnostic(
-        code(logbook::store::schema),
-        help("start the version that wrote it, or set the file aside")
-    )]
+    #[diagnostic(code(raft::store::schema), help("start the version that wrote it, or set the file aside"))]
     Schema {
         /// The version of its contents.
         found: u64,
@@ -72,13 +69,13 @@
         path: PathBuf,
     },
     /// A file that already belongs to a node was to be created again.
-    #[diagnostic(code(logbook::store::taken))]
+    #[diagnostic(code(raft::store::taken))]
     Taken {
         /// The file.
         path: PathBuf,
     },
     /// The file could not be moved out of the way.
-    #[diagnostic(code(logbook::store::set_aside))]
+    #[diagnostic(code(raft::store::set_aside))]
     SetAside {
         /// The file.
         path: PathBuf,
--- a/crates/logbook/tests/disk.rs
+++ b/crates/raft/tests/disk.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Seek, SeekFrom, Write};
 
-use logbook::store::{Store, StoreError};
-use logbook::{Entry, Input, Node, Output, Save, Saved, Snapshot, Timing, Told, VoterId, What, Writer};
+use raft::store::{Store, StoreError};
+use raft::{Entry, Input, Node, Output, Save, Saved, Snapshot, Timing, Told, VoterId, What, Writer};
 use yare::parameterized;
 
 fn voter(number: u64) -> VoterId {
--- a/crates/logbook/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -3,7 +3,7 @@
 mod kept;
 mod world;
 
-use logbook::{Faults, Input};
+use raft::{Faults, Input};
 use world::World;
 use yare::parameterized;
 
--- a/crates/logbook/tests/kept/mod.rs
+++ b/crates/raft/tests/kept/mod.rs
@@ -1,6 +1,6 @@
 //! What a disk has after a save, told without one.
 
-use logbook::{Save, Saved, VoterId};
+use raft::{Save, Saved, VoterId};
 
 pub fn empty(me: VoterId, founders: Vec<VoterId>) -> Saved {
     Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders }
--- a/crates/logbook/tests/power.rs
+++ b/crates/raft/tests/power.rs
@@ -6,8 +6,8 @@
 use std::panic::catch_unwind;
 
 use kept::{apply, empty};
-use logbook::store::{Store, StoreError};
-use logbook::{Entry, Save, Saved, Snapshot, VoterId, What};
+use raft::store::{Store, StoreError};
+use raft::{Entry, Save, Saved, Snapshot, VoterId, What};
 use tape::{Op, Tape, put};
 
 fn voter(number: u64) -> VoterId {
@@ -207,7 +207,7 @@
 }
 
 #[test]
-#[ignore = "some minutes: cargo test --release -p logbook --test power -- --ignored"]
+#[ignore = "some minutes: cargo test --release -p raft --test power -- --ignored"]
 fn power_may_go_at_any_write_of_a_long_life() {
     let (tape, states) = recorded(5);
     let (mut losses, mut later) = (0, 0);
@@ -220,7 +220,7 @@
 
 /// A process that was killed leaves a file that is longer than its contents: it is made smaller when it is opened.
 #[test]
-#[ignore = "a minute: cargo test --release -p logbook --test power -- --ignored"]
+#[ignore = "a minute: cargo test --release -p raft --test power -- --ignored"]
 fn power_may_go_while_a_file_is_made_smaller() {
     let (tape, mut draw) = (Tape::default(), Draw(3));
     let (store, _) = Store::on(tape.clone(), "tape").unwrap();
@@ -323,7 +323,7 @@
 }
 
 #[test]
-#[ignore = "some minutes: cargo test --release -p logbook --test power -- --ignored"]
+#[ignore = "some minutes: cargo test --release -p raft --test power -- --ignored"]
 fn any_changed_byte_is_told_or_does_no_harm() {
     let (bytes, states) = left_behind(true);
     let found = Found::flip(&bytes, &states, 1);
--- a/crates/logbook/tests/rules.rs
+++ b/crates/raft/tests/rules.rs
@@ -1,6 +1,6 @@
 //! Single rules of one node.
 
-use logbook::{Entry, Faults, Input, Message, Node, Output, Role, Saved, Timing, VoterId, What};
+use raft::{Entry, Faults, Input, Message, Node, Output, Role, Saved, Timing, VoterId, What};
 use yare::parameterized;
 
 const TIMING: Timing = Timing { pulse: 50, election: 300, lease: 220 };
--- a/crates/logbook/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
-use logbook::{
+use raft::{
     Entry, Faults, Input, Message, Millis, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What,
 };
 
--- a/group/src/store.rs
+++ b/group/src/store.rs
@@ -6,7 +6,7 @@
 //! has forgotten: the old number's vote is counted for nobody.
 
 use crate::machine::{Command, Reply, State};
-use logbook::{Entry, Saved, Snapshot, VoterId, What};
+use raft::{Entry, Saved, Snapshot, VoterId, What};
 use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -40,7 +40,7 @@
     /// The folder, or what is beside the file.
     Folder(io::Error),
     /// The log's own word.
-    Log(logbook::store::StoreError),
+    Log(raft::store::StoreError),
     /// The state that the log keeps cannot be read.
     State,
     /// Another process has it.
@@ -80,10 +80,10 @@
     }
 }
 
-impl From<logbook::store::StoreError> for StoreError {
-    fn from(error: logbook::store::StoreError) -> Self {
+impl From<raft::store::StoreError> for StoreError {
+    fn from(error: raft::store::StoreError) -> Self {
         match error {
-            logbook::store::StoreError::Failed { cause, .. }
+            raft::store::StoreError::Failed { cause, .. }
                 if matches!(*cause, redb::Error::DatabaseAlreadyOpen) =>
             {
                 Self::Busy
@@ -153,7 +153,7 @@
 /// The voter's file, and what was found in it.
 pub struct Store {
     /// The file.
-    pub disk: logbook::store::Store,
+    pub disk: raft::store::Store,
     /// What the log goes on from.
     pub saved: Saved,
     /// What stands for the entries before.
@@ -185,7 +185,7 @@
                 }
             }
         }
-        let (disk, _) = logbook::store::Store::open(&path)?;
+        let (disk, _) = raft::store::Store::open(&path)?;
         let saved = disk.create(voter(group, name, drawn()), Vec::new())?;
         sync_name(folder)?;
         Ok(Self { disk, saved, applied: Applied::default() })
@@ -193,7 +193,7 @@
 
     /// All of it is read: a voter that finds out later that it cannot read its log has voted by then.
     fn read(path: &Path, name: &str, group: &str) -> Result<Option<Self>, StoreError> {
-        let (disk, saved) = logbook::store::Store::open(path)?;
+        let (disk, saved) = raft::store::Store::open(path)?;
         let Some(saved) = saved else { return Ok(None) };
         if names(&saved.me) != (group, name) {
             return Err(StoreError::Foreign(saved.me));
@@ -287,7 +287,7 @@
     if new.exists() {
         std::fs::remove_file(&new)?;
     }
-    let (begun, _) = logbook::store::Store::open(&new)?;
+    let (begun, _) = raft::store::Store::open(&new)?;
     let id = me.birth;
     // Terms go on above all that this voter has seen: an older one may have been another leader's.
     begun.begin(me, saved.term + 1, snapshot)?;
--- a/group/src/voter.rs
+++ b/group/src/voter.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use driver::{Core, Office};
 use hyper::StatusCode;
-use logbook::{Input, Millis, VoterId, Writer};
+use raft::{Input, Millis, VoterId, Writer};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -68,7 +68,7 @@
         let Store { disk, saved, applied } = store;
         let id = saved.me.birth;
         let now = millis(&clock);
-        let node = logbook::Node::start(saved, times.timing(), rand::random(), now);
+        let node = raft::Node::start(saved, times.timing(), rand::random(), now);
         let due = node.next_due();
         let core = Core {
             node,
@@ -199,7 +199,7 @@
             // Nobody can lead a group that did not exist, so nobody is bound to one: it may stand as if it had waited.
             let timing = self.times.timing();
             let waited = millis(&self.clock).saturating_sub(timing.election);
-            core.node = logbook::Node::start(saved, timing, rand::random(), waited);
+            core.node = raft::Node::start(saved, timing, rand::random(), waited);
             core.snapshot_at = applied.index;
             core.applied = applied;
             disk
--- a/group/src/voter/decide.rs
+++ b/group/src/voter/decide.rs
@@ -6,7 +6,7 @@
 use crate::member::CHANGE;
 use crate::store::{name, voter};
 use crate::wire::Kind;
-use logbook::{Input, VoterId};
+use raft::{Input, VoterId};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
--- a/group/src/voter/driver.rs
+++ b/group/src/voter/driver.rs
@@ -4,7 +4,7 @@
 use super::{Voter, millis};
 use crate::machine::{Command, Reply};
 use crate::store::{Applied, StoreError};
-use logbook::{Entry, Input, Output, Snapshot, Told, Writer};
+use raft::{Entry, Input, Output, Snapshot, Told, Writer};
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
@@ -19,7 +19,7 @@
 
 /// The log on this voter, and what it makes.
 pub(super) struct Core {
-    pub(super) node: logbook::Node,
+    pub(super) node: raft::Node,
     /// None once the disk has failed: the voter is silent from then on.
     pub(super) writer: Option<Writer>,
     /// Rises with each writer: what an older one still tells is not of this log.
@@ -66,7 +66,7 @@
 
 impl Voter {
     /// From now on this voter's saves go there.
-    pub(super) fn write_to(self: &Rc<Self>, disk: logbook::store::Store) -> Result<(), VoterError> {
+    pub(super) fn write_to(self: &Rc<Self>, disk: raft::store::Store) -> Result<(), VoterError> {
         let (told, mut tickets) = mpsc::unbounded_channel();
         let mut core = self.core.borrow_mut();
         let writer = Writer::start(disk, core.node.me().clone(), move |saved| drop(told.send(saved)))
--- a/group/src/voter/mail.rs
+++ b/group/src/voter/mail.rs
@@ -4,7 +4,7 @@
 use crate::store::{NodeId, name, voter};
 use crate::wire::{Kind, Way};
 use hyper::StatusCode;
-use logbook::{Input, Message, VoterId};
+use raft::{Input, Message, VoterId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/group/src/voter/words.rs
+++ b/group/src/voter/words.rs
@@ -3,7 +3,7 @@
 use crate::lease::drift;
 use crate::machine::{Command, Reply, SessionId};
 use crate::store::{NodeId, StoreError};
-use logbook::{Millis, Timing};
+use raft::{Millis, Timing};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
