--- a/crates/flags/src/lib.rs
+++ b/crates/flags/src/lib.rs
@@ -240,12 +240,12 @@
     /// A quay can reach a holder of counts, and has nothing to ask.
     Here {
         /// The newest assignment that it has heard of.
-        epoch: tally::Epoch,
+        epoch: quota::Epoch,
     },
     /// A quay wants units of tenants.
-    Draw(tally::Draw),
+    Draw(quota::Draw),
     /// It gets them.
-    Grant(tally::Grant),
+    Grant(quota::Grant),
     /// The holder of the counts is another process.
     NotHolder {
         /// The number of the draw.
@@ -265,14 +265,14 @@
         /// The offer's number.
         number: u64,
         /// The assignment.
-        roster: tally::Roster,
+        roster: quota::Roster,
         /// The span of the lease, in ms from when the offer was sent; 0 for none.
         ends_in: f64,
     },
     /// The leader has made an assignment.
-    Roster(tally::Roster),
+    Roster(quota::Roster),
     /// A master gives counts up to another one.
-    Handover(tally::Handover),
+    Handover(quota::Handover),
     /// A call of the operator for the leader.
     Ask {
         /// Chosen by the asker.
--- a/crates/harbourmaster/src/ledger.rs
+++ b/crates/harbourmaster/src/ledger.rs
@@ -40,7 +40,7 @@
 /// What the log says besides changes: facts of the counts and of who is there, for whoever holds them next.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Marks {
-    /// Floors of counts that are other ones from here on, in units: see [`tally::Floor`].
+    /// Floors of counts that are other ones from here on, in units: see [`quota::Floor`].
     pub floors: Vec<(String, u32)>,
     /// How many quays there are.
     pub fleet: u32,
--- a/crates/harbourmaster/src/master/links.rs
+++ b/crates/harbourmaster/src/master/links.rs
@@ -187,7 +187,7 @@
         match hail.plane {
             Plane::Quay => {
                 self.fleet.heard(now, &hail.name, hail.life);
-                self.office.heard(now as f64, &hail.name, tally::Epoch::default());
+                self.office.heard(now as f64, &hail.name, quota::Epoch::default());
             }
             Plane::Master => {
                 let mut me = self.settings.me.clone();
--- a/crates/harbourmaster/src/master/office.rs
+++ b/crates/harbourmaster/src/master/office.rs
@@ -1,7 +1,7 @@
 //! The office of those who hold the counts: the leader, and the deputies that it makes holders beside it.
 
 use super::*;
-use tally::{Epoch, Handover, LEASE_MOST};
+use quota::{Epoch, Handover, LEASE_MOST};
 
 /// A deputy asks for its lease this often, and whoever could become one offers itself this often.
 const RENEW: u64 = 70;
@@ -220,7 +220,7 @@
         (number, others.cloned().collect())
     }
 
-    pub(super) fn on_draw(&mut self, number: u64, draw: tally::Draw, now: u64) {
+    pub(super) fn on_draw(&mut self, number: u64, draw: quota::Draw, now: u64) {
         self.renew(now);
         let Some(peer) = self.peers.get(&number) else { return };
         let Some(hail) = &peer.hail else { return };
--- a/crates/programs/src/quays.rs
+++ b/crates/programs/src/quays.rs
@@ -5,11 +5,11 @@
 use manifest::{Config, Settings};
 use miette::{Result, miette};
 use quay::{Purser, Quay, QuaySettings};
+use quota::Quota;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use tally::Quota;
 use tideway::{News, Pilot, PilotSettings, Place};
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/quay/src/purser.rs
+++ b/crates/quay/src/purser.rs
@@ -1,11 +1,11 @@
 //! The lease cache of this gateway at work: asks for blocks, has requests wait for them, and tells what the cache says.
 
 use crate::{Admission, Asked};
+use quota::{Cache, Draw, Grant, Quota, Roster, Verdict};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tally::{Cache, Draw, Grant, Quota, Roster, Verdict};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
 
@@ -159,7 +159,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tally::{Epoch, Share, Standing};
+    use quota::{Epoch, Share, Standing};
 
     #[test]
     fn what_was_granted_to_a_client_that_has_left_is_another_one_s() {
--- a/crates/tally/examples/leases.rs
+++ b/crates/quota/examples/leases.rs
@@ -3,7 +3,7 @@
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use tally::Faults;
+use quota::Faults;
 use world::judge::Figures;
 use world::{Load, Who, World};
 
--- a/crates/tally/tests/floors.rs
+++ b/crates/quota/tests/floors.rs
@@ -1,7 +1,7 @@
 //! Floors of counts through changes of holder: what the log says is enough to begin with, and never too much.
 
+use quota::{Cache, Draw, Epoch, Holder, Quota, Roster, Verdict, Want};
 use std::collections::BTreeMap;
-use tally::{Cache, Draw, Epoch, Holder, Quota, Roster, Verdict, Want};
 
 const STEP: f64 = 5.0;
 const QUAYS: usize = 6;
--- a/crates/tally/tests/office.rs
+++ b/crates/quota/tests/office.rs
@@ -1,9 +1,9 @@
 //! What an office, a cache and the leader's assignments do at the moments that a drawn world seldom reaches.
 
-use std::collections::BTreeSet;
-use tally::{
+use quota::{
     Cache, Draw, Epoch, Grant, Handover, LOST, Office, Placer, Quota, Roster, Share, Standing, Verdict, Want,
 };
+use std::collections::BTreeSet;
 
 const WINDOW: f64 = 400.0;
 
@@ -82,7 +82,7 @@
     two.assume(1000.0, &roster(2, &["one", "two"]), false);
     assert_eq!(draw(&mut two, 1200.0, &tenant).standing, Standing::Slices);
     assert!(!two.holds(1200.0 + WINDOW, &tenant));
-    assert!(two.holds(1000.0 + tally::LEASE_MOST + WINDOW, &tenant));
+    assert!(two.holds(1000.0 + quota::LEASE_MOST + WINDOW, &tenant));
 }
 
 #[test]
--- a/crates/tally/tests/spread.rs
+++ b/crates/quota/tests/spread.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use tally::Faults;
+use quota::Faults;
 use world::{Load, Who, World};
 use yare::parameterized;
 
--- a/crates/tally/tests/world/judge.rs
+++ b/crates/quota/tests/world/judge.rs
@@ -1,8 +1,8 @@
 //! What became of the requests, and what the rules and a single bucket for the whole harbour would say to it.
 
 use super::Load;
+use quota::{Grant, Standing};
 use std::collections::VecDeque;
-use tally::{Grant, Standing};
 
 /// The span over which a quota is judged, in ms, and what it may exceed it by.
 const SPAN: f64 = 5000.0;
--- a/crates/tally/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -3,11 +3,11 @@
 
 #![allow(dead_code)]
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
-use tally::{
+use quota::{
     Cache, Draw, Epoch, Faults, Grant, Handover, LEASE_MOST, Office, Placer, Quota, Roster, Verdict,
 };
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 pub mod judge;
 mod troubles;
--- a/crates/tideway/src/course.rs
+++ b/crates/tideway/src/course.rs
@@ -1,10 +1,10 @@
 //! Whom to follow: a state machine without I/O or clock.
 
 use flags::Pulse;
+use quota::{Epoch, Roster};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use tally::{Epoch, Roster};
 
 /// Milliseconds of the host's steady clock.
 pub type Millis = u64;
--- a/crates/tideway/src/pilot.rs
+++ b/crates/tideway/src/pilot.rs
@@ -9,10 +9,10 @@
 use fairway::{Input, Output};
 use flags::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
 use manifest::Detours;
+use quota::Roster;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tally::Roster;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -43,7 +43,7 @@
     /// Whom this process follows in the tree of relays.
     Follows(SocketAddr),
     /// An answer to a draw.
-    Grant(tally::Grant),
+    Grant(quota::Grant),
     /// A draw that gets no answer.
     Unanswered {
         /// Its number.
@@ -79,7 +79,7 @@
 }
 
 enum Order {
-    Draw(SocketAddr, tally::Draw),
+    Draw(SocketAddr, quota::Draw),
     Seeds(Vec<SocketAddr>),
 }
 
@@ -94,7 +94,7 @@
     }
 
     /// Sends a draw to its holder; false when it can't be sent.
-    pub fn draw(&self, to: &str, draw: tally::Draw) -> bool {
+    pub fn draw(&self, to: &str, draw: quota::Draw) -> bool {
         to.parse().is_ok_and(|to| self.orders.try_send(Order::Draw(to, draw)).is_ok())
     }
 
@@ -438,7 +438,7 @@
         }
     }
 
-    fn on_draw(&mut self, to: SocketAddr, draw: tally::Draw) {
+    fn on_draw(&mut self, to: SocketAddr, draw: quota::Draw) {
         let number = draw.number;
         let holder = self.holders.iter_mut().find(|holder| holder.voyage.to == to);
         let sent = holder.filter(|h| h.voyage.line.as_ref().is_some_and(|line| line.send(&Flag::Draw(draw))));
