--- a/crates/harbourmaster/src/master/news.rs
+++ b/crates/harbourmaster/src/master/news.rs
@@ -180,7 +180,7 @@
             let now = self.now();
             self.watch.berths(now, &berths);
             self.to_followers(&Flag::Berths { whole: false, berths: berths.clone() });
-            self.tell_tree(fairway::Input::Change(berths));
+            self.tell_tree(relay_tree::Input::Change(berths));
         }
     }
 
--- a/crates/harbourmaster/src/master/tree.rs
+++ b/crates/harbourmaster/src/master/tree.rs
@@ -1,8 +1,8 @@
 //! This process as a root of the tree of relays.
 
 use super::*;
-use fairway::{Input as Moved, Output as Passed, Relay, Settings};
 use flags::relay::Word;
+use relay_tree::{Input as Moved, Output as Passed, Relay, Settings};
 use tideway::Signals;
 
 /// A root, and the connections on which relays follow it.
--- a/crates/programs/src/start.rs
+++ b/crates/programs/src/start.rs
@@ -36,7 +36,7 @@
 
 /// How many may follow this process in the tree of relays.
 pub fn room(settings: &Settings) -> usize {
-    fairway::room(settings.link_mbps, settings.tuning.relay_share)
+    relay_tree::room(settings.link_mbps, settings.tuning.relay_share)
 }
 
 /// Starts the watch, where the settings want it. Quays take datagrams at the first of the ports that are theirs,
--- a/crates/fairway/tests/circle.rs
+++ b/crates/relay-tree/tests/circle.rs
@@ -1,7 +1,7 @@
 //! Nobody follows a process that follows him; and if it came to that, silence would end it.
 
-use fairway::{Input, Output, Relay, SILENT, Settings};
 use flags::relay::Word;
+use relay_tree::{Input, Output, Relay, SILENT, Settings};
 use std::net::SocketAddr;
 
 /// A root, and two that are to follow one another below it.
--- a/crates/fairway/tests/world/mod.rs
+++ b/crates/relay-tree/tests/world/mod.rs
@@ -1,9 +1,9 @@
 //! A harbour of relays in one thread: links with a width and a delay, processes that die, freeze or are cut off, all
 //! drawn from a seed, on a clock of its own.
 
-use fairway::{DEEPEST, Input, Output, Relay, Settings};
 use flags::relay::{Mark, Word};
 use flags::{Berth, Phase, Pulse, Sheet};
+use relay_tree::{DEEPEST, Input, Output, Relay, Settings};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -167,7 +167,7 @@
         node.table.clear();
         node.stored.clear();
         let epoch = node.kind.root.then_some(seed << 8 | at as u64);
-        let room = fairway::room(node.kind.mbps, 10.0);
+        let room = relay_tree::room(node.kind.mbps, 10.0);
         node.relay = Some(Relay::new(Settings { me: address(at), room, epoch, roots, seed }));
         let life = node.life;
         if node.kind.root {
@@ -445,7 +445,7 @@
     pub fn fan_out(&self) -> (usize, usize) {
         let relays = self.nodes.iter().filter_map(|node| Some((node, node.relay.as_ref()?)));
         let most =
-            relays.map(|(node, relay)| (relay.followers().count(), fairway::room(node.kind.mbps, 10.0)));
+            relays.map(|(node, relay)| (relay.followers().count(), relay_tree::room(node.kind.mbps, 10.0)));
         most.max().unwrap_or_default()
     }
 
--- a/crates/tideway/src/pilot.rs
+++ b/crates/tideway/src/pilot.rs
@@ -6,10 +6,10 @@
 use crate::sheets;
 use crate::spawn;
 use crate::tree::{self, Tree};
-use fairway::{Input, Output};
 use flags::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
 use manifest::Detours;
 use quota::Roster;
+use relay_tree::{Input, Output};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -452,7 +452,7 @@
 fn moored(place: Place, settings: &PilotSettings) -> (Tree, mpsc::Receiver<tree::Event>) {
     let Place { at, listener, room } = place;
     let (roots, seed) = (settings.seeds.clone(), settings.me.life | 1);
-    let about = fairway::Settings { me: at, room, epoch: None, roots, seed };
+    let about = relay_tree::Settings { me: at, room, epoch: None, roots, seed };
     Tree::start(about, settings.me.clone(), settings.ways.clone(), listener)
 }
 
--- a/crates/tideway/src/tree.rs
+++ b/crates/tideway/src/tree.rs
@@ -3,10 +3,10 @@
 use crate::line::{Line, LineError, Reader, attach, dial};
 use crate::sheets::{Sheets, rebuild};
 use crate::spawn;
-use fairway::{Input, Output, Relay, Settings};
 use flags::relay::Word;
 use flags::{Flag, Hail, Held};
 use manifest::Detours;
+use relay_tree::{Input, Output, Relay, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
