--- a/crates/buoys/tests/register.rs
+++ b/crates/registry/tests/register.rs
@@ -1,7 +1,7 @@
 //! Words about backends, in any order and any number of times, and what becomes of them.
 
-use buoys::{Fleet, Judgement, Register};
 use flags::{Berth, Phase};
+use registry::{Fleet, Judgement, Register};
 use yare::parameterized;
 
 const BEAT: u64 = 1300;
