--- a/crates/harbourmaster/src/master/news.rs
+++ b/crates/harbourmaster/src/master/news.rs
@@ -1,7 +1,7 @@
 //! What followers and other masters are told, and when.
 
 use super::*;
-use coastwatch::State;
+use failure_detector::State;
 
 impl Master {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
--- a/crates/tideway/src/lookout.rs
+++ b/crates/tideway/src/lookout.rs
@@ -1,7 +1,7 @@
 //! Watches the neighbours over datagrams: the socket and clock of a [`Keeper`].
 
 use crate::spawn;
-use coastwatch::{Card, Keeper, Mark, Message, Millis, Sent, Standing, Word};
+use failure_detector::{Card, Keeper, Mark, Message, Millis, Sent, Standing, Word};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::{Rc, Weak};
