--- a/crates/harbourmaster/src/calls.rs
+++ b/crates/harbourmaster/src/calls.rs
@@ -10,8 +10,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use lookout::Seldom;
 use manifest::Version;
+use observability::Seldom;
 use serde::Deserialize;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -204,7 +204,7 @@
         takes_id: false,
         longest: 0,
         within: ANSWER_WITHIN,
-        says: lookout::TEXT,
+        says: observability::TEXT,
         read: |_, _, _| Ok(Call::Metrics),
     },
 ];
--- a/crates/harbourmaster/src/lines.rs
+++ b/crates/harbourmaster/src/lines.rs
@@ -1,7 +1,7 @@
 //! Connections of other processes that come to this one.
 
 use crate::master::Command;
-use lookout::Seldom;
+use observability::Seldom;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tideway::{Line, Reader, attach};
--- a/crates/harbourmaster/src/master/told.rs
+++ b/crates/harbourmaster/src/master/told.rs
@@ -2,7 +2,7 @@
 
 use super::Master;
 use crate::calls::Reply;
-use lookout::Page;
+use observability::Page;
 use serde_json::json;
 
 impl Master {
--- a/crates/harbourmaster/src/watch.rs
+++ b/crates/harbourmaster/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::Verdict;
 use flags::{Berth, Phase};
-use lookout::{Ring, Seldom};
+use observability::{Ring, Seldom};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
--- a/crates/quay/src/readiness.rs
+++ b/crates/quay/src/readiness.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use lookout::TEXT;
+use observability::TEXT;
 use serde_json::json;
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/crates/quay/src/watch.rs
+++ b/crates/quay/src/watch.rs
@@ -7,7 +7,7 @@
 use crate::{Line, Log};
 use doorcourse::{Name, Outcome};
 use hyper::header::HeaderValue;
-use lookout::{Page, Ring, Seldom};
+use observability::{Page, Ring, Seldom};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::fmt;
