--- a/crates/harbourmaster/src/calls.rs
+++ b/crates/harbourmaster/src/calls.rs
@@ -2,7 +2,6 @@
 
 use crate::master::Command;
 use bytes::{Bytes, BytesMut};
-use flags::{Berth, Order, Phase};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
@@ -12,6 +11,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use manifest::Version;
 use observability::Seldom;
+use protocol::{Berth, Order, Phase};
 use serde::Deserialize;
 use std::cell::Cell;
 use std::convert::Infallible;
--- a/crates/harbourmaster/src/master/links.rs
+++ b/crates/harbourmaster/src/master/links.rs
@@ -87,14 +87,14 @@
     }
 
     pub(super) fn to_masters(&self, flag: &Flag) {
-        let frame: Rc<[u8]> = flags::frame(flag).into();
+        let frame: Rc<[u8]> = protocol::frame(flag).into();
         for peer in self.peers.values().filter(|p| p.dialed.is_some()) {
             peer.line.send_frame(frame.clone());
         }
     }
 
     pub(super) fn to_followers(&self, flag: &Flag) {
-        let frame: Rc<[u8]> = flags::frame(flag).into();
+        let frame: Rc<[u8]> = protocol::frame(flag).into();
         for peer in self.peers.values().filter(|p| p.follows) {
             peer.line.send_frame(frame.clone());
         }
--- a/crates/harbourmaster/src/master/told.rs
+++ b/crates/harbourmaster/src/master/told.rs
@@ -159,10 +159,10 @@
     }
 }
 
-fn phase(phase: flags::Phase) -> &'static str {
+fn phase(phase: protocol::Phase) -> &'static str {
     match phase {
-        flags::Phase::Serving => "serving",
-        flags::Phase::Draining => "draining",
-        flags::Phase::Gone => "gone",
+        protocol::Phase::Serving => "serving",
+        protocol::Phase::Draining => "draining",
+        protocol::Phase::Gone => "gone",
     }
 }
--- a/crates/harbourmaster/src/master/tree.rs
+++ b/crates/harbourmaster/src/master/tree.rs
@@ -1,7 +1,7 @@
 //! This process as a root of the tree of relays.
 
 use super::*;
-use flags::relay::Word;
+use protocol::relay::Word;
 use relay_tree::{Input as Moved, Output as Passed, Relay, Settings};
 use tideway::Signals;
 
--- a/crates/harbourmaster/src/watch.rs
+++ b/crates/harbourmaster/src/watch.rs
@@ -1,8 +1,8 @@
 //! Records of what this process decided and saw: bounded, and without text until somebody reads them.
 
 use crate::ledger::Verdict;
-use flags::{Berth, Phase};
 use observability::{Ring, Seldom};
+use protocol::{Berth, Phase};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
--- a/crates/harbourmaster/tests/harbour.rs
+++ b/crates/harbourmaster/tests/harbour.rs
@@ -1,7 +1,7 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
-use flags::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use harbourmaster::{Disk, Master, MasterSettings};
+use protocol::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use raft::{Timing, VoterId};
 use std::cell::Cell;
 use std::io::{Read, Write};
@@ -274,7 +274,7 @@
 /// The next configuration on this connection, in whatever form.
 fn next_sheet(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Flag {
     until(|| {
-        while let Some((flag, taken)) = flags::unframe::<Flag>(buffer).expect("a message") {
+        while let Some((flag, taken)) = protocol::unframe::<Flag>(buffer).expect("a message") {
             buffer.drain(..taken);
             if matches!(flag, Flag::Sheet(_) | Flag::Splice(_)) {
                 return Some(flag);
@@ -304,7 +304,7 @@
     };
     let mut stream = TcpStream::connect(harbour.peers[1]).expect("a line");
     stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
-    let mut say = |flag: Flag| stream.write_all(&flags::frame(&flag)).expect("sent");
+    let mut say = |flag: Flag| stream.write_all(&protocol::frame(&flag)).expect("sent");
     say(Flag::Hail(hail));
     say(Flag::Follow { have: Held::default() });
     let (mut read, mut buffer) = (stream.try_clone().expect("the same"), Vec::new());
@@ -317,7 +317,7 @@
     assert_eq!(next.base, 3);
     assert_eq!(rebuild(Some(&first.body), &next).expect("the next").body, config(4).into_bytes());
     // It could not make it out, so it says.
-    let mut say = |flag: Flag| stream.write_all(&flags::frame(&flag)).expect("sent");
+    let mut say = |flag: Flag| stream.write_all(&protocol::frame(&flag)).expect("sent");
     say(Flag::Whole);
     let whole = Sheet { version: 4, body: config(4).into_bytes() };
     assert_eq!(next_sheet(&mut read, &mut buffer), Flag::Sheet(whole));
@@ -394,13 +394,14 @@
         quorum: false,
         birth: None,
     };
-    let frames =
-        [Flag::Hail(hail), Flag::Follow { have: Held::default() }].map(|flag| flags::frame(&flag)).concat();
+    let frames = [Flag::Hail(hail), Flag::Follow { have: Held::default() }]
+        .map(|flag| protocol::frame(&flag))
+        .concat();
     follower.write_all(&frames).expect("sent");
     follower.set_read_timeout(Some(PATIENCE)).expect("a limit");
     let (mut read, mut sheets) = (Vec::new(), Vec::new());
     loop {
-        while let Some((flag, length)) = flags::unframe::<Flag>(&read).expect("a frame") {
+        while let Some((flag, length)) = protocol::unframe::<Flag>(&read).expect("a frame") {
             read.drain(..length);
             match flag {
                 Flag::Sheet(sheet) => sheets.push(sheet.version),
@@ -449,7 +450,7 @@
             let pulse =
                 Pulse { leader: Some(address.to_string()), epoch: 1, fresh: true, ..Pulse::default() };
             let mut stream = TcpStream::connect(pair[at]).expect("a line");
-            let frames = [Flag::Hail(hail), Flag::Pulse(pulse)].map(|flag| flags::frame(&flag)).concat();
+            let frames = [Flag::Hail(hail), Flag::Pulse(pulse)].map(|flag| protocol::frame(&flag)).concat();
             stream.write_all(&frames).expect("sent");
             stream
         })
--- a/crates/programs/src/master.rs
+++ b/crates/programs/src/master.rs
@@ -1,10 +1,10 @@
 //! The program that serves control.
 
 use crate::start;
-use flags::{Hail, Plane};
 use harbourmaster::{Disk, Master, MasterSettings};
 use manifest::Settings;
 use miette::{Result, miette};
+use protocol::{Hail, Plane};
 use raft::{Timing, VoterId};
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/programs/src/quays.rs
+++ b/crates/programs/src/quays.rs
@@ -1,9 +1,9 @@
 //! The program that carries requests.
 
 use crate::start;
-use flags::{Hail, Plane};
 use manifest::{Config, Settings};
 use miette::{Result, miette};
+use protocol::{Hail, Plane};
 use quay::{Purser, Quay, QuaySettings};
 use quota::Quota;
 use std::cell::RefCell;
--- a/crates/flags/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames, whole and in pieces, and bytes that are none.
 
-use flags::{Flag, Garbled, Held, LONGEST, Pulse, frame, unframe};
+use protocol::{Flag, Garbled, Held, LONGEST, Pulse, frame, unframe};
 
 #[test]
 fn frames_come_back_whole_however_they_are_cut() {
--- a/crates/quay/src/berths.rs
+++ b/crates/quay/src/berths.rs
@@ -2,8 +2,8 @@
 //! only ever goes forward: a list of somebody who has heard less takes nothing back.
 
 use doorcourse::{BackendState, Name};
-use flags::{Berth, Phase};
 use manifest::Detours;
+use protocol::{Berth, Phase};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/quay/tests/forward.rs
+++ b/crates/quay/tests/forward.rs
@@ -247,7 +247,7 @@
         }
         assert_eq!(two.count(), before);
         world.quay.configure(split(3, [1, 1]));
-        world.quay.berths(&[one.told(flags::Phase::Gone, 2)], false);
+        world.quay.berths(&[one.told(protocol::Phase::Gone, 2)], false);
         for _ in 0..10 {
             assert_eq!(client.ask(&asked).await.expect("an answer").status(), 200);
         }
--- a/crates/quay/tests/helper/mod.rs
+++ b/crates/quay/tests/helper/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use flags::{Berth, Phase};
+use protocol::{Berth, Phase};
 use quay::{Admission, Asked, Conf, Quay, QuaySettings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/quay/tests/tries.rs
+++ b/crates/quay/tests/tries.rs
@@ -2,11 +2,11 @@
 
 mod helper;
 
-use flags::Phase;
 use helper::{
     Backend, Client, Do, Heard, World, conf, good, on_one_thread, other, request, route, says_good, until,
     usual,
 };
+use protocol::Phase;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
--- a/crates/quay/tests/watch.rs
+++ b/crates/quay/tests/watch.rs
@@ -2,8 +2,8 @@
 
 mod helper;
 
-use flags::Phase;
 use helper::{Backend, Client, Do, World, on_one_thread, other, request, says_good, usual};
+use protocol::Phase;
 
 async fn got(world: &World, path: &str) -> (u16, String) {
     let mut client = Client::connect(world.readiness).await;
--- a/crates/registry/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -1,7 +1,7 @@
 //! The backends, each life of them once.
 
 use crate::Millis;
-use flags::{Berth, Phase};
+use protocol::{Berth, Phase};
 use std::collections::BTreeMap;
 
 /// After so many beats missed a backend is overdue: one may be lost, a second one sent to a gateway that is gone.
--- a/crates/registry/tests/register.rs
+++ b/crates/registry/tests/register.rs
@@ -1,6 +1,6 @@
 //! Words about backends, in any order and any number of times, and what becomes of them.
 
-use flags::{Berth, Phase};
+use protocol::{Berth, Phase};
 use registry::{Fleet, Judgement, Register};
 use yare::parameterized;
 
--- a/crates/relay-tree/src/above.rs
+++ b/crates/relay-tree/src/above.rs
@@ -5,7 +5,7 @@
     ADRIFT, AGAIN, ANSWER, ASK, AVOIDED, BEHIND, DEEPEST, LATER, Millis, NAMED, Output, Relay, SIGN, SILENT,
     SOON,
 };
-use flags::relay::{Place, Word};
+use protocol::relay::{Place, Word};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -32,7 +32,7 @@
     pub(crate) next_pulse: Millis,
     /// The one that is followed looks for another place itself.
     adrift: bool,
-    pub(crate) told: flags::Pulse,
+    pub(crate) told: protocol::Pulse,
     /// Since when the root has not heard the leader just now.
     behind: Option<Millis>,
     next_ask: Millis,
--- a/crates/relay-tree/src/below.rs
+++ b/crates/relay-tree/src/below.rs
@@ -1,7 +1,7 @@
 //! Those that follow this process.
 
 use crate::{DEEPEST, GONE, Millis, NAMED, Output, PATIENT, PRESSED, PULSE, Relay};
-use flags::relay::{Mark, Place, Word};
+use protocol::relay::{Mark, Place, Word};
 use std::net::SocketAddr;
 
 #[derive(Debug)]
--- a/crates/relay-tree/src/chart.rs
+++ b/crates/relay-tree/src/chart.rs
@@ -1,7 +1,7 @@
 //! What a relay knows: backends, the last changes of them, and the newest configuration.
 
-use flags::relay::{Batch, Mark, Word};
-use flags::{Berth, Phase, Sheet};
+use protocol::relay::{Batch, Mark, Word};
+use protocol::{Berth, Phase, Sheet};
 use std::collections::{BTreeMap, VecDeque};
 
 /// So many changes are kept for those that missed some.
--- a/crates/relay-tree/src/lib.rs
+++ b/crates/relay-tree/src/lib.rs
@@ -12,8 +12,8 @@
 mod chart;
 
 use chart::Chart;
-use flags::relay::{Mark, Word};
-use flags::{Berth, Pulse, Sheet};
+use protocol::relay::{Mark, Word};
+use protocol::{Berth, Pulse, Sheet};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
--- a/crates/relay-tree/tests/circle.rs
+++ b/crates/relay-tree/tests/circle.rs
@@ -1,6 +1,6 @@
 //! Nobody follows a process that follows him; and if it came to that, silence would end it.
 
-use flags::relay::Word;
+use protocol::relay::Word;
 use relay_tree::{Input, Output, Relay, SILENT, Settings};
 use std::net::SocketAddr;
 
@@ -27,7 +27,7 @@
             deaf: vec![],
             pathless,
         };
-        row.play(0, 0, Input::Told(flags::Pulse { fresh: true, ..flags::Pulse::default() }));
+        row.play(0, 0, Input::Told(protocol::Pulse { fresh: true, ..protocol::Pulse::default() }));
         row
     }
 
--- a/crates/relay-tree/tests/world/mod.rs
+++ b/crates/relay-tree/tests/world/mod.rs
@@ -1,8 +1,8 @@
 //! A harbour of relays in one thread: links with a width and a delay, processes that die, freeze or are cut off, all
 //! drawn from a seed, on a clock of its own.
 
-use flags::relay::{Mark, Word};
-use flags::{Berth, Phase, Pulse, Sheet};
+use protocol::relay::{Mark, Word};
+use protocol::{Berth, Phase, Pulse, Sheet};
 use relay_tree::{DEEPEST, Input, Output, Relay, Settings};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -241,7 +241,7 @@
         }
         let Some(line) = self.lines.get(&pair).copied() else { return };
         // Headers of the segment and of the frame.
-        let bytes = flags::frame(&word).len() as u64 + 52;
+        let bytes = protocol::frame(&word).len() as u64 + 52;
         let node = &mut self.nodes[from];
         node.sent += bytes;
         let span = (bytes as f64 * 8.0 / node.kind.mbps) as Micros;
--- a/crates/tideway/examples/weigh.rs
+++ b/crates/tideway/examples/weigh.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p tideway --example weigh`
 
-use flags::{Flag, Held, unframe};
+use protocol::{Flag, Held, unframe};
 use std::time::{Duration, Instant};
 use tideway::sheets::{Sheets, held, rebuild};
 
--- a/crates/tideway/src/course.rs
+++ b/crates/tideway/src/course.rs
@@ -1,6 +1,6 @@
 //! Whom to follow: a state machine without I/O or clock.
 
-use flags::Pulse;
+use protocol::Pulse;
 use quota::{Epoch, Roster};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/tideway/src/line.rs
+++ b/crates/tideway/src/line.rs
@@ -2,9 +2,9 @@
 
 use crate::spawn;
 use bytes::{Buf, BytesMut};
-use flags::{Flag, Garbled};
 use manifest::Detours;
 use miette::Diagnostic;
+use protocol::{Flag, Garbled};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,7 +65,7 @@
 impl Line {
     /// Queues a message; false when the connection is lost or its queue full, which loses it.
     pub fn send(&self, flag: &Flag) -> bool {
-        self.send_frame(flags::frame(flag).into())
+        self.send_frame(protocol::frame(flag).into())
     }
 
     /// Queues a frame that goes to several.
@@ -94,7 +94,7 @@
     pub async fn next(&mut self) -> Result<Flag, LineError> {
         let peer = self.peer;
         loop {
-            match flags::unframe(&self.buffer).map_err(|source| LineError::Garbled { peer, source })? {
+            match protocol::unframe(&self.buffer).map_err(|source| LineError::Garbled { peer, source })? {
                 Some((flag, taken)) => {
                     self.buffer.advance(taken);
                     return Ok(flag);
--- a/crates/tideway/src/sheets.rs
+++ b/crates/tideway/src/sheets.rs
@@ -3,8 +3,8 @@
 //! What is sent is a `zstd` frame with the base as its dictionary (`zstd --patch-from` does the same), so text that
 //! repeats itself gets shorter also where there is no base. `docs/relays.md` has the ways weighed and the figures.
 
-use flags::{Flag, Held, LONGEST, Sheet, Splice};
 use miette::Diagnostic;
+use protocol::{Flag, Held, LONGEST, Sheet, Splice};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -86,7 +86,7 @@
     /// The frame for whoever asked for the whole.
     pub fn whole(&mut self, body: &[u8]) -> Rc<[u8]> {
         let sheet = || Sheet { version: self.version, body: body.to_vec() };
-        self.whole.get_or_insert_with(|| flags::frame(&Flag::Sheet(sheet())).into()).clone()
+        self.whole.get_or_insert_with(|| protocol::frame(&Flag::Sheet(sheet())).into()).clone()
     }
 
     /// The frame for a follower that has `has`; `base` is the body of that version, if it is kept here.
@@ -101,7 +101,7 @@
             return made.clone();
         }
         let made = match splice(key.version, base, self.version, self.digest, body) {
-            Ok(splice) if splice.bytes.len() < body.len() => flags::frame(&Flag::Splice(splice)).into(),
+            Ok(splice) if splice.bytes.len() < body.len() => protocol::frame(&Flag::Splice(splice)).into(),
             _ => self.whole(body),
         };
         self.made.insert(key, made.clone());
--- a/crates/tideway/src/tree.rs
+++ b/crates/tideway/src/tree.rs
@@ -3,9 +3,9 @@
 use crate::line::{Line, LineError, Reader, attach, dial};
 use crate::sheets::{Sheets, rebuild};
 use crate::spawn;
-use flags::relay::Word;
-use flags::{Flag, Hail, Held};
 use manifest::Detours;
+use protocol::relay::Word;
+use protocol::{Flag, Hail, Held};
 use relay_tree::{Input, Output, Relay, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -35,7 +35,7 @@
                     Word::Sheet(sheet) => {
                         Sheets::new(sheet.version, &sheet.body).frame(Held::default(), None, &sheet.body)
                     }
-                    word => flags::frame(&Flag::Relay(word.clone())).into(),
+                    word => protocol::frame(&Flag::Relay(word.clone())).into(),
                 };
                 self.last = Some((word, frame.clone()));
                 frame
@@ -151,7 +151,7 @@
     fn dial(&mut self, to: SocketAddr) {
         self.numbers += 2;
         let (number, events, ways) = (self.numbers, self.events.clone(), self.ways.clone());
-        let hail = flags::frame(&Flag::Hail(self.hail.clone())).into();
+        let hail = protocol::frame(&Flag::Hail(self.hail.clone())).into();
         self.dialed = Some(Dialed { number, to, line: None, waiting: vec![hail] });
         spawn(async move {
             match dial(to, &ways).await {
--- a/crates/tideway/tests/course.rs
+++ b/crates/tideway/tests/course.rs
@@ -1,6 +1,6 @@
 //! Whom a follower follows, by what it heard and when.
 
-use flags::Pulse;
+use protocol::Pulse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tideway::Course;
--- a/crates/tideway/tests/sheets.rs
+++ b/crates/tideway/tests/sheets.rs
@@ -1,6 +1,6 @@
 //! Configurations as differences: what is rebuilt is what was sent, or nothing.
 
-use flags::{Flag, Held, Sheet, Splice, frame, unframe};
+use protocol::{Flag, Held, Sheet, Splice, frame, unframe};
 use tideway::sheets::{Sheets, Unfit, held, rebuild};
 
 fn table(entries: impl Iterator<Item = u32>) -> Vec<u8> {
