--- a/crates/harbourmaster/src/calls.rs
+++ b/crates/harbourmaster/src/calls.rs
@@ -294,7 +294,7 @@
         match listener.accept().await {
             Ok((stream, _)) if open.get() < most => {
                 let (commands, open) = (commands.clone(), open.clone());
-                tideway::spawn(async move {
+                transport::spawn(async move {
                     open.set(open.get() + 1);
                     connection(stream, commands).await;
                     open.set(open.get() - 1);
--- a/crates/harbourmaster/src/disk.rs
+++ b/crates/harbourmaster/src/disk.rs
@@ -76,7 +76,7 @@
             }
         };
         let (done, mut tickets) = mpsc::unbounded_channel();
-        tideway::spawn(async move {
+        transport::spawn(async move {
             while let Some(ticket) = tickets.recv().await {
                 if commands.send(Command::Saved { ticket }).await.is_err() {
                     return;
--- a/crates/harbourmaster/src/lines.rs
+++ b/crates/harbourmaster/src/lines.rs
@@ -4,10 +4,10 @@
 use observability::Seldom;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tideway::{Line, Reader, attach};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
+use transport::{Line, Reader, attach};
 
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -27,7 +27,7 @@
             }
         };
         let (number, commands) = (numbers(), commands.clone());
-        tideway::spawn(async move {
+        transport::spawn(async move {
             let (line, reader) = attach(stream, peer);
             carry(number, line, reader, None, commands).await;
         });
--- a/crates/harbourmaster/src/master.rs
+++ b/crates/harbourmaster/src/master.rs
@@ -22,10 +22,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tideway::sheets::{self, Sheets};
-use tideway::{Line, LineError, Lookout, dial};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
+use transport::sheets::{self, Sheets};
+use transport::{Line, LineError, Lookout, dial};
 
 /// How often things are looked after.
 const TICK: u64 = 50;
--- a/crates/harbourmaster/src/master/links.rs
+++ b/crates/harbourmaster/src/master/links.rs
@@ -75,7 +75,7 @@
             let number = (self.numbers)();
             self.dialing.insert(to, (number, now + DIALING));
             let (commands, ways) = (self.commands.clone(), self.settings.ways.clone());
-            tideway::spawn(async move {
+            transport::spawn(async move {
                 match dial(to, &ways).await {
                     Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
                     Err(error) => {
--- a/crates/harbourmaster/src/master/tree.rs
+++ b/crates/harbourmaster/src/master/tree.rs
@@ -3,7 +3,7 @@
 use super::*;
 use protocol::relay::Word;
 use relay_tree::{Input as Moved, Output as Passed, Relay, Settings};
-use tideway::Signals;
+use transport::Signals;
 
 /// A root, and the connections on which relays follow it.
 pub(super) struct Root {
--- a/crates/harbourmaster/tests/harbour.rs
+++ b/crates/harbourmaster/tests/harbour.rs
@@ -11,8 +11,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tideway::sheets::rebuild;
 use tokio::sync::{mpsc, oneshot};
+use transport::sheets::rebuild;
 
 /// Whatever is waited for comes much sooner; a busy machine is given time.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/programs/src/quays.rs
+++ b/crates/programs/src/quays.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use tideway::{News, Pilot, PilotSettings, Place};
 use tokio::signal::unix::{SignalKind, signal};
+use transport::{News, Pilot, PilotSettings, Place};
 
 /// Runs until the platform ends it.
 ///
--- a/crates/programs/src/start.rs
+++ b/crates/programs/src/start.rs
@@ -6,8 +6,8 @@
 use std::hash::{BuildHasher, Hasher};
 use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use tideway::Lookout;
 use tokio::net::{TcpListener, UdpSocket};
+use transport::Lookout;
 
 /// A number that no other process draws: the standard library seeds its hashers from the system's randomness.
 pub fn draw() -> u64 {
@@ -54,7 +54,7 @@
         UdpSocket::from_std(socket)
     };
     let socket = open().into_diagnostic().wrap_err_with(|| format!("take datagrams at {at}"))?;
-    let card = tideway::card(at, &settings.node_name, quay, life);
+    let card = transport::card(at, &settings.node_name, quay, life);
     Ok(Some(Lookout::start(socket, card, watch_seeds(settings), life)))
 }
 
--- a/crates/tideway/examples/weigh.rs
+++ b/crates/transport/examples/weigh.rs
@@ -1,10 +1,10 @@
 //! What differences cost: bytes and processor time, for bodies drawn in the shape that operators send.
 //!
-//! `cargo run --release -p tideway --example weigh`
+//! `cargo run --release -p transport --example weigh`
 
 use protocol::{Flag, Held, unframe};
 use std::time::{Duration, Instant};
-use tideway::sheets::{Sheets, held, rebuild};
+use transport::sheets::{Sheets, held, rebuild};
 
 /// Words that don't repeat, the same in each run.
 struct Draw(u64);
--- a/crates/tideway/tests/course.rs
+++ b/crates/transport/tests/course.rs
@@ -3,7 +3,7 @@
 use protocol::Pulse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tideway::Course;
+use transport::Course;
 
 fn at(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7000))
--- a/crates/tideway/tests/sheets.rs
+++ b/crates/transport/tests/sheets.rs
@@ -1,7 +1,7 @@
 //! Configurations as differences: what is rebuilt is what was sent, or nothing.
 
 use protocol::{Flag, Held, Sheet, Splice, frame, unframe};
-use tideway::sheets::{Sheets, Unfit, held, rebuild};
+use transport::sheets::{Sheets, Unfit, held, rebuild};
 
 fn table(entries: impl Iterator<Item = u32>) -> Vec<u8> {
     let entries: Vec<_> = entries.map(|n| format!("\"r-{n}\":{{\"goal_ms\":{}}}", n * 31)).collect();
