--- a/crates/drydock/src/chance.rs
+++ b/crates/drydock/src/chance.rs
@@ -1,6 +1,6 @@
 //! Chance by seed: a stream for each use, so that what is drawn for one thing does not move with another.
 
-use slipway::Random;
+use fault_injection::Random;
 use std::ops::{Deref, DerefMut};
 
 /// A stream of chance.
--- a/crates/drydock/src/demo.rs
+++ b/crates/drydock/src/demo.rs
@@ -238,7 +238,7 @@
     /// # Errors
     /// When the harbour can't be built, or is told to end.
     pub async fn run(&self) -> Result<bool, Fault> {
-        slipway::running::end_with_panics();
+        fault_injection::running::end_with_panics();
         tokio::select! {
             done = self.play() => done,
             // All processes go with the future that owns them.
--- a/crates/drydock/src/fleet.rs
+++ b/crates/drydock/src/fleet.rs
@@ -1,9 +1,9 @@
 //! The processes. Every one that is started here is ended here: when its owner goes, when the program panics
-//! ([`slipway::running`]), and, by the system itself, when this program is killed.
+//! ([`fault_injection::running`]), and, by the system itself, when this program is killed.
 
 use crate::fault::Fault;
+use fault_injection::running::{self, signal};
 use rustix::process::Signal;
-use slipway::running::{self, signal};
 use std::fs::OpenOptions;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
--- a/crates/drydock/src/main.rs
+++ b/crates/drydock/src/main.rs
@@ -229,7 +229,7 @@
     let text = schedule::text(&name)?;
     let all: Result<Vec<_>, _> = (seeds.0..=seeds.1).map(|seed| Schedule::read(&name, &text, seed)).collect();
     let all = all?;
-    slipway::running::end_with_panics();
+    fault_injection::running::end_with_panics();
     let play = |program, keep| {
         let options = trial::Options { program, keep };
         let all = all.clone();
--- a/crates/drydock/src/trial/draw.rs
+++ b/crates/drydock/src/trial/draw.rs
@@ -2,8 +2,8 @@
 
 use super::schedule::{Disk, Kind, Row};
 use crate::site::{MASTERS, SLOTS, ZONES};
+use fault_injection::{Random, Span};
 use serde::Deserialize;
-use slipway::{Random, Span};
 
 /// The first and last moment of drawn faults, as shares of the time: before is what service is held against, and
 /// after is left for it to return.
--- a/crates/drydock/src/trial/page.rs
+++ b/crates/drydock/src/trial/page.rs
@@ -4,8 +4,8 @@
 use crate::history::{End, Line, Seen};
 use crate::judge::{BUCKET, RULES, Verdict};
 use crate::site::MASTERS;
-use slipway::plot::{PlotError, Series, escaped, lines as plotted};
-use slipway::timeline::Timeline;
+use fault_injection::plot::{PlotError, Series, escaped, lines as plotted};
+use fault_injection::timeline::Timeline;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt::Write as _;
 
--- a/crates/drydock/src/trial/results.rs
+++ b/crates/drydock/src/trial/results.rs
@@ -3,9 +3,9 @@
 use super::schedule::Schedule;
 use crate::history::{End, Line, Seen};
 use crate::judge::{BUCKET, Verdict};
+use fault_injection::Estimate;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use slipway::Estimate;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 
--- a/crates/drydock/src/trial/schedule.rs
+++ b/crates/drydock/src/trial/schedule.rs
@@ -3,8 +3,8 @@
 
 use super::draw::{Shape, draw};
 use super::parties::Party;
+use fault_injection::relay::{Flow, Harm, links_between};
 use serde::Deserialize;
-use slipway::relay::{Flow, Harm, links_between};
 use std::path::Path;
 use thiserror::Error;
 use toml::Spanned;
@@ -237,7 +237,7 @@
     /// # Errors
     /// When it cannot be played: one line with the place.
     pub fn read(name: &str, text: &str, seed: u64) -> Result<Self, ScheduleError> {
-        let place = |at: usize, what: &str| ScheduleError(slipway::place(name, text, at, what));
+        let place = |at: usize, what: &str| ScheduleError(fault_injection::place(name, text, at, what));
         let file: File = toml::from_str(text)
             .map_err(|error| place(error.span().map_or(0, |span| span.start), error.message()))?;
         let (seconds, rate) = (*file.seconds.get_ref(), *file.rate.get_ref());
--- a/crates/drydock/src/up.rs
+++ b/crates/drydock/src/up.rs
@@ -44,7 +44,7 @@
     /// # Errors
     /// When the harbour can't be built.
     pub async fn run(&self) -> Result<(), Fault> {
-        slipway::running::end_with_panics();
+        fault_injection::running::end_with_panics();
         std::fs::create_dir_all(&self.dir).map_err(Fault::file(&self.dir))?;
         // A process finds its files by their whole path, wherever it runs.
         let dir = self.dir.canonicalize().map_err(Fault::file(&self.dir))?;
@@ -260,15 +260,15 @@
     let count = alive().count();
     let until = Instant::now() + ENDS;
     if let Some((_, pid, _)) = alive().find(|(name, ..)| name == "drydock") {
-        slipway::running::signal(*pid, Signal::TERM);
+        fault_injection::running::signal(*pid, Signal::TERM);
         while alive().any(|(name, ..)| name == "drydock") && Instant::now() < until {
             sleep(LOOKS).await;
         }
     }
     for which in [Signal::TERM, Signal::KILL] {
         for (_, pid, _) in alive() {
-            slipway::running::signal(*pid, which);
-            slipway::running::signal(*pid, Signal::CONT);
+            fault_injection::running::signal(*pid, which);
+            fault_injection::running::signal(*pid, Signal::CONT);
         }
         let until = Instant::now() + fleet::GRACE;
         while alive().next().is_some() && Instant::now() < until {
--- a/crates/harbourmaster/tests/bytes.rs
+++ b/crates/harbourmaster/tests/bytes.rs
@@ -1,12 +1,12 @@
 //! All readers of bytes from outside, against bytes that are nearly right: none panics, each says what is wrong in
 //! few words, and what is taken for right is read the same again.
 
+use fault_injection::mutate::Mutator;
 use harbourmaster::{CALLS, Call, Change, Ledger, Place};
 use hyper::header::{HeaderMap, HeaderValue};
 use manifest::{Config, Settings};
 use protocol::relay::{Mark, Word};
 use protocol::{Berth, Flag, Hail, Held, Phase, Plane, Pulse, Splice, frame, unframe};
-use slipway::mutate::Mutator;
 
 /// Changed texts for each reader: some seconds, also on a slow machine.
 const EACH: usize = 3000;
--- a/emulator/src/draw.rs
+++ b/emulator/src/draw.rs
@@ -3,8 +3,8 @@
 
 use crate::scenario::{Backoff, Effect, Kind, Scenario, Shape, Span};
 use doorcourse::{Group, Name, Reports, Settings};
+use fault_injection::Random;
 use serde::Serialize;
-use slipway::Random;
 use std::sync::Arc;
 
 /// Time in whole microseconds since the day began.
--- a/emulator/src/live/load.rs
+++ b/emulator/src/live/load.rs
@@ -4,12 +4,12 @@
 
 use crate::live::history::{Ended, History, Seen};
 use bytes::Bytes;
+use fault_injection::Random;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt as _, Empty};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
-use slipway::Random;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/emulator/src/live/process.rs
+++ b/emulator/src/live/process.rs
@@ -1,10 +1,10 @@
 //! Gateways as processes of their own. Every process that is started here is ended here: when its owner goes, when
 //! the program panics ([`end_with_panics`]), and when it is told to stop ([`end_all`]).
 
+use fault_injection::running;
+pub use fault_injection::running::{end_all, end_with_panics, signal};
 use rustix::process::Signal;
 use serde_json::Value;
-use slipway::running;
-pub use slipway::running::{end_all, end_with_panics, signal};
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
--- a/emulator/src/live/stand_ins.rs
+++ b/emulator/src/live/stand_ins.rs
@@ -3,6 +3,7 @@
 
 use crate::live::history::{Entry, History, Seen, gateway_at};
 use bytes::Bytes;
+use fault_injection::Random;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -11,7 +12,6 @@
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use serde_json::{Value, json};
-use slipway::Random;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
--- a/emulator/src/report.rs
+++ b/emulator/src/report.rs
@@ -4,8 +4,8 @@
 use crate::books::Part;
 use crate::experiment::{Estimate, losses};
 use crate::results::{Results, Row};
+use fault_injection::plot::{COLOURS, PlotError, SIZE, bars, drawn, escaped, lines};
 use plotters::prelude::*;
-use slipway::plot::{COLOURS, PlotError, SIZE, bars, drawn, escaped, lines};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -1,10 +1,10 @@
 //! What a day is drawn from: the figures of a site as ranges, and a day's size and troubles. Both are TOML files;
 //! every fault is told with the place in the file, and nothing is started on one.
 
+pub use fault_injection::Span;
 use serde::de::{Deserializer, Error as _};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
-pub use slipway::Span;
 use std::fmt;
 use std::path::{Path, PathBuf};
 
--- a/emulator/src/trial/page.rs
+++ b/emulator/src/trial/page.rs
@@ -1,10 +1,10 @@
-//! The timeline of a trial ([`slipway::timeline`]), from what was written down.
+//! The timeline of a trial ([`fault_injection::timeline`]), from what was written down.
 
 use crate::live::history::{Line, Seen};
 use crate::trial::judge::{BUCKET, Verdict};
 use crate::trial::schedule::Schedule;
-use slipway::plot::PlotError;
-use slipway::timeline::Timeline;
+use fault_injection::plot::PlotError;
+use fault_injection::timeline::Timeline;
 use std::collections::HashMap;
 
 /// Draws it.
--- a/emulator/src/trial/relay.rs
+++ b/emulator/src/trial/relay.rs
@@ -1,7 +1,7 @@
-//! Who is connected in a trial, and the relays between them ([`slipway::relay`]).
+//! Who is connected in a trial, and the relays between them ([`fault_injection::relay`]).
 
 use crate::live::history::Addresses;
-pub use slipway::relay::{Flow, Link, MOST_HELD};
+pub use fault_injection::relay::{Flow, Link, MOST_HELD};
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -45,11 +45,11 @@
 #[derive(Default)]
 pub struct Net {
     addresses: Addresses,
-    net: slipway::relay::Net<Party>,
+    net: fault_injection::relay::Net<Party>,
 }
 
 impl Deref for Net {
-    type Target = slipway::relay::Net<Party>;
+    type Target = fault_injection::relay::Net<Party>;
 
     fn deref(&self) -> &Self::Target {
         &self.net
--- a/emulator/src/trial/schedule.rs
+++ b/emulator/src/trial/schedule.rs
@@ -3,9 +3,9 @@
 
 use crate::scenario::Span;
 use crate::trial::relay::{Flow, Party};
+use fault_injection::Random;
+use fault_injection::relay::{Harm, links_between};
 use serde::{Deserialize, Serialize};
-use slipway::Random;
-use slipway::relay::{Harm, links_between};
 use std::fmt;
 use std::path::Path;
 use toml::Spanned;
@@ -341,7 +341,7 @@
     /// # Errors
     /// When it cannot be played: one line with the place.
     pub fn read(name: &str, text: &str, seed: u64, seconds: Option<f64>) -> Result<Self, ScheduleError> {
-        let place = |at: usize, what: &str| ScheduleError(slipway::place(name, text, at, what));
+        let place = |at: usize, what: &str| ScheduleError(fault_injection::place(name, text, at, what));
         let file: File = toml::from_str(text)
             .map_err(|error| place(error.span().map_or(0, |span| span.start), error.message()))?;
         let bad = |at: std::ops::Range<usize>, what: String| Err(place(at.start, &what));
--- a/emulator/src/world/mod.rs
+++ b/emulator/src/world/mod.rs
@@ -17,7 +17,7 @@
     Settings,
 };
 use event::{Due, Happens};
-use slipway::Random;
+use fault_injection::Random;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// A gateway that does nothing else for so many rounds in one instant is held to have gone wild.
