--- a/crates/harbourmaster/tests/bytes.rs
+++ b/crates/control-plane/tests/bytes.rs
@@ -1,8 +1,8 @@
 //! All readers of bytes from outside, against bytes that are nearly right: none panics, each says what is wrong in
 //! few words, and what is taken for right is read the same again.
 
+use control_plane::{CALLS, Call, Change, Ledger, Place};
 use fault_injection::mutate::Mutator;
-use harbourmaster::{CALLS, Call, Change, Ledger, Place};
 use hyper::header::{HeaderMap, HeaderValue};
 use manifest::{Config, Settings};
 use protocol::relay::{Mark, Word};
--- a/crates/harbourmaster/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -1,6 +1,6 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
-use harbourmaster::{Disk, Master, MasterSettings};
+use control_plane::{Disk, Master, MasterSettings};
 use protocol::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use raft::{Timing, VoterId};
 use std::cell::Cell;
@@ -80,9 +80,9 @@
                     listener.set_nonblocking(true).expect("not blocking");
                     tokio::net::TcpListener::from_std(listener).expect("a listener")
                 };
-                let to_peers = harbourmaster::listen(listen(address), commands.clone(), move || numbers());
+                let to_peers = control_plane::listen(listen(address), commands.clone(), move || numbers());
                 tokio::task::spawn_local(to_peers);
-                tokio::task::spawn_local(harbourmaster::serve(listen(control), commands.clone(), 64));
+                tokio::task::spawn_local(control_plane::serve(listen(control), commands.clone(), 64));
                 tokio::task::spawn_local(master.run(queue));
                 let _ = stopped.await;
             });
--- a/crates/harbourmaster/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -1,7 +1,7 @@
 //! The configurations that were taken: what becomes of a change, and of the same one again.
 
 use bitcode::Encode;
-use harbourmaster::{Change, Ledger, Marks, Place, Verdict};
+use control_plane::{Change, Ledger, Marks, Place, Verdict};
 use std::collections::BTreeMap;
 
 fn change(base: u64, version: u64, digest: u8) -> Change {
--- a/crates/programs/src/master.rs
+++ b/crates/programs/src/master.rs
@@ -1,7 +1,7 @@
 //! The program that serves control.
 
 use crate::start;
-use harbourmaster::{Disk, Master, MasterSettings};
+use control_plane::{Disk, Master, MasterSettings};
 use manifest::Settings;
 use miette::{Result, miette};
 use protocol::{Hail, Plane};
@@ -80,9 +80,9 @@
     spdlog::info!("serves control", kv: { step = "start", life, quorum = folder.is_some() });
     let lookout = start::watch(&settings, false, life)?;
     let master = Master::new(master, log, commands.clone(), numbers.clone()).with_lookout(lookout.clone());
-    tokio::task::spawn_local(harbourmaster::listen(peers, commands.clone(), move || numbers()));
+    tokio::task::spawn_local(control_plane::listen(peers, commands.clone(), move || numbers()));
     let callers = (settings.max_fds as usize).saturating_sub(KEPT).clamp(64, 4096);
-    tokio::task::spawn_local(harbourmaster::serve(control, commands.clone(), callers));
+    tokio::task::spawn_local(control_plane::serve(control, commands.clone(), callers));
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(master.run(queue));
@@ -100,7 +100,7 @@
                         lookout.seeds(&start::watch_seeds(&settings));
                     }
                     let seeds = start::seeds(&settings);
-                    let _ = commands.send(harbourmaster::Command::Seeds(seeds)).await;
+                    let _ = commands.send(control_plane::Command::Seeds(seeds)).await;
                 }
                 Err(fault) => spdlog::error!("settings not taken: {}", fault, kv: { step = "hangup" }),
             }
--- a/crates/programs/src/operate/state.rs
+++ b/crates/programs/src/operate/state.rs
@@ -1,8 +1,8 @@
 //! What lies in a data folder, read from a copy: neither a repair nor a fault of this program changes the original.
 
 use super::Trouble;
+use control_plane::{Change, Ledger, Marks};
 use gumdrop::Options;
-use harbourmaster::{Change, Ledger, Marks};
 use raft::store::{Store, StoreError};
 use raft::{Entry, Saved, What};
 use serde_json::{Value, json};
