--- a/crates/quay/tests/helper/mod.rs
+++ b/crates/data-plane/tests/helper/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use data_plane::{Admission, Asked, Conf, Quay, QuaySettings};
 use protocol::{Berth, Phase};
-use quay::{Admission, Asked, Conf, Quay, QuaySettings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/programs/src/quays.rs
+++ b/crates/programs/src/quays.rs
@@ -1,10 +1,10 @@
 //! The program that carries requests.
 
 use crate::start;
+use data_plane::{Purser, Quay, QuaySettings};
 use manifest::{Config, Settings};
 use miette::{Result, miette};
 use protocol::{Hail, Plane};
-use quay::{Purser, Quay, QuaySettings};
 use quota::Quota;
 use std::cell::RefCell;
 use std::net::SocketAddr;
