--- a/crates/manifest/src/config.rs
+++ b/crates/config/src/config.rs
@@ -33,7 +33,7 @@
 /// A text that names no version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Diagnostic)]
 #[error("a version is written `r` and a number, such as `r12`")]
-#[diagnostic(code(manifest::version))]
+#[diagnostic(code(config::version))]
 pub struct VersionFault;
 
 impl FromStr for Version {
@@ -117,7 +117,7 @@
 /// One fault of a configuration.
 #[derive(Debug, Clone, PartialEq, Error, Diagnostic)]
 #[error("{place}: {wrong}")]
-#[diagnostic(code(manifest::config::line))]
+#[diagnostic(code(config::config::line))]
 pub struct ConfigLine {
     /// Way to the fault, such as `route_table.r-x.deadline_ms`.
     pub place: String,
@@ -130,11 +130,11 @@
 pub enum ConfigFault {
     /// The body is not one JSON document: cut short, followed by more, or no JSON at all.
     #[error("(document): cannot be read whole: {0}")]
-    #[diagnostic(code(manifest::config::unreadable))]
+    #[diagnostic(code(config::config::unreadable))]
     Unreadable(#[source] serde_json::Error),
     /// The document says something that no configuration may say.
     #[error("{}", Lines(lines, *more))]
-    #[diagnostic(code(manifest::config::invalid))]
+    #[diagnostic(code(config::config::invalid))]
     Invalid {
         /// The first faults, in the order of the document's tables.
         #[related]
--- a/crates/manifest/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -42,7 +42,7 @@
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic)]
 #[error("{key}: {wrong}")]
-#[diagnostic(code(manifest::settings::key))]
+#[diagnostic(code(config::settings::key))]
 pub struct KeyFault {
     /// Way to the fault.
     pub key: String,
@@ -74,7 +74,7 @@
 pub enum SettingsFault {
     /// The file could not be read.
     #[error("{}: cannot be read: {error}", path.display())]
-    #[diagnostic(code(manifest::settings::file))]
+    #[diagnostic(code(config::settings::file))]
     File {
         /// The file.
         path: PathBuf,
@@ -84,11 +84,11 @@
     },
     /// The text is not TOML.
     #[error("(document): is not TOML: {0}")]
-    #[diagnostic(code(manifest::settings::toml))]
+    #[diagnostic(code(config::settings::toml))]
     Toml(#[from] toml::de::Error),
     /// Settings are missing or wrong.
     #[error("{}", .0.iter().map(KeyFault::to_string).collect::<Vec<_>>().join("\n"))]
-    #[diagnostic(code(manifest::settings::invalid))]
+    #[diagnostic(code(config::settings::invalid))]
     Invalid(#[related] Vec<KeyFault>),
 }
 
--- a/crates/manifest/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use manifest::{Config, ConfigFault, Version, diff};
+use config::{Config, ConfigFault, Version, diff};
 use serde_json::{Value, json};
 use yare::parameterized;
 
--- a/crates/manifest/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use manifest::settings::declared;
-use manifest::{Settings, SettingsFault};
+use config::settings::declared;
+use config::{Settings, SettingsFault};
 use yare::parameterized;
 
 const FILE: &str = include_str!("data/settings.toml");
--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::master::Command;
 use bytes::{Bytes, BytesMut};
+use config::Version;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
@@ -9,7 +10,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use manifest::Version;
 use observability::Seldom;
 use protocol::{Berth, Order, Phase};
 use serde::Deserialize;
--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -13,7 +13,7 @@
 use crate::ledger::{Change, Ledger, Marks, Place, Verdict};
 use crate::lines::carry;
 use crate::watch::{Watch, What as Happened};
-use manifest::{Config, Detours};
+use config::{Config, Detours};
 use protocol::{Berth, Flag, Hail, Held, MasterCard, Order, Plane, Pulse, Sheet, Splice};
 use quota::{Office, Placer, Quota, Roster};
 use raft::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
--- a/crates/control-plane/tests/bytes.rs
+++ b/crates/control-plane/tests/bytes.rs
@@ -1,10 +1,10 @@
 //! All readers of bytes from outside, against bytes that are nearly right: none panics, each says what is wrong in
 //! few words, and what is taken for right is read the same again.
 
+use config::{Config, Settings};
 use control_plane::{CALLS, Call, Change, Ledger, Place};
 use fault_injection::mutate::Mutator;
 use hyper::header::{HeaderMap, HeaderValue};
-use manifest::{Config, Settings};
 use protocol::relay::{Mark, Word};
 use protocol::{Berth, Flag, Hail, Held, Phase, Plane, Pulse, Splice, frame, unframe};
 
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -67,7 +67,7 @@
                     draws_a_holder: 0.0,
                     relay_room: None,
                     seed,
-                    ways: manifest::Detours::default(),
+                    ways: config::Detours::default(),
                 };
                 let numbers = Rc::new(Cell::new(0));
                 let numbers: Rc<dyn Fn() -> u64> = Rc::new(move || {
--- a/crates/data-plane/src/berths.rs
+++ b/crates/data-plane/src/berths.rs
@@ -1,8 +1,8 @@
 //! The lives of backends as control tells of them. Of two words of one life the one with more calls counts, and a phase
 //! only ever goes forward: a list of somebody who has heard less takes nothing back.
 
+use config::Detours;
 use doorcourse::{BackendState, Name};
-use manifest::Detours;
 use protocol::{Berth, Phase};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -24,7 +24,7 @@
 pub use purser::Purser;
 pub use quay::Quay;
 
-use manifest::Detours;
+use config::Detours;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,7 +32,7 @@
 use tokio::sync::oneshot;
 
 /// The operator's configuration, as far as the data plane goes by it.
-pub use manifest::Config as Conf;
+pub use config::Config as Conf;
 
 /// A line for the log.
 pub struct Line<'a> {
--- a/crates/data-plane/src/order.rs
+++ b/crates/data-plane/src/order.rs
@@ -2,10 +2,10 @@
 
 use crate::headers::{ATTEMPT_ID, DEADLINE_LEFT, TARGET_INSTANCE, strip};
 use crate::speech::{Asking, name_tenant};
+use config::{Config, Route, Tenant};
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request;
 use hyper::{Method, Version};
-use manifest::{Config, Route, Tenant};
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/crates/drydock/src/operator.rs
+++ b/crates/drydock/src/operator.rs
@@ -68,7 +68,7 @@
         &self, first: Option<SocketAddr>, version: u64, base: u64, body: &Bytes, routes: Vec<u64>,
         until: Instant,
     ) -> Option<Answer> {
-        let valid = manifest::Config::parse(body).is_ok_and(|config| config.version.0 > base);
+        let valid = config::Config::parse(body).is_ok_and(|config| config.version.0 > base);
         self.history.note(Seen::Order { version, base, valid, routes });
         let answer = self.control.replace(first, base, body, until).await;
         match &answer {
@@ -337,11 +337,11 @@
     fn changes_are_valid_and_spoilt_ones_are_not() {
         let mut next = configuration(4);
         add_route(&mut next, 4);
-        assert!(manifest::Config::parse(next.to_string().as_bytes()).is_ok());
+        assert!(config::Config::parse(next.to_string().as_bytes()).is_ok());
         for turn in (0..8).filter(|turn| ![2, 5].contains(turn)) {
             let mut spoilt = next.clone();
             let what = spoil(&mut spoilt, turn, 3);
-            assert!(manifest::Config::parse(spoilt.to_string().as_bytes()).is_err(), "{what}");
+            assert!(config::Config::parse(spoilt.to_string().as_bytes()).is_err(), "{what}");
         }
     }
 }
--- a/crates/drydock/src/plan.rs
+++ b/crates/drydock/src/plan.rs
@@ -155,7 +155,7 @@
     #[test]
     fn the_first_configuration_is_valid() {
         let body = configuration(FIRST).to_string();
-        let config = manifest::Config::parse(body.as_bytes()).expect("valid");
+        let config = config::Config::parse(body.as_bytes()).expect("valid");
         for kind in &KINDS {
             let route = config.route(HOST, &format!("{}1", kind.prefix)).expect("a route");
             assert_eq!((&*route.label, route.pure), (kind.label, kind.pure));
--- a/crates/drydock/src/site.rs
+++ b/crates/drydock/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::fault::Fault;
 use crate::plan::{APPLY_MS, DRAIN_MS};
-use manifest::Settings;
+use config::Settings;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
--- a/crates/drydock/src/up.rs
+++ b/crates/drydock/src/up.rs
@@ -102,7 +102,7 @@
             write(&order, &text)?;
         }
         let body = std::fs::read(&order).map_err(Fault::file(&order))?;
-        let config = manifest::Config::parse(&body)
+        let config = config::Config::parse(&body)
             .map_err(|fault| Fault::Settings { path: order.clone(), wrong: fault.to_string() })?;
         let paths = |berths: &[crate::fleet::Berth]| -> Vec<_> {
             berths.iter().map(|b| b.settings.clone()).collect()
@@ -136,7 +136,7 @@
         Ok(backends)
     }
 
-    fn tell(&self, fronts: &[SocketAddr], control: &[SocketAddr], config: &manifest::Config, dir: &Path) {
+    fn tell(&self, fronts: &[SocketAddr], control: &[SocketAddr], config: &config::Config, dir: &Path) {
         let list = |addresses: &[SocketAddr]| -> String {
             addresses.iter().map(ToString::to_string).collect::<Vec<_>>().join("  ")
         };
--- a/crates/programs/src/check.rs
+++ b/crates/programs/src/check.rs
@@ -1,7 +1,7 @@
 //! Checks a file as a process would read it.
 
 use crate::UNUSABLE;
-use manifest::{Config, ConfigFault, Settings, SettingsFault};
+use config::{Config, ConfigFault, Settings, SettingsFault};
 use std::path::Path;
 use std::process::ExitCode;
 
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -45,7 +45,7 @@
         eprintln!("no settings file: neither --settings nor {SETTINGS} names one");
         return ExitCode::from(UNUSABLE);
     };
-    let mut settings = match manifest::Settings::read(&path) {
+    let mut settings = match config::Settings::read(&path) {
         Ok(settings) => settings,
         Err(fault) => {
             eprintln!("{}: {fault}", path.display());
--- a/crates/programs/src/master.rs
+++ b/crates/programs/src/master.rs
@@ -1,8 +1,8 @@
 //! The program that serves control.
 
 use crate::start;
+use config::Settings;
 use control_plane::{Disk, Master, MasterSettings};
-use manifest::Settings;
 use miette::{Result, miette};
 use protocol::{Hail, Plane};
 use raft::{Timing, VoterId};
--- a/crates/programs/src/operate/config.rs
+++ b/crates/programs/src/operate/config.rs
@@ -3,9 +3,9 @@
 use super::table::table;
 use super::{Trouble, client};
 use bytes::Bytes;
+use config::{Config, Version};
 use gumdrop::Options;
 use hyper::Method;
-use manifest::{Config, Version};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 
@@ -129,7 +129,7 @@
 
 /// Reads a body as a process would.
 fn parse(step: &'static str, what: &str, body: &[u8]) -> Result<Config, Trouble> {
-    let unusable = |fault: manifest::ConfigFault| Trouble::Unusable {
+    let unusable = |fault: config::ConfigFault| Trouble::Unusable {
         step,
         what: what.to_owned(),
         why: fault.to_string(),
@@ -210,7 +210,7 @@
             });
         }
     };
-    let lines = manifest::diff(&before, &after);
+    let lines = config::diff(&before, &after);
     Ok(if call.json {
         json!(lines).to_string() + "\n"
     } else if lines.is_empty() {
--- a/crates/programs/src/quays.rs
+++ b/crates/programs/src/quays.rs
@@ -1,8 +1,8 @@
 //! The program that carries requests.
 
 use crate::start;
+use config::{Config, Settings};
 use data_plane::{Purser, Quay, QuaySettings};
-use manifest::{Config, Settings};
 use miette::{Result, miette};
 use protocol::{Hail, Plane};
 use quota::Quota;
@@ -136,7 +136,7 @@
 
 fn quotas(config: &Config) -> Vec<Quota> {
     let tenants = config.tenants.iter().flat_map(|tenants| tenants.values());
-    let quota = |t: &manifest::Tenant| Quota {
+    let quota = |t: &config::Tenant| Quota {
         tenant: t.label.to_string(),
         rate_per_s: t.rate_per_s,
         burst: t.burst_size,
--- a/crates/programs/src/start.rs
+++ b/crates/programs/src/start.rs
@@ -1,6 +1,6 @@
 //! What both programs need at their start.
 
-use manifest::Settings;
+use config::Settings;
 use miette::{IntoDiagnostic, Result, WrapErr};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
--- a/crates/transport/src/line.rs
+++ b/crates/transport/src/line.rs
@@ -2,7 +2,7 @@
 
 use crate::spawn;
 use bytes::{Buf, BytesMut};
-use manifest::Detours;
+use config::Detours;
 use miette::Diagnostic;
 use protocol::{Flag, Garbled};
 use std::net::SocketAddr;
--- a/crates/transport/src/pilot.rs
+++ b/crates/transport/src/pilot.rs
@@ -6,7 +6,7 @@
 use crate::sheets;
 use crate::spawn;
 use crate::tree::{self, Tree};
-use manifest::Detours;
+use config::Detours;
 use protocol::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
 use quota::Roster;
 use relay_tree::{Input, Output};
--- a/crates/transport/src/tree.rs
+++ b/crates/transport/src/tree.rs
@@ -3,7 +3,7 @@
 use crate::line::{Line, LineError, Reader, attach, dial};
 use crate::sheets::{Sheets, rebuild};
 use crate::spawn;
-use manifest::Detours;
+use config::Detours;
 use protocol::relay::Word;
 use protocol::{Flag, Hail, Held};
 use relay_tree::{Input, Output, Relay, Settings};
