--- a/crates/drydock/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -247,7 +247,7 @@
     }
 
     async fn play(&self) -> Result<bool, Fault> {
-        let place = tempfile::Builder::new().prefix("drydock-").disable_cleanup(self.keep).tempdir();
+        let place = tempfile::Builder::new().prefix("testbed-").disable_cleanup(self.keep).tempdir();
         let place = place.map_err(Fault::file(std::env::temp_dir()))?;
         let folder = place.path();
         let teller = Teller::default();
--- a/crates/drydock/src/fault.rs
+++ b/crates/testbed/src/fault.rs
@@ -11,7 +11,7 @@
 pub enum Fault {
     /// A file or folder.
     #[error("{}: {error}", path.display())]
-    #[diagnostic(code(drydock::file))]
+    #[diagnostic(code(testbed::file))]
     File {
         /// Which.
         path: PathBuf,
@@ -21,7 +21,7 @@
     },
     /// A process could not be started.
     #[error("{name} cannot be started: {error}")]
-    #[diagnostic(code(drydock::start))]
+    #[diagnostic(code(testbed::start))]
     Start {
         /// What was to be started.
         name: String,
@@ -32,13 +32,13 @@
     /// No addresses.
     #[error("no free ports on the loopback addresses {0}")]
     #[diagnostic(
-        code(drydock::ports),
+        code(testbed::ports),
         help("each machine of the harbour needs the same ports on an address of its own")
     )]
     Ports(String),
     /// A socket.
     #[error("{what}: {error}")]
-    #[diagnostic(code(drydock::socket))]
+    #[diagnostic(code(testbed::socket))]
     Socket {
         /// What it is for.
         what: &'static str,
@@ -48,7 +48,7 @@
     },
     /// Something did not come to pass in time.
     #[error("after {} s: {what}", within.as_secs_f64())]
-    #[diagnostic(code(drydock::late), help("the logs of the processes are in {}", logs.display()))]
+    #[diagnostic(code(testbed::late), help("the logs of the processes are in {}", logs.display()))]
     Late {
         /// What was waited for.
         what: String,
@@ -59,7 +59,7 @@
     },
     /// A process ended before the harbour stood.
     #[error("{name} ended by itself ({status}): {words}")]
-    #[diagnostic(code(drydock::died), help("its log is {}", log.display()))]
+    #[diagnostic(code(testbed::died), help("its log is {}", log.display()))]
     Died {
         /// Which.
         name: String,
@@ -72,7 +72,7 @@
     },
     /// Settings that cannot be used.
     #[error("{}: {wrong}", path.display())]
-    #[diagnostic(code(drydock::settings), help("mend the file, or remove it to have it written anew"))]
+    #[diagnostic(code(testbed::settings), help("mend the file, or remove it to have it written anew"))]
     Settings {
         /// Where.
         path: PathBuf,
@@ -81,7 +81,7 @@
     },
     /// Another harbour is up in this folder.
     #[error("a harbour is up in {} already (process {pid})", dir.display())]
-    #[diagnostic(code(drydock::up), help("`drydock down --dir {}` ends it", dir.display()))]
+    #[diagnostic(code(testbed::up), help("`testbed down --dir {}` ends it", dir.display()))]
     Already {
         /// The folder.
         dir: PathBuf,
@@ -90,7 +90,7 @@
     },
     /// The operator's call was turned away.
     #[error("the configuration was not taken: {status} {body}")]
-    #[diagnostic(code(drydock::order))]
+    #[diagnostic(code(testbed::order))]
     Order {
         /// The answer's status.
         status: u16,
@@ -99,11 +99,11 @@
     },
     /// A trial that cannot be played.
     #[error(transparent)]
-    #[diagnostic(code(drydock::schedule))]
+    #[diagnostic(code(testbed::schedule))]
     Schedule(#[from] crate::trial::schedule::ScheduleError),
     /// Results that are none.
     #[error("{}:{line}: {wrong}", path.display())]
-    #[diagnostic(code(drydock::results))]
+    #[diagnostic(code(testbed::results))]
     Results {
         /// The file.
         path: PathBuf,
@@ -114,7 +114,7 @@
     },
     /// Someone wants it to end.
     #[error("ended by {0}")]
-    #[diagnostic(code(drydock::ended))]
+    #[diagnostic(code(testbed::ended))]
     Ended(&'static str),
 }
 
--- a/crates/drydock/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,19 +1,19 @@
-//! `drydock`: shows a small harbour at work on one machine, or keeps it up to look at.
+//! `testbed`: shows a small harbour at work on one machine, or keeps it up to look at.
 
 #![forbid(unsafe_code)]
 
-use drydock::demo::{Program, told_to_end};
-use drydock::report::print;
-use drydock::trial::schedule::{self, SHIPPED, Schedule};
-use drydock::trial::several::several;
-use drydock::trial::{self, Figures, compare};
-use drydock::{Demo, Fault, Trouble, up};
 use gumdrop::Options;
 use miette::Diagnostic as _;
 use rustix::process::{Pid, Signal, getppid, set_parent_process_death_signal};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
+use testbed::demo::{Program, told_to_end};
+use testbed::report::print;
+use testbed::trial::schedule::{self, SHIPPED, Schedule};
+use testbed::trial::several::several;
+use testbed::trial::{self, Figures, compare};
+use testbed::{Demo, Fault, Trouble, up};
 
 /// Faults were found.
 const FAULTS: u8 = 1;
@@ -29,7 +29,7 @@
 const LONGEST: u64 = 600;
 const FASTEST: f64 = 5000.0;
 
-/// drydock: a small harbour on one machine.
+/// testbed: a small harbour on one machine.
 #[derive(Debug, Options)]
 struct Arguments {
     /// print this help
@@ -46,9 +46,9 @@
     Trial(TrialArguments),
     /// how the second of two files of trials' figures differs from the first
     Compare(CompareArguments),
-    /// build a harbour and keep it up until Ctrl-C or `drydock down`
+    /// build a harbour and keep it up until Ctrl-C or `testbed down`
     Up(UpArguments),
-    /// end the harbour that `drydock up` keeps up
+    /// end the harbour that `testbed up` keeps up
     Down(DownArguments),
 }
 
@@ -168,7 +168,7 @@
     match run(command) {
         Ok(status) => status,
         Err(fault) => {
-            eprintln!("drydock: {fault}");
+            eprintln!("testbed: {fault}");
             if let Some(help) = fault.help() {
                 eprintln!("{help}");
             }
@@ -302,7 +302,7 @@
     let parent = parent.parse().ok().and_then(Pid::from_raw);
     // A parent that was gone before the signal was asked for would not be noticed otherwise.
     if set_parent_process_death_signal(Some(Signal::KILL)).is_err() || getppid() != parent {
-        eprintln!("is started by drydock only");
+        eprintln!("is started by testbed only");
         return ExitCode::from(UNUSABLE);
     }
     harbour::serve(program, None, harbour::Switches::default())
--- a/crates/drydock/src/trial/mod.rs
+++ b/crates/testbed/src/trial/mod.rs
@@ -87,7 +87,7 @@
 }
 
 async fn whole(schedule: Schedule, options: &Options) -> Result<Played, Failure> {
-    let place = tempfile::Builder::new().prefix("drydock-trial-").tempdir();
+    let place = tempfile::Builder::new().prefix("testbed-trial-").tempdir();
     let place = place.map_err(Failure::file(std::env::temp_dir()))?;
     let folder = place.path();
     let (site, _claim) = site()?;
--- a/crates/drydock/src/up.rs
+++ b/crates/testbed/src/up.rs
@@ -161,7 +161,7 @@
         if let Some(control) = control.first() {
             print(format_args!("curl http://{control}/Config.Read\ncurl http://{control}/Harbour.Status\n"));
         }
-        print(format_args!("\nCtrl-C ends it, or: drydock down --dir {}\n", self.dir.display()));
+        print(format_args!("\nCtrl-C ends it, or: testbed down --dir {}\n", self.dir.display()));
     }
 }
 
@@ -231,7 +231,7 @@
 /// Notes who has to be ended: ourselves first, since we end the others in order.
 fn record(dir: &Path, processes: &[Process]) -> Result<(), Fault> {
     let me = std::process::id();
-    let own = std::iter::once(("drydock", me));
+    let own = std::iter::once(("testbed", me));
     let all = own.chain(processes.iter().map(|process| (process.name(), process.pid())));
     let entries: Value = all
         .filter_map(|(name, pid)| Some(json!({ "name": name, "pid": pid, "started": started(pid)? })))
@@ -259,9 +259,9 @@
     let alive = || all.iter().filter(|(_, pid, at)| started(*pid) == Some(*at));
     let count = alive().count();
     let until = Instant::now() + ENDS;
-    if let Some((_, pid, _)) = alive().find(|(name, ..)| name == "drydock") {
+    if let Some((_, pid, _)) = alive().find(|(name, ..)| name == "testbed") {
         fault_injection::running::signal(*pid, Signal::TERM);
-        while alive().any(|(name, ..)| name == "drydock") && Instant::now() < until {
+        while alive().any(|(name, ..)| name == "testbed") && Instant::now() < until {
             sleep(LOOKS).await;
         }
     }
--- a/crates/drydock/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -1,9 +1,9 @@
 //! Each rule of the judge, against histories made by hand: a fault that is planted is found and named, and a history
 //! in order accuses nobody.
 
-use drydock::demo::TERMS;
-use drydock::history::{Deed, End, Line, Seen};
-use drydock::judge::{Rule, Verdict, judge, seal};
+use testbed::demo::TERMS;
+use testbed::history::{Deed, End, Line, Seen};
+use testbed::judge::{Rule, Verdict, judge, seal};
 
 const SECOND: u64 = 1_000_000;
 
--- a/crates/drydock/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -13,7 +13,7 @@
 const LOOKS: Duration = Duration::from_millis(20);
 
 fn start(arguments: &[&str]) -> (Child, BufReader<std::process::ChildStdout>) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_drydock"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_testbed"))
         .args(arguments)
         .stdout(Stdio::piped())
         .spawn()
@@ -136,7 +136,7 @@
     let file = place.path().join("bad.toml");
     std::fs::write(&file, "seconds = 5.0\nrate = 9.0\n[[fault]]\nat = 1.0\nfault = \"kill\"\non = \"h9\"\n")
         .expect("written");
-    let told = Command::new(env!("CARGO_BIN_EXE_drydock")).arg("trial").arg(&file).output().expect("it runs");
+    let told = Command::new(env!("CARGO_BIN_EXE_testbed")).arg("trial").arg(&file).output().expect("it runs");
     let words = String::from_utf8_lossy(&told.stderr).into_owned();
     assert_eq!((told.status.code(), words.lines().count()), (Some(2), 1), "{words}");
     assert!(words.contains("bad.toml:3:1: on: nobody is named h9"), "{words}");
@@ -148,7 +148,7 @@
     let dir = place.path().to_str().expect("a plain name");
     for turn in 0..2 {
         let (mut child, mut said) = start(&["up", "--dir", dir]);
-        read_until(&mut said, "drydock down");
+        read_until(&mut said, "testbed down");
         let children = children(child.id());
         assert_eq!(children.len(), 7, "{turn}: {children:?}");
         let (mut down, _) = start(&["down", "--dir", dir]);
--- a/crates/drydock/tests/schedule.rs
+++ b/crates/testbed/tests/schedule.rs
@@ -1,7 +1,7 @@
 //! Schedules: what is read, what is refused and where, and what seeds draw.
 
-use drydock::trial::schedule::{Kind, On, SHIPPED, Schedule};
-use drydock::trial::{Figures, compare};
+use testbed::trial::schedule::{Kind, On, SHIPPED, Schedule};
+use testbed::trial::{Figures, compare};
 
 fn with(fault: &str) -> String {
     format!("seconds = 8.0\nrate = 50.0\n[[fault]]\n{fault}\n")
