--- a/crates/programs/src/main.rs
+++ b/crates/reachlb/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use gumdrop::Options;
-use harbour::{Program, Switches, UNUSABLE, check, operate, serve};
+use reachlb::{Program, Switches, UNUSABLE, check, operate, serve};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -58,7 +58,7 @@
         let failed = |error| Fault::Start { name: self.berth.name.clone(), error };
         let child = Command::new(&self.berth.program)
             .args(&self.berth.arguments)
-            .env(harbour::SETTINGS, &self.berth.settings)
+            .env(reachlb::SETTINGS, &self.berth.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(failed)?)
             .stderr(log)
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -292,8 +292,8 @@
 /// One of the programs, which ends with whoever started it.
 fn serve(plane: &str, parent: &str) -> ExitCode {
     let program = match plane {
-        "quay" => harbour::Program::Quay,
-        "harbourmaster" => harbour::Program::Harbourmaster,
+        "quay" => reachlb::Program::Quay,
+        "harbourmaster" => reachlb::Program::Harbourmaster,
         other => {
             eprintln!("{other:?} is neither quay nor harbourmaster");
             return ExitCode::from(UNUSABLE);
@@ -305,5 +305,5 @@
         eprintln!("is started by testbed only");
         return ExitCode::from(UNUSABLE);
     }
-    harbour::serve(program, None, harbour::Switches::default())
+    reachlb::serve(program, None, reachlb::Switches::default())
 }
