--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything runs on one thread. What is decided is decided by `doorcourse`, one of its gateways for each service;
 //! whether a tenant has something left is said by the host ([`Admission`]); connections, bodies and the engine of the
-//! decisions are those of the program in service (`hawser`).
+//! decisions are those of the program in service (`http-proxy`).
 //!
 //! Invariants: a request that is not pure goes to another backend only on a backend's word that it did not run; our
 //! own 429 and 503 go out only for what never ran; a success is passed on only whole, sealed and under its own id; a
--- a/crates/data-plane/src/readiness.rs
+++ b/crates/data-plane/src/readiness.rs
@@ -3,9 +3,9 @@
 use crate::Quay;
 use crate::front::Keep;
 use bytes::Bytes;
-use hawser::guest::{Guest, Hall};
-use hawser::pool::spawn;
-use hawser::wire::body::Content;
+use http_proxy::guest::{Guest, Hall};
+use http_proxy::pool::spawn;
+use http_proxy::wire::body::Content;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
--- a/crates/data-plane/src/speech.rs
+++ b/crates/data-plane/src/speech.rs
@@ -5,7 +5,7 @@
 };
 use crate::watch::{Try, Watch};
 use doorcourse::{LoadReport, Name, Outcome};
-use hawser::pool::{Answer, Dialect, End, Payload};
+use http_proxy::pool::{Answer, Dialect, End, Payload};
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
--- a/gateway/src/backends/list.rs
+++ b/gateway/src/backends/list.rs
@@ -1,7 +1,7 @@
 //! The list of backends: what discovery, a configuration and a predecessor say of them.
 
 use doorcourse::{BackendEntry, BackendState};
-pub use hawser::pool::Host;
+pub use http_proxy::pool::Host;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::fmt;
--- a/gateway/src/backends/pool.rs
+++ b/gateway/src/backends/pool.rs
@@ -3,8 +3,8 @@
 use crate::time::clock::millis;
 use doorcourse::{LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
-pub use hawser::pool::spawn;
-use hawser::pool::{Answer, Dialect, End, Payload};
+pub use http_proxy::pool::spawn;
+use http_proxy::pool::{Answer, Dialect, End, Payload};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::http::{request, response};
@@ -19,9 +19,9 @@
 const LOAD: &str = "srv-load";
 
 /// All backends that this gateway knows.
-pub type Backends = hawser::pool::Backends<Speech>;
+pub type Backends = http_proxy::pool::Backends<Speech>;
 /// What a client asked, as far as it goes on to a backend.
-pub type Message = hawser::pool::Message<Ask>;
+pub type Message = http_proxy::pool::Message<Ask>;
 
 /// What a client asked, but for its body.
 #[derive(Clone)]
--- a/gateway/src/clients/front.rs
+++ b/gateway/src/clients/front.rs
@@ -7,8 +7,8 @@
 use crate::wire::body::{ClientBody, Content, Cut, HELD, LARGEST, Upload};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{Arrival, Effect, Name, Settings};
-use hawser::guest::{Guest, Hall, LAST_CALL};
-use hawser::pool::{Answer, Payload};
+use http_proxy::guest::{Guest, Hall, LAST_CALL};
+use http_proxy::pool::{Answer, Payload};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::http::uri::PathAndQuery;
@@ -99,7 +99,7 @@
     hand_over: Notify,
 }
 
-type Keep = hawser::guest::Keep<Speech>;
+type Keep = http_proxy::guest::Keep<Speech>;
 type Reaction = Response<Content<Keep>>;
 
 impl Front {
--- a/gateway/src/control/counter.rs
+++ b/gateway/src/control/counter.rs
@@ -3,7 +3,7 @@
 use crate::observe::cost::{Cost, Use};
 use crate::time::clock::millis;
 use doorcourse::{CountOutcome, Millis};
-use hawser::engine::{Count, Report};
+use http_proxy::engine::{Count, Report};
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use std::cell::{Cell, RefCell};
--- a/gateway/src/control/engine.rs
+++ b/gateway/src/control/engine.rs
@@ -5,15 +5,15 @@
 use crate::observe::figures::Figures;
 use crate::time::clock::span;
 use doorcourse::{Settings, SettingsError};
-use hawser::engine::Count;
-pub use hawser::engine::{Judged, Reply};
+use http_proxy::engine::Count;
+pub use http_proxy::engine::{Judged, Reply};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Runs the decisions.
-pub type Engine = hawser::engine::Engine<Speech>;
+pub type Engine = http_proxy::engine::Engine<Speech>;
 /// A request whose client waits.
-pub type Waiting = hawser::engine::Waiting<Speech>;
+pub type Waiting = http_proxy::engine::Waiting<Speech>;
 
 /// An engine with nothing to do yet.
 ///
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod operators;
 pub mod state;
 
-pub use hawser::{observe, time, wire};
+pub use http_proxy::{observe, time, wire};
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -3,8 +3,8 @@
 mod helper;
 
 use doorcourse::CountOutcome;
-use hawser::engine::Count as _;
 use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row, soon};
+use http_proxy::engine::Count as _;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
