--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -183,8 +183,8 @@
     peers: BTreeMap<u64, Peer>,
     dialing: BTreeMap<SocketAddr, (u64, u64)>,
     masters: BTreeMap<SocketAddr, String>,
-    /// The births of those with a disk that counts.
-    births: BTreeMap<SocketAddr, u64>,
+    /// The incarnations of those with a disk that counts.
+    incarnations: BTreeMap<SocketAddr, u64>,
     register: Register,
     fleet: Fleet,
     ledger: Ledger,
@@ -250,7 +250,7 @@
             peers: BTreeMap::new(),
             dialing: BTreeMap::new(),
             masters: BTreeMap::new(),
-            births: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             register: Register::new(settings.beat_interval),
             fleet: Fleet::default(),
             ledger,
--- a/crates/control-plane/src/master/entries.rs
+++ b/crates/control-plane/src/master/entries.rs
@@ -18,11 +18,11 @@
     pub(super) fn on_output(&mut self, output: Output) {
         match output {
             Output::Send { to, message } => {
-                let birth = self.node.as_ref().map_or(0, |node| node.me().birth);
+                let incarnation = self.node.as_ref().map_or(0, |node| node.me().incarnation);
                 if let Ok(address) = to.address.parse()
                     && let Some(line) = self.line_to(&address)
                 {
-                    line.send(&Flag::Log { birth, message: bitcode::encode(&message) });
+                    line.send(&Flag::Log { incarnation, message: bitcode::encode(&message) });
                 }
             }
             Output::Save(save) => {
--- a/crates/control-plane/src/master/links.rs
+++ b/crates/control-plane/src/master/links.rs
@@ -130,7 +130,7 @@
         match flag {
             Flag::Hail(hail) => self.on_hail(number, hail, now),
             Flag::Welcome(hail) => self.meet(&hail),
-            Flag::Log { birth, message } => self.on_log(number, birth, &message),
+            Flag::Log { incarnation, message } => self.on_log(number, incarnation, &message),
             Flag::Masters(cards) => {
                 for card in cards {
                     if let Ok(address) = card.address.parse() {
@@ -191,7 +191,7 @@
             }
             Plane::Master => {
                 let mut me = self.settings.me.clone();
-                me.birth = self.node.as_ref().map(|node| node.me().birth);
+                me.incarnation = self.node.as_ref().map(|node| node.me().incarnation);
                 if let Some(peer) = self.peers.get(&number) {
                     peer.line.send(&Flag::Welcome(me));
                 }
@@ -210,27 +210,29 @@
     pub(super) fn meet(&mut self, hail: &Hail) {
         let Ok(address) = hail.address.parse() else { return };
         self.learn_master(address, hail.zone.clone());
-        if let Some(birth) = hail.birth.filter(|_| hail.quorum && self.masters.contains_key(&address)) {
-            self.births.insert(address, birth);
+        if let Some(incarnation) =
+            hail.incarnation.filter(|_| hail.quorum && self.masters.contains_key(&address))
+        {
+            self.incarnations.insert(address, incarnation);
         }
     }
 
     /// Whoever has a disk that counts and is no voter yet is to become one: the log wants to be asked until it is.
     pub(super) fn take_in(&mut self) {
         let Some(node) = self.node.as_ref().filter(|node| node.is_leader()) else { return };
-        let voters = self
-            .births
-            .iter()
-            .map(|(address, birth)| VoterId { address: address.to_string(), birth: *birth });
+        let voters = self.incarnations.iter().map(|(address, incarnation)| VoterId {
+            address: address.to_string(),
+            incarnation: *incarnation,
+        });
         let missing: Vec<_> = voters.filter(|voter| !node.members().contains(voter)).collect();
         for voter in missing {
             self.log(Input::AddVoter(voter));
         }
     }
 
-    pub(super) fn on_log(&mut self, number: u64, birth: u64, message: &[u8]) {
+    pub(super) fn on_log(&mut self, number: u64, incarnation: u64, message: &[u8]) {
         let Some(hail) = self.peers.get(&number).and_then(|p| p.hail.as_ref()) else { return };
-        let from = VoterId { address: hail.address.clone(), birth };
+        let from = VoterId { address: hail.address.clone(), incarnation };
         if let Ok(message) = bitcode::decode(message) {
             self.log(Input::Heard { from, message });
         }
--- a/crates/control-plane/src/master/news.rs
+++ b/crates/control-plane/src/master/news.rs
@@ -49,7 +49,7 @@
         // each other's news of old round in a circle.
         if self.node.is_none() {
             let have = self.sheets.held();
-            for address in self.births.keys() {
+            for address in self.incarnations.keys() {
                 if let Some(line) = self.line_to(address) {
                     line.send(&Flag::Follow { have });
                 }
--- a/crates/control-plane/src/master/told.rs
+++ b/crates/control-plane/src/master/told.rs
@@ -10,10 +10,13 @@
     pub(super) fn status(&self, now: u64) -> Reply {
         let (leader, epoch, fresh) = self.leader(now);
         let log = self.node.as_ref().map(|node| {
-            let members: Vec<_> =
-                node.members().iter().map(|m| json!({ "address": m.address, "birth": m.birth })).collect();
+            let members: Vec<_> = node
+                .members()
+                .iter()
+                .map(|m| json!({ "address": m.address, "birth": m.incarnation }))
+                .collect();
             json!({ "leads": node.is_leader(), "holds_lease": node.holds_lease(now), "commit": node.commit(),
-                "birth": node.me().birth, "voter": node.is_voter(), "members": members })
+                "birth": node.me().incarnation, "voter": node.is_voter(), "members": members })
         });
         let lines: Vec<_> = self
             .peers
--- a/crates/control-plane/tests/bytes.rs
+++ b/crates/control-plane/tests/bytes.rs
@@ -114,7 +114,7 @@
         address: "10.0.0.1:80".into(),
         zone: "north".into(),
         quorum: false,
-        birth: None,
+        incarnation: None,
     };
     let whole = [
         Flag::Hail(hail),
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -40,10 +40,10 @@
             tokio::task::LocalSet::new().block_on(&runtime, async move {
                 let (commands, queue) = mpsc::channel(1024);
                 let newcomer = |_: bool| {
-                    let birth = if first { 0 } else { 77 };
-                    let founders = seeds.iter().map(|a| VoterId { address: a.to_string(), birth: 0 });
+                    let incarnation = if first { 0 } else { 77 };
+                    let founders = seeds.iter().map(|a| VoterId { address: a.to_string(), incarnation: 0 });
                     let founders = if first { founders.collect() } else { Vec::new() };
-                    (VoterId { address: address.to_string(), birth }, founders)
+                    (VoterId { address: address.to_string(), incarnation }, founders)
                 };
                 // The thread of the process before may take a moment to let go of the file.
                 let log = folder.map(|folder| until(|| Disk::open(&folder, newcomer, commands.clone()).ok()));
@@ -54,9 +54,9 @@
                     address: address.to_string(),
                     zone: "a".into(),
                     quorum: log.is_some(),
-                    birth: log.as_ref().map(|(_, saved)| saved.me.birth),
+                    incarnation: log.as_ref().map(|(_, saved)| saved.me.incarnation),
                 };
-                let timing = Timing { pulse: 40, election: 300, lease: 200 };
+                let timing = Timing { heartbeat: 40, election: 300, lease: 200 };
                 let seed = at as u64 + 5;
                 let settings = MasterSettings {
                     me,
@@ -300,7 +300,7 @@
         address: "127.0.0.1:1".into(),
         zone: "a".into(),
         quorum: false,
-        birth: None,
+        incarnation: None,
     };
     let mut stream = TcpStream::connect(harbour.peers[1]).expect("a line");
     stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
@@ -392,7 +392,7 @@
         address: "127.0.0.1:1".into(),
         zone: "a".into(),
         quorum: false,
-        birth: None,
+        incarnation: None,
     };
     let frames = [Flag::Hail(hail), Flag::Follow { have: Held::default() }]
         .map(|flag| protocol::frame(&flag))
@@ -445,7 +445,7 @@
                 address: address.to_string(),
                 zone: "a".into(),
                 quorum: true,
-                birth: Some(0),
+                incarnation: Some(0),
             };
             let pulse =
                 Pulse { leader: Some(address.to_string()), epoch: 1, fresh: true, ..Pulse::default() };
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -119,7 +119,7 @@
     /// Whether it has a disk that counts.
     pub quorum: bool,
     /// The number drawn when its disk was empty, once it is known; of a process with a disk that counts.
-    pub birth: Option<u64>,
+    pub incarnation: Option<u64>,
 }
 
 /// A process that serves control, as others know it.
@@ -208,10 +208,10 @@
     Hail(Hail),
     /// The answer to it by a process that serves control, who it is itself.
     Welcome(Hail),
-    /// Between voters: a message of the log, encoded, and the sender's birth.
+    /// Between voters: a message of the log, encoded, and the sender's incarnation.
     Log {
-        /// The sender's birth.
-        birth: u64,
+        /// The sender's incarnation.
+        incarnation: u64,
         /// The message.
         message: Vec<u8>,
     },
--- a/crates/raft/src/agreement/mod.rs
+++ b/crates/raft/src/agreement/mod.rs
@@ -29,7 +29,7 @@
 /// The first leads; the third has heard nothing of the entry that the other two have committed.
 fn led(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { term: 1, ..QUIET });
-    world.then(Event::Stand(0)).settle(&[0, 1]).lose()
+    world.then(Event::RequestVote(0)).settle(&[0, 1]).lose()
 }
 
 fn fresh(plant: Plant) -> World {
@@ -47,9 +47,9 @@
 /// The first led and wrote an entry, then the second did, each for itself; now the first leads again.
 fn split(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { give_ways: 2, ..QUIET });
-    let world = world.then(Event::Stand(0)).hear(1, 0).hear(0, 1).then(Event::GiveWay(0)).lose();
-    let world = world.then(Event::Stand(1)).hear(2, 1).hear(1, 2).then(Event::GiveWay(1)).lose();
-    let world = world.then(Event::Stand(0)).then(Event::Stand(0)).hear(2, 0).hear(0, 2);
+    let world = world.then(Event::RequestVote(0)).hear(1, 0).hear(0, 1).then(Event::GiveWay(0)).lose();
+    let world = world.then(Event::RequestVote(1)).hear(2, 1).hear(1, 2).then(Event::GiveWay(1)).lose();
+    let world = world.then(Event::RequestVote(0)).then(Event::RequestVote(0)).hear(2, 0).hear(0, 2);
     world.with(Budget { term: 4, ..QUIET })
 }
 
@@ -61,28 +61,29 @@
 /// A fourth host has the log and wants to be a voter; one of the three is to leave.
 fn joining(plant: Plant) -> World {
     let world = World::new(3, 1, plant).with(Budget { joins: 1, ..QUIET });
-    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Add(0, voter(3, 9))).hear(3, 0);
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1]).then(Event::Add(0, voter(3, 9))).hear(3, 0);
     world.with(Budget { term: 2, lazy: 1, leaves: 1, ..QUIET })
 }
 
 /// A leader that has written a list without the third voter, and one that knows nothing of it.
 fn leaving(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { leaves: 1, ..QUIET });
-    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Remove(0, voter(2, 0)));
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1]).then(Event::Remove(0, voter(2, 0)));
     world.with(Budget { term: 3, restarts: 1, leaves: 1, ..QUIET })
 }
 
 /// The third has lost its disk, and comes back under another number.
 fn exchanged(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { wipes: 1, joins: 1, ..QUIET });
-    let world = world.then(Event::Stand(0)).settle(&[0, 1, 2]).lose().then(Event::Wipe(2));
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1, 2]).lose().then(Event::Wipe(2));
     world.then(Event::Add(0, voter(2, 1))).hear(2, 0).with(Budget { term: 2, restarts: 1, ..QUIET })
 }
 
 /// The leader has dropped the entries that the third lacks.
 fn compacted(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { proposals: 1, compactions: 1, ..QUIET });
-    let world = world.then(Event::Stand(0)).settle(&[0, 1]).then(Event::Propose(0)).settle(&[0, 1]).lose();
+    let world =
+        world.then(Event::RequestVote(0)).settle(&[0, 1]).then(Event::Propose(0)).settle(&[0, 1]).lose();
     world.then(Event::Compact(0)).with(Budget {
         term: 2,
         lazy: 1,
--- a/crates/raft/src/agreement/world.rs
+++ b/crates/raft/src/agreement/world.rs
@@ -17,13 +17,13 @@
 const NOW: Millis = 150;
 /// Far behind a leader's patience.
 const LATE: Millis = 1_000;
-const TIMING: Timing = Timing { pulse: 8, election: 100, lease: 50 };
+const TIMING: Timing = Timing { heartbeat: 8, election: 100, lease: 50 };
 
 /// A fault that the search has to find. None of them is in the node: they change what goes in and comes out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plant {
     Nothing,
-    /// Saves of a ballot count as on disk before they are.
+    /// Saves of a hard state count as on disk before they are.
     VoteBeforeSync,
     /// So do saves of entries.
     EntriesBeforeSync,
@@ -40,8 +40,8 @@
 pub enum Event {
     Deliver(usize),
     /// A node that leads not stands for election; those it sounds out say yes.
-    Stand(usize),
-    Pulse(usize),
+    RequestVote(usize),
+    Heartbeat(usize),
     /// A leader reaches no majority.
     GiveWay(usize),
     Sync(usize),
@@ -105,8 +105,8 @@
     plant: Plant,
 }
 
-pub fn voter(host: usize, birth: u64) -> VoterId {
-    VoterId { address: format!("n{host}"), birth }
+pub fn voter(host: usize, incarnation: u64) -> VoterId {
+    VoterId { address: format!("n{host}"), incarnation }
 }
 
 pub fn host_of(voter: &VoterId) -> usize {
@@ -114,10 +114,10 @@
 }
 
 impl World {
-    /// Voters at birth, and hosts that are no voters yet.
-    pub fn new(founders: usize, strangers: usize, plant: Plant) -> World {
+    /// founding voters, and hosts that are no voters yet.
+    pub fn new(founders: usize, learners: usize, plant: Plant) -> World {
         let list: Vec<VoterId> = (0..founders).map(|at| voter(at, 0)).collect();
-        let hosts = (0..founders + strangers).map(|at| {
+        let hosts = (0..founders + learners).map(|at| {
             let founders = if at < founders { list.clone() } else { Vec::new() };
             Host::start(empty(voter(at, if founders.is_empty() { 9 } else { 0 }), founders))
         });
@@ -149,7 +149,7 @@
         for (at, host) in self.hosts.iter().enumerate() {
             let node = &host.node;
             if node.is_leader() {
-                events.push(Event::Pulse(at));
+                events.push(Event::Heartbeat(at));
                 let some = |count: u8, event: Event| (count > 0).then_some(event);
                 events.extend(some(left.give_ways, Event::GiveWay(at)));
                 events.extend(some(left.proposals, Event::Propose(at)));
@@ -159,7 +159,7 @@
                 let joins = others.filter(|me| left.joins > 0 && !node.members().contains(me));
                 events.extend(joins.map(|me| Event::Add(at, me.clone())));
             } else if node.is_voter() && node.term() < left.term {
-                events.push(Event::Stand(at));
+                events.push(Event::RequestVote(at));
             }
             if left.compactions > 0 && node.commit() > node.log.base() {
                 events.push(Event::Compact(at));
@@ -208,12 +208,12 @@
                 let (from, message) = (sent.from.clone(), sent.message.clone());
                 self.give(host_of(&sent.to), NOW, Input::Heard { from, message })
             }
-            Event::Stand(at) => {
+            Event::RequestVote(at) => {
                 self.change(*at).election_due = 0;
                 self.give(*at, NOW, Input::Tick)
             }
-            Event::Pulse(at) => {
-                self.change(*at).lead.iter_mut().for_each(|lead| lead.pulse_due = 0);
+            Event::Heartbeat(at) => {
+                self.change(*at).lead.iter_mut().for_each(|lead| lead.heartbeat_due = 0);
                 self.give(*at, NOW, Input::Tick)
             }
             Event::GiveWay(at) => {
@@ -255,7 +255,7 @@
             Event::Wipe(at) => {
                 self.budget.wipes -= 1;
                 let host = &mut self.hosts[*at];
-                *host = Host::start(empty(voter(*at, host.disk.me.birth + 1), Vec::new()));
+                *host = Host::start(empty(voter(*at, host.disk.me.incarnation + 1), Vec::new()));
                 Ok(())
             }
         }
@@ -291,12 +291,12 @@
         let mut soundings = Vec::new();
         for output in out {
             match output {
-                Output::Send { to, message: Message::Sound { round, .. } } => soundings.push((to, round)),
+                Output::Send { to, message: Message::PreVote { round, .. } } => soundings.push((to, round)),
                 Output::Send { to, message } => self.send(at, to, message)?,
                 Output::Save(save) => {
-                    let ballot =
+                    let hard_state =
                         save.entries.is_empty() && save.snapshot.is_none() && save.truncate.is_none();
-                    let plant = if ballot { Plant::VoteBeforeSync } else { Plant::EntriesBeforeSync };
+                    let plant = if hard_state { Plant::VoteBeforeSync } else { Plant::EntriesBeforeSync };
                     if self.plant == plant {
                         early.push(save.ticket);
                     }
@@ -309,9 +309,9 @@
         }
         self.logs_match(at)?;
         for (from, round) in soundings {
-            if self.hosts[at].node.canvass.as_ref().is_some_and(|canvass| !canvass.binding) {
+            if self.hosts[at].node.campaign.as_ref().is_some_and(|campaign| !campaign.binding) {
                 let term = self.hosts[at].node.term();
-                let message = Message::Sounded { round, term, granted: true };
+                let message = Message::PreVoteAnswer { round, term, granted: true };
                 self.change(at).rounds = round;
                 self.give(at, NOW, Input::Heard { from, message })?;
             }
@@ -322,10 +322,10 @@
     fn send(&mut self, at: usize, to: VoterId, message: Message) -> Result<(), String> {
         let from = self.hosts[at].node.me().clone();
         match &message {
-            Message::Voted { term, granted: true } => {
+            Message::VoteAnswer { term, granted: true } => {
                 self.vote(*term, &from, &to)?;
             }
-            Message::Matched { term, index } if *term == self.hosts[at].node.term() => {
+            Message::AppendAccepted { term, index } if *term == self.hosts[at].node.term() => {
                 let disk = &self.hosts[at].disk;
                 let last = last(disk);
                 if last < *index {
@@ -434,7 +434,7 @@
     fn hurt_input(&mut self, input: Input) -> Result<Input, String> {
         let Input::Heard { mut from, message } = input else { return Ok(input) };
         if self.plant == Plant::OldTermCounts
-            && let Message::Matched { term, index } = &message
+            && let Message::AppendAccepted { term, index } = &message
             && let Some(leader) =
                 self.hosts.iter().position(|host| host.node.is_leader() && host.node.term() == *term)
             && last(&self.hosts[leader].disk) >= *index
@@ -444,7 +444,7 @@
             entries.into_iter().try_for_each(|entry| self.commit(leader, entry))?;
         }
         if self.plant == Plant::WipedCounts {
-            from.birth = 0;
+            from.incarnation = 0;
         }
         Ok(Input::Heard { from, message })
     }
@@ -464,8 +464,10 @@
                 };
                 entries.into_iter().map(one).collect()
             }
-            Message::Pulse { term, commit, .. } => vec![Message::Pulse { term, echo: 0, commit }],
-            Message::Pulsed { term, matched, .. } => vec![Message::Pulsed { term, echo: 0, matched }],
+            Message::Heartbeat { term, commit, .. } => vec![Message::Heartbeat { term, echo: 0, commit }],
+            Message::HeartbeatAnswer { term, matched, .. } => {
+                vec![Message::HeartbeatAnswer { term, echo: 0, matched }]
+            }
             message => vec![message],
         }
     }
@@ -521,7 +523,7 @@
     fn host(&self, world: &World) -> usize {
         match self {
             Event::Deliver(number) => host_of(&world.net[*number].to),
-            Event::Stand(at) | Event::Pulse(at) | Event::GiveWay(at) | Event::Propose(at) => *at,
+            Event::RequestVote(at) | Event::Heartbeat(at) | Event::GiveWay(at) | Event::Propose(at) => *at,
             Event::Add(at, _) | Event::Remove(at, _) | Event::Compact(at) => *at,
             Event::Sync(at) | Event::Restart(at, _) | Event::Wipe(at) => *at,
         }
@@ -554,12 +556,12 @@
         self.random = 0;
         self.told = Role::Follower { term: 0, leader: None };
         let Some(lead) = &mut self.lead else { return };
-        (lead.since, lead.pulse_due, lead.echo) = (0, Millis::MAX, 0);
+        (lead.since, lead.heartbeat_due, lead.echo) = (0, Millis::MAX, 0);
         lead.echoes.clear();
         lead.tokens.clear();
         for peer in &mut lead.peers {
             (peer.answered, peer.until) = (None, Millis::MAX);
-            // Whatever is not answered when a pulse is counts as lost.
+            // Whatever is not answered when a heartbeat is counts as lost.
             peer.under_way.iter_mut().for_each(|one| one.lost_at = 0);
         }
     }
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -10,7 +10,7 @@
 /// A round of asking for votes.
 #[derive(Debug)]
 #[cfg_attr(test, derive(Clone, Hash))]
-pub(crate) struct Canvass {
+pub(crate) struct Campaign {
     /// Whether this is the election itself, not the sounding out before it.
     pub(crate) binding: bool,
     granted: Vec<VoterId>,
@@ -21,22 +21,22 @@
     pub(crate) fn look_for_leader(&mut self, now: Millis, out: &mut Vec<Output>) {
         // Its own votes were not there in time: on slow disks the next election has to wait for longer, or none is ever
         // won.
-        let lost = self.canvass.as_ref().is_some_and(|canvass| canvass.binding);
+        let lost = self.campaign.as_ref().is_some_and(|campaign| campaign.binding);
         self.lost_elections =
             if lost { (self.lost_elections + 1).min(MOST_LOST) } else { self.lost_elections };
         self.draw_election(now);
         self.leader = None;
-        self.canvass = None;
+        self.campaign = None;
         // Who is not on the list would only disturb those who are.
         if !self.is_voter() {
             return;
         }
-        if self.faults.unsounded {
+        if self.faults.without_pre_vote {
             return self.stand(now);
         }
         self.rounds += 1;
-        self.canvass = Some(Canvass { binding: false, granted: Vec::new() });
-        let message = Message::Sound {
+        self.campaign = Some(Campaign { binding: false, granted: Vec::new() });
+        let message = Message::PreVote {
             round: self.rounds,
             term: self.term + 1,
             last_index: self.log.last(),
@@ -55,12 +55,15 @@
         self.term += 1;
         self.vote = Some(self.me.clone());
         self.verified = 0;
-        self.unsaved.ballot = true;
+        self.unsaved.hard_state = true;
         // The own vote counts like any other: once it is on disk.
         self.unsaved.own_vote = Some(self.term);
-        self.canvass = Some(Canvass { binding: true, granted: Vec::new() });
-        let message =
-            Message::Stand { term: self.term, last_index: self.log.last(), last_term: self.log.last_term() };
+        self.campaign = Some(Campaign { binding: true, granted: Vec::new() });
+        let message = Message::RequestVote {
+            term: self.term,
+            last_index: self.log.last(),
+            last_term: self.log.last_term(),
+        };
         for to in self.others() {
             self.answer(to, message.clone());
         }
@@ -87,21 +90,21 @@
     }
 
     /// The asker need not be on the list known here: this list may be the older one.
-    pub(crate) fn sounded_out(
+    pub(crate) fn pre_vote_requested(
         &mut self, now: Millis, from: VoterId, round: u64, term: u64, end: (u64, u64), out: &mut Vec<Output>,
     ) {
         let granted = term > self.term && self.as_new(end) && !self.bound(now);
-        let message = Message::Sounded { round, term: self.term, granted };
+        let message = Message::PreVoteAnswer { round, term: self.term, granted };
         out.push(Output::Send { to: from, message });
     }
 
-    pub(crate) fn sounded(
+    pub(crate) fn pre_vote_answered(
         &mut self, now: Millis, from: VoterId, round: u64, term: u64, granted: bool, out: &mut Vec<Output>,
     ) {
         if !self.is_member(&from) || round != self.rounds {
             return;
         }
-        let sounding = self.canvass.as_ref().is_some_and(|canvass| !canvass.binding);
+        let sounding = self.campaign.as_ref().is_some_and(|campaign| !campaign.binding);
         if granted && sounding {
             self.count_vote(now, from, out);
         } else if sounding {
@@ -109,7 +112,7 @@
         }
     }
 
-    pub(crate) fn asked_to_vote(
+    pub(crate) fn vote_requested(
         &mut self, now: Millis, from: VoterId, term: u64, end: (u64, u64), out: &mut Vec<Output>,
     ) {
         // Whoever is bound does not even take the newer term: that would end a leader that works.
@@ -121,33 +124,33 @@
             term == self.term && free && self.as_new(end) && self.lead.is_none() && !self.bound(now);
         if granted && self.vote.is_none() {
             self.vote = Some(from.clone());
-            self.unsaved.ballot = true;
+            self.unsaved.hard_state = true;
             // Gives the one voted for the time to win.
-            self.canvass = None;
+            self.campaign = None;
             self.draw_election(now);
         }
-        self.answer(from, Message::Voted { term: self.term, granted });
+        self.answer(from, Message::VoteAnswer { term: self.term, granted });
     }
 
-    pub(crate) fn voted(
+    pub(crate) fn vote_answered(
         &mut self, now: Millis, from: VoterId, term: u64, granted: bool, out: &mut Vec<Output>,
     ) {
         if !self.is_member(&from) {
             return;
         }
         self.see_term(now, term, out);
-        if granted && term == self.term && self.canvass.as_ref().is_some_and(|canvass| canvass.binding) {
+        if granted && term == self.term && self.campaign.as_ref().is_some_and(|campaign| campaign.binding) {
             self.count_vote(now, from, out);
         }
     }
 
     pub(crate) fn count_vote(&mut self, now: Millis, from: VoterId, out: &mut Vec<Output>) {
-        let Some(canvass) = &mut self.canvass else { return };
-        if !canvass.granted.contains(&from) {
-            canvass.granted.push(from);
+        let Some(campaign) = &mut self.campaign else { return };
+        if !campaign.granted.contains(&from) {
+            campaign.granted.push(from);
         }
-        let binding = canvass.binding;
-        let granted = &self.canvass.as_ref().map(|canvass| canvass.granted.clone()).unwrap_or_default();
+        let binding = campaign.binding;
+        let granted = &self.campaign.as_ref().map(|campaign| campaign.granted.clone()).unwrap_or_default();
         let votes =
             self.members().iter().filter(|member| granted.iter().any(|one| self.same(member, one))).count();
         if votes <= self.members().len() / 2 {
@@ -161,13 +164,13 @@
     }
 
     fn take_the_lead(&mut self, now: Millis, out: &mut Vec<Output>) {
-        self.canvass = None;
+        self.campaign = None;
         self.leader = Some(self.me.clone());
         self.lost_elections = 0;
         self.lead = Some(Lead::new(now));
         self.follow_members(now);
         self.write(What::Nothing);
-        self.pulse(now, out);
+        self.heartbeat(now, out);
         self.pump_all(now, out);
     }
 }
--- a/crates/raft/src/members.rs
+++ b/crates/raft/src/members.rs
@@ -7,14 +7,14 @@
 /// How many entries a node may lack to be taken in: it has them before the next one is due.
 const NEAR: u64 = 64;
 /// How many of those that are not on the list are kept in mind, and for how many elections.
-const MOST_STRANGERS: usize = 8;
-const STRANGER_ELECTIONS: u64 = 10;
+const MOST_LEARNERS: usize = 8;
+const LEARNER_ELECTIONS: u64 = 10;
 
 impl Node {
     /// Keeps in mind who is on the list, and for a while who has left it: it is to learn that.
     pub(crate) fn follow_members(&mut self, now: Millis) {
         let next = self.log.last() + 1;
-        let until = now + self.timing.election * STRANGER_ELECTIONS;
+        let until = now + self.timing.election * LEARNER_ELECTIONS;
         let (me, members) = (self.me.clone(), self.members().to_vec());
         let Some(lead) = &mut self.lead else { return };
         for member in &members {
@@ -30,9 +30,9 @@
         }
     }
 
-    pub(crate) fn forget_strangers(&mut self, now: Millis) {
+    pub(crate) fn forget_learners(&mut self, now: Millis) {
         let members = self.members().to_vec();
-        let until = now + self.timing.election * STRANGER_ELECTIONS;
+        let until = now + self.timing.election * LEARNER_ELECTIONS;
         let Some(lead) = &mut self.lead else { return };
         for peer in lead.peers.iter_mut().filter(|peer| members.contains(&peer.id)) {
             peer.until = until;
@@ -45,12 +45,12 @@
             return;
         }
         let next = self.log.last() + 1;
-        let until = now + self.timing.election * STRANGER_ELECTIONS;
-        let strangers = self.lead.iter().flat_map(|lead| &lead.peers);
-        let strangers = strangers.filter(|peer| !self.members().contains(&peer.id)).count();
+        let until = now + self.timing.election * LEARNER_ELECTIONS;
+        let learners = self.lead.iter().flat_map(|lead| &lead.peers);
+        let learners = learners.filter(|peer| !self.members().contains(&peer.id)).count();
         let Some(lead) = &mut self.lead else { return };
         if lead.peer(&voter).is_none() {
-            if strangers >= MOST_STRANGERS {
+            if learners >= MOST_LEARNERS {
                 return;
             }
             lead.peers.push(Peer::new(voter.clone(), next));
@@ -60,7 +60,7 @@
             peer.wanted = true;
         }
         self.pump(now, &voter, out);
-        self.take_in(now, &voter, out);
+        self.promote(now, &voter, out);
     }
 
     pub(crate) fn remove_voter(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
@@ -72,9 +72,9 @@
 
     /// Takes in one that waits, if it has caught up and no other change is under way. Whoever was at its address goes
     /// first, in an entry of its own: a list with one voter exchanged may have a majority that the old list lacks.
-    pub(crate) fn take_in(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
+    pub(crate) fn promote(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
         let last = self.log.last();
-        // One that has answered no pulse lately would take the majority with it from a leader that has few others.
+        // One that has answered no heartbeat lately would take the majority with it from a leader that has few others.
         let lives = self.hears(voter, now);
         let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(voter)) else { return };
         let near = peer.matched > 0 && peer.matched + NEAR >= last;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::election::Canvass;
+use crate::election::Campaign;
 use crate::log::Log;
 use crate::replication::Lead;
 use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
@@ -23,7 +23,7 @@
     /// Answers do not wait for the disk.
     pub hasty: bool,
     /// Elections without a sounding before them. Not wrong in itself, but it hides other faults.
-    pub unsounded: bool,
+    pub without_pre_vote: bool,
 }
 
 /// What waits for a save.
@@ -43,7 +43,7 @@
 #[derive(Debug, Default)]
 #[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Unsaved {
-    pub(crate) ballot: bool,
+    pub(crate) hard_state: bool,
     pub(crate) truncate: Option<u64>,
     pub(crate) first_entry: Option<u64>,
     pub(crate) snapshot: bool,
@@ -67,7 +67,7 @@
     /// Present while this node leads.
     pub(crate) lead: Option<Lead>,
     /// Present while it asks for votes.
-    pub(crate) canvass: Option<Canvass>,
+    pub(crate) campaign: Option<Campaign>,
     pub(crate) rounds: u64,
     pub(crate) election_due: Millis,
     /// Elections in a row that ended without a leader.
@@ -103,7 +103,7 @@
             told_commit: 0,
             leader: None,
             lead: None,
-            canvass: None,
+            campaign: None,
             rounds: 0,
             election_due: 0,
             lost_elections: 0,
@@ -170,7 +170,7 @@
     }
 
     /// Whether entries are committed that this node lacks. A leader sends no more of them than its window holds to one
-    /// whose answers do not reach it; its pulses still come, so that hearing them proves nothing about the log here.
+    /// whose answers do not reach it; its heartbeats still come, so that hearing them proves nothing about the log here.
     pub fn lags(&self) -> bool {
         self.told_commit > self.commit
     }
@@ -195,7 +195,7 @@
         self.log.members_index() <= self.commit
     }
 
-    /// Whether this leader has heard a voter: it has answered a pulse that was sent within an election before now.
+    /// Whether this leader has heard a voter: it has answered a heartbeat that was sent within an election before now.
     pub fn hears(&self, voter: &VoterId, now: Millis) -> bool {
         let answered = |lead: &Lead| lead.peers.iter().find(|peer| peer.id == *voter)?.answered;
         let answered = self.lead.as_ref().and_then(answered);
@@ -204,7 +204,7 @@
 
     /// When `Tick` is wanted next.
     pub fn next_due(&self) -> Millis {
-        self.lead.as_ref().map_or(self.election_due, |lead| lead.pulse_due)
+        self.lead.as_ref().map_or(self.election_due, |lead| lead.heartbeat_due)
     }
 
     fn heard(&mut self, now: Millis, from: VoterId, message: Message, out: &mut Vec<Output>) {
@@ -213,17 +213,21 @@
             return;
         }
         match message {
-            Message::Sound { round, term, last_index, last_term } => {
-                self.sounded_out(now, from, round, term, (last_term, last_index), out);
+            Message::PreVote { round, term, last_index, last_term } => {
+                self.pre_vote_requested(now, from, round, term, (last_term, last_index), out);
             }
-            Message::Sounded { round, term, granted } => self.sounded(now, from, round, term, granted, out),
-            Message::Stand { term, last_index, last_term } => {
-                self.asked_to_vote(now, from, term, (last_term, last_index), out);
+            Message::PreVoteAnswer { round, term, granted } => {
+                self.pre_vote_answered(now, from, round, term, granted, out)
             }
-            Message::Voted { term, granted } => self.voted(now, from, term, granted, out),
-            Message::Pulse { term, echo, commit } => self.pulse_came(now, from, term, echo, commit, out),
-            Message::Pulsed { term, echo, matched } => {
-                self.pulse_answered(now, from, term, echo, matched, out)
+            Message::RequestVote { term, last_index, last_term } => {
+                self.vote_requested(now, from, term, (last_term, last_index), out);
+            }
+            Message::VoteAnswer { term, granted } => self.vote_answered(now, from, term, granted, out),
+            Message::Heartbeat { term, echo, commit } => {
+                self.heartbeat_came(now, from, term, echo, commit, out)
+            }
+            Message::HeartbeatAnswer { term, echo, matched } => {
+                self.heartbeat_answered(now, from, term, echo, matched, out)
             }
             Message::Append { term, prev_index, prev_term, entries, commit } => {
                 if let Some(matched) =
@@ -232,10 +236,10 @@
                     self.answer(from, matched);
                 }
             }
-            Message::Replace { term, snapshot } => self.replace_came(now, from, term, snapshot, out),
-            Message::Matched { term, index } => self.matched(now, from, term, index, out),
-            Message::Missing { term, prev_index, hint } => {
-                self.missing(now, from, term, prev_index, hint, out)
+            Message::InstallSnapshot { term, snapshot } => self.snapshot_came(now, from, term, snapshot, out),
+            Message::AppendAccepted { term, index } => self.matched(now, from, term, index, out),
+            Message::AppendRejected { term, prev_index, hint } => {
+                self.append_rejected(now, from, term, prev_index, hint, out)
             }
         }
     }
@@ -280,8 +284,10 @@
     fn flush(&mut self, out: &mut Vec<Output>) {
         let answers = std::mem::take(&mut self.answers);
         let unsaved = std::mem::take(&mut self.unsaved);
-        let any =
-            unsaved.ballot || unsaved.truncate.is_some() || unsaved.first_entry.is_some() || unsaved.snapshot;
+        let any = unsaved.hard_state
+            || unsaved.truncate.is_some()
+            || unsaved.first_entry.is_some()
+            || unsaved.snapshot;
         if any {
             self.tickets += 1;
             let entries = unsaved
@@ -320,7 +326,7 @@
         let term = self.term;
         let role = if self.lead.is_some() {
             Role::Leader { term }
-        } else if self.canvass.as_ref().is_some_and(|canvass| canvass.binding) {
+        } else if self.campaign.as_ref().is_some_and(|campaign| campaign.binding) {
             Role::Candidate { term }
         } else {
             Role::Follower { term, leader: self.leader.clone() }
@@ -337,14 +343,14 @@
             self.term = term;
             self.vote = None;
             self.verified = 0;
-            self.unsaved.ballot = true;
+            self.unsaved.hard_state = true;
             self.stop(now, out);
         }
     }
 
     /// Neither leads nor stands any longer, and knows of no leader.
     pub(crate) fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
-        self.canvass = None;
+        self.campaign = None;
         self.leader = None;
         if let Some(lead) = self.lead.take() {
             out.extend(lead.tokens.into_iter().map(|accepted| Output::Unclear { token: accepted.token }));
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -14,7 +14,7 @@
 const MOST_UNCOMMITTED: u64 = 1024;
 const MOST_UNCOMMITTED_BYTES: usize = 6 << 20;
 const LARGEST_CHANGE: usize = 4 << 20;
-/// How many of the newest pulses can still be answered.
+/// How many of the newest heartbeats can still be answered.
 const MOST_ECHOES: usize = 256;
 /// Pulses after which entries, or a snapshot, count as lost on the way.
 const PATIENCE: u64 = 3;
@@ -25,12 +25,12 @@
 #[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Lead {
     pub(crate) since: Millis,
-    pub(crate) pulse_due: Millis,
+    pub(crate) heartbeat_due: Millis,
     pub(crate) peers: Vec<Peer>,
     /// Proposals that wait for their commitment.
     pub(crate) tokens: VecDeque<Accepted>,
     pub(crate) echo: u64,
-    /// When the newest pulses were sent.
+    /// When the newest heartbeats were sent.
     pub(crate) echoes: VecDeque<(u64, Millis)>,
 }
 
@@ -38,7 +38,7 @@
     pub(crate) fn new(now: Millis) -> Lead {
         Lead {
             since: now,
-            pulse_due: now,
+            heartbeat_due: now,
             peers: Vec::new(),
             tokens: VecDeque::new(),
             echo: 0,
@@ -71,7 +71,7 @@
     /// Whether `next` is a guess: one message at a time then.
     probing: bool,
     pub(crate) under_way: VecDeque<UnderWay>,
-    /// When the newest pulse was sent that it has answered.
+    /// When the newest heartbeat was sent that it has answered.
     pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
     pub(crate) until: Millis,
@@ -108,7 +108,7 @@
 }
 
 impl Node {
-    /// Whether this leader is surely the only one now: a majority, itself counted, has answered a pulse that was sent
+    /// Whether this leader is surely the only one now: a majority, itself counted, has answered a heartbeat that was sent
     /// within `lease` before now, and an entry of its own term is committed.
     pub fn holds_lease(&self, now: Millis) -> bool {
         self.lease_until(now).is_some_and(|until| until > now)
@@ -121,7 +121,7 @@
         answered.map(|at| at.saturating_add(self.timing.lease))
     }
 
-    /// When the newest pulse was sent that a majority has answered.
+    /// When the newest heartbeat was sent that a majority has answered.
     fn answered_at(&self, now: Millis) -> Option<Millis> {
         let lead = self.lead.as_ref()?;
         let figure = |member: &VoterId| {
@@ -150,23 +150,23 @@
             self.stop(now, out);
             return;
         }
-        if self.lead.as_ref().is_some_and(|lead| now >= lead.pulse_due) {
-            self.forget_strangers(now);
-            self.pulse(now, out);
+        if self.lead.as_ref().is_some_and(|lead| now >= lead.heartbeat_due) {
+            self.forget_learners(now);
+            self.heartbeat(now, out);
         }
     }
 
-    pub(crate) fn pulse(&mut self, now: Millis, out: &mut Vec<Output>) {
+    pub(crate) fn heartbeat(&mut self, now: Millis, out: &mut Vec<Output>) {
         let (term, commit) = (self.term, self.commit);
         let Some(lead) = &mut self.lead else { return };
-        lead.pulse_due = now + self.timing.pulse.max(1);
+        lead.heartbeat_due = now + self.timing.heartbeat.max(1);
         lead.echo += 1;
         lead.echoes.push_back((lead.echo, now));
         if lead.echoes.len() > MOST_ECHOES {
             lead.echoes.pop_front();
         }
         for peer in &lead.peers {
-            let message = Message::Pulse { term, echo: lead.echo, commit };
+            let message = Message::Heartbeat { term, echo: lead.echo, commit };
             out.push(Output::Send { to: peer.id.clone(), message });
         }
     }
@@ -199,7 +199,8 @@
 
     /// Sends a follower what it lacks, as far as its window allows.
     pub(crate) fn pump(&mut self, now: Millis, id: &VoterId, out: &mut Vec<Output>) {
-        let (term, commit, last, pulse) = (self.term, self.commit, self.log.last(), self.timing.pulse.max(1));
+        let (term, commit, last, heartbeat) =
+            (self.term, self.commit, self.log.last(), self.timing.heartbeat.max(1));
         let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
         loop {
             let most = if peer.probing { 1 } else { MOST_UNDER_WAY };
@@ -216,18 +217,18 @@
                 }
                 (None, Some(snapshot)) => {
                     peer.probing = true;
-                    let message = Message::Replace { term, snapshot: snapshot.clone() };
+                    let message = Message::InstallSnapshot { term, snapshot: snapshot.clone() };
                     (message, snapshot.index, PATIENCE_SNAPSHOT)
                 }
                 (None, None) => return,
             };
-            peer.under_way.push_back(UnderWay { prev, last: upto, lost_at: now + pulse * patience });
+            peer.under_way.push_back(UnderWay { prev, last: upto, lost_at: now + heartbeat * patience });
             peer.next = upto + 1;
             out.push(Output::Send { to: id.clone(), message });
         }
     }
 
-    pub(crate) fn pulse_answered(
+    pub(crate) fn heartbeat_answered(
         &mut self, now: Millis, from: VoterId, term: u64, echo: u64, matched: u64, out: &mut Vec<Output>,
     ) {
         if !self.answer_counts(now, &from, term, out) {
@@ -274,11 +275,11 @@
         self.pump(now, id, out);
         self.advance_commit(now, out);
         if wanted {
-            self.take_in(now, id, out);
+            self.promote(now, id, out);
         }
     }
 
-    pub(crate) fn missing(
+    pub(crate) fn append_rejected(
         &mut self, now: Millis, from: VoterId, term: u64, prev_index: u64, hint: u64, out: &mut Vec<Output>,
     ) {
         if !self.answer_counts(now, &from, term, out) {
@@ -324,7 +325,7 @@
         self.commit_to(index, out);
         if let Some(lead) = &mut self.lead {
             // The others learn of it soon, and of several in one go.
-            lead.pulse_due = lead.pulse_due.min(now + self.timing.pulse / 8);
+            lead.heartbeat_due = lead.heartbeat_due.min(now + self.timing.heartbeat / 8);
             while lead.tokens.front().is_some_and(|accepted| accepted.index <= index) {
                 lead.tokens.pop_front();
             }
@@ -344,7 +345,7 @@
         if self.lead.is_some() {
             return false;
         }
-        self.canvass = None;
+        self.campaign = None;
         self.lost_elections = 0;
         self.leader = Some(from.clone());
         self.bound_until = self.bound_until.max(now.saturating_add(self.timing.election));
@@ -352,7 +353,7 @@
         true
     }
 
-    pub(crate) fn pulse_came(
+    pub(crate) fn heartbeat_came(
         &mut self, now: Millis, from: VoterId, term: u64, echo: u64, commit: u64, out: &mut Vec<Output>,
     ) {
         if self.follows(now, &from, term, out) {
@@ -364,7 +365,10 @@
         // keeps still for as long. So it names only what is on disk already.
         let kept = self.durable_term == self.term;
         let matched = if kept { self.verified.min(self.durable) } else { 0 };
-        out.push(Output::Send { to: from, message: Message::Pulsed { term: self.term, echo, matched } });
+        out.push(Output::Send {
+            to: from,
+            message: Message::HeartbeatAnswer { term: self.term, echo, matched },
+        });
     }
 
     #[allow(clippy::too_many_arguments)] // The fields of one message.
@@ -373,7 +377,11 @@
         entries: Vec<Entry>, commit: u64, out: &mut Vec<Output>,
     ) -> Option<Message> {
         if !self.follows(now, from, term, out) {
-            return (term < self.term).then_some(Message::Missing { term: self.term, prev_index, hint: 0 });
+            return (term < self.term).then_some(Message::AppendRejected {
+                term: self.term,
+                prev_index,
+                hint: 0,
+            });
         }
         if !well_formed(prev_index, prev_term, &entries, term) {
             return None;
@@ -383,7 +391,7 @@
         let fits = prev_index < base || self.log.term_at(prev_index) == Some(prev_term);
         if !fits {
             let hint = self.hint(prev_index);
-            return Some(Message::Missing { term: self.term, prev_index, hint });
+            return Some(Message::AppendRejected { term: self.term, prev_index, hint });
         }
         let upto = prev_index + entries.len() as u64;
         for entry in entries.into_iter().filter(|entry| entry.index > base) {
@@ -399,7 +407,7 @@
         }
         self.verified = self.verified.max(upto);
         self.learn_commit(commit, out);
-        Some(Message::Matched { term: self.term, index: upto })
+        Some(Message::AppendAccepted { term: self.term, index: upto })
     }
 
     fn learn_commit(&mut self, commit: u64, out: &mut Vec<Output>) {
@@ -418,13 +426,13 @@
         hint
     }
 
-    pub(crate) fn replace_came(
+    pub(crate) fn snapshot_came(
         &mut self, now: Millis, from: VoterId, term: u64, snapshot: Snapshot, out: &mut Vec<Output>,
     ) {
         if !self.follows(now, &from, term, out) {
             if term < self.term {
                 let prev_index = snapshot.index;
-                self.answer(from, Message::Missing { term: self.term, prev_index, hint: 0 });
+                self.answer(from, Message::AppendRejected { term: self.term, prev_index, hint: 0 });
             }
             return;
         }
@@ -443,7 +451,7 @@
             out.push(Output::Install { snapshot });
         }
         self.verified = self.verified.max(index);
-        self.answer(from, Message::Matched { term: self.term, index });
+        self.answer(from, Message::AppendAccepted { term: self.term, index });
     }
 }
 
--- a/crates/raft/src/store.rs
+++ b/crates/raft/src/store.rs
@@ -155,39 +155,39 @@
         Ok((store, saved))
     }
 
-    /// Writes who this node is. `founders` are the voters at birth, none for a node that joins.
+    /// Writes who this node is. `founders` are the founding voters, none for a node that joins.
     pub fn create(&self, me: VoterId, founders: Vec<VoterId>) -> Result<Saved, StoreError> {
         if self.read()?.is_some() {
             return Err(StoreError::Taken { path: self.path.clone() });
         }
-        let ballot: (u64, Option<VoterId>) = (0, None);
+        let hard_state: (u64, Option<VoterId>) = (0, None);
         self.write("creating", |tables| {
             tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
             tables.meta.insert("me", sealed(&me).as_slice())?;
             tables.meta.insert("founders", sealed(&founders).as_slice())?;
-            tables.meta.insert("ballot", sealed(&ballot).as_slice())?;
+            tables.meta.insert("hard_state", sealed(&hard_state).as_slice())?;
             Ok(())
         })?;
         Ok(Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders })
     }
 
     /// Writes who this node is, and a snapshot that its log begins with: for a log whose voters were not known when
-    /// the file was made, and for the last voter of one that goes on alone under another birth. The term only rises;
+    /// the file was made, and for the last voter of one that goes on alone under another incarnation. The term only rises;
     /// the vote in it stays if it does not. A file that has a log already is left as it is.
     pub fn begin(&self, me: VoterId, term: u64, snapshot: Snapshot) -> Result<Saved, StoreError> {
         let found = self.read()?;
         if found.as_ref().is_some_and(|saved| saved.snapshot.is_some() || !saved.entries.is_empty()) {
             return Err(StoreError::Taken { path: self.path.clone() });
         }
-        let (known, voted) = found.map_or((0, None), |saved| (saved.term, saved.vote));
+        let (known, vote) = found.map_or((0, None), |saved| (saved.term, saved.vote));
         let term = term.max(known).max(snapshot.term);
-        let vote = voted.filter(|_| term == known);
+        let vote = vote.filter(|_| term == known);
         // All of it in one step: half of it would be a voter that has forgotten its log.
         self.write("beginning", |tables| {
             tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
             tables.meta.insert("me", sealed(&me).as_slice())?;
             tables.meta.insert("founders", sealed(&Vec::<VoterId>::new()).as_slice())?;
-            tables.meta.insert("ballot", sealed(&(term, vote.clone())).as_slice())?;
+            tables.meta.insert("hard_state", sealed(&(term, vote.clone())).as_slice())?;
             tables.replace(&snapshot)
         })?;
         Ok(Saved { me, term, vote, snapshot: Some(snapshot), entries: Vec::new(), founders: Vec::new() })
@@ -196,7 +196,7 @@
     /// Writes a save: it is on disk when this returns.
     pub fn save(&self, save: &Save) -> Result<(), StoreError> {
         self.write("saving", |tables| {
-            tables.meta.insert("ballot", sealed(&(save.term, save.vote.clone())).as_slice())?;
+            tables.meta.insert("hard_state", sealed(&(save.term, save.vote.clone())).as_slice())?;
             if let Some(from) = save.truncate {
                 tables.entries.retain_in(from.., |_, _| false)?;
             }
@@ -258,7 +258,7 @@
         }
         let me: VoterId = self.unseal("me", &needed("me")?)?;
         let founders: Vec<VoterId> = self.unseal("founders", &needed("founders")?)?;
-        let (term, vote): (u64, Option<VoterId>) = self.unseal("ballot", &needed("ballot")?)?;
+        let (term, vote): (u64, Option<VoterId>) = self.unseal("hard_state", &needed("hard_state")?)?;
 
         let mut snapshot: Option<Snapshot> = None;
         if let Some(length) = bytes("snapshot")? {
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -5,18 +5,18 @@
 /// A point of the host's steady clock, or a span of it, in milliseconds.
 pub type Millis = u64;
 
-/// A voter: its peer address and a number drawn when its disk was empty (0 for voters at birth).
+/// A voter: its peer address and a number drawn when its disk was empty (0 for founding voters).
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct VoterId {
     /// Where it is reached by its peers.
     pub address: String,
     /// Whoever comes back with an empty disk has another number: it has forgotten what it promised.
-    pub birth: u64,
+    pub incarnation: u64,
 }
 
 impl std::fmt::Display for VoterId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}#{:x}", self.address, self.birth)
+        write!(f, "{}#{:x}", self.address, self.incarnation)
     }
 }
 
@@ -25,10 +25,10 @@
 #[cfg_attr(test, derive(Hash))]
 pub struct Timing {
     /// How often a leader tells that it lives.
-    pub pulse: Millis,
+    pub heartbeat: Millis,
     /// The least silence after which a voter looks for another leader; drawn from this to twice this.
     pub election: Millis,
-    /// For how long an answered pulse proves that no other leader can be; shorter than `election` by more than the
+    /// For how long an answered heartbeat proves that no other leader can be; shorter than `election` by more than the
     /// clocks of two machines can drift apart in it.
     pub lease: Millis,
 }
@@ -47,7 +47,7 @@
     pub snapshot: Option<Snapshot>,
     /// The entries after the snapshot.
     pub entries: Vec<Entry>,
-    /// The voters at birth; empty for a node that joins.
+    /// The founding voters; empty for a node that joins.
     pub founders: Vec<VoterId>,
 }
 
@@ -104,7 +104,7 @@
 #[cfg_attr(test, derive(Hash))]
 pub enum Message {
     /// Would you vote for me in this term? Binds nobody and changes no term.
-    Sound {
+    PreVote {
         /// Which of the asker's rounds this is.
         round: u64,
         /// The term that it would stand in.
@@ -114,8 +114,8 @@
         /// Its last entry's term.
         last_term: u64,
     },
-    /// The answer to `Sound`.
-    Sounded {
+    /// The answer to `PreVote`.
+    PreVoteAnswer {
         /// The asker's round.
         round: u64,
         /// The answerer's own term.
@@ -124,7 +124,7 @@
         granted: bool,
     },
     /// Vote for me.
-    Stand {
+    RequestVote {
         /// The term that it stands in.
         term: u64,
         /// Its last entry's index.
@@ -132,15 +132,15 @@
         /// Its last entry's term.
         last_term: u64,
     },
-    /// The answer to `Stand`, sent once the vote is on disk.
-    Voted {
+    /// The answer to `RequestVote`, sent once the vote is on disk.
+    VoteAnswer {
         /// The answerer's own term.
         term: u64,
         /// Whether the vote was given.
         granted: bool,
     },
     /// The leader lives.
-    Pulse {
+    Heartbeat {
         /// The leader's term.
         term: u64,
         /// Comes back in the answer: the leader knows when it sent it.
@@ -148,11 +148,11 @@
         /// Up to where its log is committed.
         commit: u64,
     },
-    /// The answer to `Pulse`.
-    Pulsed {
+    /// The answer to `Heartbeat`.
+    HeartbeatAnswer {
         /// The answerer's own term.
         term: u64,
-        /// The pulse's number.
+        /// The heartbeat's number.
         echo: u64,
         /// Up to where the answerer's disk surely has the leader's log: makes up for lost answers to `Append`.
         matched: u64,
@@ -171,21 +171,21 @@
         commit: u64,
     },
     /// Instead of entries that the leader no longer has.
-    Replace {
+    InstallSnapshot {
         /// The leader's term.
         term: u64,
         /// What stands for them.
         snapshot: Snapshot,
     },
     /// The log up to this index is the leader's and on disk.
-    Matched {
+    AppendAccepted {
         /// The answerer's own term.
         term: u64,
         /// Up to where.
         index: u64,
     },
     /// The entry before the first does not fit, or the leader's term is over.
-    Missing {
+    AppendRejected {
         /// The answerer's own term.
         term: u64,
         /// The `prev_index` that did not fit.
@@ -198,16 +198,16 @@
 impl Message {
     pub(crate) fn term(&self) -> u64 {
         match self {
-            Message::Sound { term, .. }
-            | Message::Sounded { term, .. }
-            | Message::Stand { term, .. }
-            | Message::Voted { term, .. }
-            | Message::Pulse { term, .. }
-            | Message::Pulsed { term, .. }
+            Message::PreVote { term, .. }
+            | Message::PreVoteAnswer { term, .. }
+            | Message::RequestVote { term, .. }
+            | Message::VoteAnswer { term, .. }
+            | Message::Heartbeat { term, .. }
+            | Message::HeartbeatAnswer { term, .. }
             | Message::Append { term, .. }
-            | Message::Replace { term, .. }
-            | Message::Matched { term, .. }
-            | Message::Missing { term, .. } => *term,
+            | Message::InstallSnapshot { term, .. }
+            | Message::AppendAccepted { term, .. }
+            | Message::AppendRejected { term, .. } => *term,
         }
     }
 }
--- a/crates/raft/src/writer.rs
+++ b/crates/raft/src/writer.rs
@@ -1,4 +1,4 @@
-//! The thread that writes to a node's disk: whoever syncs waits for the disk, and the log's pulse must not.
+//! The thread that writes to a node's disk: whoever syncs waits for the disk, and the log's heartbeat must not.
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread::{Builder, JoinHandle};
@@ -153,8 +153,8 @@
     use std::cell::Cell;
     use std::path::PathBuf;
 
-    fn voter(birth: u64) -> VoterId {
-        VoterId { address: "a".into(), birth }
+    fn voter(incarnation: u64) -> VoterId {
+        VoterId { address: "a".into(), incarnation }
     }
 
     fn save(ticket: u64) -> Save {
--- a/crates/raft/tests/disk.rs
+++ b/crates/raft/tests/disk.rs
@@ -7,7 +7,7 @@
 use yare::parameterized;
 
 fn voter(number: u64) -> VoterId {
-    VoterId { address: format!("10.0.0.{number}:7000"), birth: 0 }
+    VoterId { address: format!("10.0.0.{number}:7000"), incarnation: 0 }
 }
 
 fn entry(index: u64, term: u64) -> Entry {
@@ -147,11 +147,11 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("log");
     let (store, _) = Store::open(&path).unwrap();
-    let me = VoterId { birth: 7, ..voter(1) };
+    let me = VoterId { incarnation: 7, ..voter(1) };
     let before = Snapshot { members: vec![me.clone()], term: 3, ..snapshot(40, 100) };
     let saved = store.begin(me.clone(), 4, before).unwrap();
     assert_eq!((saved.term, &saved.vote), (4, &None));
-    let timing = Timing { pulse: 20, election: 100, lease: 80 };
+    let timing = Timing { heartbeat: 20, election: 100, lease: 80 };
     let mut node = Node::start(saved, timing, 1, 0);
     let (mut committed, mut now, mut proposed) = (Vec::new(), 0, false);
     while committed.len() < 2 && now < 1000 {
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -150,7 +150,7 @@
 // Some faults hide behind guards that are not needed for what they break: those guards are off here.
 const UNGUARDED: Faults = Faults {
     fickle: true,
-    unsounded: true,
+    without_pre_vote: true,
     vote_unsaved: false,
     old_terms_count: false,
     any_birth: false,
--- a/crates/raft/tests/power.rs
+++ b/crates/raft/tests/power.rs
@@ -11,7 +11,7 @@
 use tape::{Op, Tape, put};
 
 fn voter(number: u64) -> VoterId {
-    VoterId { address: format!("10.0.0.{number}:7000"), birth: number }
+    VoterId { address: format!("10.0.0.{number}:7000"), incarnation: number }
 }
 
 struct Draw(u64);
--- a/crates/raft/tests/rules.rs
+++ b/crates/raft/tests/rules.rs
@@ -3,10 +3,10 @@
 use raft::{Entry, Faults, Input, Message, Node, Output, Role, Saved, Timing, VoterId, What};
 use yare::parameterized;
 
-const TIMING: Timing = Timing { pulse: 50, election: 300, lease: 220 };
+const TIMING: Timing = Timing { heartbeat: 50, election: 300, lease: 220 };
 
-fn voter(host: usize, birth: u64) -> VoterId {
-    VoterId { address: format!("n{host}"), birth }
+fn voter(host: usize, incarnation: u64) -> VoterId {
+    VoterId { address: format!("n{host}"), incarnation }
 }
 
 fn saved(founders: Vec<VoterId>) -> Saved {
@@ -36,21 +36,21 @@
 #[test]
 fn a_vote_leaves_once_it_is_on_disk_and_once_a_term() {
     let mut node = Node::start(saved(three()), TIMING, 1, 0);
-    let stand = |from, term| heard(from, Message::Stand { term, last_index: 0, last_term: 0 });
+    let stand = |from, term| heard(from, Message::RequestVote { term, last_index: 0, last_term: 0 });
     assert!(messages(&step(&mut node, 1, stand(1, 1))).is_empty());
     let out = step(&mut node, 2, Input::Saved { ticket: 1 });
-    assert_eq!(messages(&out), [&Message::Voted { term: 1, granted: true }]);
+    assert_eq!(messages(&out), [&Message::VoteAnswer { term: 1, granted: true }]);
     let out = step(&mut node, 3, stand(2, 1));
-    assert_eq!(messages(&out), [&Message::Voted { term: 1, granted: false }]);
+    assert_eq!(messages(&out), [&Message::VoteAnswer { term: 1, granted: false }]);
 }
 
 #[test]
 fn who_has_started_again_or_hears_a_leader_does_not_vote() {
     let mut node = Node::start(Saved { term: 4, ..saved(three()) }, TIMING, 1, 0);
-    let stand = |term| heard(1, Message::Stand { term, last_index: 0, last_term: 0 });
-    let refused = Message::Voted { term: 4, granted: false };
+    let stand = |term| heard(1, Message::RequestVote { term, last_index: 0, last_term: 0 });
+    let refused = Message::VoteAnswer { term: 4, granted: false };
     assert_eq!(messages(&step(&mut node, 299, stand(5))), [&refused]);
-    step(&mut node, 300, heard(2, Message::Pulse { term: 4, echo: 1, commit: 0 }));
+    step(&mut node, 300, heard(2, Message::Heartbeat { term: 4, echo: 1, commit: 0 }));
     assert_eq!(messages(&step(&mut node, 599, stand(5))), [&refused]);
     let out = step(&mut node, 600, stand(5));
     assert!(out.iter().any(|output| matches!(output, Output::Save(save) if save.vote == Some(voter(1, 0)))));
@@ -88,13 +88,13 @@
     let mut node = Node::start(disk, TIMING, 1, 0);
     node.plant(Faults { old_terms_count, ..Faults::default() });
     step(&mut node, 700, Input::Tick);
-    step(&mut node, 701, heard(1, Message::Sounded { round: 1, term: 3, granted: true }));
+    step(&mut node, 701, heard(1, Message::PreVoteAnswer { round: 1, term: 3, granted: true }));
     step(&mut node, 702, Input::Saved { ticket: 1 });
-    step(&mut node, 703, heard(1, Message::Voted { term: 4, granted: true }));
+    step(&mut node, 703, heard(1, Message::VoteAnswer { term: 4, granted: true }));
     assert!(node.is_leader());
-    step(&mut node, 704, heard(1, Message::Matched { term: 4, index: 1 }));
+    step(&mut node, 704, heard(1, Message::AppendAccepted { term: 4, index: 1 }));
     assert_eq!(node.commit(), early);
-    step(&mut node, 705, heard(1, Message::Matched { term: 4, index: 2 }));
+    step(&mut node, 705, heard(1, Message::AppendAccepted { term: 4, index: 2 }));
     assert_eq!(node.commit(), early, "its own disk does not have it yet");
     step(&mut node, 706, Input::Saved { ticket: 2 });
     assert_eq!(node.commit(), 2);
@@ -104,9 +104,9 @@
 fn a_leader_that_reaches_nobody_gives_way_and_tells_what_is_unclear() {
     let mut node = Node::start(saved(three()), TIMING, 1, 0);
     step(&mut node, 200, Input::Tick);
-    step(&mut node, 201, heard(1, Message::Sounded { round: 1, term: 0, granted: true }));
+    step(&mut node, 201, heard(1, Message::PreVoteAnswer { round: 1, term: 0, granted: true }));
     step(&mut node, 202, Input::Saved { ticket: 1 });
-    step(&mut node, 203, heard(1, Message::Voted { term: 1, granted: true }));
+    step(&mut node, 203, heard(1, Message::VoteAnswer { term: 1, granted: true }));
     step(&mut node, 204, Input::Propose { token: 7, change: vec![1] });
     assert!(node.is_leader() && !node.holds_lease(204));
     let out = step(&mut node, 204 + 2 * TIMING.election, Input::Tick);
@@ -124,12 +124,12 @@
         let prev_term = u64::from(at > 0);
         heard(1, Message::Append { term: 1, prev_index: at, prev_term, entries, commit })
     };
-    let pulse = |echo, commit| heard(1, Message::Pulse { term: 1, echo, commit });
+    let heartbeat = |echo, commit| heard(1, Message::Heartbeat { term: 1, echo, commit });
     step(&mut node, 1, append(0, vec![entry(1)], 0));
-    step(&mut node, 2, pulse(1, 1));
+    step(&mut node, 2, heartbeat(1, 1));
     assert!(node.commit() == 1 && !node.lags(), "the usual order: entries first, then that they count");
     for echo in 2..20 {
-        step(&mut node, echo * 50, pulse(echo, 3));
+        step(&mut node, echo * 50, heartbeat(echo, 3));
         assert!(node.leader() == Some(&voter(1, 0)) && node.lags());
     }
     step(&mut node, 1000, append(1, vec![entry(2)], 3));
@@ -177,7 +177,7 @@
     }
 }
 
-/// Without the pulse's answer the leader of one would lose its majority as it takes in the second, and give way.
+/// Without the heartbeat's answer the leader of one would lose its majority as it takes in the second, and give way.
 #[test]
 fn who_has_answered_no_pulse_lately_is_not_taken_in() {
     let mut node = Node::start(saved(vec![voter(0, 0)]), TIMING, 1, 0);
@@ -186,22 +186,22 @@
     step(&mut node, 202, Input::Saved { ticket: 2 });
     assert!(node.holds_lease(202));
     step(&mut node, 5000, Input::AddVoter(voter(1, 0)));
-    step(&mut node, 5001, heard(1, Message::Matched { term: 1, index: 1 }));
+    step(&mut node, 5001, heard(1, Message::AppendAccepted { term: 1, index: 1 }));
     assert_eq!(node.members().len(), 1);
     let out = step(&mut node, 5100, Input::Tick);
     let echo = messages(&out).into_iter().find_map(|message| match message {
-        Message::Pulse { echo, .. } => Some(*echo),
+        Message::Heartbeat { echo, .. } => Some(*echo),
         _ => None,
     });
-    let echo = echo.expect("a pulse");
-    step(&mut node, 5101, heard(1, Message::Pulsed { term: 1, echo, matched: 1 }));
+    let echo = echo.expect("a heartbeat");
+    step(&mut node, 5101, heard(1, Message::HeartbeatAnswer { term: 1, echo, matched: 1 }));
     assert_eq!(node.members().len(), 2);
     step(&mut node, 5102, Input::Tick);
     assert!(node.is_leader() && node.holds_lease(5102));
     // One that has fallen silent again waits for its next word.
     step(&mut node, 5103, Input::Saved { ticket: 3 });
-    step(&mut node, 5104, heard(1, Message::Matched { term: 1, index: 2 }));
+    step(&mut node, 5104, heard(1, Message::AppendAccepted { term: 1, index: 2 }));
     step(&mut node, 5105, Input::AddVoter(voter(2, 0)));
-    step(&mut node, 5106, heard(2, Message::Matched { term: 1, index: 2 }));
+    step(&mut node, 5106, heard(2, Message::AppendAccepted { term: 1, index: 2 }));
     assert_eq!((node.commit(), node.members().len()), (2, 2));
 }
--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::kept::{apply, empty};
 
-pub const TIMING: Timing = Timing { pulse: 50, election: 300, lease: 220 };
+pub const TIMING: Timing = Timing { heartbeat: 50, election: 300, lease: 220 };
 
 pub struct Draw(u64);
 
@@ -74,8 +74,8 @@
     bytes.iter().fold(state ^ entry.index, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
 }
 
-pub fn voter(host: usize, birth: u64) -> VoterId {
-    VoterId { address: format!("n{host}"), birth }
+pub fn voter(host: usize, incarnation: u64) -> VoterId {
+    VoterId { address: format!("n{host}"), incarnation }
 }
 
 impl World {
@@ -148,9 +148,9 @@
 
     pub fn wipe(&mut self, at: usize, back_after: Millis) {
         self.kill(at, back_after);
-        let birth = 1 + self.draw.below(1 << 40);
+        let incarnation = 1 + self.draw.below(1 << 40);
         let host = &mut self.hosts[at];
-        host.disk = empty(voter(at, birth), Vec::new());
+        host.disk = empty(voter(at, incarnation), Vec::new());
     }
 
     pub fn freeze(&mut self, at: usize, span: Millis) {
@@ -174,7 +174,7 @@
     }
 
     /// Hosts that are up and not on the newest leader's list.
-    pub fn strangers(&self) -> Vec<VoterId> {
+    pub fn learners(&self) -> Vec<VoterId> {
         let Some(leader) = self.leader() else { return Vec::new() };
         let Some(node) = &self.hosts[leader].node else { return Vec::new() };
         self.hosts.iter().map(|host| host.disk.me.clone()).filter(|me| !node.members().contains(me)).collect()
@@ -314,11 +314,11 @@
         }
     }
 
-    /// What the hosts do by themselves: the leader's takes in strangers, all of them compact.
+    /// What the hosts do by themselves: the leader's takes in learners, all of them compact.
     pub fn chores(&mut self) -> Result<(), String> {
         if let Some(leader) = self.leader() {
-            for stranger in self.strangers() {
-                self.input(leader, Input::AddVoter(stranger))?;
+            for learner in self.learners() {
+                self.input(leader, Input::AddVoter(learner))?;
             }
         }
         for at in 0..self.hosts.len() {
--- a/crates/reachlb/src/master.rs
+++ b/crates/reachlb/src/master.rs
@@ -39,10 +39,10 @@
             let founder = settings.bootstrap && seeds.contains(&address.to_string());
             let newcomer = |damaged: bool| {
                 let at_birth = founder && !damaged;
-                let birth = if at_birth { 0 } else { start::draw() | 1 };
-                let founders = seeds.iter().map(|a| VoterId { address: a.clone(), birth: 0 });
+                let incarnation = if at_birth { 0 } else { start::draw() | 1 };
+                let founders = seeds.iter().map(|a| VoterId { address: a.clone(), incarnation: 0 });
                 let founders = if at_birth { founders.collect() } else { Vec::new() };
-                (VoterId { address: address.to_string(), birth }, founders)
+                (VoterId { address: address.to_string(), incarnation }, founders)
             };
             Some(Disk::open(folder, newcomer, commands.clone())?)
         }
@@ -55,7 +55,7 @@
         address: address.to_string(),
         zone: settings.zone.to_string(),
         quorum: log.is_some(),
-        birth: log.as_ref().map(|(_, saved)| saved.me.birth),
+        incarnation: log.as_ref().map(|(_, saved)| saved.me.incarnation),
     };
     let master = MasterSettings {
         me,
@@ -63,7 +63,7 @@
         seeds: start::seeds(&settings),
         beat_interval: millis(settings.beat_interval),
         timing: Timing {
-            pulse: millis(settings.tuning.pulse),
+            heartbeat: millis(settings.tuning.pulse),
             election: millis(settings.tuning.election),
             lease: millis(settings.tuning.lease),
         },
--- a/crates/reachlb/src/operate/state.rs
+++ b/crates/reachlb/src/operate/state.rs
@@ -170,7 +170,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("log.redb");
         let (store, _) = Store::open(&path).expect("a store");
-        let me = VoterId { address: "10.0.0.1:7".into(), birth: 0 };
+        let me = VoterId { address: "10.0.0.1:7".into(), incarnation: 0 };
         store.create(me.clone(), vec![me.clone()]).expect("created");
         // What the version before this one wrote: a number, a body, digests.
         let state =
--- a/crates/reachlb/src/quays.rs
+++ b/crates/reachlb/src/quays.rs
@@ -35,7 +35,7 @@
         },
         zone: settings.zone.to_string(),
         quorum: false,
-        birth: None,
+        incarnation: None,
     };
     // The pilot's news and the purser's draws need each other.
     let pilot: Rc<RefCell<Option<Pilot>>> = Rc::default();
--- a/group/src/store.rs
+++ b/group/src/store.rs
@@ -21,7 +21,7 @@
 /// A voter as the log names it. Its address there is no way to it but what stays the same: the group's name and its own.
 /// So a voter that comes back with an empty disk takes its own place, and a file tells whose it is.
 pub fn voter(group: &str, name: &str, number: NodeId) -> VoterId {
-    VoterId { address: format!("{group} {name}"), birth: number }
+    VoterId { address: format!("{group} {name}"), incarnation: number }
 }
 
 /// The group's and the process's name.
@@ -288,7 +288,7 @@
         std::fs::remove_file(&new)?;
     }
     let (begun, _) = raft::store::Store::open(&new)?;
-    let id = me.birth;
+    let id = me.incarnation;
     // Terms go on above all that this voter has seen: an older one may have been another leader's.
     begun.begin(me, saved.term + 1, snapshot)?;
     drop((disk, begun));
--- a/group/src/voter.rs
+++ b/group/src/voter.rs
@@ -66,7 +66,7 @@
         tell: impl Fn(String) + 'static,
     ) -> Result<Rc<Self>, VoterError> {
         let Store { disk, saved, applied } = store;
-        let id = saved.me.birth;
+        let id = saved.me.incarnation;
         let now = millis(&clock);
         let node = raft::Node::start(saved, times.timing(), rand::random(), now);
         let due = node.next_due();
--- a/group/src/voter/decide.rs
+++ b/group/src/voter/decide.rs
@@ -82,8 +82,8 @@
         if self.leads().is_some() {
             return timeout(within, self.decide(ask)).await.unwrap_or(Answer::Nobody);
         }
-        let leader = self.core.borrow().node.leader().filter(|leader| leader.birth != self.id).cloned();
-        let way = leader.and_then(|leader| Some((leader.birth, self.way(name(&leader))?)));
+        let leader = self.core.borrow().node.leader().filter(|leader| leader.incarnation != self.id).cloned();
+        let way = leader.and_then(|leader| Some((leader.incarnation, self.way(name(&leader))?)));
         match way {
             Some((id, way)) if !passed => {
                 let answer = way.call(Kind::Ask, id, &Passed(ask, true), within).await;
--- a/group/src/voter/mail.rs
+++ b/group/src/voter/mail.rs
@@ -104,7 +104,7 @@
                 Some(way) => {
                     // Whatever gets no answer by then is lost; the next call goes by another connection.
                     let within = if long { self.times.life } else { election / 2 };
-                    way.call::<_, ()>(Kind::Log, to.birth, &mail, within).await.is_ok()
+                    way.call::<_, ()>(Kind::Log, to.incarnation, &mail, within).await.is_ok()
                 }
                 None => false,
             };
@@ -118,7 +118,7 @@
         if self.is_silent() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let from = VoterId { address: mail.from.0, birth: mail.from.1 };
+        let from = VoterId { address: mail.from.0, incarnation: mail.from.1 };
         self.hear_of(name(&from), mail.at);
         for bytes in mail.messages {
             let message = bitcode::decode(&bytes).map_err(|_| StatusCode::BAD_REQUEST)?;
--- a/group/src/voter/words.rs
+++ b/group/src/voter/words.rs
@@ -136,7 +136,7 @@
     pub(super) fn timing(&self) -> Timing {
         let ms = |time: Duration| (time.as_millis() as Millis).max(1);
         let lease = self.election.0.saturating_sub(drift(self.election.0) * 2);
-        Timing { pulse: ms(self.beat), election: ms(self.election.0), lease: ms(lease) }
+        Timing { heartbeat: ms(self.beat), election: ms(self.election.0), lease: ms(lease) }
     }
 }
 
