raft: the key of the hard state in the file stays as it was written

Cause: the rename of the state's words changed the key in the meta table as well, so that a file of an earlier version would have been read as damaged. Change: the key is a named constant, and a test holds the names of all tables and keys.

--- a/crates/raft/src/store.rs
+++ b/crates/raft/src/store.rs
@@ -31,6 +31,8 @@
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const SNAPSHOT: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshot");
+/// Key of the hard state (term and vote) in [`META`]. Its bytes stay as the first version of the file wrote them.
+const HARD_STATE_KEY: &str = "ballot";
 
 /// The disk of a node.
 #[derive(Debug)]
@@ -165,7 +167,7 @@
             tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
             tables.meta.insert("me", sealed(&me).as_slice())?;
             tables.meta.insert("founders", sealed(&founders).as_slice())?;
-            tables.meta.insert("hard_state", sealed(&hard_state).as_slice())?;
+            tables.meta.insert(HARD_STATE_KEY, sealed(&hard_state).as_slice())?;
             Ok(())
         })?;
         Ok(Saved { me, term: 0, vote: None, snapshot: None, entries: Vec::new(), founders })
@@ -187,7 +189,7 @@
             tables.meta.insert("schema", SCHEMA.to_be_bytes().as_slice())?;
             tables.meta.insert("me", sealed(&me).as_slice())?;
             tables.meta.insert("founders", sealed(&Vec::<VoterId>::new()).as_slice())?;
-            tables.meta.insert("hard_state", sealed(&(term, vote.clone())).as_slice())?;
+            tables.meta.insert(HARD_STATE_KEY, sealed(&(term, vote.clone())).as_slice())?;
             tables.replace(&snapshot)
         })?;
         Ok(Saved { me, term, vote, snapshot: Some(snapshot), entries: Vec::new(), founders: Vec::new() })
@@ -196,7 +198,7 @@
     /// Writes a save: it is on disk when this returns.
     pub fn save(&self, save: &Save) -> Result<(), StoreError> {
         self.write("saving", |tables| {
-            tables.meta.insert("hard_state", sealed(&(save.term, save.vote.clone())).as_slice())?;
+            tables.meta.insert(HARD_STATE_KEY, sealed(&(save.term, save.vote.clone())).as_slice())?;
             if let Some(from) = save.truncate {
                 tables.entries.retain_in(from.., |_, _| false)?;
             }
@@ -258,7 +260,7 @@
         }
         let me: VoterId = self.unseal("me", &needed("me")?)?;
         let founders: Vec<VoterId> = self.unseal("founders", &needed("founders")?)?;
-        let (term, vote): (u64, Option<VoterId>) = self.unseal("hard_state", &needed("hard_state")?)?;
+        let (term, vote): (u64, Option<VoterId>) = self.unseal(HARD_STATE_KEY, &needed(HARD_STATE_KEY)?)?;
 
         let mut snapshot: Option<Snapshot> = None;
         if let Some(length) = bytes("snapshot")? {
--- a/crates/raft/tests/disk.rs
+++ b/crates/raft/tests/disk.rs
@@ -233,3 +233,24 @@
     // Closed, and all of it written.
     assert_eq!((reopened(&path).term, reopened(&path).entries.len()), (3, 5));
 }
+
+/// The names of the tables and keys are part of the file's format: a file of an earlier version must be read.
+#[test]
+fn names_in_the_file_stay_as_the_first_version_wrote_them() {
+    use redb::{ReadableDatabase, ReadableTable, TableDefinition, TableHandle};
+
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let (store, _) = Store::open(&path).unwrap();
+    store.create(voter(1), vec![voter(1), voter(2)]).unwrap();
+    drop(store);
+
+    let database = redb::Database::open(&path).unwrap();
+    let file = database.begin_read().unwrap();
+    let mut tables: Vec<String> = file.list_tables().unwrap().map(|table| table.name().to_owned()).collect();
+    tables.sort();
+    assert_eq!(tables, ["entries", "meta", "snapshot"]);
+    let meta = file.open_table(TableDefinition::<&str, &[u8]>::new("meta")).unwrap();
+    let keys: Vec<String> = meta.iter().unwrap().map(|row| row.unwrap().0.value().to_owned()).collect();
+    assert_eq!(keys, ["ballot", "founders", "me", "schema"]);
+}
