control-plane: no order is refused that an entry in flight may still bring into force

An order that builds on a version above the newest was refused with 412. That version may be in flight, in the same leader's log for one: once it was committed, an earlier copy of the refused order that came late was taken. And an order that was taken more than 4,096 versions ago was refused, as its digest had been dropped.

What a leader does with an order is now decided in one place without I/O (`admission.rs`). Refused are only orders that no later entry can bring into force: those on a version before the newest, and those whose number is not above it. One that builds on a version above the newest, and one older than all that is remembered, get no clear answer (503). What the log's entries change is what it was, so that processes of both versions agree. A repetition of what a less strict program has taken is acknowledged.

`tests/orders` searches all that may happen to four orders with two copies of each and two elections, also at a leader that does not know it was cut off, and plays drawn worlds on real nodes of the log with kills, lost disks, freezes and cuts.

--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -277,6 +277,14 @@
         }
     }
 
+    /// Version and digest of a configuration, whether it is valid or not. None if there is none to be read.
+    pub fn identify(bytes: &[u8]) -> Option<(Version, [u8; 32])> {
+        let document: Node = serde_json::from_slice(bytes).ok()?;
+        let mut faults = Faults::default();
+        let version = At::root(&document).need("generation", &mut faults)?.text(&mut faults)?.parse().ok()?;
+        Some((version, document.digest()))
+    }
+
     /// Digest of what the operator wrote, to know the repetition of a configuration.
     ///
     /// Two bodies are "that exact configuration" if they are the same JSON: the order of the entries of a table, the
--- /dev/null
+++ b/crates/control-plane/src/admission.rs
@@ -0,0 +1,77 @@
+//! Admission of configuration orders: what a leader does with one, and how a verdict is answered. No I/O, no clock.
+//!
+//! An order is proposed to the log if the committed configurations allow it; the log's order then decides. It is refused
+//! without being proposed only by a verdict that no later entry can change (see [`Verdict::is_final`]), so that neither
+//! an entry in flight, nor an earlier copy of the order that is still on its way, can bring a refused order into force.
+
+use crate::calls::Reply;
+use crate::ledger::{Change, Ledger, Verdict};
+use config::Config;
+
+/// What a leader does with an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It goes into the log, which decides.
+    Propose(Change),
+    /// The committed configurations decide.
+    Decided {
+        /// The order's own version.
+        version: u64,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// Its body is no valid configuration, for this reason.
+    Invalid(String),
+}
+
+impl Decision {
+    /// The answer to the order; none yet for one that is proposed.
+    pub fn reply(&self) -> Option<Reply> {
+        match self {
+            Self::Propose(_) => None,
+            Self::Decided { verdict, .. } => Some(reply_to(*verdict)),
+            Self::Invalid(why) => Some(Reply::why(400, why)),
+        }
+    }
+}
+
+/// Decides on an order that builds on `base`, by the configurations that are committed.
+pub fn decide(ledger: &Ledger, base: u64, body: Vec<u8>) -> Decision {
+    let config = match Config::parse(&body) {
+        Ok(config) => config,
+        Err(fault) => return decide_invalid(ledger, &body, fault.to_string()),
+    };
+    let (version, digest) = (config.version.0, config.digest());
+    match ledger.judge(base, version, &digest) {
+        Verdict::Taken => Decision::Propose(Change { base, version, digest, body }),
+        verdict => Decision::Decided { version, verdict },
+    }
+}
+
+/// A program whose checks were less strict may have taken what this one calls invalid: its repetition is acknowledged.
+fn decide_invalid(ledger: &Ledger, body: &[u8], fault: String) -> Decision {
+    match Config::identify(body) {
+        Some((version, digest)) if ledger.has_taken(version.0, &digest) => {
+            Decision::Decided { version: version.0, verdict: Verdict::TakenBefore }
+        }
+        _ => Decision::Invalid(fault),
+    }
+}
+
+/// The answer to an order. Callers end at 409 and 412, and send the order again after a 503.
+pub fn reply_to(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Taken | Verdict::TakenBefore => Reply::done(),
+        Verdict::Stale { current } => Reply::why(412, &format!("r{current} is in place")),
+        Verdict::NotAbove { current } => {
+            Reply::why(409, &format!("generation: not above r{current}, which is in place"))
+        }
+        Verdict::Ahead { base, current } => Reply::why(
+            503,
+            &format!("r{base}, on which it builds, is not in place but r{current}: ask again"),
+        ),
+        Verdict::Forgotten { oldest } => {
+            Reply::why(503, &format!("it may have been taken: versions before r{oldest} are not remembered"))
+        }
+    }
+}
--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -3,7 +3,8 @@
 use bitcode::{Decode, Encode};
 use std::collections::BTreeMap;
 
-/// So many versions are remembered by their digest: an operator repeats a call within seconds, not thousands later.
+/// So many versions are remembered by their digest, of 32 bytes each. An order with an older number is left without a
+/// clear answer when it is sent again: it may have been taken.
 const REMEMBERED: usize = 4096;
 /// Floors of more counts than this are not kept: their tenants begin with nothing under a new holder.
 const FLOORS: usize = 4096;
@@ -70,7 +71,7 @@
     Taken,
     /// It had been taken before, whether it still is the newest or not.
     TakenBefore,
-    /// It builds on another version than the newest.
+    /// It builds on a version before the newest.
     Stale {
         /// The newest.
         current: u64,
@@ -80,6 +81,26 @@
         /// The newest.
         current: u64,
     },
+    /// It builds on a version that is not taken, but may be: by an entry in flight, for one.
+    Ahead {
+        /// The version that it builds on.
+        base: u64,
+        /// The newest.
+        current: u64,
+    },
+    /// Its version is one of those whose digests were dropped: it may have been taken, or another one of its number.
+    Forgotten {
+        /// The oldest version whose digest is remembered.
+        oldest: u64,
+    },
+}
+
+impl Verdict {
+    /// Whether no entry that the log may still get can change it. Versions only rise: a base below the newest never
+    /// is the newest again, and a version that is not above it never will be. A base above the newest may become it.
+    pub fn is_final(self) -> bool {
+        !matches!(self, Self::Ahead { .. } | Self::Forgotten { .. })
+    }
 }
 
 /// When a configuration was taken: no two machines share a clock, but all share the log.
@@ -142,17 +163,32 @@
     /// What would become of a change now.
     pub fn judge(&self, base: u64, version: u64, digest: &[u8; 32]) -> Verdict {
         let current = self.version;
-        if self.digests.get(&version) == Some(digest) {
+        if self.has_taken(version, digest) {
             Verdict::TakenBefore
-        } else if base != current {
+        } else if let Some(oldest) = self.oldest_remembered().filter(|oldest| version < *oldest) {
+            Verdict::Forgotten { oldest }
+        } else if base < current {
             Verdict::Stale { current }
         } else if version <= current {
             Verdict::NotAbove { current }
+        } else if base > current {
+            Verdict::Ahead { base, current }
         } else {
             Verdict::Taken
         }
     }
 
+    /// Whether this very configuration has been taken, as far as is remembered.
+    pub fn has_taken(&self, version: u64, digest: &[u8; 32]) -> bool {
+        self.digests.get(&version) == Some(digest)
+    }
+
+    /// The oldest version whose digest is remembered, once older ones may have been dropped.
+    fn oldest_remembered(&self) -> Option<u64> {
+        let full = self.digests.len() >= REMEMBERED;
+        self.digests.first_key_value().filter(|_| full).map(|(oldest, _)| *oldest)
+    }
+
     /// Takes a change from this place of the log.
     pub fn apply(&mut self, at: Place, change: Change) -> Verdict {
         let verdict = self.judge(change.base, change.version, &change.digest);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admission;
 mod calls;
 mod disk;
 mod ledger;
@@ -13,6 +14,7 @@
 mod master;
 mod watch;
 
+pub use admission::{Decision, decide, reply_to};
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
 pub use ledger::{Change, Ledger, Marks, Place, Verdict};
--- a/crates/control-plane/src/master/entries.rs
+++ b/crates/control-plane/src/master/entries.rs
@@ -1,7 +1,7 @@
 //! The log at work: what its state machine asks for, and what its entries change.
 
-use super::orders::reply_to;
 use super::*;
+use crate::admission::reply_to;
 
 impl Master {
     pub(super) fn log(&mut self, input: Input) {
--- a/crates/control-plane/src/master/orders.rs
+++ b/crates/control-plane/src/master/orders.rs
@@ -1,6 +1,7 @@
 //! Calls of backends and of the operator, at the leader and on their way to it.
 
 use super::*;
+use crate::admission::{Decision, decide};
 
 impl Master {
     pub(super) fn on_call(&mut self, call: Call, reply: oneshot::Sender<Reply>) {
@@ -123,27 +124,13 @@
                 self.answer(asker, reply);
             }
             Order::Replace { base, body } => {
-                let config = match Config::parse(&body) {
-                    Ok(config) => config,
-                    Err(fault) => {
-                        let why = fault.to_string();
-                        self.watch.unread(now, &why);
-                        return self.answer(asker, Reply::why(400, &why));
-                    }
-                };
-                let (version, digest) = (config.version.0, config.digest());
-                match self.ledger.judge(base, version, &digest) {
-                    Verdict::Taken => {
-                        self.tokens += 1;
-                        let token = self.tokens;
-                        self.proposed.insert(token, Proposed { asker, since: now });
-                        let change = bitcode::encode(&Change { base, version, digest, body });
-                        self.log(Input::Propose { token, change });
-                    }
-                    verdict => {
-                        self.watch.change(now, version, verdict);
-                        self.answer(asker, reply_to(verdict));
-                    }
+                let decision = decide(&self.ledger, base, body);
+                self.watch.decided(now, &decision);
+                if let Some(reply) = decision.reply() {
+                    return self.answer(asker, reply);
+                }
+                if let Decision::Propose(change) = decision {
+                    self.propose(asker, &change, now);
                 }
             }
         }
@@ -151,6 +138,14 @@
 }
 
 impl Master {
+    /// Its answer waits until the log has decided.
+    fn propose(&mut self, asker: Asker, change: &Change, now: u64) {
+        self.tokens += 1;
+        let token = self.tokens;
+        self.proposed.insert(token, Proposed { asker, since: now });
+        self.log(Input::Propose { token, change: bitcode::encode(change) });
+    }
+
     /// Takes a voter off the list. The log wants to be asked until a majority of the others has the new list, so the
     /// caller repeats the call until it is told so: 202 is "under way", 404 "nobody of that address votes". Whoever holds
     /// the lease hears a majority of the list; one that it does not hear leaves a shorter list with the same voters heard.
@@ -176,13 +171,3 @@
         under_way
     }
 }
-
-pub(super) fn reply_to(verdict: Verdict) -> Reply {
-    match verdict {
-        Verdict::Taken | Verdict::TakenBefore => Reply::done(),
-        Verdict::Stale { current } => Reply::why(412, &format!("r{current} is in place")),
-        Verdict::NotAbove { current } => {
-            Reply::why(409, &format!("generation: not above r{current}, which is in place"))
-        }
-    }
-}
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -1,5 +1,6 @@
 //! Records of what this process decided and saw: bounded, and without text until somebody reads them.
 
+use crate::admission::Decision;
 use crate::ledger::Verdict;
 use observability::{Ring, Seldom};
 use protocol::{Berth, Phase};
@@ -95,6 +96,12 @@
             Self::Change(Verdict::NotAbove { current }) => {
                 write!(f, "refused: its number is not above r{current}, which is in place")
             }
+            Self::Change(Verdict::Ahead { base, current }) => {
+                write!(f, "not decided: it builds on r{base}, which is not in place but r{current}")
+            }
+            Self::Change(Verdict::Forgotten { oldest }) => {
+                write!(f, "not decided: versions before r{oldest} are not remembered")
+            }
             Self::Unread(why) => write!(f, "refused: {why}"),
             Self::Backend(service, seen) => write!(f, "backend of {service}: {seen}"),
             Self::Quay(seen) => write!(f, "quay: {seen}"),
@@ -211,11 +218,22 @@
             Verdict::TakenBefore => "taken_before",
             Verdict::Stale { .. } => "stale",
             Verdict::NotAbove { .. } => "not_above",
+            Verdict::Ahead { .. } => "ahead",
+            Verdict::Forgotten { .. } => "forgotten",
         };
         *self.counted.changes.entry(outcome).or_default() += 1;
         self.note(at, format!("r{version}"), What::Change(verdict));
     }
 
+    /// An order came to this leader. What is proposed is told once the log has decided.
+    pub fn decided(&mut self, at: u64, decision: &Decision) {
+        match decision {
+            Decision::Propose(_) => {}
+            Decision::Decided { version, verdict } => self.change(at, *version, *verdict),
+            Decision::Invalid(why) => self.unread(at, why),
+        }
+    }
+
     /// A configuration came that can't be read.
     pub fn unread(&mut self, at: u64, why: &str) {
         *self.counted.changes.entry("unread").or_default() += 1;
--- /dev/null
+++ b/crates/control-plane/tests/orders/drawn.rs
@@ -0,0 +1,281 @@
+//! Operators in drawn worlds: real nodes of the log with kills, lost disks, freezes and cuts, and the ledger as the
+//! state that their log makes. Copies of orders come late, to any machine.
+
+#[path = "../../../raft/tests/world/mod.rs"]
+mod nodes;
+
+use crate::orders::{Order, Promises};
+use control_plane::{Change, Decision, Ledger, Place, Verdict, reply_to};
+use nodes::World;
+use raft::{Faults, Input, What};
+use std::rc::Rc;
+use yare::parameterized;
+
+const VOTERS: usize = 3;
+/// How long there is trouble, and for how long there is none after it, in ms.
+const TROUBLE: u64 = 8_000;
+const CALM: u64 = 5_000;
+const STEP: u64 = 10;
+/// Most copies come within this, and some ten times as late.
+const DELAY: u64 = 600;
+/// How many digests a ledger remembers.
+const REMEMBERED: u64 = 4096;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Plant {
+    Nothing,
+    /// The rule before: who builds on a version above the newest is refused.
+    AheadRefused,
+    /// A leader confirms what is in its log.
+    AnswerBeforeCommit,
+}
+
+/// A copy of an order on its way.
+struct Copy {
+    order: usize,
+    host: usize,
+    due: u64,
+}
+
+/// An order that a leader has in its log.
+struct Accepted {
+    host: usize,
+    index: u64,
+    term: u64,
+    order: usize,
+}
+
+struct Operators {
+    world: World,
+    plant: Plant,
+    /// The state after each entry of the log.
+    states: Vec<Rc<Ledger>>,
+    verdicts: Vec<Option<Verdict>>,
+    orders: Vec<Order>,
+    copies: Vec<Copy>,
+    accepted: Vec<Accepted>,
+    promises: Promises,
+}
+
+impl Operators {
+    /// `before` versions are in place already.
+    fn new(seed: u64, before: u64, plant: Plant) -> Self {
+        let mut ledger = Ledger::default();
+        let mut promises = Promises::default();
+        for version in 1..=before {
+            let digest = [0; 32];
+            ledger.apply(Place::default(), Change { base: version - 1, version, digest, body: vec![0] });
+            promises.taken.push(Order::new(version - 1, version, 0));
+        }
+        Self {
+            world: World::new(seed, VOTERS, Faults::default()),
+            plant,
+            states: vec![Rc::new(ledger)],
+            verdicts: vec![None],
+            orders: Vec::new(),
+            copies: Vec::new(),
+            accepted: Vec::new(),
+            promises,
+        }
+    }
+
+    /// Time goes on, and what is due happens.
+    fn step(&mut self) -> Result<(), String> {
+        self.world.run_until(self.world.now + STEP)?;
+        self.world.chores()?;
+        self.commit();
+        self.answer();
+        let now = self.world.now;
+        let (due, later) = std::mem::take(&mut self.copies).into_iter().partition(|copy| copy.due <= now);
+        self.copies = later;
+        let due: Vec<Copy> = due;
+        due.into_iter().try_for_each(|copy| self.arrive(copy))
+    }
+
+    /// Takes in what the log has committed. Each state is written to a snapshot and read again.
+    fn commit(&mut self) {
+        while let Some((entry, _)) = self.world.ledger.get(&(self.states.len() as u64)) {
+            let mut state = self.states.last().expect("the first").clone();
+            let mut verdict = None;
+            if let What::Change(bytes) = &entry.what
+                && let Ok(change) = Change::read(bytes)
+            {
+                let (base, version) = (change.base, change.version);
+                let known = |order: &&Order| {
+                    order.base == base && order.version == version && order.body() == change.body
+                };
+                let order = self.orders.iter().find(known).copied();
+                let mut ledger = Ledger::clone(&state);
+                let at = Place { index: entry.index, epoch: entry.term };
+                let outcome = ledger.apply(at, change.clone());
+                if outcome == Verdict::Taken {
+                    self.promises.taken.extend(order);
+                }
+                verdict = Some(outcome);
+                state = Rc::new(Ledger::restore(&bitcode::encode(&ledger)).expect("what it wrote"));
+            }
+            self.states.push(state);
+            self.verdicts.push(verdict);
+        }
+    }
+
+    /// Leaders answer for what they have in their logs once it comes back committed.
+    fn answer(&mut self) {
+        for accepted in std::mem::take(&mut self.accepted) {
+            let Accepted { host, index, term, order } = accepted;
+            if self.world.hosts[host].applied < index {
+                self.accepted.push(accepted);
+            } else if self.world.ledger[&index].0.term == term
+                && let Some(verdict) = self.verdicts[index as usize]
+            {
+                self.promises.answered(self.orders[order], &reply_to(verdict));
+            }
+        }
+    }
+
+    /// A copy comes to a machine, which passes it on to the leader. All that would be final anywhere on its way is taken
+    /// for an answer, though only leaders give one.
+    fn arrive(&mut self, copy: Copy) -> Result<(), String> {
+        let host = copy.host;
+        self.decide(host, copy.order)?;
+        match self.world.leader() {
+            Some(leader) if leader != host => self.decide(leader, copy.order),
+            _ => Ok(()),
+        }
+    }
+
+    fn decide(&mut self, at: usize, number: usize) -> Result<(), String> {
+        let host = &self.world.hosts[at];
+        let Some(node) = host.node.as_ref().filter(|_| host.frozen_until <= self.world.now) else {
+            return Ok(());
+        };
+        let leads = node.is_leader();
+        let order = self.orders[number];
+        match order.decide(&self.states[host.applied as usize]) {
+            Decision::Propose(change) if leads => self.propose(at, number, &change),
+            Decision::Decided { verdict, .. } => {
+                let planted = self.plant == Plant::AheadRefused && matches!(verdict, Verdict::Ahead { .. });
+                let verdict = if planted { Verdict::Stale { current: 0 } } else { verdict };
+                self.promises.answered(order, &reply_to(verdict));
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn propose(&mut self, at: usize, number: usize, change: &Change) -> Result<(), String> {
+        let token = number as u64;
+        self.world.input(at, Input::Propose { token, change: bitcode::encode(change) })?;
+        for (host, index, term) in self.world.accepted.drain(..) {
+            self.accepted.push(Accepted { host, index, term, order: number });
+            if self.plant == Plant::AnswerBeforeCommit {
+                self.promises.answered(self.orders[number], &reply_to(Verdict::Taken));
+            }
+        }
+        Ok(())
+    }
+
+    /// An operator sends a new order, or one of the earlier ones again.
+    fn send(&mut self) {
+        let draw = &mut self.world.draw;
+        let newest = self.states.last().expect("the first").version();
+        let again = draw.chance(40) && !self.orders.is_empty();
+        let order = if again {
+            let last = self.orders.len() as u64;
+            (last - 1 - draw.below(last.min(12))) as usize
+        } else {
+            // Most build on the newest version, some on one before it, and some on one that is on its way.
+            let base = match draw.below(10) {
+                0 => newest.saturating_sub(1),
+                1 | 2 => newest + 1 + draw.below(2),
+                _ => newest,
+            };
+            // The same body on another base would be the same configuration.
+            let order = Order::new(base, base + 1 + draw.below(2), 2 * base + draw.below(2));
+            self.orders.iter().position(|known| *known == order).unwrap_or_else(|| {
+                self.orders.push(order);
+                self.orders.len() - 1
+            })
+        };
+        let late = if draw.chance(10) { 10 } else { 1 };
+        let (host, due) = (draw.below(VOTERS as u64) as usize, self.world.now + draw.below(DELAY * late));
+        self.copies.push(Copy { order, host, due });
+    }
+
+    fn trouble(&mut self, wiped: &mut usize) {
+        let world = &mut self.world;
+        if world.settled() {
+            *wiped = 0;
+        }
+        let (kind, span) = (world.draw.below(100), world.draw.below(1_500));
+        let (at, other) =
+            (world.draw.below(VOTERS as u64) as usize, world.draw.below(VOTERS as u64) as usize);
+        match kind {
+            0..20 => world.kill(at, span),
+            20..25 => (0..VOTERS).for_each(|at| world.kill(at, span / 2)),
+            // No more disks may be lost at a time than the voters can bear.
+            25..32 if *wiped == 0 => {
+                *wiped += 1;
+                world.wipe(at, span / 3);
+            }
+            32..47 => world.freeze(at, span),
+            47..75 => world.cut[at][other] = true,
+            _ => world.cut.iter_mut().flatten().for_each(|cut| *cut = false),
+        }
+    }
+
+    fn play(&mut self) -> Result<(), String> {
+        let mut wiped = 0;
+        let end = self.world.now + TROUBLE;
+        while self.world.now < end {
+            self.step()?;
+            if self.world.draw.chance(25) {
+                self.send();
+            }
+            if self.world.draw.chance(2) {
+                self.trouble(&mut wiped);
+            }
+        }
+        self.world.cut.iter_mut().flatten().for_each(|cut| *cut = false);
+        self.world.lossy = false;
+        let end = self.world.now + CALM;
+        while self.world.now < end {
+            self.step()?;
+        }
+        self.promises.check()?;
+        let leader = self.world.leader().ok_or("nobody leads after the trouble")?;
+        let state = self.states[self.world.hosts[leader].applied as usize].clone();
+        self.promises.check_leader(&state, &self.orders)
+    }
+}
+
+/// Plays this many worlds, and says how many orders came into force in all of them.
+fn play(worlds: u64, before: u64, plant: Plant) -> Result<usize, String> {
+    let mut taken = 0;
+    for seed in 0..worlds {
+        let mut operators = Operators::new(seed, before, plant);
+        operators.play().map_err(|fault| format!("seed {seed}: {fault}"))?;
+        taken += operators.promises.taken.len() - before as usize;
+    }
+    Ok(taken)
+}
+
+#[parameterized(
+    from_the_first = { 60, 0 },
+    with_a_memory_that_is_full = { 10, REMEMBERED + 5 },
+)]
+fn no_order_is_refused_and_in_force_in_drawn_worlds(worlds: u64, before: u64) {
+    let taken = play(worlds, before, Plant::Nothing).unwrap_or_else(|fault| panic!("{fault}"));
+    println!("{taken} orders came into force in {worlds} worlds");
+    assert!(taken as u64 > worlds * 15, "hardly anything happened: {taken}");
+}
+
+#[parameterized(
+    ahead_refused = { Plant::AheadRefused, "refused" },
+    answer_before_commit = { Plant::AnswerBeforeCommit, "confirmed and not in force" },
+)]
+fn planted_faults_are_found_in_drawn_worlds(plant: Plant, what: &str) {
+    let fault = play(60, 0, plant).expect_err("no world finds it");
+    println!("{fault}");
+    assert!(fault.contains(what), "{fault}");
+}
