--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -16,7 +16,7 @@
 use config::{Config, Detours};
 use protocol::{Berth, Flag, Hail, Held, MasterCard, Order, Plane, Pulse, Sheet, Splice};
 use quota::{Office, Placer, Quota, Roster};
-use raft::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
+use raft::{Input, Node, Output, Role, Saved, Snapshot, Timing, VoterId, What};
 use registry::{Fleet, Judgement, Register};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -221,7 +221,9 @@
     next: [u64; 3],
     /// The quays that the other masters were told of last, and when.
     told_quays: (Vec<(String, u64)>, u64),
+    /// What the log has asked for and was not done yet.
     outputs: Vec<Output>,
+    handles_outputs: bool,
     watch: Watch,
     /// Who watches the neighbours, if anybody does.
     lookout: Option<Rc<Lookout>>,
@@ -279,6 +281,7 @@
             next: [0; 3],
             told_quays: (Vec::new(), 0),
             outputs: Vec::new(),
+            handles_outputs: false,
             watch: Watch::new(),
             lookout: None,
             settings,
--- a/crates/control-plane/src/master/entries.rs
+++ b/crates/control-plane/src/master/entries.rs
@@ -7,15 +7,25 @@
     pub(super) fn log(&mut self, input: Input) {
         let now = self.now();
         let Some(node) = &mut self.node else { return };
-        let mut outputs = std::mem::take(&mut self.outputs);
-        node.handle(now, input, &mut outputs);
-        for output in outputs.drain(..) {
-            self.on_output(output);
+        node.handle(now, input, &mut self.outputs);
+        // What an output asks of the log takes its turn behind all outputs before it. Otherwise a compaction that a
+        // committed entry causes would be on disk before that entry, which would then stand below the snapshot.
+        if std::mem::replace(&mut self.handles_outputs, true) {
+            return;
         }
-        self.outputs = outputs;
+        while !self.outputs.is_empty() {
+            for output in std::mem::take(&mut self.outputs) {
+                self.on_output(output);
+            }
+        }
+        self.handles_outputs = false;
     }
 
     pub(super) fn on_output(&mut self, output: Output) {
+        // A process that has fallen silent neither writes nor answers.
+        if self.node.is_none() {
+            return;
+        }
         match output {
             Output::Send { to, message } => {
                 let incarnation = self.node.as_ref().map_or(0, |node| node.me().incarnation);
@@ -34,17 +44,7 @@
                 let at = Place { index: entry.index, epoch: entry.term };
                 self.on_committed(at, entry.what);
             }
-            Output::Install { snapshot } => match Ledger::restore(&snapshot.state) {
-                Ok(ledger) => {
-                    self.changed |= ledger.version() > self.ledger.version();
-                    self.ledger = ledger;
-                }
-                Err(error) => {
-                    let (index, epoch) = (snapshot.index, snapshot.term);
-                    spdlog::error!("the leader's snapshot is of no version known here: {}", error,
-                            kv: { step = "install", index, epoch });
-                }
-            },
+            Output::Install { snapshot } => self.install(&snapshot),
             Output::Accepted { token, index, .. } => {
                 self.accepted.insert(index, token);
             }
@@ -59,6 +59,26 @@
         }
     }
 
+    /// Takes over the leader's state. If it can't be read, this process takes no part in the log any more, and writes
+    /// nothing of it: it would judge changes, and lead, by a state that is behind its log.
+    fn install(&mut self, snapshot: &Snapshot) {
+        match Ledger::restore(&snapshot.state) {
+            Ok(ledger) => {
+                self.changed |= ledger.version() > self.ledger.version();
+                self.ledger = ledger;
+                (self.changes, self.change_bytes) = (0.0, 0);
+            }
+            Err(error) => {
+                let (index, epoch) = (snapshot.index, snapshot.term);
+                spdlog::error!(
+                    "the leader's snapshot is of no version known here, and this voter falls silent: {}", error,
+                    kv: { step = "install", index, epoch });
+                self.on_role(Role::Follower { term: epoch, leader: None });
+                self.node = None;
+            }
+        }
+    }
+
     pub(super) fn on_role(&mut self, role: Role) {
         if let Role::Candidate { term } = role {
             let now = self.now();
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -1,8 +1,8 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
-use control_plane::{Disk, Master, MasterSettings};
+use control_plane::{Change, Disk, Master, MasterSettings};
 use protocol::{Flag, Hail, Held, Plane, Pulse, Sheet};
-use raft::{Timing, VoterId};
+use raft::{Entry, Message, Snapshot, Timing, VoterId, What};
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -465,3 +465,74 @@
     }
     drop(voters);
 }
+
+/// A connection to a process from one that says of itself that it is another voter.
+fn line_of_voter(harbour: &Harbour, at: usize, to: usize) -> TcpStream {
+    let hail = Hail {
+        name: format!("m{at}"),
+        life: 1,
+        plane: Plane::Master,
+        address: harbour.peers[at].to_string(),
+        zone: "a".into(),
+        quorum: true,
+        incarnation: Some(0),
+    };
+    let mut stream = until(|| TcpStream::connect(harbour.peers[to]).ok());
+    stream.write_all(&protocol::frame(&Flag::Hail(hail))).expect("sent");
+    stream
+}
+
+fn log_frame(message: &Message) -> Vec<u8> {
+    protocol::frame(&Flag::Log { incarnation: 0, message: bitcode::encode(message) })
+}
+
+fn has_status(process: &Process, what: &str) {
+    until(|| {
+        let (_, body) = process.call("GET /Harbour.Status HTTP/1.1", "")?;
+        body.contains(what).then_some(())
+    });
+}
+
+/// What a process that was killed has on its disk.
+fn on_disk(harbour: &Harbour, at: usize) -> raft::Saved {
+    let opened = raft::store::Store::open(harbour.disk(at).join("log.redb"));
+    opened.expect("the file is whole").1.expect("it is a voter's")
+}
+
+/// Entries that come already committed compact the log before they are on disk themselves.
+#[test]
+fn a_voter_that_catches_up_in_one_message_writes_its_entries_before_its_snapshot() {
+    let harbour = Harbour::new();
+    let mut process = harbour.start(0, true);
+    let entry = |index: u64| {
+        let change =
+            Change { base: index - 1, version: index, digest: [index as u8; 32], body: config(index).into() };
+        Entry { index, term: 1, what: What::Change(bitcode::encode(&change)) }
+    };
+    let entries = (1..=20).map(entry).collect();
+    let append = Message::Append { term: 1, prev_index: 0, prev_term: 0, entries, commit: 20 };
+    let mut line = line_of_voter(&harbour, 1, 0);
+    line.write_all(&log_frame(&append)).expect("sent");
+    has_status(&process, r#""commit":20"#);
+    process.kill();
+    let saved = on_disk(&harbour, 0);
+    let base = saved.snapshot.map(|snapshot| snapshot.index);
+    assert_eq!((base, saved.entries.len()), (Some(16), 4));
+}
+
+#[test]
+fn a_voter_that_can_not_read_the_leaders_snapshot_falls_silent_and_keeps_its_log() {
+    let harbour = Harbour::new();
+    let mut process = harbour.start(0, true);
+    let members = harbour.peers[..VOTERS]
+        .iter()
+        .map(|at| VoterId { address: at.to_string(), incarnation: 0 })
+        .collect();
+    let snapshot = Snapshot { index: 9, term: 1, members, state: b"of a version to come".to_vec() };
+    let mut line = line_of_voter(&harbour, 1, 0);
+    line.write_all(&log_frame(&Message::InstallSnapshot { term: 1, snapshot })).expect("sent");
+    has_status(&process, r#""log":null"#);
+    process.kill();
+    let saved = on_disk(&harbour, 0);
+    assert!(saved.snapshot.is_none() && saved.entries.is_empty(), "{saved:?}");
+}
