--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -1,6 +1,9 @@
 //! The configurations that were taken: what the log's entries make, the same on every voter.
 
+pub mod snapshot_format;
+
 use bitcode::{Decode, Encode};
+use snapshot_format::UnknownFormat;
 use std::collections::BTreeMap;
 
 /// So many versions are remembered by their digest: an operator repeats a call within seconds, not thousands later.
@@ -106,37 +109,18 @@
     fleet: u32,
 }
 
-/// What snapshots held before there were marks.
-#[derive(Decode)]
-struct Unmarked {
-    version: u64,
-    body: Vec<u8>,
-    digests: BTreeMap<u64, [u8; 32]>,
-    places: BTreeMap<u64, Place>,
-    bodies: BTreeMap<u64, Vec<u8>>,
-}
-
-/// What snapshots held before bodies were kept.
-#[derive(Decode)]
-struct Bare {
-    version: u64,
-    body: Vec<u8>,
-    digests: BTreeMap<u64, [u8; 32]>,
-}
-
 impl Ledger {
-    /// Reads what a snapshot holds, also one that the version before this one wrote.
+    /// Reads what a snapshot holds, also one that a version before this one wrote.
     ///
     /// # Errors
     /// When it holds something else.
-    pub fn restore(state: &[u8]) -> Result<Self, bitcode::Error> {
-        bitcode::decode(state).or_else(|error| {
-            if let Ok(Unmarked { version, body, digests, places, bodies }) = bitcode::decode(state) {
-                return Ok(Self { version, body, digests, places, bodies, ..Self::default() });
-            }
-            let Bare { version, body, digests } = bitcode::decode(state).map_err(|_| error)?;
-            Ok(Self { version, body, digests, ..Self::default() })
-        })
+    pub fn restore(state: &[u8]) -> Result<Self, UnknownFormat> {
+        snapshot_format::read(state)
+    }
+
+    /// What a snapshot holds of this state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        snapshot_format::write(self)
     }
 
     /// What would become of a change now.
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
-pub use ledger::{Change, Ledger, Marks, Place, Verdict};
+pub use ledger::{Change, Ledger, Marks, Place, Verdict, snapshot_format};
 pub use lines::listen;
 pub use master::{Command, Master, MasterSettings};
--- a/crates/control-plane/src/master/entries.rs
+++ b/crates/control-plane/src/master/entries.rs
@@ -139,7 +139,7 @@
         self.changes += weight;
         if self.changes >= COMPACT_AFTER || self.change_bytes >= COMPACT_BYTES {
             (self.changes, self.change_bytes) = (0.0, 0);
-            let state = bitcode::encode(&self.ledger);
+            let state = self.ledger.snapshot();
             self.log(Input::Compact { index, state });
         }
     }
--- a/crates/control-plane/tests/bytes.rs
+++ b/crates/control-plane/tests/bytes.rs
@@ -15,7 +15,7 @@
 
 fn corpus(names: &[&str]) -> Vec<Vec<u8>> {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus");
-    let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/../manifest/tests/data");
+    let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/../config/tests/data");
     let read = |name: &&str| {
         let near = std::fs::read(format!("{folder}/{name}"));
         near.or_else(|_| std::fs::read(format!("{manifest}/{name}"))).expect("it is kept")
--- a/crates/control-plane/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -1,6 +1,7 @@
 //! The configurations that were taken: what becomes of a change, and of the same one again.
 
 use bitcode::Encode;
+use control_plane::snapshot_format::{Format, TAG, formats_of};
 use control_plane::{Change, Ledger, Marks, Place, Verdict};
 use std::collections::BTreeMap;
 
@@ -93,9 +94,9 @@
     entry
 }
 
-/// A snapshot as the version before marks wrote it.
+/// A snapshot as the versions before marks wrote it.
 #[derive(Encode)]
-struct Former {
+struct WithBodies {
     version: u64,
     body: Vec<u8>,
     digests: BTreeMap<u64, [u8; 32]>,
@@ -103,9 +104,17 @@
     bodies: BTreeMap<u64, Vec<u8>>,
 }
 
+/// ... and those before bodies were kept.
+#[derive(Encode)]
+struct Bare {
+    version: u64,
+    body: Vec<u8>,
+    digests: BTreeMap<u64, [u8; 32]>,
+}
+
 #[test]
 fn a_snapshot_of_the_version_before_is_read() {
-    let former = Former {
+    let former = WithBodies {
         version: 3,
         body: vec![9],
         digests: [(3, [1; 32])].into(),
@@ -115,4 +124,83 @@
     let ledger = Ledger::restore(&bitcode::encode(&former)).expect("a ledger");
     assert_eq!((ledger.version(), ledger.body(), ledger.body_of(2)), (3, Some(&[9][..]), Some(&[4][..])));
     assert!(ledger.floors().is_empty() && ledger.fleet() == 0);
+    let bare = Bare { version: 3, body: vec![9], digests: [(3, [1; 32])].into() };
+    let ledger = Ledger::restore(&bitcode::encode(&bare)).expect("a ledger");
+    assert_eq!((ledger.version(), ledger.body(), ledger.body_of(2)), (3, Some(&[9][..]), None));
+}
+
+/// Numbers of all magnitudes: `bitcode` packs each in as few bytes as its column allows.
+fn drawn_number(random: &mut u64) -> u64 {
+    *random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    let bits = (*random >> 58) as u32;
+    (*random >> 5).checked_shr(bits).unwrap_or(0)
+}
+
+fn drawn_state(random: &mut u64) -> Vec<Vec<u8>> {
+    let mut number = || drawn_number(random);
+    let bytes =
+        |number: u64| number.to_be_bytes().repeat(1 + number as usize % 9)[number as usize % 8..].to_vec();
+    let version = number();
+    let body = bytes(number());
+    let versions: Vec<u64> = (0..number() % 5).map(|_| number()).collect();
+    let digests: BTreeMap<_, _> = versions.iter().map(|version| (*version, [number() as u8; 32])).collect();
+    let places: BTreeMap<_, _> =
+        versions.iter().map(|version| (*version, Place { index: number(), epoch: number() })).collect();
+    let bodies: BTreeMap<_, _> = versions.iter().map(|version| (*version, bytes(number()))).collect();
+    let mut ledger = Ledger::default();
+    let digest = [number() as u8; 32];
+    ledger.apply(
+        Place { index: number(), epoch: number() },
+        Change { base: 0, version, digest, body: body.clone() },
+    );
+    let floors = (0..number() % 4).map(|_| (format!("t{}", number()), number() as u32)).collect();
+    ledger.mark(Marks { floors, fleet: number() as u32 });
+    let floored = ledger.snapshot();
+    let tagged = [TAG, &floored].concat();
+    let with_bodies = WithBodies { version, body: body.clone(), digests: digests.clone(), places, bodies };
+    let bare = Bare { version, body, digests };
+    vec![tagged, floored, bitcode::encode(&with_bodies), bitcode::encode(&bare)]
+}
+
+const WRITTEN: [Format; 4] = [Format::Tagged, Format::WithFloors, Format::WithBodies, Format::Bare];
+
+#[test]
+fn no_reader_of_snapshots_takes_the_bytes_of_another_format() {
+    let mut random = 7;
+    for round in 0..4_000 {
+        for (state, format) in drawn_state(&mut random).iter().zip(WRITTEN) {
+            assert_eq!(formats_of(state), [format], "round {round}: {state:?}");
+        }
+    }
+}
+
+/// What the check above finds: a format that differs from a former one in the meaning of its fields alone.
+#[test]
+fn a_format_without_a_tag_that_is_laid_out_like_a_former_one_is_found() {
+    #[derive(Encode)]
+    struct Mistaken {
+        newest_term: u64,
+        note: Vec<u8>,
+        tokens: BTreeMap<u64, [u8; 32]>,
+    }
+    let mistaken = Mistaken { newest_term: 3, note: vec![1], tokens: [(1, [2; 32])].into() };
+    assert_eq!(formats_of(&bitcode::encode(&mistaken)), [Format::Bare]);
+}
+
+/// Entries of the log: changes have no tag, and none begins like one.
+#[test]
+fn no_change_is_taken_for_marks_nor_marks_for_a_change() {
+    let mut random = 11;
+    for round in 0..4_000 {
+        let (base, version) = (drawn_number(&mut random), drawn_number(&mut random));
+        let digest = [drawn_number(&mut random) as u8; 32];
+        let body = drawn_number(&mut random).to_be_bytes()[round % 8..].to_vec();
+        let change = Change { base, version, digest, body };
+        let entry = bitcode::encode(&change);
+        assert!(Marks::read(&entry).is_none(), "{change:?}");
+        assert_eq!(Change::read(&entry).expect("a change"), change);
+        let floors = vec![(format!("t{base}"), version as u32); round % 3];
+        let marks = Marks { floors, fleet: base as u32 };
+        assert!(Change::read(&marks.entry()).is_err(), "{marks:?}");
+    }
 }
