--- a/crates/raft/src/agreement/mod.rs
+++ b/crates/raft/src/agreement/mod.rs
@@ -3,6 +3,7 @@
 #[path = "../../tests/kept/mod.rs"]
 mod kept;
 mod search;
+mod without_time;
 mod world;
 
 use search::search;
@@ -94,6 +95,11 @@
     })
 }
 
+/// ... and sends what it has piece by piece.
+fn in_pieces(plant: Plant) -> World {
+    compacted(plant).in_pieces()
+}
+
 #[parameterized(
     from_founding = { founding, 6 },
     from_wiped = { wiped, 5 },
@@ -102,6 +108,7 @@
     from_leaving = { leaving, 5 },
     from_exchanged = { exchanged, 8 },
     from_compacted = { compacted, 5 },
+    from_in_pieces = { in_pieces, 5 },
 )]
 fn nothing_that_must_never_be_is_within_reach(start: fn(Plant) -> World, depth: usize) {
     let reach = search(start(Plant::Nothing), depth, usize::MAX).unwrap_or_else(|fault| panic!("{fault}"));
@@ -118,6 +125,7 @@
     from_leaving = { leaving },
     from_exchanged = { exchanged },
     from_compacted = { compacted },
+    from_in_pieces = { in_pieces },
 )]
 #[ignore = "some minutes: cargo test --release -p raft --lib -- --ignored --nocapture --test-threads 2"]
 fn nothing_that_must_never_be_is_far_off(start: fn(Plant) -> World) {
--- a/crates/raft/src/agreement/world.rs
+++ b/crates/raft/src/agreement/world.rs
@@ -9,9 +9,8 @@
 
 use super::kept::{apply, empty};
 use crate::node::Node;
-use crate::types::{
-    Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What,
-};
+use crate::transfer::TransferLimits;
+use crate::types::{Entry, Input, Message, Millis, Output, Save, Saved, Snapshot, Timing, VoterId, What};
 
 /// Elections are over, leases have ended, and a leader's own patience has not.
 const NOW: Millis = 150;
@@ -102,6 +101,7 @@
     past: Rc<Past>,
     past_digest: u64,
     pub budget: Budget,
+    limits: TransferLimits,
     plant: Plant,
 }
 
@@ -119,7 +119,8 @@
         let list: Vec<VoterId> = (0..founders).map(|at| voter(at, 0)).collect();
         let hosts = (0..founders + learners).map(|at| {
             let founders = if at < founders { list.clone() } else { Vec::new() };
-            Host::start(empty(voter(at, if founders.is_empty() { 9 } else { 0 }), founders))
+            let me = voter(at, if founders.is_empty() { 9 } else { 0 });
+            Host::start(empty(me, founders), TransferLimits::SERVICE)
         });
         World {
             hosts: hosts.collect(),
@@ -127,6 +128,7 @@
             past: Rc::default(),
             past_digest: 0,
             budget: Budget::default(),
+            limits: TransferLimits::SERVICE,
             plant,
         }
     }
@@ -249,13 +251,14 @@
                 let host = &mut self.hosts[*at];
                 let saves = std::mem::take(&mut host.saves);
                 saves.iter().take(*kept).for_each(|save| apply(Rc::make_mut(&mut host.disk), save));
-                *host = Host::start(Saved::clone(&host.disk));
+                *host = Host::start(Saved::clone(&host.disk), self.limits);
                 Ok(())
             }
             Event::Wipe(at) => {
                 self.budget.wipes -= 1;
                 let host = &mut self.hosts[*at];
-                *host = Host::start(empty(voter(*at, host.disk.me.incarnation + 1), Vec::new()));
+                let me = voter(*at, host.disk.me.incarnation + 1);
+                *host = Host::start(empty(me, Vec::new()), self.limits);
                 Ok(())
             }
         }
@@ -502,6 +505,16 @@
         self
     }
 
+    /// All that is longer than a few bytes goes in pieces from here on.
+    pub fn in_pieces(mut self) -> World {
+        self.limits = TransferLimits { piece_bytes: 24, least_window_bytes: 4, largest_window_bytes: 100 };
+        for host in &mut self.hosts {
+            Rc::make_mut(&mut host.node).limit_transfers(self.limits);
+            host.counts();
+        }
+        self
+    }
+
     pub fn with(self, budget: Budget) -> World {
         World { budget, ..self }
     }
@@ -535,8 +548,9 @@
         self.digest = digest(&(&self.disk, &self.node, &self.saves));
     }
 
-    fn start(disk: Saved) -> Host {
+    fn start(disk: Saved, limits: TransferLimits) -> Host {
         let mut node = Node::start(disk.clone(), TIMING, 0, NOW);
+        node.limit_transfers(limits);
         node.forget_time();
         let mut host = Host { disk: Rc::new(disk), node: Rc::new(node), saves: VecDeque::new(), digest: 0 };
         host.counts();
@@ -544,29 +558,6 @@
     }
 }
 
-impl Node {
-    /// Sets all that only depends on time, or is only told, to one value, so that states that differ in nothing else
-    /// are one. The search says when a timer fires.
-    fn forget_time(&mut self) {
-        self.election_due = Millis::MAX;
-        self.bound_until = 0;
-        self.lost_elections = 0;
-        self.rounds = 0;
-        self.leader = None;
-        self.random = 0;
-        self.told = Role::Follower { term: 0, leader: None };
-        let Some(lead) = &mut self.lead else { return };
-        (lead.since, lead.heartbeat_due, lead.echo) = (0, Millis::MAX, 0);
-        lead.echoes.clear();
-        lead.tokens.clear();
-        for peer in &mut lead.peers {
-            (peer.answered, peer.until) = (None, Millis::MAX);
-            // Whatever is not answered when a heartbeat is counts as lost.
-            peer.under_way.iter_mut().for_each(|one| one.lost_at = 0);
-        }
-    }
-}
-
 fn digest(what: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     what.hash(&mut hasher);
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -9,12 +9,14 @@
 
 #[cfg(test)]
 mod agreement;
+mod checksum;
 mod election;
 mod log;
 mod members;
 mod node;
 mod replication;
 pub mod store;
+mod transfer;
 mod types;
 mod writer;
 
@@ -23,5 +25,9 @@
 extern crate self as raft;
 
 pub use node::{Faults, Node};
-pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
+pub use transfer::TransferLimits;
+pub use types::{
+    Entry, Input, Message, Millis, Output, PayloadKind, Role, Save, Saved, Snapshot, Timing, TransferId,
+    VoterId, What,
+};
 pub use writer::{Told, Writer};
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -10,10 +10,49 @@
     founders: Vec<VoterId>,
     snapshot: Option<Snapshot>,
     entries: VecDeque<Entry>,
+    retained: Retained,
     members: Vec<VoterId>,
     members_index: u64,
 }
 
+/// The newest entries that the snapshot stands for, in memory only: a follower that was just sent the snapshot before it
+/// goes on with them. Otherwise the log could be compacted again during each transfer, and catching up would never end.
+/// There are never more bytes of them than of the snapshot's state, which is sent instead of them then.
+#[derive(Debug)]
+#[cfg_attr(test, derive(Clone, Hash))]
+struct Retained {
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    /// The entry before the first of them.
+    before_index: u64,
+    before_term: u64,
+}
+
+impl Retained {
+    fn none_after(before_index: u64, before_term: u64) -> Retained {
+        Retained { entries: VecDeque::new(), bytes: 0, before_index, before_term }
+    }
+
+    fn get(&self, index: u64) -> Option<&Entry> {
+        let at = index.checked_sub(self.before_index + 1)?;
+        self.entries.get(usize::try_from(at).ok()?)
+    }
+
+    fn push(&mut self, entry: Entry) {
+        self.bytes += entry.what.size();
+        self.entries.push_back(entry);
+    }
+
+    fn trim(&mut self, most_bytes: usize) {
+        while self.bytes > most_bytes
+            && let Some(oldest) = self.entries.pop_front()
+        {
+            self.bytes -= oldest.what.size();
+            (self.before_index, self.before_term) = (oldest.index, oldest.term);
+        }
+    }
+}
+
 impl Log {
     /// Entries that do not follow each other are cut off: the store has checked them, a host's own `Saved` may differ.
     pub(crate) fn new(founders: Vec<VoterId>, snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Log {
@@ -24,7 +63,9 @@
             .take_while(|(at, entry)| entry.index == base + 1 + *at as u64)
             .map(|(_, entry)| entry)
             .collect();
-        let mut log = Log { founders, snapshot, entries, members: Vec::new(), members_index: 0 };
+        let base_term = snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
+        let retained = Retained::none_after(base, base_term);
+        let mut log = Log { founders, snapshot, entries, retained, members: Vec::new(), members_index: 0 };
         log.find_members();
         log
     }
@@ -55,9 +96,12 @@
         self.members_index
     }
 
+    /// An entry of the log, or one before it that is still in memory.
     pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
-        let at = index.checked_sub(self.base() + 1)?;
-        self.entries.get(usize::try_from(at).ok()?)
+        match index.checked_sub(self.base() + 1) {
+            Some(at) => self.entries.get(usize::try_from(at).ok()?),
+            None => self.retained.get(index),
+        }
     }
 
     /// None for entries that are not here any more, or not yet.
@@ -65,6 +109,9 @@
         if index == self.base() {
             return Some(self.snapshot.as_ref().map_or(0, |snapshot| snapshot.term));
         }
+        if index == self.retained.before_index {
+            return Some(self.retained.before_term);
+        }
         self.get(index).map(|entry| entry.term)
     }
 
@@ -102,14 +149,22 @@
     pub(crate) fn replace(&mut self, snapshot: Snapshot) {
         if self.term_at(snapshot.index) == Some(snapshot.term) {
             let gone = snapshot.index.saturating_sub(self.base()) as usize;
-            self.entries.drain(..gone.min(self.entries.len()));
+            let compacted = self.entries.drain(..gone.min(self.entries.len()));
+            compacted.for_each(|entry| self.retained.push(entry));
+            self.retained.trim(snapshot.state.len());
         } else {
             self.entries.clear();
+            self.retained = Retained::none_after(snapshot.index, snapshot.term);
         }
         self.snapshot = Some(snapshot);
         self.find_members();
     }
 
+    /// Drops the entries that the snapshot stands for.
+    pub(crate) fn forget_retained(&mut self) {
+        self.retained = Retained::none_after(self.base(), self.term_at(self.base()).unwrap_or(0));
+    }
+
     /// The list as of an index that is in the log.
     pub(crate) fn members_as_of(&self, index: u64) -> (Vec<VoterId>, u64) {
         let newest = self.entries.iter().rev().skip_while(|entry| entry.index > index).find_map(|entry| {
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -5,6 +5,7 @@
 use crate::election::Campaign;
 use crate::log::Log;
 use crate::replication::Lead;
+use crate::transfer::{IncomingTransfer, TransferLimits};
 use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
 
 /// Faults that tests plant to see that they are found. All off in service.
@@ -24,6 +25,18 @@
     pub hasty: bool,
     /// Elections without a sounding before them. Not wrong in itself, but it hides other faults.
     pub without_pre_vote: bool,
+    /// A transfer in pieces starts from its first byte whenever a piece is lost.
+    pub transfers_restart: bool,
+    /// Pieces of several transfers are put together, without a look at their checksum.
+    pub transfers_mixed: bool,
+    /// A compaction ends transfers of the snapshot before.
+    pub transfers_follow_compaction: bool,
+    /// No entry that a snapshot stands for is retained.
+    pub nothing_retained: bool,
+    /// Entries and pieces count as lost after a fixed time, however slow the link is.
+    pub impatient: bool,
+    /// A leader counts on its lease before an entry of its own term is committed.
+    pub early_lease: bool,
 }
 
 /// What waits for a save.
@@ -83,6 +96,9 @@
     pub(crate) waiting: VecDeque<Waiting>,
     pub(crate) unsaved: Unsaved,
     answers: Vec<Output>,
+    /// A payload whose pieces are coming in.
+    pub(crate) incoming: Option<IncomingTransfer>,
+    pub(crate) limits: TransferLimits,
     pub(crate) told: Role,
     pub(crate) random: u64,
 }
@@ -117,6 +133,8 @@
             waiting: VecDeque::new(),
             unsaved: Unsaved::default(),
             answers: Vec::new(),
+            incoming: None,
+            limits: TransferLimits::default(),
             told: Role::Follower { term, leader: None },
             random: seed,
         };
@@ -241,6 +259,12 @@
             Message::AppendRejected { term, prev_index, hint } => {
                 self.append_rejected(now, from, term, prev_index, hint, out)
             }
+            Message::Piece { term, transfer, offset, bytes } => {
+                self.piece_came(now, from, term, (transfer, offset, bytes), out);
+            }
+            Message::PieceReceived { term, transfer, offset, received } => {
+                self.piece_answered(now, &from, term, (transfer, offset, received), out);
+            }
         }
     }
 
@@ -273,6 +297,12 @@
         let (members, _) = self.log.members_as_of(index);
         self.log.replace(crate::types::Snapshot { index, term, members, state });
         self.unsaved.snapshot = true;
+        if self.faults.nothing_retained {
+            self.log.forget_retained();
+        }
+        if self.faults.transfers_follow_compaction {
+            self.lead.iter_mut().flat_map(|lead| &mut lead.peers).for_each(|peer| peer.transfer = None);
+        }
     }
 
     /// An answer that depends on what this node has promised: it leaves once all of that is on disk.
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 
 use crate::node::Node;
-use crate::types::{Entry, Message, Millis, Output, Snapshot, VoterId, What};
+use crate::transfer::{OutgoingTransfer, PieceSupport};
+use crate::types::{Entry, Message, Millis, Output, PayloadKind, Snapshot, VoterId, What};
 
-/// Bounds of one `Append`; one entry always fits.
+/// How many entries one `Append` holds at most; their bytes are bounded by the window.
 const MOST_ENTRIES: usize = 64;
-const MOST_BYTES: usize = 1 << 20;
 /// How many of them may be under way to one follower.
 const MOST_UNDER_WAY: usize = 4;
 /// How many accepted entries may wait for their commitment, and how large a change may be.
@@ -16,9 +16,11 @@
 const LARGEST_CHANGE: usize = 4 << 20;
 /// How many of the newest heartbeats can still be answered.
 const MOST_ECHOES: usize = 256;
-/// Pulses after which entries, or a snapshot, count as lost on the way.
-const PATIENCE: u64 = 3;
-const PATIENCE_SNAPSHOT: u64 = 20;
+/// Of entries or a piece that is not answered: it was lost if the heartbeat is answered that is sent after so many others.
+/// All go over one connection in order, so that a slow link alone makes nobody send anything twice.
+pub(crate) const HEARTBEATS_UNTIL_LOST: u64 = 3;
+/// The same of a whole snapshot, which takes its time to get to the disk.
+pub(crate) const HEARTBEATS_UNTIL_SNAPSHOT_LOST: u64 = 20;
 
 /// What a leader keeps.
 #[derive(Debug)]
@@ -71,6 +73,9 @@
     /// Whether `next` is a guess: one message at a time then.
     probing: bool,
     pub(crate) under_way: VecDeque<UnderWay>,
+    /// What goes to it in pieces now; nothing else of the log does meanwhile.
+    pub(crate) transfer: Option<OutgoingTransfer>,
+    pub(crate) pieces: PieceSupport,
     /// When the newest heartbeat was sent that it has answered.
     pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
@@ -83,6 +88,7 @@
 pub(crate) struct UnderWay {
     prev: u64,
     last: u64,
+    bytes: usize,
     pub(crate) lost_at: Millis,
 }
 
@@ -94,11 +100,24 @@
             next,
             probing: true,
             under_way: VecDeque::new(),
+            transfer: None,
+            pieces: PieceSupport::default(),
             answered: None,
             until: 0,
             wanted: false,
         }
     }
+
+    fn bytes_under_way(&self) -> usize {
+        self.under_way.iter().map(|one| one.bytes).sum()
+    }
+
+    /// Whether it lacks entries, or is not known to have them, and may be sent a message now.
+    fn may_be_sent(&self, last: u64) -> bool {
+        let most = if self.probing { 1 } else { MOST_UNDER_WAY };
+        let lacks = self.next <= last || (self.probing && self.matched < last);
+        lacks && self.under_way.len() < most
+    }
 }
 
 /// What a majority has reached: of each voter's figure, the highest that more than half have.
@@ -116,7 +135,7 @@
 
     /// When the lease of this leader ends or has ended, unless it is renewed; nothing if it never had one.
     pub fn lease_until(&self, now: Millis) -> Option<Millis> {
-        let own = self.lead.is_some() && self.log.term_at(self.commit) == Some(self.term);
+        let own = self.log.term_at(self.commit) == Some(self.term) || self.faults.early_lease;
         let answered = self.answered_at(now).filter(|_| own);
         answered.map(|at| at.saturating_add(self.timing.lease))
     }
@@ -199,33 +218,82 @@
 
     /// Sends a follower what it lacks, as far as its window allows.
     pub(crate) fn pump(&mut self, now: Millis, id: &VoterId, out: &mut Vec<Output>) {
-        let (term, commit, last, heartbeat) =
-            (self.term, self.commit, self.log.last(), self.timing.heartbeat.max(1));
-        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+        let last = self.log.last();
         loop {
-            let most = if peer.probing { 1 } else { MOST_UNDER_WAY };
-            let lacks = peer.next <= last || (peer.probing && peer.matched < last);
-            if peer.under_way.len() >= most || !lacks {
+            if self.continue_transfer(now, id, out) {
                 return;
             }
-            let prev = peer.next - 1;
-            let (message, upto, patience) = match (self.log.term_at(prev), self.log.snapshot()) {
-                (Some(prev_term), _) => {
-                    let entries = self.log.slice(peer.next, MOST_ENTRIES, MOST_BYTES);
-                    let upto = prev + entries.len() as u64;
-                    (Message::Append { term, prev_index: prev, prev_term, entries, commit }, upto, PATIENCE)
-                }
-                (None, Some(snapshot)) => {
-                    peer.probing = true;
-                    let message = Message::InstallSnapshot { term, snapshot: snapshot.clone() };
-                    (message, snapshot.index, PATIENCE_SNAPSHOT)
-                }
-                (None, None) => return,
+            let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+            if !peer.may_be_sent(last) {
+                return;
+            }
+            let (previous, probing) = (peer.next - 1, peer.probing);
+            let room = self.limits.least_window_bytes.saturating_sub(peer.bytes_under_way());
+            let goes_on = match self.log.term_at(previous) {
+                Some(term) => self.send_entries(now, id, (previous, term), probing, room, out),
+                None => self.send_snapshot(now, id, previous, out),
             };
-            peer.under_way.push_back(UnderWay { prev, last: upto, lost_at: now + heartbeat * patience });
-            peer.next = upto + 1;
-            out.push(Output::Send { to: id.clone(), message });
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    /// Sends the entries that follow on one, as many as fit; false if the window has no room for them now.
+    fn send_entries(
+        &mut self, now: Millis, id: &VoterId, (prev_index, prev_term): (u64, u64), probing: bool,
+        room: usize, out: &mut Vec<Output>,
+    ) -> bool {
+        let (term, commit) = (self.term, self.commit);
+        let mut entries = self.log.slice(prev_index + 1, MOST_ENTRIES, room);
+        let mut bytes: usize = entries.iter().map(|entry| entry.what.size()).sum();
+        let window_is_empty = room == self.limits.least_window_bytes;
+        if bytes > room && !window_is_empty {
+            return false;
         }
+        if self.goes_in_pieces(id, bytes) {
+            match entries.pop() {
+                Some(entry) if !probing => {
+                    self.transfer_entry(id, prev_term, entry);
+                    return true;
+                }
+                // Whether it fits there is found out first, without it.
+                _ => (entries, bytes) = (Vec::new(), 0),
+            }
+        }
+        let upto = prev_index + entries.len() as u64;
+        let message = Message::Append { term, prev_index, prev_term, entries, commit };
+        self.send_counted(now, id, message, (prev_index, upto), bytes, HEARTBEATS_UNTIL_LOST, out);
+        true
+    }
+
+    /// Sends the snapshot in place of entries that are not here any more.
+    fn send_snapshot(&mut self, now: Millis, id: &VoterId, previous: u64, out: &mut Vec<Output>) -> bool {
+        let Some(snapshot) = self.log.snapshot().cloned() else { return false };
+        let (term, index, bytes) = (self.term, snapshot.index, snapshot.state.len());
+        if let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) {
+            peer.probing = true;
+        }
+        if self.goes_in_pieces(id, bytes) {
+            self.transfer_snapshot(id, snapshot);
+            return true;
+        }
+        let message = Message::InstallSnapshot { term, snapshot };
+        let patience = HEARTBEATS_UNTIL_SNAPSHOT_LOST;
+        self.send_counted(now, id, message, (previous, index), bytes, patience, out);
+        true
+    }
+
+    #[allow(clippy::too_many_arguments)] // What is remembered of one message.
+    fn send_counted(
+        &mut self, now: Millis, id: &VoterId, message: Message, (prev, last): (u64, u64), bytes: usize,
+        heartbeats: u64, out: &mut Vec<Output>,
+    ) {
+        let lost_at = now + self.timing.heartbeat.max(1) * heartbeats;
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+        peer.under_way.push_back(UnderWay { prev, last, bytes, lost_at });
+        peer.next = last + 1;
+        out.push(Output::Send { to: id.clone(), message });
     }
 
     pub(crate) fn heartbeat_answered(
@@ -243,12 +311,17 @@
         let Some(peer) = lead.peers.iter_mut().find(found) else { return };
         peer.answered = peer.answered.max(sent);
         let id = peer.id.clone();
-        // It lives, so what it has not answered by now was lost. Nothing is repeated to one that is silent.
-        if peer.under_way.front().is_some_and(|first| first.lost_at <= now) {
+        // It has answered what was sent later, so what it has not answered was lost. Nothing is repeated to one that is
+        // silent, nor to one whose link is slow.
+        let heartbeat_sent_at = if faults.impatient { now } else { sent.unwrap_or(0) };
+        if peer.under_way.front().is_some_and(|first| first.lost_at <= heartbeat_sent_at) {
             peer.under_way.clear();
+            // An entry that follows on lost ones fits nowhere.
+            peer.transfer.take_if(|transfer| transfer.id.kind == PayloadKind::Entry);
             peer.probing = true;
             peer.next = peer.matched.max(matched) + 1;
         }
+        self.resume_transfer(&id, heartbeat_sent_at);
         self.has_up_to(now, &id, matched, out);
     }
 
@@ -271,6 +344,7 @@
         peer.matched = peer.matched.max(index);
         peer.next = peer.next.max(peer.matched + 1);
         peer.under_way.retain(|one| one.last > peer.matched);
+        peer.transfer.take_if(|transfer| transfer.id.index <= peer.matched);
         let wanted = peer.wanted;
         self.pump(now, id, out);
         self.advance_commit(now, out);
@@ -287,17 +361,21 @@
         }
         let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(&from)) else { return };
         // Of several messages under way that do not fit, only the first one's answer starts a new try.
-        if !peer.under_way.iter().any(|one| one.prev == prev_index) {
+        let in_pieces = peer.transfer.as_ref().is_some_and(|transfer| transfer.id.follows_on(prev_index));
+        if !in_pieces && !peer.under_way.iter().any(|one| one.prev == prev_index) {
             return;
         }
         peer.under_way.clear();
+        peer.transfer = None;
         peer.probing = true;
         peer.next = hint.saturating_add(1).min(prev_index).max(peer.matched + 1);
         self.pump(now, &from, out);
     }
 
     /// Whether an answer is meant for this leader, in this term, by one that it knows.
-    fn answer_counts(&mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>) -> bool {
+    pub(crate) fn answer_counts(
+        &mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>,
+    ) -> bool {
         let known = self.is_member(from)
             || self.lead.as_ref().is_some_and(|lead| lead.peers.iter().any(|peer| peer.id == *from));
         if !known {
@@ -337,7 +415,7 @@
     }
 
     /// Whether the sender leads in the term that counts here; if so, this node follows it.
-    fn follows(&mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>) -> bool {
+    pub(crate) fn follows(&mut self, now: Millis, from: &VoterId, term: u64, out: &mut Vec<Output>) -> bool {
         if term < self.term {
             return false;
         }
@@ -406,6 +484,7 @@
             self.log.push(entry);
         }
         self.verified = self.verified.max(upto);
+        self.drop_incoming(upto);
         self.learn_commit(commit, out);
         Some(Message::AppendAccepted { term: self.term, index: upto })
     }
--- a/crates/raft/src/store.rs
+++ b/crates/raft/src/store.rs
@@ -11,6 +11,7 @@
     Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition, TableError,
 };
 
+use crate::checksum::checksum;
 use crate::types::{Entry, Save, Saved, Snapshot, VoterId};
 
 /// Rises with each change of what is written here.
@@ -338,6 +339,7 @@
     }
 }
 
+/// With a checksum in front: `redb` looks at its own sums only after it was not closed properly.
 fn sealed<T: Encode>(value: &T) -> Vec<u8> {
     let body = bitcode::encode(value);
     let mut bytes = Vec::with_capacity(body.len() + 8);
@@ -346,13 +348,6 @@
     bytes
 }
 
-/// FNV-1a over 64 bits: `redb` looks at its own sums only after it was not closed properly.
-fn checksum(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
-}
-
 /// Whether power went while `redb` made the file: it writes its mark last, and nobody was told anything before. Taken for
 /// damaged, founders that lose their power at the first start would not be founders any more.
 fn half_made(backend: &impl StorageBackend) -> std::io::Result<bool> {
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -99,7 +99,41 @@
     }
 }
 
-/// What voters say to each other.
+/// What a transfer in pieces carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
+pub enum PayloadKind {
+    /// A snapshot.
+    Snapshot,
+    /// One entry of the log.
+    Entry,
+}
+
+/// Tells one transfer in pieces from all others: pieces of two are never put together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cfg_attr(test, derive(Hash))]
+pub struct TransferId {
+    /// What it carries.
+    pub kind: PayloadKind,
+    /// The last entry that the payload holds.
+    pub index: u64,
+    /// The term of that entry.
+    pub term: u64,
+    /// The bytes of the payload.
+    pub length: u64,
+    /// Their checksum.
+    pub checksum: u64,
+}
+
+impl TransferId {
+    /// Whether it carries the entry right after that one.
+    pub(crate) fn follows_on(&self, prev_index: u64) -> bool {
+        self.kind == PayloadKind::Entry && prev_index.checked_add(1) == Some(self.index)
+    }
+}
+
+/// What voters say to each other. Processes of the version before know the variants up to `AppendRejected`, and ignore messages
+/// of the later ones. New variants go to the end: `bitcode` tells them by their order.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 #[cfg_attr(test, derive(Hash))]
 pub enum Message {
@@ -193,6 +227,28 @@
         /// Up to where the logs may agree.
         hint: u64,
     },
+    /// A piece of a snapshot or an entry that is too long for one message.
+    Piece {
+        /// The leader's term.
+        term: u64,
+        /// Of which transfer.
+        transfer: TransferId,
+        /// Where in the payload it begins, in bytes.
+        offset: u64,
+        /// The piece.
+        bytes: Vec<u8>,
+    },
+    /// The answer to `Piece`. It promises nothing: pieces are not on disk.
+    PieceReceived {
+        /// The answerer's own term.
+        term: u64,
+        /// Of which transfer.
+        transfer: TransferId,
+        /// The offset of the piece that is answered.
+        offset: u64,
+        /// So many bytes of the payload are there, from the first on.
+        received: u64,
+    },
 }
 
 impl Message {
@@ -207,7 +263,9 @@
             | Message::Append { term, .. }
             | Message::InstallSnapshot { term, .. }
             | Message::AppendAccepted { term, .. }
-            | Message::AppendRejected { term, .. } => *term,
+            | Message::AppendRejected { term, .. }
+            | Message::Piece { term, .. }
+            | Message::PieceReceived { term, .. } => *term,
         }
     }
 }
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -3,7 +3,7 @@
 mod kept;
 mod world;
 
-use raft::{Faults, Input};
+use raft::{Faults, Input, TransferLimits};
 use world::World;
 use yare::parameterized;
 
@@ -21,17 +21,40 @@
     slow: (u64, u64),
     /// In how many steps of a hundred there are proposals.
     busy: u64,
+    /// How long a message may be that does not go in pieces, and how long those are.
+    limits: TransferLimits,
 }
 
-const ALL: Weather =
-    Weather { often: 20, kills: 25, wipes: 8, freezes: 15, cuts: 30, slow: (2, 3), busy: 100 };
-const POWER: Weather =
-    Weather { often: 40, kills: 60, wipes: 0, freezes: 0, cuts: 20, slow: (40, 10), busy: 100 };
+const SERVICE: TransferLimits = TransferLimits::SERVICE;
+const SMALL: TransferLimits =
+    TransferLimits { piece_bytes: 24, least_window_bytes: 4, largest_window_bytes: 100 };
+
+const ALL: Weather = Weather {
+    often: 20,
+    kills: 25,
+    wipes: 8,
+    freezes: 15,
+    cuts: 30,
+    slow: (2, 3),
+    busy: 100,
+    limits: SERVICE,
+};
+const POWER: Weather = Weather {
+    often: 40,
+    kills: 60,
+    wipes: 0,
+    freezes: 0,
+    cuts: 20,
+    slow: (40, 10),
+    busy: 100,
+    limits: SERVICE,
+};
+const PIECES: Weather = Weather { limits: SMALL, ..ALL };
 const LINKS: Weather =
-    Weather { often: 25, kills: 0, wipes: 0, freezes: 60, cuts: 25, slow: (2, 3), busy: 3 };
+    Weather { often: 25, kills: 0, wipes: 0, freezes: 60, cuts: 25, slow: (2, 3), busy: 3, limits: SERVICE };
 
 fn live(seed: u64, size: usize, weather: Weather, faults: Faults) -> Result<World, String> {
-    let mut world = World::new(seed, size, faults);
+    let mut world = World::with_limits(seed, size, faults, weather.limits);
     world.run_until(world.now + 1_000)?;
     world.slow = weather.slow;
     let mut wiped = 0;
@@ -114,20 +137,22 @@
     Ok(())
 }
 
-fn whole(seed: u64, size: usize) -> Result<(u64, u64, u64), String> {
-    let mut world = live(seed, size, ALL, Faults::default())?;
+fn whole(seed: u64, size: usize, weather: Weather) -> Result<(u64, u64, u64), String> {
+    let mut world = live(seed, size, weather, Faults::default())?;
     heal(&mut world)?;
     Ok((world.ledger.len() as u64, world.leases, world.sent))
 }
 
 #[parameterized(
-    three = { 3, 0 }, three_more = { 3, 1 },
-    five = { 5, 2 }, five_more = { 5, 3 },
+    three = { 3, 0, ALL }, three_more = { 3, 1, ALL },
+    five = { 5, 2, ALL }, five_more = { 5, 3, ALL },
+    three_in_pieces = { 3, 4, PIECES }, five_in_pieces = { 5, 5, PIECES },
 )]
-fn nothing_is_lost_and_work_goes_on(size: usize, part: u64) {
+fn nothing_is_lost_and_work_goes_on(size: usize, part: u64, weather: Weather) {
     let (mut committed, mut leases, mut sent) = (0, 0, 0);
     for seed in part * 1000..part * 1000 + 75 {
-        let figures = whole(seed, size).unwrap_or_else(|fault| panic!("{size} voters, seed {seed}: {fault}"));
+        let figures =
+            whole(seed, size, weather).unwrap_or_else(|fault| panic!("{size} voters, seed {seed}: {fault}"));
         (committed, leases, sent) = (committed + figures.0, leases + figures.1, sent + figures.2);
     }
     println!("{committed} committed, {leases} steps with a lease, {sent} messages");
@@ -138,6 +163,7 @@
 const TWO_LEADERS: &str = "is led by";
 const TWO_LEASES: &str = "hold the lease";
 const LOST: &str = "was committed as";
+const STRANGE: &str = "strange snapshot";
 
 fn find(faults: Faults, weather: Weather, what: &str) -> Option<(u64, String)> {
     (0..1_500).find_map(|seed| {
@@ -155,12 +181,19 @@
     old_terms_count: false,
     any_birth: false,
     hasty: false,
+    transfers_restart: false,
+    transfers_mixed: false,
+    transfers_follow_compaction: false,
+    nothing_retained: false,
+    impatient: false,
+    early_lease: false,
 };
 
 #[parameterized(
     vote_unsaved = { Faults { vote_unsaved: true, ..UNGUARDED }, POWER, TWO_LEADERS },
     any_birth = { Faults { any_birth: true, ..Faults::default() }, ALL, LOST },
     fickle = { Faults { fickle: true, ..Faults::default() }, LINKS, TWO_LEASES },
+    transfers_mixed = { Faults { transfers_mixed: true, ..Faults::default() }, PIECES, STRANGE },
     hasty_entries = { Faults { hasty: true, ..Faults::default() }, POWER, LOST },
 )]
 fn planted_faults_are_found(faults: Faults, weather: Weather, what: &str) {
--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use raft::{
-    Entry, Faults, Input, Message, Millis, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What,
+    Entry, Faults, Input, Message, Millis, Node, Output, Save, Saved, Snapshot, Timing, TransferLimits,
+    VoterId, What,
 };
 
 use crate::kept::{apply, empty};
@@ -56,6 +57,7 @@
     /// How many saves, and messages, of a hundred take long.
     pub slow: (u64, u64),
     faults: Faults,
+    limits: TransferLimits,
     events: BTreeMap<u64, Event>,
     queue: BinaryHeap<Reverse<(Millis, u64)>>,
     count: u64,
@@ -80,6 +82,10 @@
 
 impl World {
     pub fn new(seed: u64, size: usize, faults: Faults) -> World {
+        World::with_limits(seed, size, faults, TransferLimits::default())
+    }
+
+    pub fn with_limits(seed: u64, size: usize, faults: Faults, limits: TransferLimits) -> World {
         let founders: Vec<VoterId> = (0..size).map(|host| voter(host, 0)).collect();
         let host = |me: &VoterId| Host {
             disk: empty(me.clone(), founders.clone()),
@@ -99,6 +105,7 @@
             lossy: true,
             slow: (2, 3),
             faults,
+            limits,
             events: BTreeMap::new(),
             queue: BinaryHeap::new(),
             count: 0,
@@ -119,10 +126,11 @@
 
     fn restart(&mut self, at: usize) {
         let seed = self.draw.below(1 << 40);
-        let (now, faults) = (self.now, self.faults);
+        let (now, faults, limits) = (self.now, self.faults, self.limits);
         let host = &mut self.hosts[at];
         let mut node = Node::start(host.disk.clone(), TIMING, seed, now);
         node.plant(faults);
+        node.limit_transfers(limits);
         host.node = Some(node);
         host.frozen_until = 0;
         (host.applied, host.state) = match &host.disk.snapshot {
