testbed: tables of what state, messages and steps cost, and a scale run

The plan names sizes that no deployment at hand has. `testbed capacity` measures at 13, 85, 300 and 1,400 gateways, each with the plan's share of routes, tenants and backends, how long each message between processes is, by how much a process grows by each item of state, and the processor time of each step, as medians of nine runs with their spread; each row has a line through its figures.

`testbed scale` starts real control planes (three with a disk, one without) and four real data planes, and around them hollow data planes that share processes: each follows a control plane and requests leases over the real transport, and hollow backends send heartbeats. It prints processor time, memory, descriptors and messages by role, bytes by kind, and when a change of the configuration has come to all; a size can be left out of the lines to check them.

Tests: `crates/testbed/tests/capacity.rs` (arithmetic, samples, reports).

--- /dev/null
+++ b/crates/testbed/src/capacity/costs.rs
@@ -0,0 +1,213 @@
+//! What single steps cost, in processor time of one thread.
+
+use super::messages::{changed, lease_request};
+use super::samples::{backend, backend_id, backends, configuration_bytes, gateway_name, quotas, tenant_name};
+use super::size::Size;
+use super::timing::{Spread, measure};
+use config::Config;
+use control_plane::{Change, Ledger, Place};
+use protocol::{Flag, Held, frame, unframe};
+use quota::{Cache, Epoch, Office, Roster};
+use registry::{Fleet, Register};
+use transport::sheets::{Sheets, held, rebuild};
+
+/// Turns of steps that are short.
+const SHORT_TURNS: usize = 2_000;
+/// Turns of steps that go over all tenants or backends.
+const LONG_TURNS: usize = 50;
+/// Turns of steps that take milliseconds.
+const FEW_TURNS: usize = 2;
+/// Backends send a heartbeat this often, in ms.
+const HEARTBEAT_MS: u64 = 780;
+/// How long a lease is in these worlds, in ms: they last for less.
+const LEASE_MS: f64 = 1e12;
+/// The holder of all counts.
+const HOLDER: &str = "10.12.0.1:7400";
+
+/// One step and its cost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StepCost {
+    /// The step.
+    pub step: &'static str,
+    /// Its cost, in µs.
+    pub cost: Spread,
+}
+
+/// The costs of all steps at a size, in the order of the tables.
+pub fn costs(size: &Size) -> Vec<StepCost> {
+    let mut all = configuration_costs(size);
+    all.extend(quota_costs(size));
+    all.extend(registry_costs(size));
+    all
+}
+
+fn configuration_costs(size: &Size) -> Vec<StepCost> {
+    let (before, after) = (configuration_bytes(size, 1), changed(size));
+    let has = held(1, &before);
+    let parse = measure(FEW_TURNS, || (), |(), _| drop(std::hint::black_box(Config::parse(&after))));
+    let whole =
+        measure(FEW_TURNS, || (), |(), _| drop(Sheets::new(2, &after).frame(Held::default(), None, &after)));
+    let difference =
+        measure(FEW_TURNS, || (), |(), _| drop(Sheets::new(2, &after).frame(has, Some(&before), &after)));
+    let sent = Sheets::new(2, &after).frame(has, Some(&before), &after);
+    let rebuilding = measure(
+        FEW_TURNS,
+        || (),
+        |(), _| {
+            if let Ok(Some((Flag::Splice(splice), _))) = unframe(&sent) {
+                drop(std::hint::black_box(rebuild(Some(&before), &splice)));
+            }
+        },
+    );
+    let change = |version, body: &[u8]| Change {
+        base: version - 1,
+        version,
+        digest: [version as u8; 32],
+        body: body.to_vec(),
+    };
+    let applied = measure(
+        1,
+        || {
+            let mut ledger = Ledger::default();
+            ledger.apply(Place::default(), change(1, &before));
+            (ledger, Some(change(2, &after)))
+        },
+        |(ledger, next), _| {
+            if let Some(next) = next.take() {
+                ledger.apply(Place::default(), next);
+            }
+        },
+    );
+    let step = |step, cost| StepCost { step, cost };
+    vec![
+        step("check a configuration and build its tables", parse),
+        step("compress a configuration whole", whole),
+        step("compress it as a difference", difference),
+        step("rebuild it from a difference", rebuilding),
+        step("take it in at a voter", applied),
+    ]
+}
+
+fn roster() -> Roster {
+    Roster { epoch: Epoch::first(12), holders: vec![HOLDER.to_owned()] }
+}
+
+fn holder(size: &Size) -> Office {
+    let mut office = Office::new(HOLDER);
+    office.quotas(0.0, quotas(size));
+    office.fleet(0.0, size.gateways as u32);
+    office.assume(0.0, &roster(), true);
+    office.lease(LEASE_MS);
+    for number in 0..size.gateways {
+        office.heard(0.0, &gateway_name(number), Epoch::first(12));
+    }
+    office
+}
+
+fn lease_cache(size: &Size) -> Cache {
+    let mut cache = Cache::new(7);
+    cache.quotas(0.0, quotas(size));
+    cache.roster(&roster());
+    cache.fleet(size.gateways as u32);
+    cache.word(0.0);
+    cache
+}
+
+fn quota_costs(size: &Size) -> Vec<StepCost> {
+    let step = |step, cost| StepCost { step, cost };
+    // What a holder does for each lease request: answer, then look over the floors as the control plane has it do.
+    let answered = measure(
+        LONG_TURNS,
+        || holder(size),
+        |office, turn| {
+            let request = lease_request(turn as u64, turn % size.tenants..turn % size.tenants + 1);
+            let _ = office.draw(turn as f64, &gateway_name(turn % size.gateways), &request);
+        },
+    );
+    let floors = measure(
+        LONG_TURNS,
+        || holder(size),
+        |office, turn| {
+            let _ = office.floors_wanted(turn as f64);
+            let _ = office.presses();
+        },
+    );
+    // What a data plane does for each request that has no unit: ask, look what is to be sent, look when it is due.
+    let asked = measure(
+        LONG_TURNS,
+        || lease_cache(size),
+        |cache, turn| {
+            let now = turn as f64;
+            cache.ask(now, turn as u64, &tenant_name(turn % size.tenants), 36.0);
+        },
+    );
+    let looked = measure(
+        LONG_TURNS,
+        || lease_cache(size),
+        |cache, turn| {
+            let _ = cache.draw(turn as f64);
+        },
+    );
+    let due = measure(
+        LONG_TURNS,
+        || lease_cache(size),
+        |cache, turn| {
+            cache.tick(turn as f64, &mut Vec::new());
+            let _ = std::hint::black_box(cache.next_due());
+        },
+    );
+    let sent = measure(
+        SHORT_TURNS,
+        || (),
+        |(), turn| drop(std::hint::black_box(frame(&Flag::Draw(lease_request(turn as u64, 7..8))))),
+    );
+    let bytes = frame(&Flag::Draw(lease_request(7, 7..8)));
+    let read = measure(SHORT_TURNS, || (), |(), _| drop(std::hint::black_box(unframe::<Flag>(&bytes))));
+    vec![
+        step("holder: answer a lease request", answered),
+        step("holder: look over all floors, twice a request", floors),
+        step("data plane: ask the lease cache for a unit", asked),
+        step("data plane: look for what to request, twice a request", looked),
+        step("data plane: look for what is due, twice a request", due),
+        step("encode a message", sent),
+        step("decode a message", read),
+    ]
+}
+
+fn registry_costs(size: &Size) -> Vec<StepCost> {
+    let step = |step, cost| StepCost { step, cost };
+    let full = || {
+        let mut register = Register::new(HEARTBEAT_MS);
+        for backend in backends(size) {
+            register.beat(0, backend);
+        }
+        register
+    };
+    let beat = measure(SHORT_TURNS, full, |register, turn| {
+        let mut word = backend(turn % size.backends);
+        word.call_count += 1_000_000 + turn as u64;
+        register.beat(turn as u64, word);
+    });
+    let heard = measure(SHORT_TURNS, full, |register, turn| {
+        let id = backend_id(turn % size.backends);
+        let _ = register.alive(turn as u64, &[(id, 1_000_000 + turn as u64)]);
+    });
+    let round = measure(LONG_TURNS, full, |register, turn| {
+        let _ = register.round();
+        let _ = register.sweep(turn as u64);
+    });
+    let fleet = || {
+        let mut fleet = Fleet::default();
+        (0..size.gateways).for_each(|n| fleet.heard(0, &gateway_name(n), 7));
+        fleet
+    };
+    let number = measure(SHORT_TURNS, fleet, |fleet, turn| {
+        std::hint::black_box(fleet.number(&gateway_name(turn % size.gateways)));
+    });
+    vec![
+        step("registry: take a heartbeat", beat),
+        step("registry: take another control plane's word of one", heard),
+        step("registry: a round over all backends", round),
+        step("find a data plane's number, once a status message", number),
+    ]
+}
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -87,6 +87,13 @@
         Ok((masters, quays))
     }
 
+    /// The place of a process of hollow data planes in a folder.
+    pub fn hollow(&self, folder: &Path, number: usize, settings: PathBuf) -> Berth {
+        let name = format!("hollow-{number}");
+        let (_, log) = files(folder, &name);
+        self.berth(name, "hollow", settings, log)
+    }
+
     /// A quay's place in a folder.
     pub fn quay(&self, folder: &Path, machine: usize) -> Berth {
         let name = format!("machine-{}-quay", machine + 1);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod backend;
 mod beats;
+pub mod capacity;
 mod chance;
 mod changes;
 mod clients;
@@ -24,6 +25,7 @@
 mod operator;
 mod plan;
 pub mod report;
+pub mod scale;
 mod site;
 pub mod trial;
 mod trouble;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -8,12 +8,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
+use testbed::capacity::memory::Item;
+use testbed::capacity::size::PLAN;
 use testbed::demo::{Program, told_to_end};
 use testbed::report::print;
 use testbed::trial::schedule::{self, SHIPPED, Schedule};
 use testbed::trial::several::several;
 use testbed::trial::{self, Figures, compare};
-use testbed::{Demo, Fault, Trouble, up};
+use testbed::{Demo, Fault, Trouble, capacity, scale, up};
 
 /// Faults were found.
 const FAULTS: u8 = 1;
@@ -28,6 +30,8 @@
 /// The longest demo, in seconds, and the highest rate.
 const LONGEST: u64 = 600;
 const FASTEST: f64 = 5000.0;
+/// Hollow data planes of one measurement.
+const MOST_HOLLOW: usize = 2000;
 
 /// testbed: a small harbour on one machine.
 #[derive(Debug, Options)]
@@ -48,6 +52,10 @@
     Compare(CompareArguments),
     /// build a harbour and keep it up until Ctrl-C or `testbed down`
     Up(UpArguments),
+    /// measure what state, messages and steps cost at the sizes to design for
+    Capacity(CapacityArguments),
+    /// measure real processes among hollow data planes at several sizes
+    Scale(ScaleArguments),
     /// end the harbour that `testbed up` keeps up
     Down(DownArguments),
 }
@@ -139,6 +147,55 @@
     program: Option<PathBuf>,
 }
 
+#[derive(Debug, Options)]
+struct CapacityArguments {
+    /// print this help
+    help: bool,
+    /// only by how many bytes this process grows by an item of state
+    #[options(meta = "NAME", no_short)]
+    item: Option<Item>,
+    /// with --item: the number of data planes that its size follows from
+    #[options(meta = "N", default = "85")]
+    gateways: usize,
+}
+
+#[derive(Debug, Options)]
+struct ScaleArguments {
+    /// print this help
+    help: bool,
+    /// numbers of hollow data planes, with commas
+    #[options(meta = "N,..", default = "13,85,300")]
+    gateways: Counts,
+    /// a further number, which the lines are checked at
+    #[options(meta = "N", no_short)]
+    check: Option<usize>,
+    /// for how long each size is measured
+    #[options(meta = "N", default = "30")]
+    seconds: u64,
+    /// lease requests of one data plane a second; by default the plan's requests
+    #[options(meta = "N", no_short)]
+    requests: Option<f64>,
+    /// hollow data planes share so many processes
+    #[options(meta = "N", default = "3", no_short)]
+    processes: usize,
+    /// a `reachlb` to try, instead of what is built into this program
+    #[options(meta = "FILE", no_short)]
+    program: Option<PathBuf>,
+}
+
+/// Numbers with commas between them.
+#[derive(Clone, Debug, Default)]
+struct Counts(Vec<usize>);
+
+impl FromStr for Counts {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let numbers: Result<Vec<_>, _> = text.split(',').map(|number| number.trim().parse()).collect();
+        numbers.map(Self).map_err(|_| format!("{text:?} is no list of numbers"))
+    }
+}
+
 #[derive(Debug, Options)]
 struct DownArguments {
     /// print this help
@@ -208,6 +265,14 @@
             runtime.block_on(up.run())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Capacity(CapacityArguments { item, gateways, .. }) => {
+            match item {
+                Some(item) => capacity::item(item, gateways),
+                None => capacity::tables(&std::env::current_exe().map_err(Fault::file("this program"))?),
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Scale(arguments) => scaled(&runtime, arguments),
         Command::Down(DownArguments { dir, .. }) => {
             let count = runtime.block_on(up::down(Path::new(&dir)))?;
             print(format_args!("{count} processes ended\n"));
@@ -216,6 +281,39 @@
     }
 }
 
+fn scaled(runtime: &tokio::runtime::Runtime, arguments: ScaleArguments) -> Result<ExitCode, Fault> {
+    let ScaleArguments { gateways: Counts(sizes), check, seconds, requests, processes, program, .. } =
+        arguments;
+    let all: Vec<_> = sizes.into_iter().chain(check).collect();
+    let usable = all.iter().all(|gateways| (1..=MOST_HOLLOW).contains(gateways));
+    if !usable || !(1..=LONGEST).contains(&seconds) || !(1..=MOST_SIDE).contains(&processes) {
+        eprintln!("sizes are 1 to {MOST_HOLLOW}, --seconds 1 to {LONGEST}, --processes 1 to {MOST_SIDE}");
+        return Ok(ExitCode::from(UNUSABLE));
+    }
+    let requests_per_s = requests.unwrap_or(PLAN.requests_per_s / PLAN.gateways as f64);
+    let (program, own) = (program_or(program)?, program_or(None)?);
+    let plan = |gateways| {
+        let (program, own) = (program.clone(), own.clone());
+        scale::run::Plan { program, own, gateways, processes, seconds, requests_per_s }
+    };
+    fault_injection::running::end_with_panics();
+    let measured = runtime.block_on(async {
+        let mut outcomes = Vec::new();
+        for gateways in all {
+            let plan = plan(gateways);
+            let outcome = tokio::select! {
+                outcome = plan.run() => outcome?,
+                // All processes go with the threads that started them.
+                why = told_to_end() => return Err(Fault::Ended(why)),
+            };
+            outcomes.push(outcome);
+        }
+        Ok(outcomes)
+    })?;
+    print(scale::table(&scale::quantities(&measured, check)));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn trial(runtime: &tokio::runtime::Runtime, arguments: TrialArguments) -> Result<ExitCode, Fault> {
     let TrialArguments { name, seeds, side, program, against, keep, out, .. } = arguments;
     let Some(name) = name else {
@@ -291,7 +389,14 @@
 
 /// One of the programs, which ends with whoever started it.
 fn serve(plane: &str, parent: &str) -> ExitCode {
+    let parent = parent.parse().ok().and_then(Pid::from_raw);
+    // A parent that was gone before the signal was asked for would not be noticed otherwise.
+    if set_parent_process_death_signal(Some(Signal::KILL)).is_err() || getppid() != parent {
+        eprintln!("is started by testbed only");
+        return ExitCode::from(UNUSABLE);
+    }
     let program = match plane {
+        "hollow" => return hollow(),
         "quay" => reachlb::Program::Quay,
         "harbourmaster" => reachlb::Program::Harbourmaster,
         other => {
@@ -299,11 +404,17 @@
             return ExitCode::from(UNUSABLE);
         }
     };
-    let parent = parent.parse().ok().and_then(Pid::from_raw);
-    // A parent that was gone before the signal was asked for would not be noticed otherwise.
-    if set_parent_process_death_signal(Some(Signal::KILL)).is_err() || getppid() != parent {
-        eprintln!("is started by testbed only");
-        return ExitCode::from(UNUSABLE);
-    }
     reachlb::serve(program, None, reachlb::Switches::default())
 }
+
+/// Hollow data planes, by the settings file that the environment names as for the programs.
+fn hollow() -> ExitCode {
+    let Some(path) = std::env::var_os(reachlb::SETTINGS) else { return ExitCode::from(UNUSABLE) };
+    match scale::hollow::serve(Path::new(&path)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/scale/hollow.rs
@@ -0,0 +1,182 @@
+//! Hollow data planes, many in a process: each has the connections, the protocol and the lease requests of a real one,
+//! but neither clients nor tables. Backends that only send heartbeats run beside them.
+
+use super::report::{Report, steady_seconds};
+use crate::beats::{About, Voice};
+use crate::capacity::messages::lease_request;
+use crate::capacity::samples;
+use crate::chance::Chance;
+use crate::control::Control;
+use crate::fault::Fault;
+use config::Detours;
+use protocol::{Flag, Hail, Plane, frame};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use transport::{News, Pilot, PilotSettings};
+
+/// The report is written this often.
+const REPORTS: Duration = Duration::from_secs(1);
+/// All connections of a process come up spread over this: no fleet starts in one moment.
+const STARTS_OVER: Duration = Duration::from_secs(3);
+
+/// What a process of hollow data planes is told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HollowSettings {
+    /// The number of the first of them.
+    pub first: usize,
+    /// How many.
+    pub gateways: usize,
+    /// The number of the first backend, and how many.
+    pub first_backend: usize,
+    /// See there.
+    pub backends: usize,
+    /// Where control planes take the connections of data planes.
+    pub seeds: Vec<SocketAddr>,
+    /// Where they take heartbeats.
+    pub control: Vec<SocketAddr>,
+    /// Zones, dealt out in turn.
+    pub zones: Vec<String>,
+    /// Tenants of the configuration.
+    pub tenants: usize,
+    /// Lease requests of one data plane a second.
+    pub requests_per_s: f64,
+    /// Where the report goes.
+    pub report: PathBuf,
+}
+
+/// One hollow data plane.
+struct Hollow {
+    pilot: RefCell<Option<Pilot>>,
+    leader: RefCell<Option<String>>,
+    /// Lease requests under way, and when they were sent.
+    sent: RefCell<HashMap<u64, Instant>>,
+    report: Rc<RefCell<Report>>,
+}
+
+impl Hollow {
+    fn on_news(&self, news: News) {
+        let mut report = self.report.borrow_mut();
+        match news {
+            News::Sheet(sheet) => report.arrived(sheet.version, steady_seconds()),
+            News::Berths { whole, berths } => {
+                let kind = if whole { "all backends" } else { "backends that changed" };
+                report.count(kind, frame(&Flag::Berths { whole, berths }).len());
+            }
+            News::Pulse(pulse) => {
+                self.leader.borrow_mut().clone_from(&pulse.leader);
+                report.count("state of things", frame(&Flag::Pulse(pulse)).len());
+            }
+            News::Grant(grant) => {
+                if let Some(sent) = self.sent.borrow_mut().remove(&grant.number) {
+                    report.waited(sent.elapsed().as_micros() as u64);
+                }
+                report.count("grant", frame(&Flag::Grant(grant)).len());
+            }
+            News::Unanswered { number } => {
+                self.sent.borrow_mut().remove(&number);
+                report.unanswered += 1;
+            }
+            News::Roster(_) | News::Follows(_) => {}
+        }
+    }
+
+    /// Asks for one unit of a tenant.
+    fn request(&self, number: u64, tenant: usize) {
+        let Some(leader) = self.leader.borrow().clone() else { return };
+        let request = lease_request(number, std::iter::once(tenant));
+        self.report.borrow_mut().count("lease request", frame(&Flag::Draw(request.clone())).len());
+        self.sent.borrow_mut().insert(number, Instant::now());
+        let sent = self.pilot.borrow().as_ref().is_some_and(|pilot| pilot.draw(&leader, request));
+        if !sent {
+            self.on_news(News::Unanswered { number });
+        }
+    }
+
+    async fn run(self: Rc<Self>, number: usize, settings: Rc<HollowSettings>) {
+        let mut chance = Chance::new(number as u64, 1);
+        sleep(STARTS_OVER.mul_f64(chance.unit())).await;
+        let me = Hail {
+            name: samples::gateway_name(number),
+            life: crate::chance::mix(number as u64 + 1),
+            plane: Plane::Quay,
+            address: format!("127.0.0.1:{}", 1 + number % 60_000),
+            zone: settings.zones[number % settings.zones.len()].clone(),
+            quorum: false,
+            incarnation: None,
+        };
+        let about = PilotSettings { me, seeds: settings.seeds.clone(), ways: Detours::default() };
+        let hears = self.clone();
+        *self.pilot.borrow_mut() = Some(Pilot::start(about, None, move |news| hears.on_news(news)));
+        let mut requests = 0;
+        loop {
+            let pause = -(1.0 - chance.unit()).ln() / settings.requests_per_s.max(1e-3);
+            sleep(Duration::from_secs_f64(pause)).await;
+            requests += 1;
+            let tenant = (chance.unit() * settings.tenants as f64) as usize;
+            self.request(requests, tenant.min(settings.tenants.saturating_sub(1)));
+        }
+    }
+}
+
+fn heartbeats(number: usize, control: &Control) {
+    let about = samples::backend(number);
+    let Ok(address) = about.address.parse() else { return };
+    let voice = Voice::new(
+        About {
+            id: about.id,
+            service: about.service,
+            address,
+            zone: about.zone,
+            capacity: about.capacity as usize,
+            born: Instant::now(),
+            warmup: Duration::ZERO,
+        },
+        control.clone(),
+    );
+    tokio::spawn(async move {
+        sleep(STARTS_OVER.mul_f64(Chance::new(number as u64, 2).unit())).await;
+        voice.beat().await;
+    });
+}
+
+async fn run(settings: HollowSettings) -> Result<(), Fault> {
+    let report = Rc::new(RefCell::new(Report::default()));
+    let (settings, control) = (Rc::new(settings.clone()), Control::new(settings.control));
+    for number in settings.first..settings.first + settings.gateways {
+        let hollow = Rc::new(Hollow {
+            pilot: RefCell::default(),
+            leader: RefCell::default(),
+            sent: RefCell::default(),
+            report: report.clone(),
+        });
+        spawn_local(hollow.run(number, settings.clone()));
+    }
+    for number in settings.first_backend..settings.first_backend + settings.backends {
+        heartbeats(number, &control);
+    }
+    loop {
+        sleep(REPORTS).await;
+        report.borrow_mut().at = steady_seconds();
+        report.borrow().write(&settings.report)?;
+    }
+}
+
+/// Runs hollow data planes by a settings file until the process is ended.
+///
+/// # Errors
+/// When a file can't be read or written.
+pub fn serve(path: &Path) -> Result<(), Fault> {
+    let text = std::fs::read(path).map_err(Fault::file(path))?;
+    let settings = serde_json::from_slice(&text)
+        .map_err(|error| Fault::Settings { path: path.to_owned(), wrong: error.to_string() })?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| Fault::Socket { what: "the runtime", error })?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(settings))
+}
--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -135,6 +135,12 @@
         self.settings(machine, "harbourmaster", "control", &own, &bind)
     }
 
+    /// The settings file of a control plane without a disk.
+    pub fn diskless_control_settings(&self, machine: usize) -> String {
+        let bind = format!("control = \"{}\"\n", self.control(machine));
+        self.settings(machine, "harbourmaster", "control", "bootstrap = false\nin_quorum = false\n", &bind)
+    }
+
     fn settings(&self, machine: usize, role: &str, serves: &str, own: &str, bind: &str) -> String {
         let seeds: Vec<_> = (0..MASTERS).map(|m| format!("\"{}\"", self.control(m))).collect();
         let peers = self.base + 3;
--- /dev/null
+++ b/crates/testbed/tests/capacity.rs
@@ -0,0 +1,106 @@
+//! The arithmetic of the capacity tables and of the scale run.
+
+use std::collections::BTreeMap;
+use testbed::capacity::fit::line;
+use testbed::capacity::messages::{changed, configuration_frames, lengths};
+use testbed::capacity::samples::configuration_bytes;
+use testbed::capacity::size::{PLAN, Size};
+use testbed::capacity::timing::Spread;
+use testbed::scale::report::{Arrival, Report, Traffic};
+use testbed::scale::run::{Outcome, RoleFigures};
+use testbed::scale::{quantities, table};
+
+#[test]
+fn the_plan_is_its_own_proportion_and_smaller_sizes_keep_five_control_planes() {
+    assert_eq!(Size::of(PLAN.gateways), PLAN);
+    let small = Size::of(14);
+    assert_eq!((small.control_planes, small.backends, small.tenants), (5, 150, 310));
+}
+
+#[test]
+fn a_line_goes_through_points_that_lie_on_one_and_says_how_far_others_are() {
+    let exact = line(&[(13.0, 113.0), (85.0, 185.0), (300.0, 400.0)]).expect("a line");
+    assert!((exact.base - 100.0).abs() < 1e-6 && (exact.slope - 1.0).abs() < 1e-9 && exact.spread < 1e-9);
+    let square = line(&[(10.0, 100.0), (20.0, 400.0), (30.0, 900.0)]).expect("a line");
+    assert!(square.spread > 0.05);
+    assert_eq!(line(&[(10.0, 1.0), (10.0, 2.0)]), None);
+    assert_eq!(line(&[(10.0, 1.0), (20.0, 0.0)]), None);
+}
+
+#[test]
+fn a_spread_has_its_median_between_its_ends() {
+    assert_eq!(Spread::of(vec![3.0, 1.0, 2.0]), Spread { median: 2.0, least: 1.0, greatest: 3.0 });
+    assert_eq!(Spread::of(Vec::new()).median, 0.0);
+}
+
+#[test]
+fn sample_configurations_are_valid_and_as_large_as_their_size_says() {
+    let size = Size::of(85);
+    for body in [configuration_bytes(&size, 1), changed(&size)] {
+        let config = config::Config::parse(&body).expect("valid");
+        let tenants = config.tenants.as_ref().map_or(0, BTreeMap::len);
+        assert_eq!(
+            (config.routes.len(), config.services.len(), tenants),
+            (size.routes, size.services, size.tenants)
+        );
+    }
+    assert_ne!(configuration_bytes(&size, 2), changed(&size));
+}
+
+#[test]
+fn a_difference_is_far_shorter_than_the_whole_and_status_does_not_grow() {
+    let (whole, difference) = configuration_frames(&Size::of(85));
+    assert!(difference * 20 < whole, "{difference} of {whole}");
+    let of = |gateways, kind: &str| {
+        let all = lengths(&Size::of(gateways));
+        all.iter().find(|length| length.kind.starts_with(kind)).map_or(0, |length| length.bytes)
+    };
+    assert!(of(300, "state of things") <= of(13, "state of things") + 4);
+    assert!(of(300, "all backends") > 10 * of(13, "all backends"));
+}
+
+fn report(messages: u64, arrivals: &[(u64, f64, f64, usize)]) -> Report {
+    let mut report = Report::default();
+    report.traffic.insert("grant".to_owned(), Traffic { messages, bytes: messages * 60 });
+    let arrival = |(version, first, last, count): &(u64, f64, f64, usize)| {
+        (*version, Arrival { first: *first, last: *last, count: *count })
+    };
+    report.arrivals = arrivals.iter().map(arrival).collect();
+    report
+}
+
+#[test]
+fn reports_of_several_processes_add_up_and_what_was_before_comes_off() {
+    let mut sum = report(10, &[(2, 5.0, 6.0, 3)]);
+    sum.add(&report(5, &[(2, 4.5, 5.5, 4), (3, 9.0, 9.0, 1)]));
+    assert_eq!(sum.arrivals[&2], Arrival { first: 4.5, last: 6.0, count: 7 });
+    assert_eq!(sum.since(&report(4, &[])).traffic["grant"], Traffic { messages: 11, bytes: 900 - 240 });
+}
+
+#[test]
+fn waits_are_told_as_the_upper_end_of_their_class() {
+    let mut report = Report::default();
+    (0..99).for_each(|_| report.waited(900));
+    report.waited(70_000);
+    assert_eq!((report.wait_ms(0.5), report.wait_ms(0.999)), (1.024, 131.072));
+    assert_eq!(Report::default().wait_ms(0.5), 0.0);
+}
+
+fn outcome(gateways: usize, processor: f64) -> Outcome {
+    let leader = RoleFigures { processor, ..RoleFigures::default() };
+    Outcome { gateways, seconds: 1.0, roles: [leader; 4], ..Outcome::default() }
+}
+
+#[test]
+fn a_size_that_is_left_out_shows_whether_the_line_holds() {
+    let fitted = [outcome(10, 0.02), outcome(100, 0.11), outcome(300, 0.31)];
+    let mut all = fitted.to_vec();
+    all.push(outcome(200, 0.22));
+    let found = quantities(&all, Some(200));
+    let processor = &found[0];
+    assert_eq!(processor.fitted.len(), 3);
+    assert!(processor.off().is_some_and(|off| off < 0.06), "{processor:?}");
+    assert!(table(&found).contains("within (5%)"), "{}", table(&found));
+    all[3] = outcome(200, 0.7);
+    assert!(table(&quantities(&all, Some(200))).contains("OFF by 70%"));
+}
