control-plane: what an order says is read strictly, and no answer is final that another sending would not get

- A body that broke off was answered 400, which ends an order's call for good, though the same order sent whole may be taken: a caller that has closed its half still reads the answer, and so does a proxy.
It is 408 now, after which callers go on.
- `X-Base-Version` with bytes that are no text counted as 0, the base of the first configuration; of two that differ the first counted; a sign was read.
All are 400 now.
Left out, it is 0 as before.
- A body that is up to 31 bytes short of the 4 MiB that are read did not fit into the log, which takes 4 MiB with what is written around the body: it was answered 503 for ever.
The log takes 4 KiB more.

Processes over loopback: an order sent again through another process after 40 others and a restart of all is acknowledged, another one of its number is refused.

--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -31,6 +31,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 const JSON: &str = "application/json";
+/// The header that names the version on which an order builds.
+const BASE_VERSION: &str = "x-base-version";
 
 /// What a call asks for.
 #[derive(Debug)]
@@ -279,11 +281,23 @@
 }
 
 fn replace(_: &str, headers: &HeaderMap, body: &[u8]) -> Result<Call, Reply> {
-    let base = headers.get("x-base-version").and_then(|v| v.to_str().ok()).unwrap_or("0").trim();
-    let number = base.strip_prefix('r').unwrap_or(base).parse::<u64>();
-    let base = number
-        .map_err(|_| Reply::why(400, &format!("X-Base-Version: {base:?} is no version such as r12")))?;
-    Ok(Call::Order(Order::Replace { base, body: body.to_vec() }))
+    let base = base_version(headers)?;
+    Ok(Call::Order(Order::Replace { base: base.0, body: body.to_vec() }))
+}
+
+/// The version that an order builds on. An order without one builds on nothing, as the first one does; one that is not
+/// to be read, or two that differ, say nothing.
+fn base_version(headers: &HeaderMap) -> Result<Version, Reply> {
+    let mut base = None;
+    for value in headers.get_all(BASE_VERSION) {
+        let text = String::from_utf8_lossy(value.as_bytes());
+        let unread = |why: &str| Reply::why(400, &format!("X-Base-Version: {text:?}: {why}"));
+        let read = text.trim().parse::<Version>().map_err(|fault| unread(&fault.to_string()))?;
+        if base.replace(read).is_some_and(|other| other != read) {
+            return Err(unread("another one stands before it"));
+        }
+    }
+    Ok(base.unwrap_or_default())
 }
 
 /// Takes calls until the program ends.
@@ -382,7 +396,8 @@
                 }
             }
             Ok(None) => break,
-            Ok(Some(Err(_))) => return Err(Reply::why(400, "the body broke off")),
+            // The same order, sent whole, may well be taken: a final answer would be wrong.
+            Ok(Some(Err(_))) => return Err(Reply::why(408, "the body broke off")),
             Err(_) => return Err(Reply::why(408, "the body did not come in time")),
         }
         if whole.len() > longest {
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -271,6 +271,53 @@
     assert_eq!(masters[first].read(), (200, config(2)), "also at the one that was away");
 }
 
+#[test]
+fn an_order_is_acknowledged_again_after_many_others_and_a_restart_of_all() {
+    /// More than two snapshots hold.
+    const ORDERS: u64 = 40;
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    for version in 1..=ORDERS {
+        assert_eq!(masters[version as usize % VOTERS].insist(version - 1, &config(version)), 200);
+    }
+    masters.iter_mut().for_each(Process::kill);
+    let masters = harbour.all(false);
+    for version in 1..=ORDERS {
+        let at = &masters[(version as usize + 1) % VOTERS];
+        assert_eq!(at.insist(version - 1, &config(version)), 200, "r{version} again");
+        assert_eq!(at.insist(version - 1, &config(version).replace("500", "600")), 412, "another r{version}");
+    }
+    assert_eq!(masters[0].read(), (200, config(ORDERS)));
+}
+
+#[test]
+fn an_order_on_a_version_to_come_is_neither_taken_nor_refused() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    assert_eq!(until(|| masters[1].replace(3, &config(4))), 503);
+    assert_eq!(masters[2].insist(1, &config(3)), 200);
+    assert_eq!(masters[1].insist(3, &config(4)), 200, "its version has come");
+}
+
+#[test]
+fn an_order_that_breaks_off_is_not_refused_for_good() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    for (length, body) in
+        [("Content-Length: 100", "{"), ("Transfer-Encoding: chunked", "1\r\n{\r\nno length")]
+    {
+        let mut stream = until(|| TcpStream::connect(masters[0].control).ok());
+        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        write!(stream, "POST /Config.Replace HTTP/1.1\r\nHost: c\r\n{length}\r\n\r\n{body}").expect("sent");
+        stream.shutdown(std::net::Shutdown::Write).expect("half closed");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("all of it");
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 408 "), "{answer}");
+        println!("{length}: {answer:?}");
+    }
+}
+
 /// The next configuration on this connection, in whatever form.
 fn next_sheet(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Flag {
     until(|| {
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -23,5 +23,6 @@
 extern crate self as raft;
 
 pub use node::{Faults, Node};
+pub use replication::LARGEST_CHANGE;
 pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
 pub use writer::{Told, Writer};
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -10,10 +10,11 @@
 const MOST_BYTES: usize = 1 << 20;
 /// How many of them may be under way to one follower.
 const MOST_UNDER_WAY: usize = 4;
-/// How many accepted entries may wait for their commitment, and how large a change may be.
+/// How many accepted entries may wait for their commitment, and how many bytes of changes.
 const MOST_UNCOMMITTED: u64 = 1024;
 const MOST_UNCOMMITTED_BYTES: usize = 6 << 20;
-const LARGEST_CHANGE: usize = 4 << 20;
+/// The largest change that a leader accepts, in bytes: a body of 4 MiB, and what its host writes around it.
+pub const LARGEST_CHANGE: usize = (4 << 20) + (4 << 10);
 /// How many of the newest heartbeats can still be answered.
 const MOST_ECHOES: usize = 256;
 /// Pulses after which entries, or a snapshot, count as lost on the way.
