config: a number spelled with more digits is the same number, and digests are pinned

Sent again through such a library, an order that was taken would be refused.

control-plane: the first order sent to three processes at once before any of them leads is confirmed by all, and another one of its number refused by all.

--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -193,3 +193,32 @@
     assert_eq!(diff(&before, &parse(&changed)), expected);
     assert_eq!(diff(&before, &before), [""; 0]);
 }
+
+#[test]
+fn a_number_is_the_same_however_many_digits_spell_it() {
+    let digest = |burst: &str| {
+        let text = body().to_string().replace("\"burst_size\":146", &format!("\"burst_size\":{burst}"));
+        Config::parse(text.as_bytes()).unwrap().digest()
+    };
+    for seventh in 1..500 {
+        let burst = f64::from(seventh) / 7.0;
+        let first = digest(&burst.to_string());
+        // As libraries write it that always take 17 digits, or an exponent.
+        for spelled in
+            [format!("{burst:e}"), format!("{burst:.16e}"), format!("{burst:.20}"), format!("{burst:.1}000")]
+        {
+            let same = spelled.parse::<f64>().unwrap().to_bits() == burst.to_bits();
+            assert_eq!(first == digest(&spelled), same, "{burst} and {spelled}");
+        }
+    }
+}
+
+/// The digests lie in the snapshots of programs in service: another way to make them would refuse what was taken.
+#[test]
+fn the_digest_of_a_configuration_is_the_one_that_earlier_programs_made() {
+    let digest: String =
+        Config::parse(BODY.as_bytes()).unwrap().digest().iter().map(|b| format!("{b:02x}")).collect();
+    assert_eq!(digest, "f371ec1e017c77d3b563a4d1bd18bff10f808c2bc6767e0b07e6ec9d4fbd5372");
+    let (version, identified) = Config::identify(BODY.as_bytes()).unwrap();
+    assert_eq!((version, identified), (Version(7), Config::parse(BODY.as_bytes()).unwrap().digest()));
+}
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -290,6 +290,20 @@
     assert_eq!(masters[0].read(), (200, config(ORDERS)));
 }
 
+#[test]
+fn the_first_order_may_come_to_all_machines_before_any_of_them_leads() {
+    let harbour = Harbour::new();
+    let masters = harbour.all(true);
+    let rival = config(1).replace("500", "600");
+    let both = |at: &Process| (at.insist(0, &config(1)), at.insist(0, &rival));
+    let answers: Vec<(u16, u16)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = masters.iter().map(|master| scope.spawn(|| both(master))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("an answer")).collect()
+    });
+    assert_eq!(answers, [(200, 412); VOTERS]);
+    assert_eq!(masters[0].read(), (200, config(1)));
+}
+
 #[test]
 fn an_order_on_a_version_to_come_is_neither_taken_nor_refused() {
     let harbour = Harbour::new();
