control-plane: an order whose body takes long to come is answered

The time for an answer ran from the head of a call: an order whose body took 2.5 s or longer, as 700 kB take on a link of 2 Mbit/s, got 503 at once, each time it was sent, though it was taken. The time now runs from when the body is whole.

The test sends a body in two parts 2.9 s apart, on a paused clock, and got 503 before. For that clock the tests use an option of tokio.

--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Callers move on after a second of silence: whoever has no answer by then gets a plain word instead.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
@@ -103,7 +103,7 @@
     pub takes_id: bool,
     /// The longest body, in bytes.
     pub longest: usize,
-    /// How long its answer may take.
+    /// How long its answer may take, from when it has been read whole.
     pub within: Duration,
     /// The type of its answer.
     pub says: &'static str,
@@ -345,7 +345,6 @@
 }
 
 async fn answer(request: Request<Incoming>, commands: mpsc::Sender<Command>) -> Response<Full<Bytes>> {
-    let begun = Instant::now();
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let fits = |call: &&Declared| {
@@ -363,6 +362,8 @@
         Ok(body) => body,
         Err(reply) => return respond(reply),
     };
+    // A large body may take longer to come than its answer may.
+    let due = Instant::now() + call.within;
     let id = if call.takes_id {
         path.strip_prefix(call.path).unwrap_or_default()
     } else {
@@ -376,8 +377,7 @@
     if commands.send(Command::Call { call: call_read, reply }).await.is_err() {
         return respond(Reply::why(503, "this process ends"));
     }
-    let left = call.within.saturating_sub(begun.elapsed());
-    match timeout(left, told).await {
+    match timeout_at(due, told).await {
         Ok(Ok(reply)) => respond_as(if reply.status == 200 { call.says } else { JSON }, reply),
         _ => respond(Reply::why(503, "no answer in time: ask again, here or at another gateway")),
     }
--- a/crates/control-plane/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -1,8 +1,12 @@
 //! Orders as they come on the socket: the header that names their base, and how long they may be.
 
-use control_plane::{CALLS, Call, Change, Declared};
+use control_plane::{CALLS, Call, Change, Command, Declared, Reply, serve};
 use hyper::header::{HeaderMap, HeaderValue};
 use protocol::Order;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use yare::parameterized;
 
 fn replace() -> &'static Declared {
@@ -46,3 +50,37 @@
     let bytes = bitcode::encode(&change).len();
     assert!(bytes <= raft::LARGEST_CHANGE, "{bytes} bytes");
 }
+
+/// Longer than an answer may take.
+const SLOW_UPLOAD: Duration = Duration::from_millis(2_900);
+
+/// Sends an order in two parts, and gives the answer of a process that acknowledges each order.
+async fn upload_in_two_parts() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (commands, mut queue) = mpsc::channel(1);
+    tokio::task::spawn_local(serve(listener, commands, 1));
+    tokio::task::spawn_local(async move {
+        while let Some(command) = queue.recv().await {
+            let Command::Call { reply, .. } = command else { continue };
+            // Whoever owns the tables has other things to do before.
+            tokio::task::yield_now().await;
+            drop(reply.send(Reply::done()));
+        }
+    });
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let head = "POST /Config.Replace HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    tokio::time::sleep(SLOW_UPLOAD).await;
+    stream.write_all(b"}").await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+#[test]
+fn an_order_that_takes_long_to_come_is_answered_all_the_same() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    let answer = tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), upload_in_two_parts());
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+}
