--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Callers move on after a second of silence: whoever has no answer by then gets a plain word instead.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
@@ -31,6 +31,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 const JSON: &str = "application/json";
+/// The header that names the version on which an order builds.
+const BASE_VERSION: &str = "x-base-version";
 
 /// What a call asks for.
 #[derive(Debug)]
@@ -101,7 +103,7 @@
     pub takes_id: bool,
     /// The longest body, in bytes.
     pub longest: usize,
-    /// How long its answer may take.
+    /// How long its answer may take, from when it has been read whole.
     pub within: Duration,
     /// The type of its answer.
     pub says: &'static str,
@@ -279,11 +281,23 @@
 }
 
 fn replace(_: &str, headers: &HeaderMap, body: &[u8]) -> Result<Call, Reply> {
-    let base = headers.get("x-base-version").and_then(|v| v.to_str().ok()).unwrap_or("0").trim();
-    let number = base.strip_prefix('r').unwrap_or(base).parse::<u64>();
-    let base = number
-        .map_err(|_| Reply::why(400, &format!("X-Base-Version: {base:?} is no version such as r12")))?;
-    Ok(Call::Order(Order::Replace { base, body: body.to_vec() }))
+    let base = base_version(headers)?;
+    Ok(Call::Order(Order::Replace { base: base.0, body: body.to_vec() }))
+}
+
+/// The version that an order builds on. An order without one builds on nothing, as the first one does; one that is not
+/// to be read, or two that differ, say nothing.
+fn base_version(headers: &HeaderMap) -> Result<Version, Reply> {
+    let mut base = None;
+    for value in headers.get_all(BASE_VERSION) {
+        let text = String::from_utf8_lossy(value.as_bytes());
+        let unread = |why: &str| Reply::why(400, &format!("X-Base-Version: {text:?}: {why}"));
+        let read = text.trim().parse::<Version>().map_err(|fault| unread(&fault.to_string()))?;
+        if base.replace(read).is_some_and(|other| other != read) {
+            return Err(unread("another one stands before it"));
+        }
+    }
+    Ok(base.unwrap_or_default())
 }
 
 /// Takes calls until the program ends.
@@ -331,7 +345,6 @@
 }
 
 async fn answer(request: Request<Incoming>, commands: mpsc::Sender<Command>) -> Response<Full<Bytes>> {
-    let begun = Instant::now();
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let fits = |call: &&Declared| {
@@ -349,6 +362,8 @@
         Ok(body) => body,
         Err(reply) => return respond(reply),
     };
+    // A large body may take longer to come than its answer may.
+    let due = Instant::now() + call.within;
     let id = if call.takes_id {
         path.strip_prefix(call.path).unwrap_or_default()
     } else {
@@ -362,8 +377,7 @@
     if commands.send(Command::Call { call: call_read, reply }).await.is_err() {
         return respond(Reply::why(503, "this process ends"));
     }
-    let left = call.within.saturating_sub(begun.elapsed());
-    match timeout(left, told).await {
+    match timeout_at(due, told).await {
         Ok(Ok(reply)) => respond_as(if reply.status == 200 { call.says } else { JSON }, reply),
         _ => respond(Reply::why(503, "no answer in time: ask again, here or at another gateway")),
     }
@@ -382,7 +396,8 @@
                 }
             }
             Ok(None) => break,
-            Ok(Some(Err(_))) => return Err(Reply::why(400, "the body broke off")),
+            // The same order, sent whole, may well be taken: a final answer would be wrong.
+            Ok(Some(Err(_))) => return Err(Reply::why(408, "the body broke off")),
             Err(_) => return Err(Reply::why(408, "the body did not come in time")),
         }
         if whole.len() > longest {
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -25,6 +25,7 @@
 extern crate self as raft;
 
 pub use node::{Faults, Node};
+pub use replication::LARGEST_CHANGE;
 pub use transfer::TransferLimits;
 pub use types::{
     Entry, Input, Message, Millis, Output, PayloadKind, Role, Save, Saved, Snapshot, Timing, TransferId,
