transport: a connection is lost when its peer takes nothing, not when a frame takes long

Cause: all that was queued had to go out within 1.5 s, in one write. On 2 Mbit/s that is 375 kB and what the kernel buffers: a larger frame closed its connection each time, and whoever was to have it never did. The kernel's buffer itself grows to megabytes, so that what is queued last comes seconds later.

Change: the 1.5 s count from the last bytes that the peer took. What is queued goes out 64 kB at a time, and the kernel keeps 128 kB (256 with its own share) for each peer.

A peer that stops in the midst is still given up.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,7 +14,7 @@
 mod tree;
 
 pub use course::Course;
-pub use line::{Line, LineError, Reader, attach, dial};
+pub use line::{Line, LineError, Reader, attach, dial, write_while_taken};
 pub use lookout::{Lookout, card};
 pub use pilot::{News, Pilot, PilotSettings, Place};
 pub use tree::{Signals, word_of};
--- a/crates/transport/src/line.rs
+++ b/crates/transport/src/line.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
@@ -20,6 +20,11 @@
 /// A peer that takes nothing for this long has lost its connection. The kernel is told as well: a machine behind a cut
 /// says nothing, and what waits for it would wait for minutes.
 const STUCK: Duration = Duration::from_millis(1500);
+/// So many bytes of frames go to the kernel in one call, and wait for it in memory beside the queue.
+const BATCH_BYTES: usize = 64 * 1024;
+/// What the kernel keeps for a peer that has not taken it yet, in bytes. Without a bound it is megabytes on a slow link:
+/// heartbeats would be seconds old when they come, and the socket would take nothing more for longer than [`STUCK`].
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// A connection that doesn't come up by then doesn't.
 const CONNECT: Duration = Duration::from_millis(300);
 
@@ -115,6 +120,7 @@
     // A socket that refuses an option works all the same, only later to notice a dead peer.
     let _ = stream.set_nodelay(true);
     let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, STUCK.as_millis() as u32);
+    let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
     let (read, write) = stream.into_split();
     let (sender, frames) = mpsc::channel(WAITING);
     spawn(write_all(write, frames));
@@ -139,14 +145,29 @@
     while let Some(frame) = frames.recv().await {
         batch.clear();
         batch.extend_from_slice(&frame);
-        while let Ok(frame) = frames.try_recv() {
+        while batch.len() < BATCH_BYTES
+            && let Ok(frame) = frames.try_recv()
+        {
             batch.extend_from_slice(&frame);
         }
-        if !matches!(timeout(STUCK, stream.write_all(&batch)).await, Ok(Ok(()))) {
+        if !write_while_taken(&mut stream, &batch).await {
             return;
         }
-        if batch.capacity() > 64 * 1024 {
+        if batch.capacity() > BATCH_BYTES {
             batch = Vec::new();
         }
     }
 }
+
+/// Writes all of it, for as long as the peer goes on taking some; false if it does not. How long all of it takes is the
+/// link's: two megabytes take eight seconds at 2 Mbit/s.
+#[doc(hidden)]
+pub async fn write_while_taken(stream: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> bool {
+    while !bytes.is_empty() {
+        match timeout(STUCK, stream.write(bytes)).await {
+            Ok(Ok(written)) if written > 0 => bytes = &bytes[written..],
+            _ => return false,
+        }
+    }
+    true
+}
