--- a/crates/raft/src/agreement/mod.rs
+++ b/crates/raft/src/agreement/mod.rs
@@ -95,9 +95,9 @@
     })
 }
 
-/// ... and sends what it has piece by piece.
+/// ... and has begun to send its snapshot piece by piece.
 fn in_pieces(plant: Plant) -> World {
-    compacted(plant).in_pieces()
+    compacted(plant).in_pieces().then(Event::Heartbeat(0)).hear(2, 0).hear(0, 2)
 }
 
 #[parameterized(
@@ -108,7 +108,7 @@
     from_leaving = { leaving, 5 },
     from_exchanged = { exchanged, 8 },
     from_compacted = { compacted, 5 },
-    from_in_pieces = { in_pieces, 5 },
+    from_in_pieces = { in_pieces, 6 },
 )]
 fn nothing_that_must_never_be_is_within_reach(start: fn(Plant) -> World, depth: usize) {
     let reach = search(start(Plant::Nothing), depth, usize::MAX).unwrap_or_else(|fault| panic!("{fault}"));
--- a/crates/raft/src/agreement/without_time.rs
+++ b/crates/raft/src/agreement/without_time.rs
@@ -19,7 +19,7 @@
         lead.echoes.clear();
         lead.tokens.clear();
         for peer in &mut lead.peers {
-            (peer.answered, peer.until) = (None, Millis::MAX);
+            (peer.answered, peer.until, peer.piece_attempts) = (None, Millis::MAX, 0);
             // Whatever is not answered when a heartbeat is counts as lost.
             peer.under_way.iter_mut().for_each(|one| one.lost_at = 0);
             peer.transfer.iter_mut().for_each(|transfer| transfer.forget_time(self.limits));
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -76,6 +76,8 @@
     /// What goes to it in pieces now; nothing else of the log does meanwhile.
     pub(crate) transfer: Option<OutgoingTransfer>,
     pub(crate) pieces: PieceSupport,
+    /// How often first pieces were lost before any was answered.
+    pub(crate) piece_attempts: u32,
     /// When the newest heartbeat was sent that it has answered.
     pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
@@ -102,6 +104,7 @@
             under_way: VecDeque::new(),
             transfer: None,
             pieces: PieceSupport::default(),
+            piece_attempts: 0,
             answered: None,
             until: 0,
             wanted: false,
--- a/crates/raft/src/transfer.rs
+++ b/crates/raft/src/transfer.rs
@@ -98,7 +98,6 @@
     window: usize,
     /// The shortest time from a piece to its answer: what exceeds it is spent in queues.
     least_delay: Option<Millis>,
-    attempts: u32,
 }
 
 impl OutgoingTransfer {
@@ -111,7 +110,6 @@
             in_flight: VecDeque::new(),
             window: limits.least_window_bytes,
             least_delay: None,
-            attempts: 0,
         }
     }
 
@@ -191,14 +189,13 @@
         let last_piece = self.payload.len().saturating_sub(limits.piece_bytes.max(1));
         self.rewind(if self.is_complete() { last_piece } else { self.acknowledged });
         self.window = limits.least_window_bytes;
-        self.attempts += 1;
         true
     }
 
     #[cfg(test)]
     pub(crate) fn forget_time(&mut self, limits: TransferLimits) {
         self.in_flight.iter_mut().for_each(|piece| (piece.sent_at, piece.lost_at) = (0, 0));
-        (self.window, self.least_delay, self.attempts) = (limits.least_window_bytes, None, 0);
+        (self.window, self.least_delay) = (limits.least_window_bytes, None);
     }
 }
 
@@ -277,10 +274,13 @@
         if faults.transfers_restart {
             transfer.rewind(0);
         }
-        if peer.pieces == PieceSupport::Unknown && transfer.attempts >= ATTEMPTS_BEFORE_WHOLE {
-            peer.pieces = PieceSupport::Missing;
-            peer.transfer = None;
-            return;
+        if peer.pieces == PieceSupport::Unknown {
+            peer.piece_attempts += 1;
+            if peer.piece_attempts >= ATTEMPTS_BEFORE_WHOLE {
+                peer.pieces = PieceSupport::Missing;
+                peer.transfer = None;
+                return;
+            }
         }
         // Nothing of it is there yet, so that the newest snapshot may as well go instead.
         if transfer.acknowledged == 0 && transfer.id.kind == PayloadKind::Snapshot && transfer.id.index < base
--- a/crates/raft/tests/power.rs
+++ b/crates/raft/tests/power.rs
@@ -3,11 +3,12 @@
 mod kept;
 mod tape;
 
+use std::collections::VecDeque;
 use std::panic::catch_unwind;
 
 use kept::{apply, empty};
 use raft::store::{Store, StoreError};
-use raft::{Entry, Save, Saved, Snapshot, VoterId, What};
+use raft::{Entry, Input, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What};
 use tape::{Op, Tape, put};
 
 fn voter(number: u64) -> VoterId {
@@ -271,6 +272,107 @@
     }
 }
 
+/// A leader whose log begins with a snapshot that goes in pieces, and an entry that does.
+fn leader_of_two() -> Node {
+    let mut draw = Draw(11);
+    let members = vec![voter(1), voter(2)];
+    let snapshot = Snapshot { index: 40, term: 3, members, state: draw.bytes(70_000) };
+    let entries = vec![
+        Entry { index: 41, term: 3, what: What::Change(draw.bytes(500)) },
+        Entry { index: 42, term: 3, what: What::Change(draw.bytes(50_000)) },
+    ];
+    let saved = Saved { term: 3, snapshot: Some(snapshot), entries, ..empty(voter(2), Vec::new()) };
+    Node::start(saved, TIMING, 1, 0)
+}
+
+const TIMING: Timing = Timing { heartbeat: 60, election: 320, lease: 230 };
+
+/// Two voters of which the first has a disk that is recorded, until it has all that the second one has; the second one's
+/// is as quick as none. What the first one has on disk after each of its saves is added to `states`.
+fn caught_up(
+    store: &Store, tape: &Tape, found: Saved, states: &mut Vec<Option<Saved>>,
+) -> Result<(), String> {
+    let mut nodes = [Node::start(found.clone(), TIMING, 2, 0), leader_of_two()];
+    let (mut disk, mut due) = (found, VecDeque::new());
+    for now in (0..20_000).step_by(5) {
+        due.extend((0..2).filter(|at| nodes[*at].next_due() <= now).map(|at| (at, Input::Tick)));
+        while let Some((at, input)) = due.pop_front() {
+            let mut out = Vec::new();
+            nodes[at].handle(now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Send { message, .. } => {
+                        due.push_back((1 - at, Input::Heard { from: voter(at as u64 + 1), message }));
+                    }
+                    Output::Save(save) => {
+                        if at == 0 {
+                            store.save(&save).map_err(|fault| fault.to_string())?;
+                            apply(&mut disk, &save);
+                            tape.acknowledge(states.len());
+                            states.push(Some(disk.clone()));
+                        }
+                        due.push_back((at, Input::Saved { ticket: save.ticket }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        // The leader's own first entry is the 43rd.
+        if nodes[0].commit() >= 43 {
+            return Ok(());
+        }
+    }
+    Err(format!("it has {} entries of 43", nodes[0].commit()))
+}
+
+/// Power goes at each write to the disk of a voter that takes a snapshot in pieces, in place of a log that does not fit
+/// to it: it has the state of before or after, and catches up from there.
+#[test]
+fn power_may_go_while_a_snapshot_comes_in_pieces() {
+    let mut draw = Draw(5);
+    let tape = Tape::default();
+    let (store, _) = Store::on(tape.clone(), "tape").unwrap();
+    let old = Snapshot { index: 4, term: 1, members: vec![voter(1), voter(2)], state: draw.bytes(5_000) };
+    let begun = store.begin(voter(1), 1, old).unwrap();
+    let odd = (5..9).map(|index| Entry { index, term: 2, what: What::Change(draw.bytes(300)) }).collect();
+    let save = Save { ticket: 1, term: 2, vote: None, truncate: None, entries: odd, snapshot: None };
+    store.save(&save).unwrap();
+    let mut disk = begun.clone();
+    apply(&mut disk, &save);
+    tape.acknowledge(1);
+    let mut states = vec![None, Some(disk.clone())];
+    let before = tape.ops().len();
+    caught_up(&store, &tape, disk, &mut states).unwrap();
+    drop(store);
+    let mut losses = 0;
+    let mut begin = Vec::new();
+    tape.ops()[..before].iter().for_each(|op| put(&mut begin, op, |_| true));
+    let ops = [&[Op::Acknowledged(1)], &tape.ops()[before..]].concat();
+    each_loss(
+        &begin,
+        &ops,
+        &[Left::Nothing, Left::Any, Left::All],
+        &mut draw,
+        |bytes, acknowledged, what| {
+            losses += 1;
+            let (tape, opened) = open(bytes);
+            let (store, found) = opened.map_err(|fault| format!("{what}: {fault}"))?;
+            if !fits(&found, &states, acknowledged) {
+                return Err(format!("{what}: {acknowledged} writes were acknowledged, found {found:?}"));
+            }
+            let found = found.ok_or(format!("{what}: an empty disk"))?;
+            // As seldom as the losses after a loss above: each takes a whole transfer.
+            if losses % 10 > 0 {
+                return Ok(());
+            }
+            caught_up(&store, &tape, found, &mut Vec::new()).map_err(|fault| format!("{what}: {fault}"))
+        },
+    )
+    .unwrap();
+    println!("{losses} losses of power");
+    assert!(losses > 100, "{losses}");
+}
+
 /// What opening a changed file comes to.
 #[derive(Debug, Default)]
 struct Found {
