raft: a follower lags until an entry of its leader's term is committed here

Followers had as much, took that for the newest, and told whoever follows them that their configuration was of this moment: a state with 16 changes of 19 that had been acknowledged.

Change: `lags` also holds until a committed entry here is of the leader's term, with which all that was committed before is applied.

The same planted fault lets leaders and followers answer early, and is found.

--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -35,8 +35,8 @@
     pub nothing_retained: bool,
     /// Entries and pieces count as lost after a fixed time, however slow the link is.
     pub impatient: bool,
-    /// A leader counts on its lease before an entry of its own term is committed.
-    pub early_lease: bool,
+    /// Leader and followers answer before an entry of the leader's term is committed.
+    pub early_answers: bool,
 }
 
 /// What waits for a save.
@@ -189,8 +189,12 @@
 
     /// Whether entries are committed that this node lacks. A leader sends no more of them than its window holds to one
     /// whose answers do not reach it; its heartbeats still come, so that hearing them proves nothing about the log here.
+    ///
+    /// So does a node that has not committed an entry of this term: a new leader does not know yet what its predecessors
+    /// had committed, and names its snapshot only. With its own first entry all of that is applied here.
     pub fn lags(&self) -> bool {
-        self.told_commit > self.commit
+        let of_this_term = self.log.term_at(self.commit) == Some(self.term);
+        self.told_commit > self.commit || !(of_this_term || self.faults.early_answers)
     }
 
     /// The voters, as of the newest list in the log.
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -138,7 +138,7 @@
 
     /// When the lease of this leader ends or has ended, unless it is renewed; nothing if it never had one.
     pub fn lease_until(&self, now: Millis) -> Option<Millis> {
-        let own = self.log.term_at(self.commit) == Some(self.term) || self.faults.early_lease;
+        let own = self.log.term_at(self.commit) == Some(self.term) || self.faults.early_answers;
         let answered = self.answered_at(now).filter(|_| own);
         answered.map(|at| at.saturating_add(self.timing.lease))
     }
--- a/crates/raft/tests/catch_up.rs
+++ b/crates/raft/tests/catch_up.rs
@@ -55,7 +55,7 @@
     transfers_follow_compaction: false,
     nothing_retained: false,
     impatient: false,
-    early_lease: false,
+    early_answers: false,
 };
 
 /// In milliseconds: what is to be sent over what the changes leave of the link, half as much again, and two seconds for
@@ -229,7 +229,7 @@
         world.acknowledged,
         world.answerable
     );
-    let fault = all_start_again(Faults { early_lease: true, ..NO_FAULT }).err().expect("it is not found");
+    let fault = all_start_again(Faults { early_answers: true, ..NO_FAULT }).err().expect("it is not found");
     println!("{fault}");
     assert!(fault.contains("that were acknowledged"), "{fault}");
 }
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -186,7 +186,7 @@
     transfers_follow_compaction: false,
     nothing_retained: false,
     impatient: false,
-    early_lease: false,
+    early_answers: false,
 };
 
 #[parameterized(
--- a/crates/raft/tests/slow_links/mod.rs
+++ b/crates/raft/tests/slow_links/mod.rs
@@ -129,6 +129,8 @@
     /// The newest change that somebody was told of.
     pub acknowledged: u64,
     accepted: BTreeMap<(u64, u64), u64>,
+    /// What was acknowledged when somebody first led in a term.
+    acknowledged_before: BTreeMap<u64, u64>,
     pub sent_bytes: usize,
     /// Steps in which a leader could answer.
     pub answerable: u64,
@@ -185,6 +187,7 @@
             committed: BTreeMap::new(),
             acknowledged: 0,
             accepted: BTreeMap::new(),
+            acknowledged_before: BTreeMap::new(),
             sent_bytes: 0,
             answerable: 0,
         };
@@ -326,7 +329,8 @@
             self.output(at, output)?;
         }
         self.compact_if_due(at)?;
-        self.check_leader(at)
+        self.check_leader(at)?;
+        self.check_follower(at)
     }
 
     fn output(&mut self, at: usize, output: Output) -> Result<(), String> {
@@ -425,4 +429,24 @@
         }
         Ok(())
     }
+
+    /// Whoever follows a leader and says that it lags behind nobody has what was acknowledged before that leader's term.
+    fn check_follower(&mut self, at: usize) -> Result<(), String> {
+        let host = &self.hosts[at];
+        let Some(node) = &host.node else { return Ok(()) };
+        if node.is_leader() {
+            self.acknowledged_before.entry(node.term()).or_insert(self.acknowledged);
+            return Ok(());
+        }
+        if node.leader().is_none() || node.commit() == 0 || node.lags() {
+            return Ok(());
+        }
+        let has = host.state.changes;
+        match self.acknowledged_before.get(&node.term()) {
+            Some(told) if has < *told => {
+                Err(format!("n{at} follows with {has} changes, of {told} that were acknowledged before"))
+            }
+            _ => Ok(()),
+        }
+    }
 }
