--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -77,6 +77,8 @@
     /// What goes to it in pieces now; nothing else of the log does meanwhile.
     pub(crate) transfer: Option<OutgoingTransfer>,
     pub(crate) pieces: PieceSupport,
+    /// How often first pieces were lost before any was answered.
+    pub(crate) piece_attempts: u32,
     /// When the newest heartbeat was sent that it has answered.
     pub(crate) answered: Option<Millis>,
     /// For those who are not on the list: when they are forgotten, and whether they want to be on it.
@@ -103,6 +105,7 @@
             under_way: VecDeque::new(),
             transfer: None,
             pieces: PieceSupport::default(),
+            piece_attempts: 0,
             answered: None,
             until: 0,
             wanted: false,
@@ -136,7 +139,7 @@
 
     /// When the lease of this leader ends or has ended, unless it is renewed; nothing if it never had one.
     pub fn lease_until(&self, now: Millis) -> Option<Millis> {
-        let own = self.log.term_at(self.commit) == Some(self.term) || self.faults.early_lease;
+        let own = self.log.term_at(self.commit) == Some(self.term) || self.faults.early_answers;
         let answered = self.answered_at(now).filter(|_| own);
         answered.map(|at| at.saturating_add(self.timing.lease))
     }
