Voters that are gone for good are retired, and the list says what it bears

Cause: a leader added voters by itself and removed none. A voter replaced under another address stayed on the list: four voters with one dead need three, so that the next loss stopped control. And a learner counted as caught up with 64 entries missing, whatever their size.

Change: a leader that has held its lease without a break takes a voter off that has answered nothing for a stated span, only where the list then bears one loss more (an even list with a silent voter, an odd one with two), never below a least length, one change at a time as before. A learner is added if it lacks at most 8 entries and 128 KB, and from an odd list only if no voter is silent, or the silent one can be retired next. With several lost disks at once, the successor of one joins before the next former voter leaves. Node::standing says how many further losses are borne now.

The exhaustive search never reached a list with another voter on it: learners counted as silent there (lists of 2 to 3 voters only in from_joining, 2 to 4 now, and the test checks it). New starts: a voter replaced, one of four taken off, the leader taking itself off, a voter that returns; a removed voter's answers counted are found (planted).

A rule test of a frozen leader fails without the note of when its lease broke.

--- a/crates/raft/src/agreement/mod.rs
+++ b/crates/raft/src/agreement/mod.rs
@@ -79,6 +79,37 @@
     world.then(Event::Add(0, voter(2, 1))).hear(2, 0).with(Budget { term: 2, restarts: 1, ..QUIET })
 }
 
+/// The third is gone for good. A fourth host has the log and is about to become a voter, and then the third is to leave;
+/// another voter may be lost, or the leader may leave, at any moment in between.
+fn replaced(plant: Plant) -> World {
+    let world = World::new(3, 1, plant).with(Budget { joins: 1, leaves: 1, ..QUIET });
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1]).lose();
+    let world = world.then(Event::Add(0, voter(3, 9))).settle(&[0, 3]);
+    world.with(Budget { term: 2, restarts: 1, leaves: 2, proposals: 1, ..QUIET })
+}
+
+/// One of four was taken off the list, and goes on hearing the leader and answering it.
+fn three_left(plant: Plant) -> World {
+    let world = World::new(4, 0, plant).with(Budget { leaves: 1, ..QUIET });
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1, 2, 3]);
+    let world = world.then(Event::Remove(0, voter(2, 0))).settle(&[0, 1, 2, 3]).lose();
+    world.with(Budget { term: 2, proposals: 1, ..QUIET })
+}
+
+/// A leader that has written a list without itself.
+fn leaving_itself(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { leaves: 1, ..QUIET });
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1]).then(Event::Remove(0, voter(0, 0)));
+    world.with(Budget { term: 3, lazy: 1, restarts: 1, proposals: 1, ..QUIET })
+}
+
+/// A voter that was taken off the list comes back under its old number, and wants to be on it again.
+fn returning(plant: Plant) -> World {
+    let world = World::new(3, 0, plant).with(Budget { leaves: 1, ..QUIET });
+    let world = world.then(Event::RequestVote(0)).settle(&[0, 1]).then(Event::Remove(0, voter(2, 0)));
+    world.settle(&[0, 1]).lose().with(Budget { term: 3, joins: 1, restarts: 1, ..QUIET })
+}
+
 /// The leader has dropped the entries that the third lacks.
 fn compacted(plant: Plant) -> World {
     let world = World::new(3, 0, plant).with(Budget { proposals: 1, compactions: 1, ..QUIET });
@@ -95,18 +126,26 @@
 }
 
 #[parameterized(
-    from_founding = { founding, 6 },
-    from_wiped = { wiped, 5 },
-    from_split = { split, 7 },
-    from_joining = { joining, 5 },
-    from_leaving = { leaving, 5 },
-    from_exchanged = { exchanged, 8 },
-    from_compacted = { compacted, 5 },
+    from_founding = { founding, 6, (3, 3) },
+    from_wiped = { wiped, 5, (3, 3) },
+    from_split = { split, 7, (3, 3) },
+    from_joining = { joining, 5, (2, 4) },
+    from_leaving = { leaving, 5, (1, 3) },
+    from_exchanged = { exchanged, 8, (2, 3) },
+    from_compacted = { compacted, 5, (3, 3) },
+    from_replaced = { replaced, 6, (3, 4) },
+    from_three_left = { three_left, 7, (3, 3) },
+    from_leaving_itself = { leaving_itself, 4, (2, 3) },
+    from_returning = { returning, 5, (2, 3) },
 )]
-fn nothing_that_must_never_be_is_within_reach(start: fn(Plant) -> World, depth: usize) {
+fn nothing_that_must_never_be_is_within_reach(
+    start: fn(Plant) -> World, depth: usize, lists: (usize, usize),
+) {
     let reach = search(start(Plant::Nothing), depth, usize::MAX).unwrap_or_else(|fault| panic!("{fault}"));
     println!("{:?} {reach:?}", std::thread::current().name());
     assert!(reach.depth == depth && reach.committed > 0, "{reach:?}");
+    // Changes of the list that are never reached would prove nothing.
+    assert_eq!(reach.lists, lists, "{reach:?}");
 }
 
 /// How deep a million states of each are.
@@ -118,6 +157,10 @@
     from_leaving = { leaving },
     from_exchanged = { exchanged },
     from_compacted = { compacted },
+    from_replaced = { replaced },
+    from_three_left = { three_left },
+    from_leaving_itself = { leaving_itself },
+    from_returning = { returning },
 )]
 #[ignore = "some minutes: cargo test --release -p raft --lib -- --ignored --nocapture --test-threads 2"]
 fn nothing_that_must_never_be_is_far_off(start: fn(Plant) -> World) {
@@ -130,6 +173,7 @@
     entries_before_sync = { Plant::EntriesBeforeSync, fresh, "on disk, which has" },
     old_term = { Plant::OldTermCounts, split_heard, "which was committed" },
     wiped_counts = { Plant::WipedCounts, wiped, "votes of 3" },
+    removed_counts = { Plant::RemovedCounts, three_left, "which was committed" },
     second_list = { Plant::SecondList, proposing, "two changes of the list" },
 )]
 fn planted_faults_are_found(plant: Plant, start: fn(Plant) -> World, what: &str) {
--- a/crates/raft/src/agreement/search.rs
+++ b/crates/raft/src/agreement/search.rs
@@ -18,6 +18,8 @@
     pub whole: bool,
     /// The most entries that were committed in any of them.
     pub committed: usize,
+    /// The shortest and the longest list of voters that any node went by.
+    pub lists: (usize, usize),
 }
 
 /// By what a state was reached first: from which, and whether the disk is still busy with it.
@@ -29,12 +31,15 @@
 /// What must never be, and the events that lead there.
 pub fn search(start: World, depth: usize, most: usize) -> Result<Reach, String> {
     let mut seen: Seen = HashMap::from([(start.digest(), None)]);
-    let mut reach = Reach { states: 1, events: 0, depth: 0, whole: false, committed: 0 };
+    let mut reach =
+        Reach { states: 1, events: 0, depth: 0, whole: false, committed: 0, lists: (usize::MAX, 0) };
     let mut level = vec![(start.digest(), start.clone())];
     while reach.depth < depth && !level.is_empty() && seen.len() <= most {
         let mut next = Vec::new();
         for (digest, world) in level {
             reach.committed = reach.committed.max(world.committed());
+            reach.lists.0 = reach.lists.0.min(world.shortest_list());
+            reach.lists.1 = reach.lists.1.max(world.longest_list());
             for event in world.events() {
                 reach.events += 1;
                 let (done, busy) =
--- a/crates/raft/src/agreement/world.rs
+++ b/crates/raft/src/agreement/world.rs
@@ -9,6 +9,7 @@
 
 use super::kept::{apply, empty};
 use crate::node::Node;
+use crate::tolerance::RetirementPolicy;
 use crate::types::{
     Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What,
 };
@@ -33,6 +34,8 @@
     WipedCounts,
     /// What is proposed is a list of voters: it goes past the rule of one at a time.
     SecondList,
+    /// Messages from a voter that is off the receiver's list count as those of one that is on it.
+    RemovedCounts,
 }
 
 /// What may happen next.
@@ -142,6 +145,17 @@
         self.past.ledger.len()
     }
 
+    /// The longest list of voters that any node goes by.
+    pub fn longest_list(&self) -> usize {
+        self.hosts.iter().map(|host| host.node.members().len()).max().unwrap_or(0)
+    }
+
+    /// The shortest one.
+    pub fn shortest_list(&self) -> usize {
+        let lists = self.hosts.iter().map(|host| host.node.members().len());
+        lists.filter(|length| *length > 0).min().unwrap_or(0)
+    }
+
     /// All that may happen.
     pub fn events(&self) -> Vec<Event> {
         let left = &self.budget;
@@ -278,7 +292,7 @@
     }
 
     fn give(&mut self, at: usize, now: Millis, input: Input) -> Result<(), String> {
-        let input = self.hurt_input(input)?;
+        let input = self.hurt_input(at, input)?;
         let led = self.hosts[at].node.is_leader();
         let mut out = Vec::new();
         let node = self.change(at);
@@ -431,7 +445,7 @@
         Ok(())
     }
 
-    fn hurt_input(&mut self, input: Input) -> Result<Input, String> {
+    fn hurt_input(&mut self, at: usize, input: Input) -> Result<Input, String> {
         let Input::Heard { mut from, message } = input else { return Ok(input) };
         if self.plant == Plant::OldTermCounts
             && let Message::AppendAccepted { term, index } = &message
@@ -446,6 +460,11 @@
         if self.plant == Plant::WipedCounts {
             from.incarnation = 0;
         }
+        let members = self.hosts[at].node.members();
+        if self.plant == Plant::RemovedCounts && !members.contains(&from) {
+            let me = self.hosts[at].node.me();
+            from = members.iter().find(|member| *member != me).cloned().unwrap_or(from);
+        }
         Ok(Input::Heard { from, message })
     }
 
@@ -537,6 +556,8 @@
 
     fn start(disk: Saved) -> Host {
         let mut node = Node::start(disk.clone(), TIMING, 0, NOW);
+        // Whoever is silent is so for long enough; who is taken off a list, and when, is the search's choice.
+        node.retire_by(RetirementPolicy { silence: 0, least_voters: 1 });
         node.forget_time();
         let mut host = Host { disk: Rc::new(disk), node: Rc::new(node), saves: VecDeque::new(), digest: 0 };
         host.counts();
@@ -555,12 +576,16 @@
         self.leader = None;
         self.random = 0;
         self.told = Role::Follower { term: 0, leader: None };
+        let members = self.members().to_vec();
         let Some(lead) = &mut self.lead else { return };
         (lead.since, lead.heartbeat_due, lead.echo) = (0, Millis::MAX, 0);
+        (lead.steady_since, lead.watched_at) = (0, NOW);
         lead.echoes.clear();
         lead.tokens.clear();
         for peer in &mut lead.peers {
-            (peer.answered, peer.until) = (None, Millis::MAX);
+            // Voters are silent, so that no lease binds anybody; learners are heard, so that they can be added.
+            peer.answered = (!members.contains(&peer.id)).then_some(NOW);
+            peer.until = Millis::MAX;
             // Whatever is not answered when a heartbeat is counts as lost.
             peer.under_way.iter_mut().for_each(|one| one.lost_at = 0);
         }
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod replication;
 pub mod store;
+mod tolerance;
 mod types;
 mod writer;
 
@@ -23,5 +24,6 @@
 extern crate self as raft;
 
 pub use node::{Faults, Node};
+pub use tolerance::{Learner, RetirementPolicy, Standing, further_losses, least_voters, majority_of};
 pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
 pub use writer::{Told, Writer};
--- a/crates/raft/src/members.rs
+++ b/crates/raft/src/members.rs
@@ -1,11 +1,16 @@
 //! Who votes: one change at a time, so that the majorities before and after it overlap.
 
 use crate::node::Node;
-use crate::replication::Peer;
+use crate::replication::{Lead, Peer};
+use crate::tolerance::{
+    Learner, RetirementPolicy, Standing, further_losses, promotion_helps, retirement_helps,
+};
 use crate::types::{Millis, Output, VoterId, What};
 
-/// How many entries a node may lack to be taken in: it has them before the next one is due.
-const NEAR: u64 = 64;
+/// How many entries a node that has caught up may lack, and how many bytes of them: what is under way while changes
+/// go on, and what a link of 2 Mbit/s carries in half a second.
+const MOST_LACKING: u64 = 8;
+const MOST_LACKING_BYTES: usize = 128 << 10;
 /// How many of those that are not on the list are kept in mind, and for how many elections.
 const MOST_LEARNERS: usize = 8;
 const LEARNER_ELECTIONS: u64 = 10;
@@ -70,32 +75,144 @@
         }
     }
 
-    /// Takes in one that waits, if it has caught up and no other change is under way. Whoever was at its address goes
-    /// first, in an entry of its own: a list with one voter exchanged may have a majority that the old list lacks.
+    /// Adds a learner to the list, if it has caught up, no other change is under way and the list bears no less with
+    /// it. Whoever was at its address goes first, in an entry of its own: a list with one voter exchanged may have a
+    /// majority that the old list lacks. That voter never comes back, so the list loses nothing without it.
     pub(crate) fn promote(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
-        let last = self.log.last();
-        // One that has answered no heartbeat lately would take the majority with it from a leader that has few others.
-        let lives = self.hears(voter, now);
-        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(voter)) else { return };
-        let near = peer.matched > 0 && peer.matched + NEAR >= last;
-        if !peer.wanted || !near || !lives || !self.may_change_members() {
+        if !self.is_ready(voter, now) || !self.may_change_members() {
             return;
         }
-        let former = self.members().iter().find(|member| member.address == voter.address).cloned();
-        match former {
-            Some(former) => self.remove_voter(now, &former, out),
-            None => {
-                let mut list = self.members().to_vec();
-                list.push(voter.clone());
-                self.write_members(now, list, out);
+        if let Some(former) = self.former_of(voter).cloned() {
+            // With several lost disks at once the list would shrink by all of them before it grows again.
+            if !self.another_joins_first(voter, now) {
+                self.remove_voter(now, &former, out);
             }
+        } else if self.has_room(now) {
+            let mut list = self.members().to_vec();
+            list.push(voter.clone());
+            self.write_members(now, list, out);
+        }
+    }
+
+    /// Whether a node wants to be a voter, has caught up and has answered a heartbeat lately: one that is silent would
+    /// take the majority with it from a leader that has few others.
+    fn is_ready(&self, learner: &VoterId, now: Millis) -> bool {
+        let peer = self.lead.iter().flat_map(|lead| &lead.peers).find(|peer| peer.id == *learner);
+        let wanted = peer.is_some_and(|peer| peer.wanted && self.has_caught_up(peer));
+        wanted && !self.members().contains(learner) && self.hears(learner, now)
+    }
+
+    /// The voter whose disk this one's address had before.
+    fn former_of(&self, voter: &VoterId) -> Option<&VoterId> {
+        self.members().iter().find(|member| member.address == voter.address)
+    }
+
+    fn another_joins_first(&self, voter: &VoterId, now: Millis) -> bool {
+        let learners = self.lead.iter().flat_map(|lead| &lead.peers).map(|peer| &peer.id);
+        let mut others = learners.filter(|id| *id != voter && self.former_of(id).is_none());
+        others.any(|id| self.is_ready(id, now)) && self.has_room(now)
+    }
+
+    fn has_room(&self, now: Millis) -> bool {
+        let unheard = self.other_voters().filter(|voter| !self.hears(voter, now)).count();
+        promotion_helps(self.members().len(), unheard, self.silent_voters(now).len())
+    }
+
+    fn has_caught_up(&self, peer: &Peer) -> bool {
+        if self.faults.promote_early {
+            return true;
+        }
+        let last = self.log.last();
+        if peer.matched == 0 || peer.matched + MOST_LACKING < last {
+            return false;
+        }
+        let lacking = (peer.matched + 1..=last).filter_map(|index| self.log.get(index));
+        lacking.map(|entry| entry.what.size()).sum::<usize>() <= MOST_LACKING_BYTES
+    }
+
+    fn other_voters(&self) -> impl Iterator<Item = &VoterId> {
+        self.members().iter().filter(|member| **member != self.me)
+    }
+
+    /// Sets when silent voters are taken off the list.
+    pub fn retire_by(&mut self, policy: RetirementPolicy) {
+        self.retirement = policy;
+    }
+
+    /// Notes whether this leader has led without a break. Only while it does is a voter's silence the voter's own: a
+    /// leader that was frozen, or cut off from a majority, hears all others late.
+    pub(crate) fn watch_voters(&mut self, now: Millis) {
+        let holds = self.holds_lease(now);
+        let longest_gap = self.timing.lease;
+        let Some(lead) = &mut self.lead else { return };
+        if !holds || lead.watched_at.saturating_add(longest_gap) < now {
+            lead.steady_since = now;
         }
+        lead.watched_at = now;
+    }
+
+    /// Voters that have answered nothing for as long as the policy says, the one that is silent longest first.
+    fn silent_voters(&self, now: Millis) -> Vec<VoterId> {
+        let Some(lead) = &self.lead else { return Vec::new() };
+        let mut silent: Vec<(Millis, &VoterId)> = self
+            .other_voters()
+            .map(|voter| (lead.answered_by(voter).max(lead.steady_since), voter))
+            .filter(|(heard, _)| heard.saturating_add(self.retirement.silence) <= now)
+            .collect();
+        silent.sort_unstable();
+        silent.into_iter().map(|(_, voter)| voter.clone()).collect()
+    }
+
+    /// Takes a silent voter off the list, if the list then bears one more loss than with it.
+    pub(crate) fn retire_silent(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if !self.holds_lease(now) || !self.may_change_members() {
+            return;
+        }
+        let silent = self.silent_voters(now);
+        let Some(first) = silent.first() else { return };
+        let least = self.retirement.least_voters;
+        if self.faults.retire_freely || retirement_helps(self.members().len(), silent.len(), least) {
+            self.remove_voter(now, first, out);
+        }
+    }
+
+    /// What this leader knows of its voters; nothing if it does not hold the lease.
+    pub fn standing(&self, now: Millis) -> Option<Standing> {
+        let lead = self.lead.as_ref().filter(|_| self.holds_lease(now))?;
+        let (voters, counted) = (self.members(), self.counted(self.members(), now));
+        let mut losses = further_losses(voters.len(), counted);
+        if !self.voters_settled() {
+            // If the leader is lost now, the list before this one may be in force again.
+            let (before, _) = self.log.members_as_of(self.log.members_index() - 1);
+            losses = losses.min(further_losses(before.len(), self.counted(&before, now)));
+        }
+        let learners = lead.peers.iter().filter(|peer| peer.wanted && !voters.contains(&peer.id));
+        Some(Standing {
+            voters: voters.len(),
+            counted,
+            further_losses: losses,
+            unheard: self.other_voters().filter(|voter| !self.hears(voter, now)).cloned().collect(),
+            learners: learners
+                .map(|peer| Learner { id: peer.id.clone(), caught_up: self.has_caught_up(peer) })
+                .collect(),
+        })
+    }
+
+    /// How many of these voters are heard and have caught up.
+    fn counted(&self, voters: &[VoterId], now: Millis) -> usize {
+        let caught_up = |voter: &VoterId| {
+            let peer = self.lead.iter().flat_map(|lead| &lead.peers).find(|peer| peer.id == *voter);
+            peer.is_some_and(|peer| self.has_caught_up(peer))
+        };
+        let counts = |voter: &&VoterId| **voter == self.me || self.hears(voter, now) && caught_up(voter);
+        voters.iter().filter(counts).count()
     }
 
     /// Two leaders could each make a change that overlaps with the old list but not with the other's, unless the later
     /// one has an entry of its own term committed first.
     fn may_change_members(&self) -> bool {
-        self.lead.is_some() && self.log.term_at(self.commit) == Some(self.term) && self.voters_settled()
+        let committed = self.log.term_at(self.commit) == Some(self.term);
+        self.lead.is_some() && committed && (self.voters_settled() || self.faults.two_changes)
     }
 
     fn write_members(&mut self, now: Millis, list: Vec<VoterId>, out: &mut Vec<Output>) {
@@ -106,3 +223,10 @@
         self.advance_commit(now, out);
     }
 }
+
+impl Lead {
+    /// When the newest heartbeat was sent that this voter has answered; 0 if none was.
+    fn answered_by(&self, voter: &VoterId) -> Millis {
+        self.peers.iter().find(|peer| peer.id == *voter).and_then(|peer| peer.answered).unwrap_or(0)
+    }
+}
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -5,6 +5,7 @@
 use crate::election::Campaign;
 use crate::log::Log;
 use crate::replication::Lead;
+use crate::tolerance::{RetirementPolicy, least_voters};
 use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
 
 /// Faults that tests plant to see that they are found. All off in service.
@@ -24,6 +25,12 @@
     pub hasty: bool,
     /// Elections without a sounding before them. Not wrong in itself, but it hides other faults.
     pub without_pre_vote: bool,
+    /// A learner is added to the list whatever it lacks.
+    pub promote_early: bool,
+    /// A silent voter is taken off the list whether or not that helps.
+    pub retire_freely: bool,
+    /// A list is changed while the change before it is not committed.
+    pub two_changes: bool,
 }
 
 /// What waits for a save.
@@ -56,6 +63,7 @@
 pub struct Node {
     pub(crate) me: VoterId,
     pub(crate) timing: Timing,
+    pub(crate) retirement: RetirementPolicy,
     pub(crate) faults: Faults,
     pub(crate) term: u64,
     pub(crate) vote: Option<VoterId>,
@@ -96,6 +104,10 @@
         let mut node = Node {
             me,
             timing,
+            retirement: RetirementPolicy {
+                silence: timing.election.saturating_mul(SILENT_ELECTIONS),
+                least_voters: least_voters(1),
+            },
             faults: Faults::default(),
             term,
             vote,
@@ -407,3 +419,5 @@
 }
 
 const MOST_ANSWERS: usize = 256;
+/// A voter counts as gone after a silence of so many elections, unless the host says otherwise.
+const SILENT_ELECTIONS: u64 = 6;
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -25,6 +25,9 @@
 #[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Lead {
     pub(crate) since: Millis,
+    /// Since when it has led without a break, and when that was looked at last.
+    pub(crate) steady_since: Millis,
+    pub(crate) watched_at: Millis,
     pub(crate) heartbeat_due: Millis,
     pub(crate) peers: Vec<Peer>,
     /// Proposals that wait for their commitment.
@@ -38,6 +41,8 @@
     pub(crate) fn new(now: Millis) -> Lead {
         Lead {
             since: now,
+            steady_since: now,
+            watched_at: now,
             heartbeat_due: now,
             peers: Vec::new(),
             tokens: VecDeque::new(),
@@ -152,6 +157,8 @@
         }
         if self.lead.as_ref().is_some_and(|lead| now >= lead.heartbeat_due) {
             self.forget_learners(now);
+            self.watch_voters(now);
+            self.retire_silent(now, out);
             self.heartbeat(now, out);
         }
     }
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -1,6 +1,7 @@
 //! The log in drawn worlds: what must never be, over some hundred seeds, and planted faults that must be found.
 
 mod kept;
+mod membership;
 mod world;
 
 use raft::{Faults, Input};
@@ -155,6 +156,9 @@
     old_terms_count: false,
     any_birth: false,
     hasty: false,
+    promote_early: false,
+    retire_freely: false,
+    two_changes: false,
 };
 
 #[parameterized(
--- a/crates/raft/tests/rules.rs
+++ b/crates/raft/tests/rules.rs
@@ -1,6 +1,8 @@
 //! Single rules of one node.
 
-use raft::{Entry, Faults, Input, Message, Node, Output, Role, Saved, Timing, VoterId, What};
+use raft::{
+    Entry, Faults, Input, Message, Node, Output, RetirementPolicy, Role, Saved, Timing, VoterId, What,
+};
 use yare::parameterized;
 
 const TIMING: Timing = Timing { heartbeat: 50, election: 300, lease: 220 };
@@ -205,3 +207,83 @@
     step(&mut node, 5106, heard(2, Message::AppendAccepted { term: 1, index: 2 }));
     assert_eq!((node.commit(), node.members().len()), (2, 2));
 }
+
+/// A leader of four whose voters have answered up to `now`, and then only the first `answering` of the others.
+struct LeaderOfFour {
+    node: Node,
+    now: u64,
+}
+
+impl LeaderOfFour {
+    fn new() -> Self {
+        let founders = (0..4).map(|at| voter(at, 0)).collect();
+        let mut node = Node::start(saved(founders), TIMING, 1, 0);
+        node.retire_by(RetirementPolicy { silence: 1_000, least_voters: 3 });
+        step(&mut node, 200, Input::Tick);
+        for from in 1..3 {
+            step(&mut node, 201, heard(from, Message::PreVoteAnswer { round: 1, term: 0, granted: true }));
+        }
+        step(&mut node, 202, Input::Saved { ticket: 1 });
+        for from in 1..3 {
+            step(&mut node, 203, heard(from, Message::VoteAnswer { term: 1, granted: true }));
+        }
+        step(&mut node, 204, Input::Saved { ticket: 2 });
+        for from in 1..3 {
+            step(&mut node, 205, heard(from, Message::AppendAccepted { term: 1, index: 1 }));
+        }
+        assert!(node.is_leader() && node.commit() == 1);
+        Self { node, now: 205 }
+    }
+
+    /// Lets heartbeats go out for a while, all of them answered by these.
+    fn lead(&mut self, span: u64, answering: &[usize]) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 10;
+            let out = step(&mut self.node, self.now, Input::Tick);
+            let echo = messages(&out).into_iter().find_map(|message| match message {
+                Message::Heartbeat { echo, .. } => Some(*echo),
+                _ => None,
+            });
+            for from in answering.iter().filter(|_| echo.is_some()) {
+                let echo = echo.expect("a heartbeat");
+                let answer = Message::HeartbeatAnswer { term: 1, echo, matched: 1 };
+                step(&mut self.node, self.now + 1, heard(*from, answer));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_silent_voter_of_four_is_retired_and_one_of_three_is_not() {
+    let mut leader = LeaderOfFour::new();
+    leader.lead(2_000, &[1, 2, 3]);
+    assert_eq!(leader.node.standing(leader.now).map(|standing| standing.further_losses), Some(1));
+    leader.lead(900, &[1, 2]);
+    let standing = leader.node.standing(leader.now).expect("it holds the lease");
+    assert_eq!((standing.further_losses, standing.unheard), (0, vec![voter(3, 0)]));
+    leader.lead(200, &[1, 2]);
+    assert_eq!(leader.node.members(), three());
+    for from in 1..3 {
+        step(&mut leader.node, leader.now, heard(from, Message::AppendAccepted { term: 1, index: 2 }));
+    }
+    assert_eq!(leader.node.standing(leader.now).map(|standing| standing.further_losses), Some(1));
+    leader.lead(5_000, &[1]);
+    assert_eq!(leader.node.members(), three(), "a list of two bears no more than this one");
+}
+
+#[test]
+fn a_leader_that_was_frozen_takes_nobody_for_gone() {
+    let mut leader = LeaderOfFour::new();
+    leader.lead(2_000, &[1, 2, 3]);
+    leader.now += 500;
+    leader.lead(600, &[1, 2]);
+    assert_eq!(leader.node.members().len(), 4, "a silence that is the leader's own");
+    leader.lead(300, &[1, 2, 3]);
+    // Cut off from all: their silence is the link's.
+    leader.lead(500, &[]);
+    leader.lead(600, &[1, 2]);
+    assert!(leader.node.is_leader() && leader.node.members().len() == 4);
+    leader.lead(900, &[1, 2]);
+    assert_eq!(leader.node.members().len(), 3);
+}
--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -4,11 +4,15 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use raft::{
-    Entry, Faults, Input, Message, Millis, Node, Output, Save, Saved, Snapshot, Timing, VoterId, What,
+    Entry, Faults, Input, Message, Millis, Node, Output, RetirementPolicy, Save, Saved, Snapshot, Timing,
+    VoterId, What,
 };
 
 use crate::kept::{apply, empty};
 
+/// How many entries a voter may lack when it is added to a list, beside those that are on their way to its disk.
+const MOST_LACKING: u64 = 64;
+
 pub const TIMING: Timing = Timing { heartbeat: 50, election: 300, lease: 220 };
 
 pub struct Draw(u64);
@@ -42,6 +46,21 @@
     state: u64,
 }
 
+impl Host {
+    fn with(disk: Saved) -> Host {
+        Host {
+            disk,
+            node: None,
+            saves: VecDeque::new(),
+            life: 0,
+            frozen_until: 0,
+            inbox: Vec::new(),
+            applied: 0,
+            state: 0,
+        }
+    }
+}
+
 enum Event {
     Input { host: usize, life: Option<u64>, input: Input },
     Restart { host: usize },
@@ -55,6 +74,7 @@
     pub lossy: bool,
     /// How many saves, and messages, of a hundred take long.
     pub slow: (u64, u64),
+    pub policy: RetirementPolicy,
     faults: Faults,
     events: BTreeMap<u64, Event>,
     queue: BinaryHeap<Reverse<(Millis, u64)>>,
@@ -81,16 +101,7 @@
 impl World {
     pub fn new(seed: u64, size: usize, faults: Faults) -> World {
         let founders: Vec<VoterId> = (0..size).map(|host| voter(host, 0)).collect();
-        let host = |me: &VoterId| Host {
-            disk: empty(me.clone(), founders.clone()),
-            node: None,
-            saves: VecDeque::new(),
-            life: 0,
-            frozen_until: 0,
-            inbox: Vec::new(),
-            applied: 0,
-            state: 0,
-        };
+        let host = |me: &VoterId| Host::with(empty(me.clone(), founders.clone()));
         let mut world = World {
             now: 1000,
             hosts: founders.iter().map(host).collect(),
@@ -98,6 +109,7 @@
             cut: vec![vec![false; size]; size],
             lossy: true,
             slow: (2, 3),
+            policy: RetirementPolicy { silence: 6 * TIMING.election, least_voters: size },
             faults,
             events: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -119,10 +131,11 @@
 
     fn restart(&mut self, at: usize) {
         let seed = self.draw.below(1 << 40);
-        let (now, faults) = (self.now, self.faults);
+        let (now, faults, policy) = (self.now, self.faults, self.policy);
         let host = &mut self.hosts[at];
         let mut node = Node::start(host.disk.clone(), TIMING, seed, now);
         node.plant(faults);
+        node.retire_by(policy);
         host.node = Some(node);
         host.frozen_until = 0;
         (host.applied, host.state) = match &host.disk.snapshot {
@@ -153,6 +166,26 @@
         host.disk = empty(voter(at, incarnation), Vec::new());
     }
 
+    /// Never comes back.
+    pub fn lose(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        host.node = None;
+        host.life += 1;
+        host.inbox.clear();
+        host.saves.clear();
+    }
+
+    /// Another host with an empty disk, at an address of its own, that starts after a while.
+    pub fn newcomer(&mut self, after: Millis) -> usize {
+        let at = self.hosts.len();
+        let incarnation = 1 + self.draw.below(1 << 40);
+        self.hosts.push(Host::with(empty(voter(at, incarnation), Vec::new())));
+        self.cut.iter_mut().for_each(|row| row.push(false));
+        self.cut.push(vec![false; at + 1]);
+        self.schedule(self.now + after, Event::Restart { host: at });
+        at
+    }
+
     pub fn freeze(&mut self, at: usize, span: Millis) {
         self.hosts[at].frozen_until = self.now + span;
     }
@@ -177,7 +210,8 @@
     pub fn learners(&self) -> Vec<VoterId> {
         let Some(leader) = self.leader() else { return Vec::new() };
         let Some(node) = &self.hosts[leader].node else { return Vec::new() };
-        self.hosts.iter().map(|host| host.disk.me.clone()).filter(|me| !node.members().contains(me)).collect()
+        let up = self.hosts.iter().filter(|host| host.node.is_some()).map(|host| host.disk.me.clone());
+        up.filter(|me| !node.members().contains(me)).collect()
     }
 
     pub fn input(&mut self, at: usize, input: Input) -> Result<(), String> {
@@ -189,6 +223,7 @@
         let mut out = Vec::new();
         let now = self.now;
         let Some(node) = &mut self.hosts[at].node else { return Ok(()) };
+        let led = node.is_leader().then(|| (node.term(), node.members().to_vec(), node.voters_settled()));
         node.handle(now, input, &mut out);
         if node.is_leader() {
             let (term, me) = (node.term(), node.me().clone());
@@ -197,6 +232,13 @@
                 return Err(format!("term {term} is led by {first} and {me}"));
             }
         }
+        if let Some((term, list, settled)) = led {
+            let settled = settled
+                || out.iter().any(|output| {
+                    matches!(output, Output::Committed { entry } if entry.what == What::Members(list.clone()))
+                });
+            self.list_changes_by_the_rules(at, term, &list, settled)?;
+        }
         for output in out {
             self.output(at, output)?;
         }
@@ -212,6 +254,42 @@
         Ok(())
     }
 
+    /// A leader changes its list by one voter at a time. One that it adds has caught up; one that it takes off leaves
+    /// a list that is long enough, unless somebody with an empty disk has its address.
+    fn list_changes_by_the_rules(
+        &self, at: usize, term: u64, list: &[VoterId], settled: bool,
+    ) -> Result<(), String> {
+        let Some(node) = self.hosts[at].node.as_ref().filter(|node| node.is_leader() && node.term() == term)
+        else {
+            return Ok(());
+        };
+        let added: Vec<_> = node.members().iter().filter(|voter| !list.contains(voter)).collect();
+        let removed: Vec<_> = list.iter().filter(|voter| !node.members().contains(voter)).collect();
+        let changes = added.len() + removed.len();
+        if changes > 1 || changes == 1 && !settled {
+            return Err(format!("two changes of the list are pending with {}", node.me()));
+        }
+        for voter in added {
+            let host = self.hosts.iter().find(|host| host.disk.me == *voter);
+            let on_disk = host.map_or(0, |host| {
+                let base = host.disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+                base + host.disk.entries.len() as u64
+            });
+            if on_disk + MOST_LACKING < node.commit() {
+                return Err(format!("{voter} is added with {on_disk} entries of {}", node.commit()));
+            }
+        }
+        for voter in removed {
+            let exchanged = self.hosts.iter().any(|host| {
+                host.disk.me.address == voter.address && host.disk.me.incarnation != voter.incarnation
+            });
+            if !exchanged && node.members().len() < self.policy.least_voters {
+                return Err(format!("{voter} is taken off a list that is too short without it"));
+            }
+        }
+        Ok(())
+    }
+
     fn output(&mut self, at: usize, output: Output) -> Result<(), String> {
         match output {
             Output::Send { to, message } => self.send(at, &to, message),
