control-plane: voters are retired as the settings tolerate, and status and metrics say what may be lost

The host tells its log how long a voter may be silent (a third of catch_up_s, at least four elections) and the shortest list, from tolerance in machines, and in zones and regions by where the voters stand. It offers the log only processes that are connected now: addresses that were once known, and are gone, took the places of others among the learners.

status shows how many machines, zones and regions may be lost now beside how many are wanted, voters not heard and learners; the leader is asked where another process answers. Metrics: further_losses, tolerated_losses, voters_unheard, learners.

Voters dial each other by the list in their log too. Cause: after a restart they knew the seeds only; with all seeds exchanged and everybody restarted at once, nobody dialed anybody.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod lines;
 mod master;
+mod tolerance;
 mod watch;
 
 pub use calls::{CALLS, Call, Declared, Reply, serve};
@@ -18,3 +19,4 @@
 pub use ledger::{Change, Ledger, Marks, Place, Verdict};
 pub use lines::listen;
 pub use master::{Command, Master, MasterSettings};
+pub use tolerance::{Losses, Tolerance};
--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod links;
+mod membership;
 mod news;
 mod office;
 mod orders;
@@ -12,6 +13,7 @@
 use crate::disk::Disk;
 use crate::ledger::{Change, Ledger, Marks, Place, Verdict};
 use crate::lines::carry;
+use crate::tolerance::Tolerance;
 use crate::watch::{Watch, What as Happened};
 use config::{Config, Detours};
 use protocol::{Berth, Flag, Hail, Held, MasterCard, Order, Plane, Pulse, Sheet, Splice};
@@ -118,6 +120,10 @@
     pub beat_interval: u64,
     /// The log's times.
     pub timing: Timing,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
+    /// A voter counts as gone after a silence of so many ms.
+    pub retire_after: u64,
     /// Draws a second that one holder of counts bears: more, and the leader shares the counts out. 0 for never.
     pub draws_a_holder: f64,
     /// How many relays may follow it, if the tree is in use.
--- a/crates/control-plane/src/master/links.rs
+++ b/crates/control-plane/src/master/links.rs
@@ -50,8 +50,11 @@
     }
 
     pub(super) fn other_masters(&self) -> BTreeSet<SocketAddr> {
-        let known = self.masters.keys().chain(&self.settings.seeds);
-        known.copied().filter(|address| *address != self.settings.address).collect()
+        let known = self.masters.keys().chain(&self.settings.seeds).copied();
+        // After a restart the settings may name none of the voters, and nobody else may be left to tell of them.
+        let voters = self.node.iter().flat_map(|node| node.members());
+        let voters = voters.filter_map(|voter| voter.address.parse().ok());
+        known.chain(voters).filter(|address| *address != self.settings.address).collect()
     }
 
     /// Each master has a connection of its own to every other one.
@@ -217,19 +220,6 @@
         }
     }
 
-    /// Whoever has a disk that counts and is no voter yet is to become one: the log wants to be asked until it is.
-    pub(super) fn take_in(&mut self) {
-        let Some(node) = self.node.as_ref().filter(|node| node.is_leader()) else { return };
-        let voters = self.incarnations.iter().map(|(address, incarnation)| VoterId {
-            address: address.to_string(),
-            incarnation: *incarnation,
-        });
-        let missing: Vec<_> = voters.filter(|voter| !node.members().contains(voter)).collect();
-        for voter in missing {
-            self.log(Input::AddVoter(voter));
-        }
-    }
-
     pub(super) fn on_log(&mut self, number: u64, incarnation: u64, message: &[u8]) {
         let Some(hail) = self.peers.get(&number).and_then(|p| p.hail.as_ref()) else { return };
         let from = VoterId { address: hail.address.clone(), incarnation };
--- /dev/null
+++ b/crates/control-plane/src/master/membership.rs
@@ -0,0 +1,92 @@
+//! Who could vote and what the list of voters bears, told to the log and to operators.
+
+use super::*;
+use crate::tolerance::Losses;
+use observability::Page;
+use raft::{RetirementPolicy, Standing};
+use serde_json::{Value, json};
+
+/// A process that has said nothing for so long, in ms, is not offered to the log as a voter.
+const CANDIDATE_SILENT: u64 = 2500;
+
+impl Master {
+    /// Tells the log when voters are gone for good, and offers it all that could vote and do not: it wants to be asked
+    /// until they do.
+    pub(super) fn tend_voters(&mut self, now: u64) {
+        let silence = self.settings.retire_after;
+        let Some(node) = &self.node else { return };
+        let least_voters = self.settings.tolerance.least_voters(&self.zones_of(node.members()));
+        let missing: Vec<_> = if node.is_leader() {
+            self.candidates(now).into_iter().filter(|voter| !node.members().contains(voter)).collect()
+        } else {
+            Vec::new()
+        };
+        if let Some(node) = &mut self.node {
+            node.retire_by(RetirementPolicy { silence, least_voters });
+        }
+        for voter in missing {
+            self.log(Input::AddVoter(voter));
+        }
+    }
+
+    /// The processes with a disk that counts that are connected now. Those that were once known may be gone: they would
+    /// take the places of others among the learners.
+    fn candidates(&self, now: u64) -> BTreeSet<VoterId> {
+        let heard = self.peers.values().filter(|peer| now < peer.heard + CANDIDATE_SILENT);
+        let hails = heard.filter_map(|peer| peer.hail.as_ref());
+        let hails = hails.filter(|hail| hail.plane == Plane::Master && hail.quorum);
+        hails
+            .filter_map(|hail| Some((hail.address.parse::<SocketAddr>().ok()?, hail.incarnation?)))
+            .filter(|(address, _)| *address != self.settings.address)
+            .map(|(address, incarnation)| VoterId { address: address.to_string(), incarnation })
+            .collect()
+    }
+
+    /// The zones in which these voters stand, a zone of its own for each one of which that is not known.
+    fn zones_of<'a>(&'a self, voters: &'a [VoterId]) -> Vec<&'a str> {
+        let zone = |voter: &'a VoterId| match voter.address.parse() {
+            Ok(address) if address == self.settings.address => self.settings.me.zone.as_str(),
+            Ok(address) => self.masters.get(&address).map_or(voter.address.as_str(), String::as_str),
+            Err(_) => voter.address.as_str(),
+        };
+        voters.iter().map(zone).collect()
+    }
+
+    fn borne(&self, standing: &Standing) -> Losses {
+        let borne = self.settings.tolerance.borne(standing.voters, &self.zones_of(&standing.counted));
+        Losses { machines: borne.machines.min(standing.further_losses), ..borne }
+    }
+
+    /// What the list of voters bears, as its leader knows it; nothing at any other process.
+    pub(super) fn standing(&self, now: u64) -> Value {
+        let Some(standing) = self.node.as_ref().and_then(|node| node.standing(now)) else {
+            return Value::Null;
+        };
+        let figures = |losses: &Losses| json!({ "machines": losses.machines, "zones": losses.zones, "regions": losses.regions });
+        let unheard: Vec<_> = standing.unheard.iter().map(|voter| voter.address.as_str()).collect();
+        let learners: Vec<_> = standing
+            .learners
+            .iter()
+            .map(|learner| json!({ "address": learner.id.address, "caught_up": learner.caught_up }))
+            .collect();
+        json!({ "voters": standing.voters, "counted": standing.counted.len(), "unheard": unheard,
+            "learners": learners, "further_losses": figures(&self.borne(&standing)),
+            "tolerated": figures(&self.settings.tolerance.losses) })
+    }
+
+    pub(super) fn standing_metrics(&self, page: &mut Page, now: u64) {
+        let Some(standing) = self.node.as_ref().and_then(|node| node.standing(now)) else { return };
+        let rows = |losses: Losses| {
+            let kinds = [("machine", losses.machines), ("zone", losses.zones), ("region", losses.regions)];
+            kinds.map(|(kind, figure)| (vec![("of", kind.to_owned())], figure as f64))
+        };
+        let help = "How many more may be lost at once while a majority of the voters is left, at the leader";
+        page.gauges("further_losses", help, rows(self.borne(&standing)));
+        let help = "How many the settings want to be borne";
+        page.gauges("tolerated_losses", help, rows(self.settings.tolerance.losses));
+        let help = "Voters that have not answered the leader within an election";
+        page.gauge("voters_unheard", help, standing.unheard.len() as f64);
+        let help = "Processes that receive the log to become voters";
+        page.gauge("learners", help, standing.learners.len() as f64);
+    }
+}
--- a/crates/control-plane/src/master/news.rs
+++ b/crates/control-plane/src/master/news.rs
@@ -128,7 +128,7 @@
         }
         let changed = self.register.sweep(now);
         self.tell_berths(changed);
-        self.take_in();
+        self.tend_voters(now);
         self.count_quays(now);
         self.look_round(now);
         self.to_masters(&Flag::Masters(self.cards()));
--- a/crates/control-plane/src/master/told.rs
+++ b/crates/control-plane/src/master/told.rs
@@ -16,7 +16,8 @@
                 .map(|m| json!({ "address": m.address, "birth": m.incarnation }))
                 .collect();
             json!({ "leads": node.is_leader(), "holds_lease": node.holds_lease(now), "commit": node.commit(),
-                "birth": node.me().incarnation, "voter": node.is_voter(), "members": members })
+                "birth": node.me().incarnation, "voter": node.is_voter(), "members": members,
+                "standing": self.standing(now) })
         });
         let lines: Vec<_> = self
             .peers
@@ -133,6 +134,7 @@
             );
             page.gauge("voter", "1 while this process votes", flag(node.is_voter()));
             page.gauge("voters", "Voters of the log", node.members().len() as f64);
+            self.standing_metrics(&mut page, now);
             page.gauge("log_commit", "Last entry of the log that is decided", node.commit() as f64);
         }
         let row = |label: &'static str, value: &str| vec![(label, value.to_owned())];
--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -1,6 +1,6 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
-use control_plane::{Disk, Master, MasterSettings};
+use control_plane::{Disk, Losses, Master, MasterSettings, Tolerance};
 use protocol::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use raft::{Timing, VoterId};
 use std::cell::Cell;
@@ -20,6 +20,11 @@
 /// So many of a harbour's five places have a disk.
 const VOTERS: usize = 3;
 
+fn tolerance() -> Tolerance {
+    let losses = Losses { machines: 1, zones: 0, regions: 0 };
+    Tolerance { losses, ..Tolerance::default() }
+}
+
 struct Process {
     control: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
@@ -64,6 +69,8 @@
                     seeds,
                     beat_interval: 500,
                     timing,
+                    tolerance: tolerance(),
+                    retire_after: 1_000,
                     draws_a_holder: 0.0,
                     relay_room: None,
                     seed,
@@ -180,6 +187,11 @@
         Process::start(at, self.peers[at], &self.peers[..VOTERS], self.controls[at], folder, first)
     }
 
+    /// One with a disk that is told of these seeds only.
+    fn start_with_seeds(&self, at: usize, seeds: &[SocketAddr]) -> Process {
+        Process::start(at, self.peers[at], seeds, self.controls[at], Some(self.disk(at)), false)
+    }
+
     fn disk(&self, at: usize) -> PathBuf {
         self.folder.path().join(at.to_string())
     }
@@ -374,6 +386,51 @@
     until(|| Some(remove(&masters[other], &address)).filter(|(status, _)| *status == 409));
 }
 
+/// Waits until the leader says that its list of three bears the loss of a machine and names this one.
+fn until_three_bear_a_loss(processes: &[&Process], voter: SocketAddr) {
+    until(|| {
+        let answers = processes.iter().filter_map(|process| process.call("GET /Harbour.Status HTTP/1.1", ""));
+        let mut standings = answers.filter_map(|(_, body)| {
+            let status: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+            let members = status["log"]["members"].to_string();
+            Some(status["log"]["standing"].clone())
+                .filter(|it| it.is_object() && members.contains(&voter.to_string()))
+        });
+        let standing = standings.next()?;
+        let borne = &standing["further_losses"]["machines"];
+        (standing["voters"] == 3 && *borne == 1 && standing["learners"] == serde_json::json!([]))
+            .then_some(())
+    });
+}
+
+#[test]
+fn a_voter_that_was_replaced_under_another_address_leaves_the_list() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    let first = leader(&masters);
+    let (gone, other) = ((first + 1) % 3, (first + 2) % 3);
+    masters[gone].kill();
+    let successor = harbour.start_with_seeds(3, &harbour.peers[..VOTERS]);
+    until_three_bear_a_loss(&[&masters[first], &masters[other]], harbour.peers[3]);
+    // The next loss is borne: of a list of four with a dead one, two would be left.
+    masters[first].kill();
+    assert_eq!(successor.insist(1, &config(2)), 200);
+    assert_eq!(masters[other].read(), (200, config(2)));
+}
+
+#[test]
+fn voters_find_each_other_again_though_no_seed_is_left() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    assert_eq!(masters[0].insist(0, &config(1)), 200);
+    masters.iter_mut().for_each(Process::kill);
+    // All seeds were exchanged meanwhile, and whoever they name is not up either.
+    let restarted: Vec<_> = (0..VOTERS).map(|at| harbour.start_with_seeds(at, &harbour.peers[4..])).collect();
+    assert_eq!(restarted[0].insist(1, &config(2)), 200);
+    assert_eq!(restarted[2].read(), (200, config(2)));
+}
+
 #[test]
 fn a_log_that_is_told_again_sends_followers_its_last_configuration_only() {
     let harbour = Harbour::new();
--- a/crates/raft/src/members.rs
+++ b/crates/raft/src/members.rs
@@ -180,11 +180,11 @@
     pub fn standing(&self, now: Millis) -> Option<Standing> {
         let lead = self.lead.as_ref().filter(|_| self.holds_lease(now))?;
         let (voters, counted) = (self.members(), self.counted(self.members(), now));
-        let mut losses = further_losses(voters.len(), counted);
+        let mut losses = further_losses(voters.len(), counted.len());
         if !self.voters_settled() {
             // If the leader is lost now, the list before this one may be in force again.
             let (before, _) = self.log.members_as_of(self.log.members_index() - 1);
-            losses = losses.min(further_losses(before.len(), self.counted(&before, now)));
+            losses = losses.min(further_losses(before.len(), self.counted(&before, now).len()));
         }
         let learners = lead.peers.iter().filter(|peer| peer.wanted && !voters.contains(&peer.id));
         Some(Standing {
@@ -198,14 +198,14 @@
         })
     }
 
-    /// How many of these voters are heard and have caught up.
-    fn counted(&self, voters: &[VoterId], now: Millis) -> usize {
+    /// Those of these voters that are heard and have caught up.
+    fn counted(&self, voters: &[VoterId], now: Millis) -> Vec<VoterId> {
         let caught_up = |voter: &VoterId| {
             let peer = self.lead.iter().flat_map(|lead| &lead.peers).find(|peer| peer.id == *voter);
             peer.is_some_and(|peer| self.has_caught_up(peer))
         };
         let counts = |voter: &&VoterId| **voter == self.me || self.hears(voter, now) && caught_up(voter);
-        voters.iter().filter(counts).count()
+        voters.iter().filter(counts).cloned().collect()
     }
 
     /// Two leaders could each make a change that overlaps with the old list but not with the other's, unless the later
--- a/crates/raft/src/tolerance.rs
+++ b/crates/raft/src/tolerance.rs
@@ -20,7 +20,7 @@
     /// Voters on the list.
     pub voters: usize,
     /// Those that have answered within an election and lack no more than what is under way; the leader is one.
-    pub counted: usize,
+    pub counted: Vec<VoterId>,
     /// How many of these may be lost at once while a majority remains.
     pub further_losses: usize,
     /// Voters that have not answered within an election.
@@ -50,7 +50,7 @@
 
 /// The shortest list that keeps a majority through so many losses.
 pub const fn least_voters(losses: usize) -> usize {
-    2 * losses + 1
+    losses.saturating_mul(2).saturating_add(1)
 }
 
 /// Whether taking silent voters off the list raises the number of further losses that it bears.
@@ -59,7 +59,7 @@
 /// silent voter counts for nothing, so the number never falls.
 pub const fn retirement_helps(voters: usize, silent: usize, least_voters: usize) -> bool {
     let needed = if voters.is_multiple_of(2) { 1 } else { 2 };
-    silent >= needed && voters >= least_voters + needed
+    silent >= needed && voters.saturating_sub(needed) >= least_voters
 }
 
 /// Whether another voter may be added without lowering the number of further losses that the list bears.
--- a/crates/reachlb/src/master.rs
+++ b/crates/reachlb/src/master.rs
@@ -2,7 +2,7 @@
 
 use crate::start;
 use config::Settings;
-use control_plane::{Disk, Master, MasterSettings};
+use control_plane::{Disk, Losses, Master, MasterSettings, Tolerance};
 use miette::{Result, miette};
 use protocol::{Hail, Plane};
 use raft::{Timing, VoterId};
@@ -16,6 +16,10 @@
 
 /// So many commands wait for the owner of the tables.
 const COMMANDS: usize = 1024;
+/// The silence of a voter that is gone takes one of so many parts of the time that its successor has to catch up.
+const CATCH_UP_PARTS: u64 = 3;
+/// ... and at least so many elections: shorter silences are lost messages.
+const LEAST_SILENT_ELECTIONS: u64 = 4;
 /// Descriptors kept for files, listeners and other processes.
 const KEPT: usize = 400;
 
@@ -67,6 +71,8 @@
             election: millis(settings.tuning.election),
             lease: millis(settings.tuning.lease),
         },
+        tolerance: tolerance(&settings),
+        retire_after: retire_after(&settings),
         draws_a_holder: settings.tuning.draws_a_holder,
         relay_room: settings.tuning.relays.then(|| start::room(&settings)),
         seed: life,
@@ -108,6 +114,24 @@
     }
 }
 
+fn tolerance(settings: &Settings) -> Tolerance {
+    let count = |losses: u32| usize::try_from(losses).unwrap_or(usize::MAX);
+    let losses = Losses {
+        machines: count(settings.machine_losses),
+        zones: count(settings.zone_losses),
+        regions: count(settings.region_losses),
+    };
+    let region_of = settings.zones.iter().map(|(zone, region)| (zone.to_string(), region.to_string()));
+    Tolerance { losses, region_of: region_of.collect() }
+}
+
+/// A voter counts as gone after this silence, in ms. An election may come first, and a successor catches up meanwhile;
+/// both together have to fit into the time in which a machine that was replaced still counts as lost.
+fn retire_after(settings: &Settings) -> u64 {
+    let third = millis(settings.bounds.catch_up) / CATCH_UP_PARTS;
+    third.max(LEAST_SILENT_ELECTIONS * millis(settings.tuning.election))
+}
+
 fn millis(span: Duration) -> u64 {
     span.as_millis() as u64
 }
--- a/crates/reachlb/src/operate/status.rs
+++ b/crates/reachlb/src/operate/status.rs
@@ -5,6 +5,7 @@
 use gumdrop::Options;
 use serde_json::Value;
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 /// The arguments.
 #[derive(Debug, Options)]
@@ -25,10 +26,54 @@
         let answer = answer.granted("status")?;
         return Ok(String::from_utf8_lossy(&answer.body).into_owned() + "\n");
     }
-    Ok(shown(&answer.json("status")?))
+    let asked = answer.peer.clone();
+    let status = answer.json("status")?;
+    let standing = standing(&status, &asked).await;
+    Ok(shown(&status, &standing))
 }
 
-fn shown(status: &Value) -> String {
+/// What the list of voters bears: only its leader knows. All machines have the same ports, so that its control socket is
+/// at the port that was asked.
+async fn standing(status: &Value, asked: &str) -> Value {
+    let own = &status["log"]["standing"];
+    let leader = status["leader"].as_str().and_then(|leader| leader.parse::<SocketAddr>().ok());
+    let port = asked.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok());
+    let (true, Some((leader, port))) = (own.is_null(), leader.zip(port)) else { return own.clone() };
+    let control = SocketAddr::new(leader.ip(), port).to_string();
+    let answer = client::get(&control, "status", "/Harbour.Status").await;
+    let status = answer.and_then(|answer| answer.json("status"));
+    status.map_or(Value::Null, |status| status["log"]["standing"].clone())
+}
+
+/// A line on what may be lost from now on, and who is about to join or is not heard.
+fn borne(standing: &Value) -> String {
+    if standing.is_null() {
+        return "voters: what may be lost is not known, no leader says\n".into();
+    }
+    let (borne, wanted) = (&standing["further_losses"], &standing["tolerated"]);
+    let figures = ["machines", "zones", "regions"]
+        .map(|of| format!("{} {of} (wanted {})", cell(&borne[of]), cell(&wanted[of])))
+        .join(", ");
+    let mut text = format!(
+        "voters: {} of {} count; may be lost now: {figures}",
+        cell(&standing["counted"]),
+        cell(&standing["voters"])
+    );
+    let names = |list: &Value, pick: fn(&Value) -> String| {
+        list.as_array().into_iter().flatten().map(pick).collect::<Vec<_>>().join(" ")
+    };
+    let unheard = names(&standing["unheard"], cell);
+    if !unheard.is_empty() {
+        text += &format!("; not heard: {unheard}");
+    }
+    let learners = names(&standing["learners"], |learner| cell(&learner["address"]));
+    if !learners.is_empty() {
+        text += &format!("; joining: {learners}");
+    }
+    text + "\n"
+}
+
+fn shown(status: &Value, standing: &Value) -> String {
     let mut text = String::new();
     let up = status["up_ms"].as_u64().unwrap_or_default();
     let behind =
@@ -58,6 +103,7 @@
             members.join(" ")
         );
     }
+    text.push_str(&borne(standing));
     let quays = status["quays"].as_array().map_or(0, Vec::len);
     let names: Vec<_> = status["quays"].as_array().into_iter().flatten().map(cell).collect();
     let _ = writeln!(text, "quays: {quays}: {}", names.join(" "));
