--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod lines;
 mod master;
+mod tolerance;
 mod watch;
 
 pub use admission::{Decision, decide, reply_to};
@@ -20,3 +21,4 @@
 pub use ledger::{Change, Ledger, Marks, Place, Verdict, snapshot_format};
 pub use lines::listen;
 pub use master::{Command, Master, MasterSettings};
+pub use tolerance::{Losses, Tolerance};
--- a/crates/raft/src/agreement/without_time.rs
+++ b/crates/raft/src/agreement/without_time.rs
@@ -1,5 +1,6 @@
 //! States of the search, without what only depends on time.
 
+use super::world::NOW;
 use crate::node::Node;
 use crate::types::{Millis, Role};
 
@@ -14,12 +15,16 @@
         self.leader = None;
         self.random = 0;
         self.told = Role::Follower { term: 0, leader: None };
+        let members = self.members().to_vec();
         let Some(lead) = &mut self.lead else { return };
         (lead.since, lead.heartbeat_due, lead.echo) = (0, Millis::MAX, 0);
+        (lead.steady_since, lead.watched_at) = (0, NOW);
         lead.echoes.clear();
         lead.tokens.clear();
         for peer in &mut lead.peers {
-            (peer.answered, peer.until, peer.piece_attempts) = (None, Millis::MAX, 0);
+            // Voters are silent, so that no lease binds anybody; learners are heard, so that they can be added.
+            peer.answered = (!members.contains(&peer.id)).then_some(NOW);
+            (peer.until, peer.piece_attempts) = (Millis::MAX, 0);
             // Whatever is not answered when a heartbeat is counts as lost.
             peer.under_way.iter_mut().for_each(|one| one.lost_at = 0);
             peer.transfer.iter_mut().for_each(|transfer| transfer.forget_time(self.limits));
--- a/crates/raft/src/agreement/world.rs
+++ b/crates/raft/src/agreement/world.rs
@@ -9,11 +9,12 @@
 
 use super::kept::{apply, empty};
 use crate::node::Node;
+use crate::tolerance::RetirementPolicy;
 use crate::transfer::TransferLimits;
 use crate::types::{Entry, Input, Message, Millis, Output, Save, Saved, Snapshot, Timing, VoterId, What};
 
 /// Elections are over, leases have ended, and a leader's own patience has not.
-const NOW: Millis = 150;
+pub(super) const NOW: Millis = 150;
 /// Far behind a leader's patience.
 const LATE: Millis = 1_000;
 const TIMING: Timing = Timing { heartbeat: 8, election: 100, lease: 50 };
@@ -32,6 +33,8 @@
     WipedCounts,
     /// What is proposed is a list of voters: it goes past the rule of one at a time.
     SecondList,
+    /// Messages from a voter that is off the receiver's list count as those of one that is on it.
+    RemovedCounts,
 }
 
 /// What may happen next.
@@ -144,6 +147,17 @@
         self.past.ledger.len()
     }
 
+    /// The longest list of voters that any node goes by.
+    pub fn longest_list(&self) -> usize {
+        self.hosts.iter().map(|host| host.node.members().len()).max().unwrap_or(0)
+    }
+
+    /// The shortest one.
+    pub fn shortest_list(&self) -> usize {
+        let lists = self.hosts.iter().map(|host| host.node.members().len());
+        lists.filter(|length| *length > 0).min().unwrap_or(0)
+    }
+
     /// All that may happen.
     pub fn events(&self) -> Vec<Event> {
         let left = &self.budget;
@@ -281,7 +295,7 @@
     }
 
     fn give(&mut self, at: usize, now: Millis, input: Input) -> Result<(), String> {
-        let input = self.hurt_input(input)?;
+        let input = self.hurt_input(at, input)?;
         let led = self.hosts[at].node.is_leader();
         let mut out = Vec::new();
         let node = self.change(at);
@@ -434,7 +448,7 @@
         Ok(())
     }
 
-    fn hurt_input(&mut self, input: Input) -> Result<Input, String> {
+    fn hurt_input(&mut self, at: usize, input: Input) -> Result<Input, String> {
         let Input::Heard { mut from, message } = input else { return Ok(input) };
         if self.plant == Plant::OldTermCounts
             && let Message::AppendAccepted { term, index } = &message
@@ -449,6 +463,11 @@
         if self.plant == Plant::WipedCounts {
             from.incarnation = 0;
         }
+        let members = self.hosts[at].node.members();
+        if self.plant == Plant::RemovedCounts && !members.contains(&from) {
+            let me = self.hosts[at].node.me();
+            from = members.iter().find(|member| *member != me).cloned().unwrap_or(from);
+        }
         Ok(Input::Heard { from, message })
     }
 
@@ -551,6 +570,8 @@
     fn start(disk: Saved, limits: TransferLimits) -> Host {
         let mut node = Node::start(disk.clone(), TIMING, 0, NOW);
         node.limit_transfers(limits);
+        // Whoever is silent is so for long enough; who is taken off a list, and when, is the search's choice.
+        node.retire_by(RetirementPolicy { silence: 0, least_voters: 1 });
         node.forget_time();
         let mut host = Host { disk: Rc::new(disk), node: Rc::new(node), saves: VecDeque::new(), digest: 0 };
         host.counts();
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -16,6 +16,7 @@
 mod node;
 mod replication;
 pub mod store;
+mod tolerance;
 mod transfer;
 mod types;
 mod writer;
@@ -26,6 +27,7 @@
 
 pub use node::{Faults, Node};
 pub use replication::LARGEST_CHANGE;
+pub use tolerance::{Learner, RetirementPolicy, Standing, further_losses, least_voters, majority_of};
 pub use transfer::TransferLimits;
 pub use types::{
     Entry, Input, Message, Millis, Output, PayloadKind, Role, Save, Saved, Snapshot, Timing, TransferId,
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -28,6 +28,9 @@
 #[cfg_attr(test, derive(Clone, Hash))]
 pub(crate) struct Lead {
     pub(crate) since: Millis,
+    /// Since when it has led without a break, and when that was looked at last.
+    pub(crate) steady_since: Millis,
+    pub(crate) watched_at: Millis,
     pub(crate) heartbeat_due: Millis,
     pub(crate) peers: Vec<Peer>,
     /// Proposals that wait for their commitment.
@@ -41,6 +44,8 @@
     pub(crate) fn new(now: Millis) -> Lead {
         Lead {
             since: now,
+            steady_since: now,
+            watched_at: now,
             heartbeat_due: now,
             peers: Vec::new(),
             tokens: VecDeque::new(),
@@ -175,6 +180,8 @@
         }
         if self.lead.as_ref().is_some_and(|lead| now >= lead.heartbeat_due) {
             self.forget_learners(now);
+            self.watch_voters(now);
+            self.retire_silent(now, out);
             self.heartbeat(now, out);
         }
     }
--- a/crates/raft/tests/catch_up.rs
+++ b/crates/raft/tests/catch_up.rs
@@ -56,6 +56,9 @@
     nothing_retained: false,
     impatient: false,
     early_answers: false,
+    promote_early: false,
+    retire_freely: false,
+    two_changes: false,
 };
 
 /// In milliseconds: what is to be sent over what the changes leave of the link, half as much again, and two seconds for
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -1,6 +1,7 @@
 //! The log in drawn worlds: what must never be, over some hundred seeds, and planted faults that must be found.
 
 mod kept;
+mod membership;
 mod world;
 
 use raft::{Faults, Input, TransferLimits};
@@ -187,6 +188,9 @@
     nothing_retained: false,
     impatient: false,
     early_answers: false,
+    promote_early: false,
+    retire_freely: false,
+    two_changes: false,
 };
 
 #[parameterized(
