Answers of backends: only its own request's refusal counts, and no connection is kept on which anything odd came

Found by reading and by a table of tests that end a request at each byte:

- A refusal (X-Not-Executed) without X-Attempt-Id, or with two, counted for whatever request waited on the connection; an effectful one was then sent to a second backend.
- Two attempts of one request could go over one connection: where a backend answers the first attempt twice, the late second refusal spoke for the second attempt, which ran.
- The pool took a connection back before the answer was judged: one without a seal, with an encoding, a success that says it did not run, a failure without an id.
- A connection was kept after an answer in HTTP/1.0, and could be after one that came before the whole request.
- Content-Length beside Transfer-Encoding, an unknown coding, and failures without any length passed as whole bodies, though nothing tells such a body cut short from a whole one.

An answer now has to name the request's id exactly once, whatever its status; what it says of its length has to be unambiguous; a request never uses a connection twice; and a connection is judged before it goes back.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -21,6 +21,8 @@
 mod speech;
 mod watch;
 
+#[doc(hidden)]
+pub use http_proxy::planted::Faults;
 pub use purser::Purser;
 pub use quay::Quay;
 
--- a/crates/data-plane/src/quay.rs
+++ b/crates/data-plane/src/quay.rs
@@ -9,6 +9,7 @@
 use doorcourse::{BackendEntry, Class, Effect, Event, Group, Name, Plan, Pool, Settings};
 use http_proxy::engine::Engine;
 use http_proxy::observe::figures::Figures;
+use http_proxy::planted::Faults;
 use http_proxy::pool::{Backends, Host, spawn};
 use http_proxy::time::clock::millis;
 use protocol::{Berth, Phase};
@@ -141,6 +142,11 @@
         })
     }
 
+    #[doc(hidden)]
+    pub fn plant(&self, faults: Faults) {
+        self.backends.plant(faults);
+    }
+
     /// A configuration is in force from now on, unless it is no newer than the one that is.
     pub fn configure(&self, config: Rc<Conf>) {
         let newer = self.version().is_none_or(|version| version < config.version);
--- a/crates/data-plane/src/speech.rs
+++ b/crates/data-plane/src/speech.rs
@@ -47,14 +47,36 @@
 }
 
 impl Speech {
-    /// Whether the answer says, or need not say, where its body ends.
+    /// Whether the answer says, in one way only, where its body ends, or need not say.
     fn is_framed(ask: &Asking, head: &response::Parts) -> bool {
         let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        let chunked = |v: &HeaderValue| v.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
-        bodiless
-            || ask.method == Method::HEAD
-            || head.headers.contains_key(CONTENT_LENGTH)
-            || head.headers.get_all(TRANSFER_ENCODING).iter().any(chunked)
+        if bodiless || ask.method == Method::HEAD {
+            return true;
+        }
+        let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+        match (codings.next(), codings.next()) {
+            // The HTTP library refuses lengths that differ.
+            (None, _) => head.headers.contains_key(CONTENT_LENGTH),
+            (Some(coding), None) => {
+                coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+                    && !head.headers.contains_key(CONTENT_LENGTH)
+            }
+            (Some(_), Some(_)) => false,
+        }
+    }
+
+    /// Whether the answer names the request, and no other.
+    fn echoes_id(ask: &Asking, head: &response::Parts) -> bool {
+        let mut ids = head.headers.get_all(ATTEMPT_ID).iter();
+        ids.next() == ask.id.as_ref() && ids.next().is_none()
+    }
+
+    /// Whether a success is the backend's own, and whole if its body is.
+    fn is_own_success(ask: &Asking, head: &response::Parts) -> bool {
+        Self::is_framed(ask, head)
+            && head.headers.contains_key(SEAL)
+            && !head.headers.contains_key(CONTENT_ENCODING)
+            && !head.headers.contains_key(NOT_EXECUTED)
     }
 }
 
@@ -65,6 +87,7 @@
     const SILENT: Duration = Duration::from_secs(60);
     const PART_MAY_RUN: bool = true;
     const DEAD_AFTER: Option<Duration> = Some(Duration::from_secs(4));
+    const ANSWERS_TWICE: bool = true;
 
     fn request(&self, ask: &Rc<Asking>, to: &Name, _: SocketAddr, left: Duration) -> request::Builder {
         let mut builder = Request::builder().method(ask.method.clone()).uri(ask.target.clone());
@@ -78,12 +101,16 @@
         builder
     }
 
+    /// Whoever names no request may have been asked by another one: not even a refusal counts then. A request without
+    /// an id gets no more than its refusal, which names none either.
     fn belongs(&self, ask: &Rc<Asking>, head: &response::Parts) -> bool {
-        match head.headers.get(ATTEMPT_ID) {
-            Some(id) => ask.id.as_ref() == Some(id),
-            // Who sends garbage need not name anybody; it can't be taken for a success.
-            None => !head.status.is_success(),
-        }
+        let sound = match head.status {
+            // Nothing was asked for that such an answer could begin.
+            status if status.is_informational() => false,
+            status if status.is_success() => ask.id.is_some() && Self::is_own_success(ask, head),
+            _ => true,
+        };
+        sound && Self::echoes_id(ask, head)
     }
 
     fn keeps(&self, head: &HeaderMap) -> Option<Duration> {
@@ -107,22 +134,15 @@
             {
                 (Outcome::Error, false)
             }
-            // Nothing was asked for that such an answer could begin.
-            status if status.is_informational() => return Outcome::Broken.into(),
-            status if status.is_success() => {
-                let whole = Self::is_framed(ask, &head);
-                let sealed = head.headers.contains_key(SEAL);
-                let plain = !head.headers.contains_key(CONTENT_ENCODING);
-                if not_run || !whole || !sealed || !plain {
-                    // Not the backend's own bytes, whoever wrote them: it may have run.
-                    return Outcome::Broken.into();
-                }
-                (Outcome::Served, true)
-            }
+            status if status.is_success() => (Outcome::Served, true),
             status if status.is_server_error() && not_run => (Outcome::Full, true),
             status if status.is_server_error() => (Outcome::Error, true),
             _ => (Outcome::Served, true),
         };
+        // Where nobody says how long it is, what breaks off looks whole.
+        if passed_on && !Self::is_framed(ask, &head) {
+            return if not_run { Outcome::Full } else { Outcome::Broken }.into();
+        }
         let answer = passed_on.then(|| {
             let length = head.headers.remove(CONTENT_LENGTH).filter(|_| ask.method == Method::HEAD);
             strip(&mut head.headers);
--- a/crates/data-plane/tests/helper/mod.rs
+++ b/crates/data-plane/tests/helper/mod.rs
@@ -2,13 +2,15 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod script;
+
 use data_plane::{Admission, Asked, Conf, Quay, QuaySettings};
 use protocol::{Berth, Phase};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -50,34 +52,43 @@
     }
 }
 
-async fn line(from: &mut BufReader<OwnedReadHalf>) -> Option<String> {
+async fn line(from: &mut (impl AsyncBufRead + Unpin)) -> Option<String> {
     let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n") {
-        bytes.push(from.read_u8().await.ok()?);
-    }
+    from.read_until(b'\n', &mut bytes).await.ok().filter(|_| bytes.ends_with(b"\r\n"))?;
     bytes.truncate(bytes.len() - 2);
     String::from_utf8(bytes).ok()
 }
 
 /// Reads one message, or as much of its body as comes.
-async fn hear(from: &mut BufReader<OwnedReadHalf>) -> Option<Heard> {
+pub async fn hear(from: &mut (impl AsyncBufRead + Unpin)) -> Option<Heard> {
+    let mut heard = hear_head(from).await?;
+    hear_body(from, &mut heard).await;
+    Some(heard)
+}
+
+/// Reads the head of a message.
+pub async fn hear_head(from: &mut (impl AsyncBufRead + Unpin)) -> Option<Heard> {
     let mut heard = Heard { line: line(from).await?, ..Heard::default() };
     loop {
         let text = line(from).await?;
-        let Some((name, value)) = text.split_once(": ") else { break };
+        let Some((name, value)) = text.split_once(": ") else { return Some(heard) };
         heard.headers.push((name.to_ascii_lowercase(), value.to_owned()));
     }
+}
+
+/// Reads the body of a message, or as much as comes.
+pub async fn hear_body(from: &mut (impl AsyncBufRead + Unpin), heard: &mut Heard) {
     if heard.header("transfer-encoding").is_some() {
         loop {
-            let Some(size) = line(from).await else { return Some(heard) };
+            let Some(size) = line(from).await else { return };
             let size = usize::from_str_radix(&size, 16).expect("a chunk's size");
             let mut chunk = vec![0; size + 2];
             if from.read_exact(&mut chunk).await.is_err() {
-                return Some(heard);
+                return;
             }
             if size == 0 {
                 heard.whole = true;
-                return Some(heard);
+                return;
             }
             heard.body.extend_from_slice(&chunk[..size]);
         }
@@ -87,11 +98,10 @@
         let mut part = vec![0; (length - heard.body.len()).min(65536)];
         match from.read(&mut part).await {
             Ok(read) if read > 0 => heard.body.extend_from_slice(&part[..read]),
-            _ => return Some(heard),
+            _ => return,
         }
     }
     heard.whole = true;
-    Some(heard)
 }
 
 /// What a backend does with a request.
@@ -135,33 +145,44 @@
 
 impl Backend {
     pub async fn start(id: &str, service: &str, does: impl Fn(&Heard) -> Do + 'static) -> Self {
+        let does = Rc::new(does);
+        Self::on_streams(id, service, move |stream, all| {
+            let does = does.clone();
+            async move {
+                let (from, mut to) = stream.into_split();
+                let mut from = BufReader::new(from);
+                while let Some(heard) = hear(&mut from).await {
+                    all.borrow_mut().push(heard.clone());
+                    match does(&heard) {
+                        Do::Say(text) => drop(to.write_all(text.as_bytes()).await),
+                        Do::Break(text) => {
+                            let _ = to.write_all(text.as_bytes()).await;
+                            return;
+                        }
+                        Do::Hang => std::future::pending().await,
+                        Do::Await(word, text) => {
+                            word.notified().await;
+                            let _ = to.write_all(text.as_bytes()).await;
+                        }
+                    }
+                }
+            }
+        })
+        .await
+    }
+
+    /// One that does with its connections what it is told; it notes there what it hears.
+    pub async fn on_streams<F: Future<Output = ()> + 'static>(
+        id: &str, service: &str, serve: impl Fn(TcpStream, Rc<RefCell<Vec<Heard>>>) -> F + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let (heard, connections) = (Rc::<RefCell<Vec<Heard>>>::default(), Rc::<Cell<usize>>::default());
-        let (all, counted, does) = (heard.clone(), connections.clone(), Rc::new(does));
+        let (all, counted) = (heard.clone(), connections.clone());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 counted.set(counted.get() + 1);
-                let (all, does) = (all.clone(), does.clone());
-                spawn_local(async move {
-                    let (from, mut to) = stream.into_split();
-                    let mut from = BufReader::new(from);
-                    while let Some(heard) = hear(&mut from).await {
-                        all.borrow_mut().push(heard.clone());
-                        match does(&heard) {
-                            Do::Say(text) => drop(to.write_all(text.as_bytes()).await),
-                            Do::Break(text) => {
-                                let _ = to.write_all(text.as_bytes()).await;
-                                return;
-                            }
-                            Do::Hang => std::future::pending().await,
-                            Do::Await(word, text) => {
-                                word.notified().await;
-                                let _ = to.write_all(text.as_bytes()).await;
-                            }
-                        }
-                    }
-                });
+                spawn_local(serve(stream, all.clone()));
             }
         });
         let berth = Berth {
--- a/http-proxy/src/engine.rs
+++ b/http-proxy/src/engine.rs
@@ -4,7 +4,7 @@
 use crate::observe::figures::{Figures, Stage};
 use crate::pool::{Answer, Backends, CallOff, Dialect, End, Message, spawn};
 use crate::time::clock::{Clock, millis, span};
-use crate::wire::link::Trace;
+use crate::wire::link::{Carriers, Trace};
 use doorcourse::{
     Action, Arrival, AttemptEnd, Class, CountOutcome, Estate, Event, Gateway, Millis, Name, Outcome, Pool,
     RequestId, Settings, SettingsError,
@@ -61,6 +61,7 @@
     may_have_run: bool,
     /// What a backend said to it that did not serve it.
     said: Option<Answer>,
+    carriers: Rc<Carriers>,
 }
 
 /// An attempt without an end.
@@ -193,6 +194,7 @@
                 timed_out: false,
                 may_have_run: false,
                 said: None,
+                carriers: Rc::default(),
             };
             state.open.insert(arrival.id, open);
             arrival
@@ -375,7 +377,8 @@
         let (call_off, called_off) = oneshot::channel();
         out.insert(id, Out { number, call_off: Some(call_off) });
         let (message, backends, me) = (request.message.clone(), self.backends.clone(), self.me.clone());
-        let trace = Rc::new(Trace { figures: Some(self.figures.clone()), ..Trace::default() });
+        let (figures, carriers) = (Some(self.figures.clone()), request.carriers.clone());
+        let trace = Rc::new(Trace { figures, carriers, ..Trace::default() });
         spawn(async move {
             let (first_bytes, engine) = (Cell::new(None), me.clone());
             let begin = |answer| {
--- a/http-proxy/src/lib.rs
+++ b/http-proxy/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod engine;
 pub mod guest;
+mod message;
 pub mod observe;
+#[doc(hidden)]
+pub mod planted;
 pub mod pool;
 pub mod time;
 pub mod wire;
--- a/http-proxy/src/observe/cost.rs
+++ b/http-proxy/src/observe/cost.rs
@@ -51,6 +51,13 @@
     of: Use,
 }
 
+impl Held {
+    /// The same once more.
+    pub(crate) fn again(&self) -> Self {
+        self.cost.holds(self.of)
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         self.cost.open[self.of as usize].update(|n| n - 1);
--- a/http-proxy/src/pool.rs
+++ b/http-proxy/src/pool.rs
@@ -1,9 +1,10 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
+pub use crate::message::Message;
 use crate::observe::cost::{Cost, Use};
-use crate::time::budget::Budget;
-use crate::wire::body::{Cut, Download, HELD, Outgoing, Piece, Upload, download};
-use crate::wire::link::{Link, Progress, Trace};
+use crate::planted::{Faults, Planted};
+use crate::wire::body::{Cut, Download, HELD, Outgoing, Piece, download};
+use crate::wire::link::{Carriers, Link, Progress, Trace};
 use bytes::{Bytes, BytesMut};
 use doorcourse::{BackendEntry, BackendState, LoadReport, Name, Outcome};
 use hyper::body::{Body, Incoming};
@@ -48,6 +49,9 @@
     const PART_MAY_RUN: bool = false;
     /// A connection whose peer's machine acknowledges nothing for this long is given up by the kernel.
     const DEAD_AFTER: Option<Duration> = None;
+    /// Whether a backend may answer twice, the second time late: another attempt of a request then goes over another
+    /// connection, as no id would tell the second answer to the first attempt from its own.
+    const ANSWERS_TWICE: bool = false;
 
     /// The request as it goes to a backend that has this much time for it.
     fn request(&self, ask: &Self::Ask, to: &Name, dial: SocketAddr, left: Duration) -> request::Builder;
@@ -74,54 +78,6 @@
     fn ended(&self, _: &Self::Ask, _: &Name, _: Outcome) {}
 }
 
-/// What a client asked, as far as it goes on to a backend.
-#[derive(Clone)]
-pub struct Message<A> {
-    /// All but the body.
-    pub ask: A,
-    /// The body, or the start of a long one.
-    pub body: Bytes,
-    /// The rest of a long one.
-    pub rest: Option<Rc<Upload>>,
-    /// What its client has left.
-    pub budget: Budget,
-}
-
-impl<A> Message<A> {
-    /// Whether some of its body is gone.
-    pub fn is_spent(&self) -> bool {
-        self.rest.as_ref().is_some_and(|rest| rest.is_drawn())
-    }
-
-    /// How long an answer has been waited for that was asked for at this time or, if the request was whole only
-    /// later, since then.
-    pub fn waited(&self, begun: Instant) -> Duration {
-        let whole = self.rest.as_ref().map_or(Some(begun), |rest| rest.over_at());
-        whole.map_or(Duration::ZERO, |at| at.max(begun).elapsed())
-    }
-
-    /// Waits until its budget is used up, or so much of it as is given, and the grace after that. The time of a long
-    /// body begins with its last byte.
-    pub async fn expires(&self, most: Option<Duration>, grace: Duration) {
-        match &self.rest {
-            Some(rest) => tokio::select! {
-                at = rest.ended() => {
-                    let span = self.budget.span();
-                    sleep_until(at + most.map_or(span, |most| most.min(span)) + grace).await;
-                }
-                () = rest.stalls() => {}
-            },
-            None => sleep_until(self.ends(most) + grace).await,
-        }
-    }
-
-    /// When an attempt that begins now and may take so long has to be over.
-    pub fn ends(&self, most: Option<Duration>) -> Instant {
-        let end = self.budget.answer_by();
-        most.map_or(end, |most| end.min(Instant::now() + most))
-    }
-}
-
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Payload {
@@ -213,6 +169,7 @@
     most_each: Cell<usize>,
     busy: Rc<Cell<usize>>,
     cost: Rc<Cost>,
+    pub(crate) planted: Planted,
 }
 
 impl<D: Dialect> Backends<D> {
@@ -230,9 +187,15 @@
             most_each: Cell::new(usize::MAX),
             busy: Rc::default(),
             cost,
+            planted: Planted::default(),
         })
     }
 
+    #[doc(hidden)]
+    pub fn plant(&self, faults: Faults) {
+        self.planted.faults.set(faults);
+    }
+
     /// What is spoken with them.
     pub fn dialect(&self) -> &D {
         &self.dialect
@@ -342,8 +305,11 @@
             }
             () = message.expires(Some(limit), Duration::ZERO) => {
                 cut = true;
+                let back = |link, dial| self.answered(name, dial, None, Some(link));
+                self.planted.give_back(trace.carriers.last(), back);
                 // Closed on before so much was written: no backend has begun with it.
                 let may_run = if D::PART_MAY_RUN { trace.begun.get() } else { trace.whole.get() };
+                let may_run = may_run && !self.planted.faults.get().silence_is_unsent;
                 Err(if may_run { Outcome::TimedOut } else { Outcome::ConnectFailed })
             }
         };
@@ -447,7 +413,7 @@
         trace: &Rc<Trace>,
     ) -> Result<Opened, Outcome> {
         loop {
-            let (dial, pooled) = self.free_link(name).ok_or(Outcome::NeverSent)?;
+            let (dial, pooled) = self.free_link(name, &trace.carriers).ok_or(Outcome::NeverSent)?;
             let from_pool = pooled.is_some();
             let slot = self.slot(name).ok_or(Outcome::NeverSent)?;
             let mut link = match pooled {
@@ -468,9 +434,19 @@
             }
             trace.connected.set(Some(Instant::now()));
             let request = build(dial).ok_or(Outcome::NeverSent)?;
-            match Self::open(&mut link, request, trace.clone()).await {
+            trace.carriers.add(&link);
+            self.planted.keep(&link, dial).await;
+            let opened = Self::open(&mut link, request, trace.clone()).await;
+            self.planted.forget(link.number());
+            let faults = self.planted.faults.get();
+            match opened {
                 // Whose request this answers nobody knows, nor what comes next.
-                Ok((head, ..)) if !belongs(&head) => return Err(Outcome::Broken),
+                Ok((head, ..)) if !faults.any_answer && !belongs(&head) => {
+                    if faults.keeps_odd && link.is_free().await {
+                        self.answered(name, dial, None, Some(link));
+                    }
+                    return Err(Outcome::Broken);
+                }
                 Ok((head, start, None)) => {
                     let link = link.is_free().await.then_some(link);
                     self.answered(name, dial, self.dialect.keeps(&head.headers), link);
@@ -482,6 +458,7 @@
                 // Guards against a free connection that its backend closed just now: nothing was written,
                 // so this is no second send, and the backend is not to blame.
                 Err(Progress::Unsent) if from_pool && !is_spent() => {}
+                Err(_) if faults.repeats_broken => {}
                 Err(Progress::Unsent) => return Err(Outcome::ConnectFailed),
                 Err(Progress::Partly) if !D::PART_MAY_RUN => return Err(Outcome::ConnectFailed),
                 Err(Progress::Partly | Progress::Whole) => return Err(Outcome::Broken),
@@ -522,10 +499,13 @@
     }
 
     /// A backend that may be sent something new, with a free connection that stands if there is one.
-    fn free_link(&self, name: &Name) -> Option<(SocketAddr, Option<Link>)> {
+    fn free_link(&self, name: &Name, carriers: &Carriers) -> Option<(SocketAddr, Option<Link>)> {
         let mut known = self.known.borrow_mut();
         let backend = known.get_mut(name).filter(|b| b.ready())?;
-        while let Some((link, until)) = backend.idle.pop() {
+        let any = !D::ANSWERS_TWICE || self.planted.faults.get().any_carrier;
+        let may_carry = |(link, _): &(Link, Instant)| any || !carriers.has(link);
+        while let Some(at) = backend.idle.iter().rposition(may_carry) {
+            let (link, until) = backend.idle.remove(at);
             // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
             // doubt.
             if Instant::now() < until && link.stands() {
--- a/http-proxy/src/wire/link.rs
+++ b/http-proxy/src/wire/link.rs
@@ -5,10 +5,10 @@
 use crate::observe::figures::Figures;
 use crate::wire::body::Outgoing;
 use bytes::{Bytes, BytesMut};
-use hyper::Request;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::http::response;
+use hyper::{Request, Version};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -26,6 +27,9 @@
 /// The most that is held of what comes in: heads, and a long body's next bytes.
 const BUFFER: usize = 64 * 1024;
 
+/// The number of the next connection.
+static NUMBERS: AtomicU64 = AtomicU64::new(0);
+
 /// How far a request had got when its connection failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -48,6 +52,30 @@
     pub begun: Cell<bool>,
     /// Whether its last byte was written.
     pub whole: Cell<bool>,
+    /// The connections that carried an attempt of its request, this one included.
+    pub carriers: Rc<Carriers>,
+}
+
+/// The connections that carried one request, by their numbers. A second answer to an earlier attempt may still come on
+/// one of them, and its id would not tell it from the answer to the present one.
+#[derive(Default)]
+pub struct Carriers(RefCell<Vec<u64>>);
+
+impl Carriers {
+    /// Whether a connection carried the request.
+    pub fn has(&self, link: &Link) -> bool {
+        self.0.borrow().contains(&link.number)
+    }
+
+    /// The one that carried it last.
+    pub(crate) fn last(&self) -> Option<u64> {
+        self.0.borrow().last().copied()
+    }
+
+    /// A connection carries the request from now on.
+    pub fn add(&self, link: &Link) {
+        self.0.borrow_mut().push(link.number);
+    }
 }
 
 /// How far the present request has been written, and who is told once it is whole.
@@ -128,6 +156,9 @@
 
 /// One connection.
 pub struct Link {
+    number: u64,
+    /// Whether all answers came as they should: after whole requests, in the protocol's present version.
+    orderly: bool,
     sender: http1::SendRequest<Outgoing>,
     /// Gone once it has ended.
     driver: Driver,
@@ -145,13 +176,27 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         let _held = cost.holds(of);
         stream.set_nodelay(true)?;
+        Self::over(Rc::new(stream), _held).await
+    }
+
+    async fn over(stream: Rc<TcpStream>, _held: Held) -> io::Result<Self> {
         let progress = Cell::new(Progress::Unsent);
-        let sent = Sent { progress, handed: RefCell::default(), trace: RefCell::default() };
-        let (stream, sent) = (Rc::new(stream), Rc::new(sent));
+        let sent = Rc::new(Sent { progress, handed: RefCell::default(), trace: RefCell::default() });
         let wire = Wire { stream: stream.clone(), sent: sent.clone() };
         let builder = http1::Builder::new().max_buf_size(BUFFER).clone();
         let (sender, driver) = builder.handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, sent, _held })
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        Ok(Self { number, orderly: true, sender, driver: Some(Box::pin(driver)), stream, sent, _held })
+    }
+
+    /// Its number, which no other connection of this process has.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The same connection once more, as if nothing had been asked on it. Only planted faults do so.
+    pub(crate) async fn twin(&self) -> io::Result<Self> {
+        Self::over(self.stream.clone(), self._held.again()).await
     }
 
     /// Has the kernel break the connection once the other machine has acknowledged nothing for so long, in the middle
@@ -179,7 +224,11 @@
         self.sent.handed.replace(request.body().handed());
         let answer = self.sender.send_request(request);
         let answer = drive(&mut self.driver, answer).await;
-        answer.map(hyper::Response::into_parts).map_err(|_| self.sent.progress.get())
+        let answer = answer.map_err(|_| self.sent.progress.get())?;
+        // Whoever answers before it has the request may take the rest for another one, and to an older version of the
+        // protocol the library would write the next request otherwise.
+        self.orderly &= self.sent.progress.get() == Progress::Whole && answer.version() == Version::HTTP_11;
+        Ok(answer.into_parts())
     }
 
     /// The next bytes of an answer's body; none at its end.
@@ -224,6 +273,7 @@
         })
         .await
             && self.driver.is_some()
+            && self.orderly
     }
 }
 
