--- a/crates/data-plane/tests/helper/mod.rs
+++ b/crates/data-plane/tests/helper/mod.rs
@@ -331,6 +331,11 @@
         self.1.write_all(request.as_bytes()).await.expect("written");
     }
 
+    /// Whether all of it could be written.
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.1.write_all(text.as_bytes()).await.is_ok()
+    }
+
     pub async fn hear(&mut self) -> Option<Heard> {
         hear(&mut self.0).await
     }
