transport: an answer to a lease request goes by its number on its connection

The follower of the news remembered one draw a holder, and the next one took its place: while the quota client has up to eight under way, an answer to the first made the second forgotten, so a holder that answered no more was not left after 400 ms and the client not told; and an answer with any number was passed on.

Each connection now keeps the numbers that were sent on it. What answers none of them is dropped, those without an answer are told when the connection is left.

tests/pilot.rs fails without the mend: an answer that nobody asked for is passed on.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,12 +12,14 @@
 mod pilot;
 pub mod sheets;
 mod tree;
+mod unanswered;
 
 pub use course::Course;
 pub use line::{Line, LineError, Reader, attach, dial};
 pub use lookout::{Lookout, card};
 pub use pilot::{News, Pilot, PilotSettings, Place};
 pub use tree::{Signals, word_of};
+pub use unanswered::Unanswered;
 
 /// Runs a task for as long as the program runs.
 pub fn spawn(task: impl Future<Output = ()> + 'static) {
--- a/crates/transport/src/pilot.rs
+++ b/crates/transport/src/pilot.rs
@@ -6,6 +6,7 @@
 use crate::sheets;
 use crate::spawn;
 use crate::tree::{self, Tree};
+use crate::unanswered::Unanswered;
 use config::Detours;
 use protocol::{Berth, Flag, Hail, Held, MasterCard, Pulse, Sheet, Splice};
 use quota::Roster;
@@ -21,8 +22,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// A sign of life goes out this often.
 const SIGN: Duration = Duration::from_millis(800);
-/// A draw that has no answer by then gets none.
-const DRAW_LOST: Duration = Duration::from_millis(400);
+/// A draw that has no answer by then, in ms, gets none.
+const DRAW_LOST: u64 = 400;
 
 /// What there is to hear.
 #[derive(Debug)]
@@ -120,10 +121,10 @@
     }
 }
 
-/// A holder of counts, and the draw that it has not answered.
+/// A holder of counts, and the draws that it has not answered.
 struct Holder {
     voyage: Voyage,
-    drawn: Option<(u64, Instant)>,
+    drawn: Unanswered,
 }
 
 struct Helm {
@@ -259,7 +260,7 @@
             }
         }
         // A holder that says nothing may be cut off: another connection finds out sooner.
-        self.part(|holder| holder.drawn.is_some_and(|(_, since)| since.elapsed() > DRAW_LOST));
+        self.part(|holder| holder.drawn.is_overdue(now, DRAW_LOST));
         self.tend_holders();
     }
 
@@ -268,10 +269,12 @@
         let mut left = Vec::new();
         self.holders.retain(|holder| {
             let leaves = leaves(holder);
-            left.extend(holder.drawn.filter(|_| leaves));
+            if leaves {
+                left.extend(holder.drawn.numbers());
+            }
             !leaves
         });
-        for (number, _) in left {
+        for number in left {
             (self.news)(News::Unanswered { number });
         }
     }
@@ -282,7 +285,7 @@
         for to in wanted {
             if self.holders.iter().all(|holder| holder.voyage.to != to) {
                 let voyage = self.voyage(to);
-                self.holders.push(Holder { voyage, drawn: None });
+                self.holders.push(Holder { voyage, drawn: Unanswered::default() });
             }
         }
     }
@@ -302,7 +305,9 @@
 
     fn on_event(&mut self, number: u64, event: Result<Flag, LineError>) {
         let from_master = self.master.as_ref().is_some_and(|v| v.number == number);
-        let holder = self.holders.iter_mut().find(|holder| holder.voyage.number == number);
+        let mut holder = self.holders.iter_mut().find(|holder| holder.voyage.number == number);
+        // Whatever answers no draw of this connection is nobody's.
+        let mut is_answer = |number| holder.as_mut().is_some_and(|holder| holder.drawn.answered(number));
         match event {
             Err(_) if from_master => {
                 self.leave();
@@ -314,17 +319,9 @@
                 self.course.heard(now);
                 self.on_news(flag, now);
             }
-            Ok(Flag::Grant(grant)) => {
-                if let Some(holder) = holder {
-                    holder.drawn = None;
-                    (self.news)(News::Grant(grant));
-                }
-            }
-            Ok(Flag::NotHolder { number }) => {
-                if let Some(holder) = holder {
-                    holder.drawn = None;
-                    (self.news)(News::Unanswered { number });
-                }
+            Ok(Flag::Grant(grant)) if is_answer(grant.number) => (self.news)(News::Grant(grant)),
+            Ok(Flag::NotHolder { number }) if is_answer(number) => {
+                (self.news)(News::Unanswered { number });
             }
             _ => {}
         }
@@ -439,12 +436,15 @@
     }
 
     fn on_draw(&mut self, to: SocketAddr, draw: quota::Draw) {
-        let number = draw.number;
+        let (number, now) = (draw.number, self.now());
         let holder = self.holders.iter_mut().find(|holder| holder.voyage.to == to);
         let sent = holder.filter(|h| h.voyage.line.as_ref().is_some_and(|line| line.send(&Flag::Draw(draw))));
-        match sent {
-            Some(holder) => holder.drawn = Some((number, Instant::now())),
-            None => (self.news)(News::Unanswered { number }),
+        let unanswered = match sent {
+            Some(holder) => holder.drawn.sent(number, now),
+            None => Some(number),
+        };
+        if let Some(number) = unanswered {
+            (self.news)(News::Unanswered { number });
         }
     }
 }
--- /dev/null
+++ b/crates/transport/tests/pilot.rs
@@ -0,0 +1,139 @@
+//! Answers to lease requests: each goes to its own request, on the connection that carried it.
+
+use protocol::{Flag, Hail, Plane, Pulse};
+use quota::{Draw, Epoch, Grant};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_blocking, yield_now};
+use transport::{Line, News, Pilot, PilotSettings, Reader, attach};
+
+/// Longer than a request waits for its answer, in steps shorter than the silence that ends a connection.
+const LONG: u32 = 4;
+const STEP: Duration = Duration::from_millis(150);
+
+/// What is heard of lease requests.
+#[derive(Debug, PartialEq)]
+enum Heard {
+    Granted(u64),
+    Unanswered(u64),
+}
+
+/// A control plane that holds all counts, and one that follows it.
+struct World {
+    listener: TcpListener,
+    address: SocketAddr,
+    pilot: Pilot,
+    heard: Rc<RefCell<Vec<Heard>>>,
+}
+
+impl World {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let me = Hail {
+            name: "q".into(),
+            life: 1,
+            plane: Plane::Quay,
+            address: String::new(),
+            zone: "z".into(),
+            quorum: false,
+            incarnation: None,
+        };
+        let heard = Rc::<RefCell<Vec<Heard>>>::default();
+        let noted = heard.clone();
+        let news = move |news| match news {
+            News::Grant(grant) => noted.borrow_mut().push(Heard::Granted(grant.number)),
+            News::Unanswered { number } => noted.borrow_mut().push(Heard::Unanswered(number)),
+            _ => {}
+        };
+        let settings = PilotSettings { me, seeds: vec![address], ways: config::Detours::default() };
+        let pilot = Pilot::start(settings, None, news);
+        Self { listener, address, pilot, heard }
+    }
+
+    async fn accept(&self) -> (Line, Reader) {
+        let (stream, peer) = self.listener.accept().await.expect("a connection");
+        attach(stream, peer)
+    }
+
+    fn pulse(&self) -> Flag {
+        let leader = Some(self.address.to_string());
+        Flag::Pulse(Pulse { leader, epoch: 1, fresh: true, fleet: 1, ..Pulse::default() })
+    }
+
+    fn draw(&self, number: u64) {
+        let draw = Draw { number, epoch: Epoch::first(1), wants: Vec::new() };
+        assert!(self.pilot.draw(&self.address.to_string(), draw));
+    }
+
+    /// Lets the others work; time goes on only where the test says so.
+    async fn settle(&self) {
+        for _ in 0..200 {
+            yield_now().await;
+        }
+    }
+}
+
+fn grant(number: u64) -> Flag {
+    Flag::Grant(Grant { number, epoch: Epoch::first(1), shares: Vec::new() })
+}
+
+async fn drawn(from: &mut Reader) -> u64 {
+    loop {
+        if let Flag::Draw(draw) = from.next().await.expect("a message") {
+            return draw.number;
+        }
+    }
+}
+
+fn on_held_clock(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        // While a blocking task runs the paused clock does not jump to the next timer by itself.
+        let (end, ended) = std::sync::mpsc::channel::<()>();
+        let held = spawn_blocking(move || ended.recv().is_ok());
+        test.await;
+        drop(end);
+        let _ = held.await;
+    });
+}
+
+#[test]
+fn each_answer_is_its_own_request_s_and_none_outlives_its_connection() {
+    on_held_clock(async {
+        let world = World::start().await;
+        let (news, _followed) = world.accept().await;
+        news.send(&world.pulse());
+        let (holder, mut requests) = world.accept().await;
+        world.settle().await;
+        world.draw(1);
+        world.draw(2);
+        assert_eq!((drawn(&mut requests).await, drawn(&mut requests).await), (1, 2));
+        // An answer that nobody asked for, then that to the older of two requests.
+        holder.send(&grant(9));
+        holder.send(&grant(1));
+        world.settle().await;
+        assert_eq!(*world.heard.borrow(), [Heard::Granted(1)]);
+        // The other one is given up with its connection.
+        for _ in 0..LONG {
+            tokio::time::advance(STEP).await;
+            news.send(&world.pulse());
+            world.settle().await;
+        }
+        assert_eq!(*world.heard.borrow(), [Heard::Granted(1), Heard::Unanswered(2)]);
+        // Its answer is nobody's, neither on the old connection nor on the next one.
+        let (next, mut requests) = world.accept().await;
+        holder.send(&grant(2));
+        next.send(&grant(2));
+        world.settle().await;
+        world.draw(3);
+        assert_eq!(drawn(&mut requests).await, 3);
+        next.send(&grant(3));
+        next.send(&grant(3));
+        world.settle().await;
+        assert_eq!(*world.heard.borrow(), [Heard::Granted(1), Heard::Unanswered(2), Heard::Granted(3)]);
+    });
+}
