Data planes that end in order say so, and every process of control counts them no more

Cause: a data plane that ended in order counted for another 30 s, like one that is cut off, and its even slice was held back from every tenant.

A data plane closes its lease cache after its last request, then says so on its connections and waits up to 400 ms until control has accepted it. Each process of control that learns of a departure passes it on at once and to each process it connects to, so that whoever leads next knows. A departure is final for its incarnation and concerns no other one. Holders count those that are there now; slices are divided by as many as there were within 30 s, so that a fleet that is started anew one by one gives nobody a larger slice. The log is told of a smaller fleet after 5 s. Earlier versions are sent none of the new messages between processes of control.

Also: a word of control that is not of this moment makes slices smaller only. A process that was started anew behind a cut knew of one gateway and gave it the whole quota as its slice.

Tests: drawn worlds of gateways that leave, start again and are killed with late, repeated and reordered messages; planted faults are found: departures forgotten, departures by name, a leave said before the last request.

--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -1,5 +1,6 @@
 //! The owner of all tables of the control plane.
 
+mod departures;
 mod entries;
 mod links;
 mod news;
@@ -152,6 +153,8 @@
     opened: u64,
     /// The quays that it said it hears, until it says otherwise.
     quays: Vec<(String, u64)>,
+    /// Whether it may be told of departures of data planes.
+    understands_departures: bool,
 }
 
 struct Waiting {
--- a/crates/control-plane/src/master/links.rs
+++ b/crates/control-plane/src/master/links.rs
@@ -1,6 +1,7 @@
 //! Connections with other processes, and what comes on them.
 
 use super::*;
+use protocol::UNDERSTANDS_DEPARTURES;
 
 impl Master {
     pub(super) fn on_opened(&mut self, number: u64, line: Line, dialed: Option<SocketAddr>) {
@@ -19,6 +20,7 @@
             heard: now,
             opened: now,
             quays: Vec::new(),
+            understands_departures: false,
         };
         self.peers.insert(number, peer);
         if dialed.is_some() {
@@ -118,7 +120,8 @@
 
     pub(super) fn quays_here(&self, now: u64) -> Vec<(String, u64)> {
         let hails = self.peers.values().filter(|p| (p.follows || p.here) && now < p.heard + QUAY_SILENT);
-        let quays = hails.filter_map(|p| p.hail.as_ref()).filter(|h| h.plane == Plane::Quay);
+        let quays = hails.filter_map(|p| p.hail.as_ref());
+        let quays = quays.filter(|h| h.plane == Plane::Quay && !self.has_departed(h));
         quays.map(|h| (h.name.clone(), h.life)).collect()
     }
 
@@ -150,12 +153,15 @@
             Flag::Quays(quays) => {
                 quays.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life));
                 peer.quays = quays;
+                self.resize_fleet(now);
             }
+            Flag::Leave => self.on_leave(number, now),
+            Flag::Departures(departures) => self.on_departures(departures, now),
             Flag::Here { epoch } => {
                 // Below a relay a quay follows no master: its sign to the holders of the counts says that it lives.
                 peer.here = self.root.is_some();
-                if let Some(hail) = &peer.hail {
-                    self.office.heard(now as f64, &hail.name, epoch);
+                if let Some(hail) = peer.hail.clone() {
+                    self.heard_data_plane(&hail, epoch, now);
                 }
             }
             Flag::Offer { number: offer, answered, draws } => {
@@ -177,7 +183,8 @@
             Flag::Splice(splice) => self.on_splice(number, &splice),
             Flag::Whole => self.on_whole(number),
             Flag::Relay(word) => self.on_relay(number, word),
-            Flag::Grant(_) | Flag::NotHolder { .. } => {}
+            Flag::NotHolder { number: UNDERSTANDS_DEPARTURES } => self.on_understands_departures(number, now),
+            Flag::Grant(_) | Flag::NotHolder { .. } | Flag::LeaveAccepted => {}
         }
     }
 
@@ -187,13 +194,16 @@
         match hail.plane {
             Plane::Quay => {
                 self.fleet.heard(now, &hail.name, hail.life);
-                self.office.heard(now as f64, &hail.name, quota::Epoch::default());
+                // First that it is there: else it would stand in for one that is silent.
+                self.resize_fleet(now);
+                self.heard_data_plane(&hail, quota::Epoch::default(), now);
             }
             Plane::Master => {
                 let mut me = self.settings.me.clone();
                 me.incarnation = self.node.as_ref().map(|node| node.me().incarnation);
                 if let Some(peer) = self.peers.get(&number) {
                     peer.line.send(&Flag::Welcome(me));
+                    peer.line.send(&Self::understands_departures());
                 }
                 self.meet(&hail);
             }
--- a/crates/control-plane/src/master/news.rs
+++ b/crates/control-plane/src/master/news.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use failure_detector::State;
+use protocol::Departure;
 
 impl Master {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
@@ -32,8 +33,8 @@
             assignment,
             deputies,
             version: self.ledger.version(),
-            fleet: self.quay_count(now).max(1),
-            number: self.fleet.number(name),
+            fleet: self.slice_divisor(now).max(1),
+            number: self.number_in_fleet(now, name),
         }
     }
 
@@ -138,9 +139,8 @@
             self.to_followers(&Flag::Berths { whole: true, berths: self.register.all(now) });
             self.take_root(now);
         }
-        self.watch.quays(now, self.fleet.lives());
-        let fleet = self.quay_count(now);
-        self.office.fleet(now as f64, fleet);
+        self.watch.quays(now, self.fleet.incarnations());
+        self.resize_fleet(now);
     }
 
     /// Quays that are heard here, and those of which other masters say so: their word stands while they are heard.
@@ -167,12 +167,16 @@
         if lookout.is_adrift() {
             return;
         }
-        let fleet = &mut self.fleet;
+        let (fleet, mut departures) = (&mut self.fleet, Vec::new());
         lookout.each(|word| match word.state {
             State::Here if word.card.quay => fleet.heard(now, &word.card.name, word.card.life),
-            State::Left if word.card.quay => fleet.left(&word.card.name, word.card.life),
+            State::Left if word.card.quay => {
+                let (name, incarnation) = (word.card.name.clone(), word.card.life);
+                departures.push(Departure { name, incarnation, ago_ms: 0 });
+            }
             _ => {}
         });
+        self.on_departures(departures, now);
     }
 
     pub(super) fn tell_berths(&mut self, berths: Vec<Berth>) {
--- a/crates/control-plane/src/master/office.rs
+++ b/crates/control-plane/src/master/office.rs
@@ -11,9 +11,6 @@
 
 /// The log is told of another number of quays once it is off by more than one in so many.
 const FLEET_MOVES: u32 = 8;
-/// A process this old has heard of all quays that there are, or they count no more.
-const SETTLED: u64 = 30_000;
-
 impl Master {
     /// Whoever holds the lease of the log holds the counts, and may share them out.
     pub(super) fn tend_office(&mut self, now: u64) {
@@ -31,7 +28,7 @@
             let placer = Placer::new(&self.settings.address.to_string(), term, now as f64, bears);
             self.roster = placer.roster().clone();
             self.placer = Some(placer);
-            self.office.fleet(now as f64, self.quay_count(now));
+            self.resize_fleet(now);
             // Deputies' counts have no floors.
             if self.settings.draws_a_holder <= 0.0 {
                 self.office.floors(self.ledger.floors().clone());
@@ -39,7 +36,7 @@
             self.office.assume(now as f64, &self.roster, first);
             let quays = self.peers.values().filter(|p| now < p.heard + QUAY_SILENT);
             for (peer, hail) in quays.filter_map(|p| Some((p, p.hail.as_ref()?))) {
-                if hail.plane == Plane::Quay {
+                if hail.plane == Plane::Quay && !self.has_departed(hail) {
                     self.office.heard(peer.heard as f64, &hail.name, Epoch::first(term));
                 }
             }
@@ -68,7 +65,7 @@
         }
         let alone = self.settings.draws_a_holder <= 0.0;
         let floors = if alone { self.office.floors_wanted(now as f64) } else { Vec::new() };
-        let (fleet, said) = (self.fleet.size(), self.ledger.fleet());
+        let (fleet, said) = (self.fleet_to_record(now), self.ledger.fleet());
         // A few more or less change nobody's part by much.
         let other = now >= YOUNG && fleet > 0 && fleet.abs_diff(said) * FLEET_MOVES > said;
         if floors.is_empty() && !other {
@@ -81,12 +78,6 @@
         self.log(Input::Propose { token: self.tokens, change });
     }
 
-    /// How many quays there are. A process that has just started has yet to hear of most of those that the log knows of.
-    pub(super) fn quay_count(&self, now: u64) -> u32 {
-        let said = if now < SETTLED { self.ledger.fleet() } else { 0 };
-        self.fleet.size().max(said)
-    }
-
     pub(super) fn resign(&mut self, now: u64) {
         if self.placer.take().is_some() {
             self.office.resign();
@@ -185,6 +176,7 @@
             self.roster = handover.roster.clone();
         }
         let told = self.office.handed(now as f64, handover);
+        self.silence_departed();
         self.hand_over(told);
         if newer {
             self.assigned(now);
@@ -224,6 +216,9 @@
         self.renew(now);
         let Some(peer) = self.peers.get(&number) else { return };
         let Some(hail) = &peer.hail else { return };
+        if self.fleet.has_departed(&hail.name, hail.life) {
+            return;
+        }
         self.fleet.heard(now, &hail.name, hail.life);
         let flag = match self.office.draw(now as f64, &hail.name, &draw) {
             Some(grant) => {
--- a/crates/data-plane/src/purser.rs
+++ b/crates/data-plane/src/purser.rs
@@ -54,11 +54,14 @@
 
     /// How many gateways there are, by a word of control that is of this moment or not.
     pub fn fleet(&self, gateways: u32, fresh: bool) {
-        let mut cache = self.cache.borrow_mut();
-        cache.fleet(gateways);
-        if fresh {
-            cache.word(self.now());
-        }
+        self.cache.borrow_mut().fleet_told(self.now(), gateways, fresh);
+    }
+
+    /// Ends admission: from now on nothing is spent, so that this gateway may say that it has ended.
+    pub fn close(&self) {
+        let mut verdicts = Vec::new();
+        self.cache.borrow_mut().close(self.now(), &mut verdicts);
+        self.tell(verdicts);
     }
 
     /// Who holds the counts from now on.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -122,6 +122,22 @@
     pub incarnation: Option<u64>,
 }
 
+/// An incarnation of a data plane that has said itself that it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Departure {
+    /// The name of its machine.
+    pub name: String,
+    /// Drawn at its start, as [`Hail::life`].
+    pub incarnation: u64,
+    /// How long ago it said so, in ms.
+    pub ago_ms: u64,
+}
+
+/// The number of a [`Flag::NotHolder`] by which a process that serves control tells another one, as the answer to its
+/// [`Flag::Hail`], that it reads [`Flag::Departures`]. A process of an earlier version would close the connection on
+/// such a message, and ignores this one; no lease request has this number.
+pub const UNDERSTANDS_DEPARTURES: u64 = u64::MAX;
+
 /// A process that serves control, as others know it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct MasterCard {
@@ -295,4 +311,11 @@
     Whole,
     /// Between relays and those that follow them. A configuration goes as a [`Flag::Splice`] instead.
     Relay(relay::Word),
+    /// A data plane says that it has ended: it admits no request and spends nothing from now on.
+    Leave,
+    /// The answer to it: the sender counts it no more, and has passed that on.
+    LeaveAccepted,
+    /// Between processes that serve control: data planes that have said that they ended. It goes only to those that
+    /// have sent [`UNDERSTANDS_DEPARTURES`].
+    Departures(Vec<Departure>),
 }
--- a/crates/quota/src/cache.rs
+++ b/crates/quota/src/cache.rs
@@ -115,6 +115,8 @@
     /// Planted by tests: grants of an older epoch are taken.
     ignores_epoch: bool,
     waiting: usize,
+    /// Nothing is spent or drawn any more.
+    closed: bool,
 }
 
 impl Tenant {
@@ -216,6 +218,7 @@
             last_word: None,
             ignores_epoch: false,
             waiting: 0,
+            closed: false,
         }
     }
 
@@ -287,6 +290,31 @@
         self.gateways = f64::from(gateways.max(1));
     }
 
+    /// A process that serves control says how many gateways there are, and whether it has heard the leader just now. One
+    /// that has not may know of few: by its word slices grow smaller only.
+    pub fn fleet_told(&mut self, now: Millis, gateways: u32, fresh: bool) {
+        if fresh {
+            self.fleet(gateways);
+            self.word(now);
+        } else {
+            self.gateways = self.gateways.max(f64::from(gateways));
+        }
+    }
+
+    /// Ends admission for good: requests that wait are refused, and nothing is spent or drawn from now on. Blocks in hand
+    /// lapse with their windows.
+    pub fn close(&mut self, now: Millis, out: &mut Vec<(u64, Verdict)>) {
+        self.closed = true;
+        self.waiting = 0;
+        let mut seed = self.seed;
+        for t in self.tenants.values_mut() {
+            for (request, _) in std::mem::take(&mut t.waiting) {
+                out.push((request, t.refuse(now, lot(&mut seed))));
+            }
+        }
+        self.seed = seed;
+    }
+
     /// A holder was heard of otherwise than by a grant: slices may go on.
     pub fn word(&mut self, now: Millis) {
         self.last_word = Some(now);
@@ -303,6 +331,9 @@
             t.granted += 1;
             return Verdict::Granted;
         }
+        if self.closed {
+            return t.refuse(now, lot);
+        }
         t.roll(now);
         t.asked += 1.0;
         t.asked_at = now;
@@ -361,6 +392,9 @@
     /// What is to be sent now, and to which holder: one message for all tenants of it.
     pub fn draw(&mut self, now: Millis) -> Vec<(Rc<str>, Draw)> {
         let mut draws: Vec<(usize, Draw)> = Vec::new();
+        if self.closed {
+            return Vec::new();
+        }
         let (gateways, epoch) = (self.gateways, self.epoch);
         for (name, t) in &mut self.tenants {
             let Some(terms) = t.terms else { continue };
@@ -488,6 +522,9 @@
 
     /// When `tick` and `draw` have something to do at the latest, if nothing comes before.
     pub fn next_due(&self) -> Option<Millis> {
+        if self.closed {
+            return None;
+        }
         let mut due = self.sources.iter().fold(f64::INFINITY, |due, source| due.min(source.next_due()));
         for t in self.tenants.values() {
             due = t.waiting.iter().fold(due, |d, (_, until)| d.min(*until));
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -241,6 +241,12 @@
         }
     }
 
+    /// A gateway has said that it ended and spends nothing more. Blocks that it has stay counted until their window ends.
+    pub fn left(&mut self, gateway: &str) {
+        // Else it would stand in for one that is silent, whose slice would not be held back.
+        self.heard.remove(gateway);
+    }
+
     /// While a count is shut, the slices of all gateways would come to one refill. Of this, gateways that are heard get
     /// what they need instead of even parts: few requests come where an even part is, when gateways are many.
     fn share_shut(&mut self, now: Millis, want: &Want, share: Share) -> Share {
--- a/crates/quota/src/office.rs
+++ b/crates/quota/src/office.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// A gateway has said that it ended; see [`Holder::left`].
+    pub fn left(&mut self, gateway: &str) {
+        self.holder.iter_mut().for_each(|holder| holder.left(gateway));
+    }
+
     /// Whether it may grant.
     pub fn is_open(&self, now: Millis) -> bool {
         self.holder.is_some() && (now < self.lease_until || self.faults.outlives_lease)
--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 pub mod judge;
+pub mod membership;
 mod troubles;
 use judge::Judge;
 
@@ -58,14 +59,16 @@
     Lease { number: u64, roster: Roster, ends_in: f64 },
     Roster(Roster),
     Handover(Handover),
-    Pulse { roster: Roster, fresh: bool },
+    Pulse { roster: Roster, fresh: bool, gateways: Option<u32> },
     Here(Epoch),
+    Word(membership::Word),
 }
 
 #[derive(Debug, Clone)]
 enum Event {
-    Arrives { from: Who, to: Who, life: u64, said: Said },
+    Arrives { from: Who, from_life: u64, to: Who, life: u64, said: Said },
     Ticks(Who),
+    Starts(usize),
     Sign(usize),
     Pulses(usize),
     Request(usize),
@@ -161,6 +164,8 @@
     pub reach: f64,
     /// Requests wait at most this long for a block.
     pub patience: f64,
+    /// Who knows of which gateways, where they come and go.
+    membership: Option<membership::Membership>,
 }
 
 impl World {
@@ -191,6 +196,7 @@
             bears: bears.unwrap_or(f64::INFINITY),
             reach: 1.0,
             patience: 72.0,
+            membership: None,
         };
         for place in 0..masters {
             let master = world.master(place, 0, &quotas, gateways);
@@ -290,14 +296,15 @@
     fn play(&mut self, event: Event) -> Result<(), String> {
         let now = self.now;
         match event {
-            Event::Arrives { from, to, life, said } => {
+            Event::Arrives { from, from_life, to, life, said } => {
                 let frozen = self.frozen.get(&to).copied().filter(|until| now < *until);
                 if let Some(until) = frozen {
-                    self.at(until, Event::Arrives { from, to, life, said });
+                    self.at(until, Event::Arrives { from, from_life, to, life, said });
                 } else if self.is_awake(to) && self.life(to) == life {
-                    self.hear(from, to, said);
+                    self.hear(from, from_life, to, said);
                 }
             }
+            Event::Starts(place) => self.start(Who::Q(place)),
             Event::Ticks(who) => {
                 if self.is_awake(who) {
                     match who {
@@ -320,6 +327,7 @@
                             self.send(Who::Q(place), Who::M(to), Said::Here(roster.epoch));
                         }
                     }
+                    self.says_hello(place);
                 }
                 self.at(now + SIGN, Event::Sign(place));
             }
@@ -404,6 +412,7 @@
 
     fn tick_master(&mut self, place: usize) {
         let now = self.now;
+        self.tend_membership(place);
         let m = &mut self.masters[place];
         if now >= m.draws.0 + 1000.0 {
             m.draws = (now, 0, m.draws.1 as f64 * 1000.0 / (now - m.draws.0));
@@ -473,9 +482,11 @@
         let fresh = self.leader.is_some_and(|leader| {
             self.now < self.lease && !self.cuts.contains(&(Who::M(leader), Who::M(place)))
         });
+        let gateways = self.divisor(place);
         for gateway in 0..self.gateways.len() {
             if self.gateways[gateway].follows == place {
-                self.send(Who::M(place), Who::Q(gateway), Said::Pulse { roster: roster.clone(), fresh });
+                let pulse = Said::Pulse { roster: roster.clone(), fresh, gateways };
+                self.send(Who::M(place), Who::Q(gateway), pulse);
             }
         }
     }
@@ -485,6 +496,10 @@
     }
 
     fn send(&mut self, from: Who, to: Who, said: Said) {
+        self.send_later(from, to, said, 0.0);
+    }
+
+    fn send_later(&mut self, from: Who, to: Who, said: Said, late: f64) {
         if self.cuts.contains(&(from, to)) {
             return;
         }
@@ -493,21 +508,28 @@
             Said::Grant(grant) => Some(bitcode::encode(grant).len() + 5),
             _ => None,
         });
-        let at = self.now + 0.7 + self.lots.span(0.8);
-        let life = self.life(to);
-        self.at(at, Event::Arrives { from, to, life, said });
+        let at = self.now + late + 0.7 + self.lots.span(0.8);
+        let (from_life, life) = (self.life(from), self.life(to));
+        self.at(at, Event::Arrives { from, from_life, to, life, said });
     }
 
-    fn hear(&mut self, from: Who, to: Who, said: Said) {
+    fn hear(&mut self, from: Who, from_life: u64, to: Who, said: Said) {
+        if let Said::Word(word) = said {
+            return self.hear_word(from, to, word);
+        }
         match (to, from) {
-            (Who::M(place), Who::Q(gateway)) => self.serve_gateway(place, gateway, said),
+            (Who::M(place), Who::Q(gateway)) => {
+                if !self.has_departed(place, gateway, from_life) {
+                    self.serve_gateway(place, gateway, said);
+                }
+            }
             (Who::M(place), Who::M(other)) => self.hear_master(place, other, said),
             (Who::Q(place), _) => self.hear_gateway(place, said),
         }
     }
 
     fn serve_gateway(&mut self, place: usize, gateway: usize, said: Said) {
-        let (now, quay) = (self.now, format!("quay-{gateway}"));
+        let (now, quay) = (self.now, membership::gateway_name(gateway));
         let m = &mut self.masters[place];
         match said {
             Said::Here(epoch) => m.office.heard(now, &quay, epoch),
@@ -571,10 +593,12 @@
         let g = &mut self.gateways[place];
         let mut told = Vec::new();
         match said {
-            Said::Pulse { roster, fresh } => {
+            Said::Pulse { roster, fresh, gateways } => {
                 g.heard = now;
-                if fresh {
-                    g.cache.word(now);
+                match gateways {
+                    Some(gateways) => g.cache.fleet_told(now, gateways, fresh),
+                    None if fresh => g.cache.word(now),
+                    None => {}
                 }
                 let known = g.cache.holders().clone();
                 g.cache.roster(&roster);
@@ -604,6 +628,7 @@
 
     fn tick_gateway(&mut self, place: usize) {
         let now = self.now;
+        self.tend_leaving(place);
         let masters = self.masters.len();
         let lot = self.lots.below(masters);
         let g = &mut self.gateways[place];
@@ -640,13 +665,9 @@
     }
 
     fn request(&mut self, tenant: usize) {
-        let some = ((self.gateways.len() as f64 * self.reach).ceil() as usize).clamp(1, self.gateways.len());
-        let place = (self.clients.below(some) + tenant * 7) % self.gateways.len();
         let (now, number) = (self.now, self.requests);
         self.requests += 1;
-        if !self.gateways[place].up {
-            return;
-        }
+        let Some(place) = self.gateway_for(tenant) else { return };
         self.judge.asked(now, tenant);
         if !self.is_awake(Who::Q(place)) {
             return;
@@ -663,6 +684,18 @@
         self.draw(place);
     }
 
+    /// The gateway that a client of the tenant goes to.
+    fn gateway_for(&mut self, tenant: usize) -> Option<usize> {
+        if self.membership.is_some() {
+            let open = self.open_gateways();
+            let lot = self.clients.below(open.len());
+            return open.get(lot).copied();
+        }
+        let some = ((self.gateways.len() as f64 * self.reach).ceil() as usize).clamp(1, self.gateways.len());
+        let place = (self.clients.below(some) + tenant * 7) % self.gateways.len();
+        self.gateways[place].up.then_some(place)
+    }
+
     fn runs(&mut self, tenant: usize, waited: f64) {
         let stray = self.lots.unit() * 100.0;
         self.judge.runs(self.now + stray, tenant, waited);
--- a/crates/quota/tests/world/troubles.rs
+++ b/crates/quota/tests/world/troubles.rs
@@ -9,6 +9,9 @@
 
     pub fn heal(&mut self) {
         self.cuts.clear();
+        for from in 0..self.masters.len() {
+            (0..self.masters.len()).for_each(|to| self.tell_all(from, to));
+        }
     }
 
     pub fn freeze(&mut self, who: Who, span: f64) {
@@ -38,10 +41,12 @@
             Who::M(place) if !self.masters[place].up => {
                 let life = self.masters[place].life;
                 self.masters[place] = self.master(place, life, &quotas, size);
+                self.starts_anew(place);
             }
             Who::Q(place) if !self.gateways[place].up => {
                 let life = self.gateways[place].life;
                 self.gateways[place] = self.gateway(place, life, &quotas, size);
+                self.says_hello(place);
             }
             _ => {}
         }
--- a/crates/reachlb/src/quays.rs
+++ b/crates/reachlb/src/quays.rs
@@ -10,9 +10,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
 use transport::{News, Pilot, PilotSettings, Place};
 
+/// A process that has ended waits at most this long until control has accepted that.
+const LEAVE_WAIT: Duration = Duration::from_millis(400);
+
 /// Runs until the platform ends it.
 ///
 /// # Errors
@@ -96,14 +101,14 @@
     };
     let ways = settings.tuning.ways.clone();
     *pilot.borrow_mut() = Some(Pilot::start(PilotSettings { me, seeds, ways }, place, news));
-    let watch = lookout.clone();
+    let (watch, seeded) = (lookout.clone(), pilot.clone());
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             match Settings::read(&path) {
                 Ok(settings) => {
-                    if let Some(pilot) = pilot.borrow().as_ref() {
+                    if let Some(pilot) = seeded.borrow().as_ref() {
                         pilot.seeds(start::seeds(&settings));
                     }
                     if let Some(watch) = &watch {
@@ -120,6 +125,13 @@
     };
     quay.serve(front, readiness, ended).await;
     // Only now: while it finishes its work it spends.
+    purser.close();
+    let pilot = pilot.borrow_mut().take();
+    if let Some(pilot) = pilot
+        && timeout(LEAVE_WAIT, pilot.leave()).await.is_err()
+    {
+        spdlog::warn!("no process of control has accepted that this one ends", kv: { step = "end" });
+    }
     if let Some(lookout) = lookout {
         lookout.leave();
     }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -10,7 +10,9 @@
 mod fleet;
 mod register;
 
-pub use fleet::Fleet;
+#[doc(hidden)]
+pub use fleet::FleetFaults;
+pub use fleet::{COUNTED_WHILE_SILENT, Fleet};
 pub use register::{Judgement, Register};
 
 /// Milliseconds of the host's steady clock.
--- a/crates/registry/tests/register.rs
+++ b/crates/registry/tests/register.rs
@@ -1,6 +1,6 @@
 //! Words about backends, in any order and any number of times, and what becomes of them.
 
-use protocol::{Berth, Phase};
+use protocol::{Berth, Departure, Phase};
 use registry::{Fleet, Judgement, Register};
 use yare::parameterized;
 
@@ -126,13 +126,14 @@
     for (at, name) in ["b", "a", "c"].into_iter().enumerate() {
         fleet.heard(at as u64, name, 1);
     }
-    assert_eq!((fleet.size(), fleet.number("a"), fleet.number("c")), (3, 0, 2));
+    assert_eq!((fleet.size(), fleet.number_within(2, 0, "a"), fleet.number_within(2, 0, "c")), (3, 0, 2));
     fleet.heard(20_000, "a", 2);
     assert!(!fleet.sweep(29_000) && fleet.sweep(31_000));
     assert_eq!(fleet.names().collect::<Vec<_>>(), ["a"]);
     // Who says that it has ended counts no more, unless that was an earlier life.
-    fleet.left("a", 1);
+    let departure = |incarnation| Departure { name: "a".into(), incarnation, ago_ms: 0 };
+    fleet.departed(31_000, &departure(1));
     assert_eq!(fleet.size(), 1);
-    fleet.left("a", 2);
+    fleet.departed(31_000, &departure(2));
     assert_eq!(fleet.size(), 0);
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod course;
+mod leaving;
 mod line;
 mod lookout;
 mod pilot;
--- a/crates/transport/src/pilot.rs
+++ b/crates/transport/src/pilot.rs
@@ -2,6 +2,7 @@
 //! connection to the holder of the counts.
 
 use crate::course::Course;
+use crate::leaving::Leaving;
 use crate::line::{Line, LineError, Reader, dial};
 use crate::sheets;
 use crate::spawn;
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// How often things are looked after.
@@ -81,6 +82,7 @@
 enum Order {
     Draw(SocketAddr, quota::Draw),
     Seeds(Vec<SocketAddr>),
+    Leave(oneshot::Sender<()>),
 }
 
 impl Pilot {
@@ -98,6 +100,15 @@
         to.parse().is_ok_and(|to| self.orders.try_send(Order::Draw(to, draw)).is_ok())
     }
 
+    /// Says that this process has ended, to the process that is followed and to the holders of the counts, on each
+    /// connection that is there or comes up. Resolves once all that were told have accepted it, and at least one has.
+    pub async fn leave(&self) {
+        let (done, accepted) = oneshot::channel();
+        if self.orders.send(Order::Leave(done)).await.is_ok() {
+            let _ = accepted.await;
+        }
+    }
+
     /// The settings name other seeds from now on.
     pub fn seeds(&self, seeds: Vec<SocketAddr>) {
         let _ = self.orders.try_send(Order::Seeds(seeds));
@@ -145,6 +156,8 @@
     root_fresh: bool,
     signed: Instant,
     roster: Roster,
+    /// This process has ended and says so.
+    leaving: Option<Leaving>,
     events: mpsc::Sender<Event>,
     lines: mpsc::Sender<(u64, Line)>,
 }
@@ -175,6 +188,7 @@
             root_fresh: false,
             signed: began,
             roster: Roster::default(),
+            leaving: None,
             events,
             lines,
         };
@@ -188,6 +202,7 @@
                 order = orders.recv() => match order {
                     Some(Order::Draw(to, draw)) => helm.on_draw(to, draw),
                     Some(Order::Seeds(seeds)) => helm.on_seeds(seeds),
+                    Some(Order::Leave(done)) => helm.on_leave(done),
                     None => return,
                 },
                 _ = tick.tick() => helm.on_tick(),
@@ -240,7 +255,8 @@
         } else if self.course.is_over(now) || self.master.as_ref().is_some_and(Voyage::is_lost) {
             self.leave();
         }
-        if self.tree.is_none()
+        // Also a process in the tree of relays says its last word to one that serves control.
+        if (self.tree.is_none() || self.leaving.is_some())
             && let Some(to) = self.course.choose(now)
         {
             self.master = Some(self.voyage(to));
@@ -263,6 +279,24 @@
         self.tend_holders();
     }
 
+    fn on_leave(&mut self, done: oneshot::Sender<()>) {
+        let mut leaving = Leaving::new(done);
+        let voyages = self.master.iter().chain(self.holders.iter().map(|holder| &holder.voyage));
+        for voyage in voyages {
+            if voyage.line.as_ref().is_some_and(|line| line.send(&Flag::Leave)) {
+                leaving.said(voyage.number);
+            }
+        }
+        self.leaving = Some(leaving);
+        self.on_tick();
+    }
+
+    fn on_leave_accepted(&mut self, number: u64) {
+        if let Some(leaving) = &mut self.leaving {
+            leaving.accepted(number);
+        }
+    }
+
     /// Leaves holders; what was drawn from them gets no answer.
     fn part(&mut self, leaves: impl Fn(&Holder) -> bool) {
         let mut left = Vec::new();
@@ -288,6 +322,11 @@
     }
 
     fn on_up(&mut self, number: u64, line: Line) {
+        if let Some(leaving) = &mut self.leaving
+            && line.send(&Flag::Leave)
+        {
+            leaving.said(number);
+        }
         if let Some(voyage) = self.master.as_mut().filter(|v| v.number == number) {
             line.send(&Flag::Follow { have: self.have });
             voyage.line = Some(line);
@@ -301,6 +340,9 @@
     }
 
     fn on_event(&mut self, number: u64, event: Result<Flag, LineError>) {
+        if let (Err(_), Some(leaving)) = (&event, &mut self.leaving) {
+            leaving.lost(number);
+        }
         let from_master = self.master.as_ref().is_some_and(|v| v.number == number);
         let holder = self.holders.iter_mut().find(|holder| holder.voyage.number == number);
         match event {
@@ -309,6 +351,7 @@
                 self.on_tick();
             }
             Err(_) => self.part(|holder| holder.voyage.number == number),
+            Ok(Flag::LeaveAccepted) => self.on_leave_accepted(number),
             Ok(flag) if from_master => {
                 let now = self.now();
                 self.course.heard(now);
