--- /dev/null
+++ b/crates/transport/tests/leaving.rs
@@ -0,0 +1,92 @@
+//! The last word of a data plane: said on every connection, again on the next one, until it is accepted.
+
+use config::Detours;
+use protocol::{Flag, Hail, Plane, Pulse};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use transport::{Line, Pilot, PilotSettings, Reader, attach};
+
+/// Whatever is waited for comes much sooner.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Longer than a connection needs to come up again.
+const AWHILE: Duration = Duration::from_millis(300);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+fn pilot(seed: SocketAddr) -> Pilot {
+    let me = Hail {
+        name: "a".into(),
+        life: 1,
+        plane: Plane::Quay,
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        quorum: false,
+        incarnation: None,
+    };
+    Pilot::start(PilotSettings { me, seeds: vec![seed], ways: Detours::default() }, None, |_| {})
+}
+
+async fn accept(listener: &TcpListener) -> (Line, Reader) {
+    let (stream, peer) = timeout(PATIENCE, listener.accept()).await.expect("a connection").expect("sound");
+    attach(stream, peer)
+}
+
+/// Reads until this message comes.
+async fn until(reader: &mut Reader, wanted: &Flag) {
+    let read = async { while reader.next().await.expect("a message") != *wanted {} };
+    timeout(PATIENCE, read).await.expect("the message");
+}
+
+#[test]
+fn a_departure_is_said_to_the_one_that_is_followed_and_to_the_holder_and_both_have_to_accept_it() {
+    run(async {
+        let ((followed, to), (holder, leader)) = (listener().await, listener().await);
+        let pilot = pilot(to);
+        let (line, mut reader) = accept(&followed).await;
+        let leader = Some(leader.to_string());
+        line.send(&Flag::Pulse(Pulse { leader, epoch: 1, fresh: true, ..Pulse::default() }));
+        let (holder_line, mut holder_reader) = accept(&holder).await;
+        let mut left = Box::pin(pilot.leave());
+        assert!(timeout(AWHILE, &mut left).await.is_err(), "nobody has accepted it");
+        until(&mut reader, &Flag::Leave).await;
+        until(&mut holder_reader, &Flag::Leave).await;
+        line.send(&Flag::LeaveAccepted);
+        assert!(timeout(AWHILE, &mut left).await.is_err(), "the holder has not accepted it");
+        holder_line.send(&Flag::LeaveAccepted);
+        timeout(PATIENCE, left).await.expect("accepted");
+    });
+}
+
+#[test]
+fn a_departure_is_said_again_on_the_next_connection() {
+    run(async {
+        let (listener, to) = listener().await;
+        let pilot = pilot(to);
+        let first = accept(&listener).await;
+        let mut left = Box::pin(pilot.leave());
+        assert!(timeout(AWHILE, &mut left).await.is_err());
+        // It ends at the same moment.
+        drop(first);
+        let again = async {
+            let (line, mut reader) = accept(&listener).await;
+            until(&mut reader, &Flag::Leave).await;
+            line.send(&Flag::LeaveAccepted);
+            // The connection lasts until the other end has read it.
+            let _ = timeout(AWHILE, reader.next()).await;
+        };
+        let (left, _) = tokio::join!(timeout(PATIENCE, left), timeout(PATIENCE, again));
+        left.expect("accepted");
+    });
+}
