testbed: loads by role follow from measured lengths and costs; memory is counted by an allocator

The growth of a process said little of an item's memory, since memory that was given back is used again: 131 kB for a registry at 300 gateways and at 1,400 alike.

`capacity::model` multiplies lengths and costs with the protocol's rates for data plane, control plane, leader and holder.

--- /dev/null
+++ b/crates/testbed/examples/state_memory.rs
@@ -0,0 +1,25 @@
+//! Prints what the state of a process takes in memory at the sizes of `docs/CAPACITY.md`: bytes that were asked of the
+//! allocator and not given back, and the most at one time while it was built.
+
+#![forbid(unsafe_code)]
+
+use testbed::capacity::memory::{ITEMS, Inputs};
+use testbed::capacity::size::columns;
+use testbed::capacity::{Row, table};
+
+fn main() {
+    let mut rows = Vec::new();
+    for (name, build) in ITEMS {
+        let measured = columns().map(|size| {
+            let (inputs, mut item) = (Inputs::of(&size), None);
+            let info = allocation_counter::measure(|| item = Some(build(&inputs)));
+            drop(item);
+            info
+        });
+        let row = |name: String, figures: Vec<f64>| Row { name, figures, runs: 0.0 };
+        rows.push(row(name.to_owned(), measured.iter().map(|info| info.bytes_current as f64).collect()));
+        let most = measured.iter().map(|info| info.bytes_max as f64).collect();
+        rows.push(row(format!("{name}, the most while it is built"), most));
+    }
+    print!("{}", table("state, bytes in memory", &rows));
+}
--- a/crates/testbed/src/capacity/costs.rs
+++ b/crates/testbed/src/capacity/costs.rs
@@ -24,6 +24,26 @@
 /// The holder of all counts.
 const HOLDER: &str = "10.12.0.1:7400";
 
+/// The steps, as tables name them.
+pub(super) mod step {
+    pub const PARSE: &str = "check a configuration and build its tables";
+    pub const COMPRESS_WHOLE: &str = "compress a configuration whole";
+    pub const COMPRESS_DIFFERENCE: &str = "compress it as a difference";
+    pub const REBUILD: &str = "rebuild it from a difference";
+    pub const APPLY: &str = "take it in at a voter";
+    pub const ANSWER: &str = "holder: answer a lease request";
+    pub const FLOORS: &str = "holder: look over all floors, once a request";
+    pub const ASK: &str = "data plane: ask the lease cache for a unit";
+    pub const LOOK: &str = "data plane: look for what to request, thrice a request";
+    pub const DUE: &str = "data plane: look for what is due, once a request";
+    pub const ENCODE: &str = "encode a message";
+    pub const DECODE: &str = "decode a message";
+    pub const BEAT: &str = "registry: take a heartbeat";
+    pub const HEARD: &str = "registry: take another control plane's word of one";
+    pub const ROUND: &str = "registry: a round over all backends";
+    pub const NUMBER: &str = "find a data plane's number, once a status message";
+}
+
 /// One step and its cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StepCost {
@@ -41,6 +61,10 @@
     all
 }
 
+fn cost_of(step: &'static str, cost: Spread) -> StepCost {
+    StepCost { step, cost }
+}
+
 fn configuration_costs(size: &Size) -> Vec<StepCost> {
     let (before, after) = (configuration_bytes(size, 1), changed(size));
     let has = held(1, &before);
@@ -78,13 +102,12 @@
             }
         },
     );
-    let step = |step, cost| StepCost { step, cost };
     vec![
-        step("check a configuration and build its tables", parse),
-        step("compress a configuration whole", whole),
-        step("compress it as a difference", difference),
-        step("rebuild it from a difference", rebuilding),
-        step("take it in at a voter", applied),
+        cost_of(step::PARSE, parse),
+        cost_of(step::COMPRESS_WHOLE, whole),
+        cost_of(step::COMPRESS_DIFFERENCE, difference),
+        cost_of(step::REBUILD, rebuilding),
+        cost_of(step::APPLY, applied),
     ]
 }
 
@@ -114,7 +137,6 @@
 }
 
 fn quota_costs(size: &Size) -> Vec<StepCost> {
-    let step = |step, cost| StepCost { step, cost };
     // What a holder does for each lease request: answer, then look over the floors as the control plane has it do.
     let answered = measure(
         LONG_TURNS,
@@ -164,18 +186,17 @@
     let bytes = frame(&Flag::Draw(lease_request(7, 7..8)));
     let read = measure(SHORT_TURNS, || (), |(), _| drop(std::hint::black_box(unframe::<Flag>(&bytes))));
     vec![
-        step("holder: answer a lease request", answered),
-        step("holder: look over all floors, twice a request", floors),
-        step("data plane: ask the lease cache for a unit", asked),
-        step("data plane: look for what to request, twice a request", looked),
-        step("data plane: look for what is due, twice a request", due),
-        step("encode a message", sent),
-        step("decode a message", read),
+        cost_of(step::ANSWER, answered),
+        cost_of(step::FLOORS, floors),
+        cost_of(step::ASK, asked),
+        cost_of(step::LOOK, looked),
+        cost_of(step::DUE, due),
+        cost_of(step::ENCODE, sent),
+        cost_of(step::DECODE, read),
     ]
 }
 
 fn registry_costs(size: &Size) -> Vec<StepCost> {
-    let step = |step, cost| StepCost { step, cost };
     let full = || {
         let mut register = Register::new(HEARTBEAT_MS);
         for backend in backends(size) {
@@ -205,9 +226,9 @@
         std::hint::black_box(fleet.number(&gateway_name(turn % size.gateways)));
     });
     vec![
-        step("registry: take a heartbeat", beat),
-        step("registry: take another control plane's word of one", heard),
-        step("registry: a round over all backends", round),
-        step("find a data plane's number, once a status message", number),
+        cost_of(step::BEAT, beat),
+        cost_of(step::HEARD, heard),
+        cost_of(step::ROUND, round),
+        cost_of(step::NUMBER, number),
     ]
 }
--- a/crates/testbed/src/capacity/messages.rs
+++ b/crates/testbed/src/capacity/messages.rs
@@ -14,6 +14,32 @@
 /// Backends send a heartbeat every so many ms.
 pub const HEARTBEAT_MS: f64 = 780.0;
 
+/// The kinds of messages, as tables name them.
+pub(super) mod kind {
+    pub const ORDERED: &str = "configuration, as the operator sends it";
+    pub const WHOLE: &str = "configuration to a follower that has none";
+    pub const DIFFERENCE: &str = "configuration as a difference, one quota changed";
+    pub const LOG_ENTRY: &str = "log entry with a configuration, to one voter";
+    pub const ORDER: &str = "order passed on to the leader";
+    pub const HELLO: &str = "hello";
+    pub const STATUS: &str = "state of things, to a follower";
+    pub const FOLLOW: &str = "follow, a data plane's sign of life";
+    pub const HERE: &str = "here, its sign of life to a holder of counts";
+    pub const LEASE_REQUEST: &str = "lease request of one tenant";
+    pub const GRANT: &str = "grant to one tenant";
+    pub const LEASE_REQUEST_OF_TEN: &str = "lease request of ten tenants";
+    pub const GRANT_TO_TEN: &str = "grant to ten tenants";
+    pub const LOG_HEARTBEAT: &str = "log heartbeat";
+    pub const LOG_HEARTBEAT_ANSWER: &str = "answer to a log heartbeat";
+    pub const CONTROL_PLANES: &str = "control planes, to each other and to followers";
+    pub const DATA_PLANES: &str = "data planes heard by one control plane";
+    pub const HEARD: &str = "heartbeats heard by one control plane in a round";
+    pub const HTTP_HEARTBEAT: &str = "heartbeat of a backend, HTTP";
+    pub const HTTP_ANSWER: &str = "its answer, HTTP";
+    pub const BACKEND: &str = "one backend that changed";
+    pub const ALL_BACKENDS: &str = "all backends";
+}
+
 /// One kind of message and its bytes on the wire, its frame included.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MessageLength {
@@ -143,27 +169,30 @@
     let raw = |kind, bytes| MessageLength { kind, bytes };
     let appended = log(&append(body.clone()));
     vec![
-        raw("configuration, as the operator sends it", body.len()),
-        raw("configuration to a follower that has none", whole),
-        raw("configuration as a difference, one quota changed", difference),
-        of("log entry with a configuration, to one voter", appended),
-        of("order passed on to the leader", Flag::Ask { token: 7, order: Order::Replace { base: 1, body } }),
-        of("hello", Flag::Hail(hello(Plane::Quay))),
-        of("state of things, to a follower", Flag::Pulse(status(size))),
-        of("follow, a data plane's sign of life", Flag::Follow { have: held(3_000, b"x") }),
-        of("here, its sign of life to a holder of counts", Flag::Here { epoch: Epoch::first(12) }),
-        of("lease request of one tenant", Flag::Draw(lease_request(4_000_000, 7..8))),
-        of("grant to one tenant", Flag::Grant(grant(7..8))),
-        of("lease request of ten tenants", Flag::Draw(lease_request(4_000_000, 7..17))),
-        of("grant to ten tenants", Flag::Grant(grant(7..17))),
-        of("log heartbeat", log(&Message::Heartbeat { term: 12, echo: 4_000_000, commit: 90_000 })),
-        of("answer to it", log(&Message::HeartbeatAnswer { term: 12, echo: 4_000_000, matched: 90_000 })),
-        of("control planes, to each other and to followers", Flag::Masters(member_cards(size))),
-        of("data planes heard by one control plane", Flag::Quays(gateways_of_one(size))),
-        of("heartbeats heard by one control plane in a round", Flag::Heard(heard_in_a_round(size))),
-        raw("heartbeat of a backend, HTTP", beat),
-        raw("its answer, HTTP", answer),
-        of("one backend that changed", Flag::Berths { whole: false, berths: vec![backend(7)] }),
-        of("all backends", Flag::Berths { whole: true, berths: backends(size) }),
+        raw(kind::ORDERED, body.len()),
+        raw(kind::WHOLE, whole),
+        raw(kind::DIFFERENCE, difference),
+        of(kind::LOG_ENTRY, appended),
+        of(kind::ORDER, Flag::Ask { token: 7, order: Order::Replace { base: 1, body } }),
+        of(kind::HELLO, Flag::Hail(hello(Plane::Quay))),
+        of(kind::STATUS, Flag::Pulse(status(size))),
+        of(kind::FOLLOW, Flag::Follow { have: held(3_000, b"x") }),
+        of(kind::HERE, Flag::Here { epoch: Epoch::first(12) }),
+        of(kind::LEASE_REQUEST, Flag::Draw(lease_request(4_000_000, 7..8))),
+        of(kind::GRANT, Flag::Grant(grant(7..8))),
+        of(kind::LEASE_REQUEST_OF_TEN, Flag::Draw(lease_request(4_000_000, 7..17))),
+        of(kind::GRANT_TO_TEN, Flag::Grant(grant(7..17))),
+        of(kind::LOG_HEARTBEAT, log(&Message::Heartbeat { term: 12, echo: 4_000_000, commit: 90_000 })),
+        of(
+            kind::LOG_HEARTBEAT_ANSWER,
+            log(&Message::HeartbeatAnswer { term: 12, echo: 4_000_000, matched: 90_000 }),
+        ),
+        of(kind::CONTROL_PLANES, Flag::Masters(member_cards(size))),
+        of(kind::DATA_PLANES, Flag::Quays(gateways_of_one(size))),
+        of(kind::HEARD, Flag::Heard(heard_in_a_round(size))),
+        raw(kind::HTTP_HEARTBEAT, beat),
+        raw(kind::HTTP_ANSWER, answer),
+        of(kind::BACKEND, Flag::Berths { whole: false, berths: vec![backend(7)] }),
+        of(kind::ALL_BACKENDS, Flag::Berths { whole: true, berths: backends(size) }),
     ]
 }
--- a/crates/testbed/src/capacity/mod.rs
+++ b/crates/testbed/src/capacity/mod.rs
@@ -4,15 +4,18 @@
 pub mod fit;
 pub mod memory;
 pub mod messages;
+pub mod model;
 pub mod samples;
 pub mod size;
 pub mod timing;
 
 use crate::report::print;
+use costs::StepCost;
 use fit::line;
+use messages::{MessageLength, lengths};
+use model::{Flow, Role};
 use size::{GATEWAYS, Size, columns};
 use std::fmt::Write as _;
-use std::path::Path;
 
 /// One row of a table: a figure at each size.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,48 +75,89 @@
     }
 }
 
-fn message_rows() -> Vec<Row> {
-    let all = columns().map(|size| messages::lengths(&size));
-    let row = |place: usize| Row {
-        name: all[0][place].kind.to_owned(),
-        figures: all.iter().map(|lengths| lengths[place].bytes as f64).collect(),
-        runs: 0.0,
-    };
-    (0..all[0].len()).map(row).collect()
+/// What was measured at each size.
+struct Measured {
+    sizes: [Size; GATEWAYS.len()],
+    lengths: [Vec<MessageLength>; GATEWAYS.len()],
+    costs: [Vec<StepCost>; GATEWAYS.len()],
 }
 
-fn cost_rows() -> Vec<Row> {
-    let all = columns().map(|size| costs::costs(&size));
-    let row = |place: usize| {
-        let spreads = all.iter().map(|costs| costs[place].cost);
-        let range =
-            |spread: timing::Spread| (spread.greatest - spread.least) / spread.median.max(f64::MIN_POSITIVE);
-        Row {
-            name: all[0][place].step.to_owned(),
-            figures: spreads.clone().map(|spread| spread.median).collect(),
-            runs: spreads.map(range).fold(0.0, f64::max),
+impl Measured {
+    fn now() -> Self {
+        let sizes = columns();
+        Self {
+            sizes,
+            lengths: sizes.map(|size| lengths(&size)),
+            costs: sizes.map(|size| costs::costs(&size)),
         }
-    };
-    (0..all[0].len()).map(row).collect()
-}
+    }
 
-fn memory_rows(program: &Path) -> Vec<Row> {
-    let row = |(_, name, title): &(memory::Item, &str, &str)| {
-        let figures =
-            columns().map(|size| memory::grown_apart(program, name, &size).unwrap_or_default() as f64);
-        Row { name: (*title).to_owned(), figures: figures.to_vec(), runs: 0.0 }
-    };
-    memory::ITEMS.iter().map(row).collect()
+    fn message_rows(&self) -> Vec<Row> {
+        let row = |place: usize| Row {
+            name: self.lengths[0][place].kind.to_owned(),
+            figures: self.lengths.iter().map(|lengths| lengths[place].bytes as f64).collect(),
+            runs: 0.0,
+        };
+        (0..self.lengths[0].len()).map(row).collect()
+    }
+
+    fn cost_rows(&self) -> Vec<Row> {
+        let row = |place: usize| {
+            let spreads = self.costs.iter().map(|costs| costs[place].cost);
+            Row {
+                name: self.costs[0][place].step.to_owned(),
+                figures: spreads.clone().map(|spread| spread.median).collect(),
+                runs: spreads.map(|spread| spread.range()).fold(0.0, f64::max),
+            }
+        };
+        (0..self.costs[0].len()).map(row).collect()
+    }
+
+    /// Bytes a second of a role by kind, and their sum.
+    fn byte_rows(&self, role: Role) -> Vec<Row> {
+        let flows = self.sizes.map(|size| model::messages(role, &size, size.keeps_the_body_before()));
+        let figure = |at: usize, place: usize| model::bytes_per_s(&flows[at][place], &self.lengths[at]);
+        rows_of(&flows, figure)
+    }
+
+    /// Shares of a core of a role by step in percent, and their sum.
+    fn processor_rows(&self, role: Role) -> Vec<Row> {
+        let flows = self.sizes.map(|size| model::steps(role, &size, size.keeps_the_body_before()));
+        let figure =
+            |at: usize, place: usize| model::share_of_a_core(&flows[at][place], &self.costs[at]) * 100.0;
+        rows_of(&flows, figure)
+    }
 }
 
-/// Measures and prints all tables. `program` is this program's own file.
-pub fn tables(program: &Path) {
-    print(table("message, bytes on the wire", &message_rows()));
-    print(table("state, bytes in memory", &memory_rows(program)));
-    print(table("step, µs of processor time", &cost_rows()));
+/// One row a flow, named as at the largest size and with its rate there, and one with the sums.
+fn rows_of(flows: &[Vec<Flow>; GATEWAYS.len()], figure: impl Fn(usize, usize) -> f64) -> Vec<Row> {
+    let largest = &flows[GATEWAYS.len() - 1];
+    let figures = |place: usize| (0..GATEWAYS.len()).map(|at| figure(at, place)).collect();
+    let mut rows: Vec<_> = (0..largest.len())
+        .map(|place| {
+            let name = format!("{} ({} a second)", largest[place].name, short(largest[place].per_s));
+            Row { name, figures: figures(place), runs: 0.0 }
+        })
+        .collect();
+    let sum = |at: usize| rows.iter().map(|row: &Row| row.figures[at]).sum();
+    let sums = (0..GATEWAYS.len()).map(sum).collect();
+    rows.push(Row { name: "**all**".to_owned(), figures: sums, runs: 0.0 });
+    rows
 }
 
-/// Prints by how many bytes an item makes this process grow.
-pub fn item(item: memory::Item, gateways: usize) {
-    print(format_args!("{}\n", memory::grown(item, &Size::of(gateways))));
+/// Measures and prints all tables but that of memory, which `examples/state_memory.rs` prints.
+pub fn tables() {
+    let measured = Measured::now();
+    print(table("message, bytes on the wire", &measured.message_rows()));
+    print(table("step, µs of processor time", &measured.cost_rows()));
+    for (role, name) in model::ROLES {
+        print(table(
+            &format!("{name}: messages, bytes a second (rates at the plan)"),
+            &measured.byte_rows(role),
+        ));
+        print(table(
+            &format!("{name}: steps, % of a core (rates at the plan)"),
+            &measured.processor_rows(role),
+        ));
+    }
 }
--- a/crates/testbed/src/capacity/size.rs
+++ b/crates/testbed/src/capacity/size.rs
@@ -1,5 +1,7 @@
 //! The sizes that capacity is worked out for.
 
+use control_plane::{Change, Ledger, Place};
+
 /// How large a deployment is, at its peak.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Size {
@@ -47,6 +49,17 @@
             requests_per_s: PLAN.requests_per_s * gateways as f64 / PLAN.gateways as f64,
         }
     }
+
+    /// Whether the history keeps the body before the newest one, so that a configuration goes as a difference.
+    pub fn keeps_the_body_before(&self) -> bool {
+        let length = super::samples::configuration_bytes(self, 1).len();
+        let mut history = Ledger::default();
+        for version in 1..=2 {
+            let body = vec![b' '; length];
+            history.apply(Place::default(), Change { base: version - 1, version, digest: [0; 32], body });
+        }
+        history.body_of(1).is_some()
+    }
 }
 
 /// Numbers of gateways that tables have a column for.
--- a/crates/testbed/src/capacity/timing.rs
+++ b/crates/testbed/src/capacity/timing.rs
@@ -25,6 +25,11 @@
         let at = |place: usize| figures.get(place).copied().unwrap_or_default();
         Self { median: at(figures.len() / 2), least: at(0), greatest: at(figures.len().saturating_sub(1)) }
     }
+
+    /// From the least to the greatest, as a share of the median.
+    pub fn range(&self) -> f64 {
+        (self.greatest - self.least) / self.median.max(f64::MIN_POSITIVE)
+    }
 }
 
 /// Processor time that this thread has had.
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -8,7 +8,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
-use testbed::capacity::memory::Item;
 use testbed::capacity::size::PLAN;
 use testbed::demo::{Program, told_to_end};
 use testbed::report::print;
@@ -151,12 +150,6 @@
 struct CapacityArguments {
     /// print this help
     help: bool,
-    /// only by how many bytes this process grows by an item of state
-    #[options(meta = "NAME", no_short)]
-    item: Option<Item>,
-    /// with --item: the number of data planes that its size follows from
-    #[options(meta = "N", default = "85")]
-    gateways: usize,
 }
 
 #[derive(Debug, Options)]
@@ -265,11 +258,8 @@
             runtime.block_on(up.run())?;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Capacity(CapacityArguments { item, gateways, .. }) => {
-            match item {
-                Some(item) => capacity::item(item, gateways),
-                None => capacity::tables(&std::env::current_exe().map_err(Fault::file("this program"))?),
-            }
+        Command::Capacity(_) => {
+            capacity::tables();
             Ok(ExitCode::SUCCESS)
         }
         Command::Scale(arguments) => scaled(&runtime, arguments),
--- a/crates/testbed/tests/capacity.rs
+++ b/crates/testbed/tests/capacity.rs
@@ -1,8 +1,10 @@
 //! The arithmetic of the capacity tables and of the scale run.
 
 use std::collections::BTreeMap;
+use testbed::capacity::costs::StepCost;
 use testbed::capacity::fit::line;
 use testbed::capacity::messages::{changed, configuration_frames, lengths};
+use testbed::capacity::model::{Flow, Role, bytes_per_s, messages, share_of_a_core};
 use testbed::capacity::samples::configuration_bytes;
 use testbed::capacity::size::{PLAN, Size};
 use testbed::capacity::timing::Spread;
@@ -59,6 +61,33 @@
     assert!(of(300, "all backends") > 10 * of(13, "all backends"));
 }
 
+#[test]
+fn a_holder_of_counts_is_loaded_by_requests_and_a_data_plane_by_its_part_of_them() {
+    let sum = |role, size: &Size| {
+        let all = lengths(size);
+        messages(role, size, true).iter().map(|flow| bytes_per_s(flow, &all)).sum::<f64>()
+    };
+    let (small, large) = (Size::of(140), Size::of(280));
+    let holder = sum(Role::Holder, &large) / sum(Role::Holder, &small);
+    assert!((holder - 2.0).abs() < 0.01, "{holder}");
+    let gateway = sum(Role::DataPlane, &large) / sum(Role::DataPlane, &small);
+    assert!((gateway - 1.0).abs() < 0.05, "{gateway}");
+}
+
+#[test]
+fn a_step_that_takes_a_millisecond_a_hundred_times_a_second_takes_a_tenth_of_a_core() {
+    let costs = [StepCost { step: "a step", cost: Spread::of(vec![1000.0]) }];
+    let flow = Flow { name: "a step", per_s: 100.0 };
+    assert!((share_of_a_core(&flow, &costs) - 0.1).abs() < 1e-9);
+    assert_eq!(share_of_a_core(&Flow { name: "another", ..flow }, &costs), 0.0);
+}
+
+#[test]
+fn the_body_before_is_kept_only_while_bodies_are_below_a_mebibyte() {
+    assert!(Size::of(85).keeps_the_body_before());
+    assert!(!Size::of(300).keeps_the_body_before());
+}
+
 fn report(messages: u64, arrivals: &[(u64, f64, f64, usize)]) -> Report {
     let mut report = Report::default();
     report.traffic.insert("grant".to_owned(), Traffic { messages, bytes: messages * 60 });
