--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -168,6 +168,9 @@
     /// lease requests of one data plane a second; by default the plan's requests
     #[options(meta = "N", no_short)]
     requests: Option<f64>,
+    /// hollow backends for each data plane; by default the plan's
+    #[options(meta = "N", no_short)]
+    backends: Option<f64>,
     /// hollow data planes share so many processes
     #[options(meta = "N", default = "3", no_short)]
     processes: usize,
@@ -272,8 +275,16 @@
 }
 
 fn scaled(runtime: &tokio::runtime::Runtime, arguments: ScaleArguments) -> Result<ExitCode, Fault> {
-    let ScaleArguments { gateways: Counts(sizes), check, seconds, requests, processes, program, .. } =
-        arguments;
+    let ScaleArguments {
+        gateways: Counts(sizes),
+        check,
+        seconds,
+        requests,
+        backends,
+        processes,
+        program,
+        ..
+    } = arguments;
     let all: Vec<_> = sizes.into_iter().chain(check).collect();
     let usable = all.iter().all(|gateways| (1..=MOST_HOLLOW).contains(gateways));
     if !usable || !(1..=LONGEST).contains(&seconds) || !(1..=MOST_SIDE).contains(&processes) {
@@ -281,10 +292,11 @@
         return Ok(ExitCode::from(UNUSABLE));
     }
     let requests_per_s = requests.unwrap_or(PLAN.requests_per_s / PLAN.gateways as f64);
+    let backends_each = backends.unwrap_or(PLAN.backends as f64 / PLAN.gateways as f64);
     let (program, own) = (program_or(program)?, program_or(None)?);
     let plan = |gateways| {
         let (program, own) = (program.clone(), own.clone());
-        scale::run::Plan { program, own, gateways, processes, seconds, requests_per_s }
+        scale::run::Plan { program, own, gateways, processes, seconds, requests_per_s, backends_each }
     };
     fault_injection::running::end_with_panics();
     let measured = runtime.block_on(async {
--- a/crates/testbed/src/scale/run.rs
+++ b/crates/testbed/src/scale/run.rs
@@ -44,6 +44,8 @@
     pub seconds: u64,
     /// Lease requests of one data plane a second.
     pub requests_per_s: f64,
+    /// Hollow backends that send heartbeats, for each data plane.
+    pub backends_each: f64,
 }
 
 /// What processes of one role spent, each on average.
@@ -92,7 +94,8 @@
 #[derive(Clone, Copy, Default)]
 struct Moment {
     spent: Duration,
-    messages: f64,
+    /// Of other processes since the start; none when it did not say in time.
+    messages: Option<f64>,
 }
 
 impl Plan {
@@ -107,7 +110,7 @@
         let size = Size::of(self.gateways);
         let mut running = self.start(place.path(), &size)?;
         running.first_configuration(&size, place.path()).await?;
-        self.start_hollow(place.path(), &size, &mut running)?;
+        self.start_hollow(place.path(), &mut running)?;
         running.wait_for(1, self.gateways, place.path()).await?;
         teller.say(format!("{} hollow data planes have r1", self.gateways));
         sleep(RESTS).await;
@@ -134,14 +137,15 @@
         let addresses: Vec<_> = (0..CONTROL_PLANES).map(|machine| site.control(machine)).collect();
         let seeds: Vec<_> = (0..MASTERS).map(|machine| site.peers(machine)).collect();
         let part = |whole: usize, n: usize| whole * n / self.processes;
+        let backends = (self.backends_each * self.gateways as f64) as usize;
         let mut reports = Vec::new();
         for n in 0..self.processes {
             let report = folder.join(format!("hollow-{n}.json"));
             let settings = HollowSettings {
                 first: part(self.gateways, n),
                 gateways: part(self.gateways, n + 1) - part(self.gateways, n),
-                first_backend: part(size.backends, n),
-                backends: part(size.backends, n + 1) - part(size.backends, n),
+                first_backend: part(backends, n),
+                backends: part(backends, n + 1) - part(backends, n),
                 seeds: seeds.clone(),
                 control: addresses.clone(),
                 zones: ZONES.iter().map(|zone| (*zone).to_owned()).collect(),
@@ -157,7 +161,7 @@
         Ok(Running { control, data, hollow: Vec::new(), caller: Control::new(addresses), reports })
     }
 
-    fn start_hollow(&self, folder: &Path, _size: &Size, running: &mut Running) -> Result<(), Fault> {
+    fn start_hollow(&self, folder: &Path, running: &mut Running) -> Result<(), Fault> {
         for n in 0..self.processes {
             let berth = self.own.hollow(folder, n, hollow_settings(folder, n));
             running.hollow.push(Process::start(berth)?);
@@ -246,10 +250,10 @@
         let mut moments = Vec::new();
         for (process, address) in self.control.iter().zip(self.caller.addresses()) {
             let status = self.caller.status(*address).await;
-            let messages = status.and_then(|status| status["frames"].as_f64()).unwrap_or_default();
+            let messages = status.and_then(|status| status["frames"].as_f64());
             moments.push(Moment { spent: process.spent(), messages });
         }
-        moments.extend(self.data.iter().map(|process| Moment { spent: process.spent(), messages: 0.0 }));
+        moments.extend(self.data.iter().map(|process| Moment { spent: process.spent(), messages: None }));
         moments
     }
 
@@ -265,7 +269,8 @@
             roles[role].processor += after.spent.saturating_sub(before.spent).as_secs_f64() / seconds;
             roles[role].memory += resident(process.pid()).unwrap_or_default() as f64;
             roles[role].descriptors += descriptors(process.pid()) as f64;
-            roles[role].messages += (after.messages - before.messages) / seconds;
+            let messages = after.messages.zip(before.messages).map_or(0.0, |(after, before)| after - before);
+            roles[role].messages += messages / seconds;
         }
         for (role, count) in roles.iter_mut().zip(counts) {
             role.divide(count);
