--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -8,7 +8,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
-use testbed::capacity::memory::Item;
 use testbed::capacity::size::PLAN;
 use testbed::demo::{Program, told_to_end};
 use testbed::report::print;
@@ -151,12 +150,6 @@
 struct CapacityArguments {
     /// print this help
     help: bool,
-    /// only by how many bytes this process grows by an item of state
-    #[options(meta = "NAME", no_short)]
-    item: Option<Item>,
-    /// with --item: the number of data planes that its size follows from
-    #[options(meta = "N", default = "85")]
-    gateways: usize,
 }
 
 #[derive(Debug, Options)]
@@ -175,6 +168,9 @@
     /// lease requests of one data plane a second; by default the plan's requests
     #[options(meta = "N", no_short)]
     requests: Option<f64>,
+    /// hollow backends for each data plane; by default the plan's
+    #[options(meta = "N", no_short)]
+    backends: Option<f64>,
     /// hollow data planes share so many processes
     #[options(meta = "N", default = "3", no_short)]
     processes: usize,
@@ -265,11 +261,8 @@
             runtime.block_on(up.run())?;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Capacity(CapacityArguments { item, gateways, .. }) => {
-            match item {
-                Some(item) => capacity::item(item, gateways),
-                None => capacity::tables(&std::env::current_exe().map_err(Fault::file("this program"))?),
-            }
+        Command::Capacity(_) => {
+            capacity::tables();
             Ok(ExitCode::SUCCESS)
         }
         Command::Scale(arguments) => scaled(&runtime, arguments),
@@ -282,8 +275,16 @@
 }
 
 fn scaled(runtime: &tokio::runtime::Runtime, arguments: ScaleArguments) -> Result<ExitCode, Fault> {
-    let ScaleArguments { gateways: Counts(sizes), check, seconds, requests, processes, program, .. } =
-        arguments;
+    let ScaleArguments {
+        gateways: Counts(sizes),
+        check,
+        seconds,
+        requests,
+        backends,
+        processes,
+        program,
+        ..
+    } = arguments;
     let all: Vec<_> = sizes.into_iter().chain(check).collect();
     let usable = all.iter().all(|gateways| (1..=MOST_HOLLOW).contains(gateways));
     if !usable || !(1..=LONGEST).contains(&seconds) || !(1..=MOST_SIDE).contains(&processes) {
@@ -291,10 +292,11 @@
         return Ok(ExitCode::from(UNUSABLE));
     }
     let requests_per_s = requests.unwrap_or(PLAN.requests_per_s / PLAN.gateways as f64);
+    let backends_each = backends.unwrap_or(PLAN.backends as f64 / PLAN.gateways as f64);
     let (program, own) = (program_or(program)?, program_or(None)?);
     let plan = |gateways| {
         let (program, own) = (program.clone(), own.clone());
-        scale::run::Plan { program, own, gateways, processes, seconds, requests_per_s }
+        scale::run::Plan { program, own, gateways, processes, seconds, requests_per_s, backends_each }
     };
     fault_injection::running::end_with_panics();
     let measured = runtime.block_on(async {
