The searches of the log and of orders measure what they reach through their worlds

The two searches share one file; each world now adds its own figures to what was reached. Also the capacity tool counts data planes by the name that the registry has now.

--- a/crates/control-plane/tests/orders/drawn.rs
+++ b/crates/control-plane/tests/orders/drawn.rs
@@ -1,6 +1,7 @@
 //! Operators in drawn worlds: real nodes of the log with kills, lost disks, freezes and cuts, and the ledger as the
 //! state that their log makes. Copies of orders come late, to any machine.
 
+#[allow(dead_code, reason = "the log's own tests use the rest")]
 #[path = "../../../raft/tests/world/mod.rs"]
 mod nodes;
 
--- a/crates/control-plane/tests/orders/main.rs
+++ b/crates/control-plane/tests/orders/main.rs
@@ -7,6 +7,7 @@
 #[path = "../support/linearizability.rs"]
 mod linearizability;
 mod orders;
+#[allow(dead_code, reason = "the log's own search counts more")]
 #[path = "../../../raft/src/agreement/search.rs"]
 mod search;
 mod world;
--- a/crates/control-plane/tests/orders/world.rs
+++ b/crates/control-plane/tests/orders/world.rs
@@ -3,6 +3,7 @@
 //! The log is an abstract one. Its own proof (`crates/raft`) is that the entries of a leader that lost its place come
 //! into force with the first entry of the next one, up to one of them, or never: that is the event `Elect`.
 
+use super::search::Reach;
 use crate::orders::{Order, Promises};
 use control_plane::{Change, Decision, Ledger, Place, Reply, Verdict, decide, reply_to};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -91,9 +92,9 @@
         hasher.finish()
     }
 
-    /// How many orders are in force.
-    pub fn committed(&self) -> usize {
-        self.promises.taken.len()
+    /// Adds to what a search has reached: orders that are in force.
+    pub fn measure(&self, reach: &mut Reach) {
+        reach.committed = reach.committed.max(self.promises.taken.len());
     }
 
     /// All that may happen next.
--- a/crates/raft/src/agreement/search.rs
+++ b/crates/raft/src/agreement/search.rs
@@ -37,9 +37,7 @@
     while reach.depth < depth && !level.is_empty() && seen.len() <= most {
         let mut next = Vec::new();
         for (digest, world) in level {
-            reach.committed = reach.committed.max(world.committed());
-            reach.lists.0 = reach.lists.0.min(world.shortest_list());
-            reach.lists.1 = reach.lists.1.max(world.longest_list());
+            world.measure(&mut reach);
             for event in world.events() {
                 reach.events += 1;
                 let (done, busy) =
--- a/crates/raft/src/agreement/world.rs
+++ b/crates/raft/src/agreement/world.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use super::kept::{apply, empty};
+use super::search::Reach;
 use crate::node::Node;
 use crate::tolerance::RetirementPolicy;
 use crate::transfer::TransferLimits;
@@ -143,19 +144,14 @@
         digest(&(hosts, net, self.past_digest, self.budget))
     }
 
-    pub fn committed(&self) -> usize {
-        self.past.ledger.len()
-    }
-
-    /// The longest list of voters that any node goes by.
-    pub fn longest_list(&self) -> usize {
-        self.hosts.iter().map(|host| host.node.members().len()).max().unwrap_or(0)
-    }
-
-    /// The shortest one.
-    pub fn shortest_list(&self) -> usize {
+    /// Adds to what a search has reached: entries that are committed, and lists of voters that nodes go by.
+    pub fn measure(&self, reach: &mut Reach) {
+        reach.committed = reach.committed.max(self.past.ledger.len());
         let lists = self.hosts.iter().map(|host| host.node.members().len());
-        lists.filter(|length| *length > 0).min().unwrap_or(0)
+        // A host that is no voter yet has no list.
+        for length in lists.filter(|length| *length > 0) {
+            reach.lists = (reach.lists.0.min(length), reach.lists.1.max(length));
+        }
     }
 
     /// All that may happen.
--- a/crates/testbed/src/capacity/costs.rs
+++ b/crates/testbed/src/capacity/costs.rs
@@ -223,7 +223,7 @@
         fleet
     };
     let number = measure(SHORT_TURNS, fleet, |fleet, turn| {
-        std::hint::black_box(fleet.number(&gateway_name(turn % size.gateways)));
+        std::hint::black_box(fleet.number_within(0, u64::MAX, &gateway_name(turn % size.gateways)));
     });
     vec![
         cost_of(step::BEAT, beat),
