--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -536,3 +536,21 @@
     let saved = on_disk(&harbour, 0);
     assert!(saved.snapshot.is_none() && saved.entries.is_empty(), "{saved:?}");
 }
+
+#[test]
+fn a_voter_that_missed_large_configurations_catches_up_and_can_lead() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    let large = |version: u64| config(version) + &" ".repeat(400_000);
+    let away = (leader(&masters) + 1) % 3;
+    masters[away].kill();
+    let asked = (away + 1) % 3;
+    for version in 1..=20 {
+        assert_eq!(masters[asked].insist(version - 1, &large(version)), 200);
+    }
+    masters[away] = harbour.start(away, false);
+    has_status(&masters[away], r#""version":"r20""#);
+    masters[asked].kill();
+    assert_eq!(masters[away].read(), (200, large(20)));
+    assert_eq!(masters[away].insist(20, &config(21)), 200);
+}
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -39,6 +39,24 @@
     pub early_answers: bool,
 }
 
+impl Faults {
+    /// As in service.
+    pub const NONE: Faults = Faults {
+        vote_unsaved: false,
+        old_terms_count: false,
+        any_birth: false,
+        fickle: false,
+        hasty: false,
+        without_pre_vote: false,
+        transfers_restart: false,
+        transfers_mixed: false,
+        transfers_follow_compaction: false,
+        nothing_retained: false,
+        impatient: false,
+        early_answers: false,
+    };
+}
+
 /// What waits for a save.
 #[derive(Debug)]
 #[cfg_attr(test, derive(Clone, Hash))]
--- a/crates/raft/tests/catch_up.rs
+++ b/crates/raft/tests/catch_up.rs
@@ -41,21 +41,7 @@
     needed: false,
     knows_no_pieces: false,
     limits: TransferLimits::SERVICE,
-    faults: NO_FAULT,
-};
-const NO_FAULT: Faults = Faults {
-    vote_unsaved: false,
-    old_terms_count: false,
-    any_birth: false,
-    fickle: false,
-    hasty: false,
-    without_pre_vote: false,
-    transfers_restart: false,
-    transfers_mixed: false,
-    transfers_follow_compaction: false,
-    nothing_retained: false,
-    impatient: false,
-    early_answers: false,
+    faults: Faults::NONE,
 };
 
 /// In milliseconds: what is to be sent over what the changes leave of the link, half as much again, and two seconds for
@@ -173,18 +159,18 @@
 
 #[parameterized(
     transfers_restart = {
-        Faults { transfers_restart: true, ..NO_FAULT },
+        Faults { transfers_restart: true, ..Faults::NONE },
         Case { change_bytes: 100_000, breaks_every: Some(3_000), ..PLAIN }, LATE
     },
     transfers_follow_compaction = {
-        Faults { transfers_follow_compaction: true, ..NO_FAULT },
+        Faults { transfers_follow_compaction: true, ..Faults::NONE },
         Case { missed: 5_000, change_bytes: 2_000, ..PLAIN }, LATE
     },
     nothing_retained = {
-        Faults { nothing_retained: true, ..NO_FAULT },
+        Faults { nothing_retained: true, ..Faults::NONE },
         Case { missed: 5_000, change_bytes: 2_000, ..PLAIN }, LATE
     },
-    impatient = { Faults { impatient: true, ..NO_FAULT }, Case { change_bytes: 100_000, ..PLAIN }, LATE },
+    impatient = { Faults { impatient: true, ..Faults::NONE }, Case { change_bytes: 100_000, ..PLAIN }, LATE },
 )]
 fn planted_faults_are_found(faults: Faults, case: Case, what: &str) {
     assert!(catch_up(case).is_ok(), "it is found without the fault as well");
@@ -222,14 +208,15 @@
 
 #[test]
 fn no_leader_answers_before_its_state_has_caught_up() {
-    let world = all_start_again(NO_FAULT).unwrap_or_else(|fault| panic!("{fault}"));
+    let world = all_start_again(Faults::NONE).unwrap_or_else(|fault| panic!("{fault}"));
     assert!(
         world.acknowledged > 90 && world.answerable > 1_000,
         "{} {}",
         world.acknowledged,
         world.answerable
     );
-    let fault = all_start_again(Faults { early_answers: true, ..NO_FAULT }).err().expect("it is not found");
+    let fault =
+        all_start_again(Faults { early_answers: true, ..Faults::NONE }).err().expect("it is not found");
     println!("{fault}");
     assert!(fault.contains("that were acknowledged"), "{fault}");
 }
--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -174,20 +174,7 @@
 }
 
 // Some faults hide behind guards that are not needed for what they break: those guards are off here.
-const UNGUARDED: Faults = Faults {
-    fickle: true,
-    without_pre_vote: true,
-    vote_unsaved: false,
-    old_terms_count: false,
-    any_birth: false,
-    hasty: false,
-    transfers_restart: false,
-    transfers_mixed: false,
-    transfers_follow_compaction: false,
-    nothing_retained: false,
-    impatient: false,
-    early_answers: false,
-};
+const UNGUARDED: Faults = Faults { fickle: true, without_pre_vote: true, ..Faults::NONE };
 
 #[parameterized(
     vote_unsaved = { Faults { vote_unsaved: true, ..UNGUARDED }, POWER, TWO_LEADERS },
