--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -512,6 +512,9 @@
     let entries = (1..=20).map(entry).collect();
     let append = Message::Append { term: 1, prev_index: 0, prev_term: 0, entries, commit: 20 };
     let mut line = line_of_voter(&harbour, 1, 0);
+    // A message that a later version has added is ignored, and the connection stands.
+    let unknown = protocol::frame(&Flag::Log { incarnation: 0, message: vec![200, 1, 2, 3] });
+    line.write_all(&unknown).expect("sent");
     line.write_all(&log_frame(&append)).expect("sent");
     has_status(&process, r#""commit":20"#);
     process.kill();
