--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -759,6 +759,9 @@
     let entries = (1..=20).map(entry).collect();
     let append = Message::Append { term: 1, prev_index: 0, prev_term: 0, entries, commit: 20 };
     let mut line = line_of_voter(&harbour, 1, 0);
+    // A message that a later version has added is ignored, and the connection stands.
+    let unknown = protocol::frame(&Flag::Log { incarnation: 0, message: vec![200, 1, 2, 3] });
+    line.write_all(&unknown).expect("sent");
     line.write_all(&log_frame(&append)).expect("sent");
     has_status(&process, r#""commit":20"#);
     process.kill();
@@ -783,3 +786,21 @@
     let saved = on_disk(&harbour, 0);
     assert!(saved.snapshot.is_none() && saved.entries.is_empty(), "{saved:?}");
 }
+
+#[test]
+fn a_voter_that_missed_large_configurations_catches_up_and_can_lead() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    let large = |version: u64| config(version) + &" ".repeat(400_000);
+    let away = (leader(&masters) + 1) % 3;
+    masters[away].kill();
+    let asked = (away + 1) % 3;
+    for version in 1..=20 {
+        assert_eq!(masters[asked].insist(version - 1, &large(version)), 200);
+    }
+    masters[away] = harbour.start(away, false);
+    has_status(&masters[away], r#""version":"r20""#);
+    masters[asked].kill();
+    assert_eq!(masters[away].read(), (200, large(20)));
+    assert_eq!(masters[away].insist(20, &config(21)), 200);
+}
