control-plane: an order whose leader is killed meanwhile, and its rival, against three processes

Of an order and its rival of one number, sent to the two others while the leader is killed, one is confirmed and the other refused, and all three say the same afterwards.

--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -304,6 +304,32 @@
     assert_eq!(masters[0].read(), (200, config(1)));
 }
 
+#[test]
+fn an_order_whose_leader_ends_meanwhile_is_confirmed_once_and_its_rival_refused() {
+    let harbour = Harbour::new();
+    let mut masters = harbour.all(true);
+    for version in 1..=3 {
+        let (order, base) = (config(version), version - 1);
+        let rival = order.replace("500", "600");
+        let first = leader(&masters);
+        let mut ending = masters.remove(first);
+        let (one, other) = std::thread::scope(|scope| {
+            let one = scope.spawn(|| masters[0].insist(base, &order));
+            let other = scope.spawn(|| masters[1].insist(base, &rival));
+            ending.kill();
+            (one.join().expect("an answer"), other.join().expect("an answer"))
+        });
+        assert_eq!(one.min(other), 200, "r{version}");
+        assert_eq!(one.max(other), 412, "r{version}");
+        let (kept, lost) = if one == 200 { (order, rival) } else { (rival, order) };
+        masters.insert(first, harbour.start(first, false));
+        for at in &masters {
+            assert_eq!((at.insist(base, &kept), at.insist(base, &lost)), (200, 412), "r{version}");
+            assert_eq!(at.read(), (200, kept.clone()));
+        }
+    }
+}
+
 #[test]
 fn an_order_on_a_version_to_come_is_neither_taken_nor_refused() {
     let harbour = Harbour::new();
