--- a/crates/control-plane/tests/orders/drawn.rs
+++ b/crates/control-plane/tests/orders/drawn.rs
@@ -124,7 +124,7 @@
                     self.promises.taken.extend(order);
                 }
                 verdict = Some(outcome);
-                state = Rc::new(Ledger::restore(&bitcode::encode(&ledger)).expect("what it wrote"));
+                state = Rc::new(Ledger::restore(&ledger.snapshot()).expect("what it wrote"));
             }
             self.states.push(state);
             self.verdicts.push(verdict);
--- a/crates/control-plane/tests/orders/world.rs
+++ b/crates/control-plane/tests/orders/world.rs
@@ -86,7 +86,7 @@
         let mut hasher = DefaultHasher::new();
         (&self.copies, self.elections, &self.promises).hash(&mut hasher);
         for leader in [Some(&self.leader), self.former.as_ref()] {
-            leader.map(|leader| (bitcode::encode(&leader.ledger), &leader.in_flight)).hash(&mut hasher);
+            leader.map(|leader| (leader.ledger.snapshot(), &leader.in_flight)).hash(&mut hasher);
         }
         hasher.finish()
     }
@@ -221,7 +221,7 @@
             *ledger = Ledger::default();
             ledger.apply(Place::default(), change);
         }
-        let snapshot = bitcode::encode(&*ledger);
+        let snapshot = ledger.snapshot();
         self.leader.ledger = Ledger::restore(&snapshot).expect("what it wrote");
     }
 }
