--- a/crates/control-plane/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -83,7 +83,7 @@
 #[test]
 fn an_order_that_was_taken_is_never_refused_however_many_others_came_after_it() {
     let repeated = |newest: u64| {
-        let ledger = Ledger::restore(&bitcode::encode(&ledger_up_to(newest))).expect("a ledger");
+        let ledger = Ledger::restore(&ledger_up_to(newest).snapshot()).expect("a ledger");
         ledger.judge(1, 2, &[2; 32])
     };
     assert_eq!(repeated(REMEMBERED + 1), Verdict::TakenBefore);
@@ -96,7 +96,7 @@
 
 #[test]
 fn a_full_memory_of_digests_takes_little_of_a_snapshot() {
-    let bytes = bitcode::encode(&ledger_up_to(3 * REMEMBERED)).len();
+    let bytes = ledger_up_to(3 * REMEMBERED).snapshot().len();
     println!("{bytes} bytes");
     assert!(bytes < 150_000, "{bytes}");
 }
