reachlb: a founder that comes to an emptied folder asks the others whether this is the first start

Cause: with bootstrap still set, a founder on an emptied folder came back as the voter whose votes it had forgotten. If nobody answers it can't know, as before.

--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -30,6 +30,9 @@
 }
 
 impl Disk {
+    /// The name of the log's file in its folder.
+    pub const FILE: &'static str = "log.redb";
+
     /// Opens the log in a folder, or begins one as this voter. A file that is damaged is set aside: its voter is lost,
     /// and who starts here is another one.
     ///
@@ -45,7 +48,7 @@
             why,
         };
         std::fs::create_dir_all(folder).map_err(|e| unusable("make the folder", folder, e.to_string()))?;
-        let path = folder.join("log.redb");
+        let path = folder.join(Self::FILE);
         let (store, saved, damaged) = match Store::open(&path) {
             Ok((store, saved)) => (store, saved, false),
             Err(error) if error.is_lost() => {
--- a/crates/reachlb/src/lib.rs
+++ b/crates/reachlb/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod check;
+mod founder;
 mod logs;
 mod master;
 pub mod operate;
--- a/crates/reachlb/src/master.rs
+++ b/crates/reachlb/src/master.rs
@@ -41,8 +41,14 @@
             // disk later is somebody else than the one whose disk it was.
             let seeds: Vec<_> = start::seeds(&settings).iter().map(SocketAddr::to_string).collect();
             let founder = settings.bootstrap && seeds.contains(&address.to_string());
+            let empty = !folder.join(Disk::FILE).exists();
+            let lost = founder && empty && crate::founder::lost_its_disk(&settings).await;
+            if lost {
+                spdlog::warn!("the folder is empty and the system is past its first start: joins as another voter",
+                    kv: { step = "start" });
+            }
             let newcomer = |damaged: bool| {
-                let at_birth = founder && !damaged;
+                let at_birth = founder && !damaged && !lost;
                 let incarnation = if at_birth { 0 } else { start::draw() | 1 };
                 let founders = seeds.iter().map(|a| VoterId { address: a.clone(), incarnation: 0 });
                 let founders = if at_birth { founders.collect() } else { Vec::new() };
--- a/crates/reachlb/src/operate/mod.rs
+++ b/crates/reachlb/src/operate/mod.rs
@@ -3,7 +3,7 @@
 //! Statuses: 0 it is as asked; 1 the answer was a refusal; 2 the arguments or a file can't be used; 3 what a process
 //! has written is damaged; 4 nobody answered.
 
-mod client;
+pub(crate) mod client;
 mod config;
 mod explain;
 mod state;
