--- a/deploy/days/play_test.py
+++ b/deploy/days/play_test.py
@@ -81,7 +81,7 @@
         return {"seed": 1, "G": 0.8, "served": 0.9, "rules": {}, "fault": None, "short": [], "gate": True} | changed
 
     def read(self, **changed):
-        return play.outcome("d", {"id": "0a", "days": [self.day(**changed)]}, [])
+        return play.outcome("d", {"id": "0a", "days": [self.day(**changed)]}, [], "-")
 
     def test_a_clean_day_passes(self):
         self.assertTrue(self.read().passed())
@@ -96,14 +96,14 @@
         self.assertFalse(self.read(fault="no program").passed())
 
     def test_no_result_is_no_pass(self):
-        self.assertFalse(play.outcome("d", None, []).passed())
-        self.assertFalse(play.outcome("d", {"id": "0a", "days": []}, []).passed())
+        self.assertFalse(play.outcome("d", None, [], "-").passed())
+        self.assertFalse(play.outcome("d", {"id": "0a", "days": []}, [], "-").passed())
 
     def test_an_entry_that_the_bench_left_out_is_named(self):
         day = {"plan": [{"kind": "hup"}], "faults": [{"kind": "core_cut"}, {"kind": "core_cut"}]}
         events = [{"kind": "hup "}, {"kind": "core_cut (leader)"}, {"kind": "scale_in"}]
         self.assertEqual(play.not_played(day, events), ["core_cut 1"])
-        shown = play.outcome("d", {"id": "0a", "days": [self.day()]}, ["core_cut 1"])
+        shown = play.outcome("d", {"id": "0a", "days": [self.day()]}, ["core_cut 1"], "-")
         self.assertTrue(shown.passed())
         self.assertIn("not played: core_cut 1", shown.line())
 
