--- a/crates/testbed/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -160,3 +160,16 @@
         assert!(!place.path().join("processes.json").exists());
     }
 }
+
+#[test]
+fn a_scale_run_measures_hollow_data_planes_and_leaves_no_process() {
+    let few = ["--processes", "1", "--backends", "1", "--requests", "5", "--seconds", "6"];
+    let (mut child, mut said) = start(&[&["scale", "--gateways", "3"], &few[..]].concat());
+    read_until(&mut said, "3 hollow data planes have r1");
+    let children = children(child.id());
+    // Four control planes, four data planes and the hollow ones.
+    assert_eq!(children.len(), 9);
+    read_until(&mut said, "| change: came to all gateways | 1.0 |");
+    assert!(wait(&mut child).success());
+    all_gone(&children);
+}
