--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -9,6 +9,7 @@
 
 #[cfg(test)]
 mod agreement;
+mod checksum;
 mod election;
 mod log;
 mod members;
@@ -16,6 +17,7 @@
 mod replication;
 pub mod store;
 mod tolerance;
+mod transfer;
 mod types;
 mod writer;
 
@@ -25,5 +27,9 @@
 
 pub use node::{Faults, Node};
 pub use tolerance::{Learner, RetirementPolicy, Standing, further_losses, least_voters, majority_of};
-pub use types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Snapshot, Timing, VoterId, What};
+pub use transfer::TransferLimits;
+pub use types::{
+    Entry, Input, Message, Millis, Output, PayloadKind, Role, Save, Saved, Snapshot, Timing, TransferId,
+    VoterId, What,
+};
 pub use writer::{Told, Writer};
