--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -177,6 +177,7 @@
     }
 
     /// Never comes back.
+    #[allow(dead_code)] // Not all that share this world replace hosts.
     pub fn lose(&mut self, at: usize) {
         let host = &mut self.hosts[at];
         host.node = None;
@@ -186,6 +187,7 @@
     }
 
     /// Another host with an empty disk, at an address of its own, that starts after a while.
+    #[allow(dead_code)] // As above.
     pub fn newcomer(&mut self, after: Millis) -> usize {
         let at = self.hosts.len();
         let incarnation = 1 + self.draw.below(1 << 40);
