control-plane: the leader's answer to a forwarded call counts on its connection only

A call of the operator that a process passes on to the leader was answered by whoever sent its number, on any connection; numbers begin at one in each life of a process, so an answer meant for another one could be taken. It has to come on the connection that carried the call now.

tests/forwarded.rs fails without the check of the connection.

--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -158,8 +158,8 @@
     reply: oneshot::Sender<Reply>,
     since: u64,
     order: Order,
-    /// Where it was passed on to, if it was.
-    passed: Option<SocketAddr>,
+    /// The number of the connection that it was passed on by, if it was.
+    passed: Option<u64>,
 }
 
 /// Who waits for the word on a change or a read.
--- a/crates/control-plane/src/master/links.rs
+++ b/crates/control-plane/src/master/links.rs
@@ -49,6 +49,13 @@
         ours.map(|p| &p.line)
     }
 
+    /// The number of that line, and the line.
+    pub(super) fn connection_to(&self, address: &SocketAddr) -> Option<(u64, Line)> {
+        let ours = |peer: &Peer| peer.dialed.as_ref() == Some(address) && !peer.line.is_lost();
+        let (number, peer) = self.peers.iter().find(|(_, peer)| ours(peer))?;
+        Some((*number, peer.line.clone()))
+    }
+
     pub(super) fn other_masters(&self) -> BTreeSet<SocketAddr> {
         let known = self.masters.keys().chain(&self.settings.seeds);
         known.copied().filter(|address| *address != self.settings.address).collect()
@@ -166,11 +173,7 @@
             Flag::Handover(handover) => self.on_handover(handover, now),
             Flag::Draw(draw) => self.on_draw(number, draw, now),
             Flag::Ask { token, order } => self.on_order(Asker::There { peer: number, token }, order, now),
-            Flag::Told { token, status, body } => {
-                if let Some(waiting) = self.waiting.remove(&token) {
-                    let _ = waiting.reply.send(Reply { status, body });
-                }
-            }
+            Flag::Told { token, status, body } => self.on_told(number, token, Reply { status, body }),
             // News of another master, for those without a log.
             Flag::Pulse(pulse) => self.on_pulse(pulse, now),
             Flag::Sheet(sheet) => self.on_sheet(sheet),
--- a/crates/control-plane/src/master/orders.rs
+++ b/crates/control-plane/src/master/orders.rs
@@ -60,15 +60,25 @@
                     self.on_order(Asker::Here(waiting.reply), waiting.order, now);
                 }
             } else if let Some(to) = leader.filter(|to| *to != self.settings.address)
-                && let Some(line) = self.line_to(&to).cloned()
+                && let Some((number, line)) = self.connection_to(&to)
                 && let Some(waiting) = self.waiting.get_mut(&token)
                 && line.send(&Flag::Ask { token, order: waiting.order.clone() })
             {
-                waiting.passed = Some(to);
+                waiting.passed = Some(number);
             }
         }
     }
 
+    /// The leader's answer to a call. It comes on the connection that carried the call, or it is nobody's.
+    pub(super) fn on_told(&mut self, number: u64, token: u64, reply: Reply) {
+        let asked = |waiting: &Waiting| waiting.passed == Some(number);
+        if self.waiting.get(&token).is_some_and(asked)
+            && let Some(waiting) = self.waiting.remove(&token)
+        {
+            let _ = waiting.reply.send(reply);
+        }
+    }
+
     pub(super) fn tend_calls(&mut self, now: u64) {
         self.pass_on(now);
         let over = |w: &Waiting| now > w.since + if w.passed.is_some() { PASSED } else { LEADERLESS };
