--- a/crates/quota/tests/leaving.rs
+++ b/crates/quota/tests/leaving.rs
@@ -106,6 +106,14 @@
     Ok(world.judge.worst())
 }
 
+/// Control hears a gateway no more, nor the other way round.
+fn cut_off(world: &mut World, place: usize) {
+    for master in (0..MASTERS).map(Who::M) {
+        world.cut(Who::Q(place), master);
+        world.cut(master, Who::Q(place));
+    }
+}
+
 fn strike(world: &mut World, kind: usize) -> Result<(), String> {
     let masters = || (0..MASTERS).map(Who::M);
     let open = world.open_gateways();
@@ -135,10 +143,7 @@
     // One that is cut off while others come and go is the one whose slices must be held back.
     if kind == 3 || world.lots.unit() < 0.5 {
         let place = world.lots.below(GATEWAYS);
-        for master in masters() {
-            world.cut(Who::Q(place), master);
-            world.cut(master, Who::Q(place));
-        }
+        cut_off(world, place);
     }
     Ok(())
 }
@@ -171,10 +176,7 @@
     world.run_until(8_000.0).expect("one holder");
     world.leave(3, None);
     world.run_until(8_020.0).expect("one holder");
-    (0..MASTERS).map(Who::M).for_each(|master| {
-        world.cut(Who::Q(3), master);
-        world.cut(master, Who::Q(3));
-    });
+    cut_off(&mut world, 3);
     world.run_until(28_000.0).expect("one holder");
     world.judge.worst()
 }
@@ -195,10 +197,7 @@
     world.membership().leaves_late = 6_000.0;
     world.leave(2, Some(300.0));
     world.run_until(10_000.0).expect("one holder");
-    (0..MASTERS).map(Who::M).for_each(|master| {
-        world.cut(Who::Q(2), master);
-        world.cut(master, Who::Q(2));
-    });
+    cut_off(&mut world, 2);
     world.run_until(28_000.0).expect("one holder");
     world.judge.worst()
 }
