control-plane: a process without a log starts from the fleet that it is told

Right after its start it has heard of few data planes, and would give those that follow it, should they be cut off then, far too large a slice. The processes that a test plays have a file of their own.

--- a/crates/control-plane/tests/harbour.rs
+++ b/crates/control-plane/tests/harbour.rs
@@ -1,6 +1,9 @@
 //! Masters as threads with a runtime each, over loopback and on real files: what an operator sees while they come and go.
 
+mod played;
+
 use control_plane::{Disk, Master, MasterSettings};
+use played::{Played, hail};
 use protocol::{Flag, Hail, Held, Plane, Pulse, Sheet};
 use raft::{Timing, VoterId};
 use std::cell::Cell;
@@ -323,61 +326,6 @@
     assert_eq!(next_sheet(&mut read, &mut buffer), Flag::Sheet(whole));
 }
 
-/// A connection of another process, played by the test.
-struct Played {
-    stream: TcpStream,
-    read: Vec<u8>,
-}
-
-impl Played {
-    fn new(stream: TcpStream) -> Self {
-        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
-        Self { stream, read: Vec::new() }
-    }
-
-    /// Connects as a data plane.
-    fn data_plane(to: SocketAddr, name: &str, incarnation: u64) -> Self {
-        let mut played = Self::new(until(|| TcpStream::connect(to).ok()));
-        played.say(&Flag::Hail(hail(name, incarnation, Plane::Quay)));
-        played.say(&Flag::Follow { have: Held::default() });
-        played
-    }
-
-    fn say(&mut self, flag: &Flag) {
-        self.stream.write_all(&protocol::frame(flag)).expect("sent");
-    }
-
-    fn next(&mut self) -> Flag {
-        loop {
-            if let Some((flag, length)) = protocol::unframe::<Flag>(&self.read).expect("a frame") {
-                self.read.drain(..length);
-                return flag;
-            }
-            let mut bytes = [0; 4096];
-            let length = self.stream.read(&mut bytes).expect("the next bytes");
-            assert!(length > 0, "the connection is over");
-            self.read.extend_from_slice(&bytes[..length]);
-        }
-    }
-
-    fn leave(&mut self) {
-        self.say(&Flag::Leave);
-        while self.next() != Flag::LeaveAccepted {}
-    }
-}
-
-fn hail(name: &str, incarnation: u64, plane: Plane) -> Hail {
-    Hail {
-        name: name.into(),
-        life: incarnation,
-        plane,
-        address: "127.0.0.1:1".into(),
-        zone: "a".into(),
-        quorum: false,
-        incarnation: None,
-    }
-}
-
 /// Waits until a process counts these data planes.
 fn counts(process: &Process, names: &[&str]) {
     until(|| {
@@ -452,6 +400,23 @@
     assert_eq!((departures[0].name.as_str(), departures[0].incarnation), ("a", 1));
 }
 
+#[test]
+fn a_process_without_a_log_starts_from_the_fleet_that_it_is_told() {
+    let ports = free_ports(2);
+    let _process = Process::start(VOTERS, ports[0], &[ports[0]], ports[1], None, true);
+    let mut voter = Played::new(until(|| TcpStream::connect(ports[0]).ok()));
+    voter.say(&Flag::Hail(hail("voter", 1, Plane::Master)));
+    let leader = Some(ports[1].to_string());
+    voter.say(&Flag::Pulse(Pulse { leader, epoch: 1, fresh: true, fleet: 9, ..Pulse::default() }));
+    // It has heard of one data plane itself: that one's slice would be the whole of each quota.
+    let mut only = Played::data_plane(ports[0], "a", 1);
+    let fleet = until(|| match only.next() {
+        Flag::Pulse(pulse) if pulse.fresh => Some(pulse.fleet),
+        _ => None,
+    });
+    assert_eq!(fleet, 9);
+}
+
 #[test]
 fn who_lost_its_disk_joins_as_somebody_else() {
     let harbour = Harbour::new();
--- /dev/null
+++ b/crates/control-plane/tests/played/mod.rs
@@ -0,0 +1,61 @@
+//! Other processes as a process of control meets them, played by a test.
+
+use protocol::{Flag, Hail, Held, Plane};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// A connection of another process, played by the test.
+pub struct Played {
+    pub stream: TcpStream,
+    read: Vec<u8>,
+}
+
+impl Played {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(super::PATIENCE)).expect("a limit");
+        Self { stream, read: Vec::new() }
+    }
+
+    /// Connects as a data plane.
+    pub fn data_plane(to: SocketAddr, name: &str, incarnation: u64) -> Self {
+        let mut played = Self::new(super::until(|| TcpStream::connect(to).ok()));
+        played.say(&Flag::Hail(hail(name, incarnation, Plane::Quay)));
+        played.say(&Flag::Follow { have: Held::default() });
+        played
+    }
+
+    pub fn say(&mut self, flag: &Flag) {
+        self.stream.write_all(&protocol::frame(flag)).expect("sent");
+    }
+
+    pub fn next(&mut self) -> Flag {
+        loop {
+            if let Some((flag, length)) = protocol::unframe::<Flag>(&self.read).expect("a frame") {
+                self.read.drain(..length);
+                return flag;
+            }
+            let mut bytes = [0; 4096];
+            let length = self.stream.read(&mut bytes).expect("the next bytes");
+            assert!(length > 0, "the connection is over");
+            self.read.extend_from_slice(&bytes[..length]);
+        }
+    }
+
+    pub fn leave(&mut self) {
+        self.say(&Flag::Leave);
+        while self.next() != Flag::LeaveAccepted {}
+    }
+}
+
+/// Who says that it connects.
+pub fn hail(name: &str, incarnation: u64, plane: Plane) -> Hail {
+    Hail {
+        name: name.into(),
+        life: incarnation,
+        plane,
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        quorum: false,
+        incarnation: None,
+    }
+}
