--- a/crates/control-plane/tests/forwarded.rs
+++ b/crates/control-plane/tests/forwarded.rs
@@ -1,6 +1,6 @@
 //! Calls that go on to the leader: their answers come on the connection that carried them, or not at all.
 
-use control_plane::{Master, MasterSettings};
+use control_plane::{Master, MasterSettings, Tolerance};
 use protocol::{Flag, Hail, Plane, Pulse};
 use raft::Timing;
 use std::cell::Cell;
@@ -38,6 +38,8 @@
         seeds: vec![leader],
         beat_interval: 500,
         timing: Timing { heartbeat: 40, election: 300, lease: 200 },
+        tolerance: Tolerance::default(),
+        retire_after: 2000,
         draws_a_holder: 0.0,
         relay_room: None,
         seed: 5,
