--- a/crates/reachlb/src/operate/status.rs
+++ b/crates/reachlb/src/operate/status.rs
@@ -133,3 +133,21 @@
     section("connections here", &status["lines"], &["name", "plane", "address", "follows", "silent_ms"]);
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn what_may_be_lost_stands_beside_what_is_wanted() {
+        let figures = |machines: u32| json!({ "machines": machines, "zones": 0, "regions": 0 });
+        let standing = json!({ "voters": 4, "counted": 3, "unheard": ["10.0.0.3:7"],
+            "learners": [{ "address": "10.0.0.5:7", "caught_up": false }],
+            "further_losses": figures(0), "tolerated": figures(1) });
+        let told = "voters: 3 of 4 count; may be lost now: 0 machines (wanted 1), 0 zones (wanted 0), \
+            0 regions (wanted 0); not heard: 10.0.0.3:7; joining: 10.0.0.5:7\n";
+        assert_eq!(borne(&standing), told);
+        assert!(borne(&Value::Null).contains("not known"));
+    }
+}
