transport: a new process takes no configuration that the one it follows does not vouch for

A process without a configuration keeps what came from a control plane that may be behind, and takes it once the one that it follows says that it is up to date. That word comes before the configuration does, so after a change from one that was cut off to one that was not, the old configuration came into force until the new one had arrived: on a thin link with a large configuration that lasts seconds. The word names a version: now nothing older is taken, also in the relay tree.

The new test in tests/course.rs asks for this; may_begin had no version before.

--- a/crates/transport/src/course.rs
+++ b/crates/transport/src/course.rs
@@ -30,6 +30,8 @@
     heard: Millis,
     fresh_at: Millis,
     fresh: bool,
+    /// The version that it said it has, when it last said that it is of this moment.
+    version: u64,
 }
 
 /// What a follower knows of those that serve control, and whom it follows.
@@ -103,7 +105,7 @@
             return None;
         }
         let to = self.best(now)?;
-        self.following = Some(Leading { to, heard: now, fresh_at: now, fresh: false });
+        self.following = Some(Leading { to, heard: now, fresh_at: now, fresh: false, version: 0 });
         Some(to)
     }
 
@@ -158,6 +160,7 @@
         if let Some(following) = &mut self.following {
             if pulse.fresh {
                 following.fresh_at = now;
+                following.version = pulse.version;
             }
             following.fresh = pulse.fresh;
         }
@@ -174,8 +177,10 @@
     }
 
     /// Whether a configuration that comes now may be taken by a process that has none yet: one that is behind would
-    /// bring an old one into force again.
-    pub fn may_begin(&self, now: Millis) -> bool {
-        self.following.as_ref().is_some_and(|f| f.fresh) || now > self.started + PATIENCE
+    /// bring an old one into force again. What came from a former one is not vouched for by the present one, whose word
+    /// comes before its configuration.
+    pub fn may_begin(&self, now: Millis, version: u64) -> bool {
+        let vouched = |leading: &Leading| leading.fresh && version >= leading.version;
+        self.following.as_ref().is_some_and(vouched) || now > self.started + PATIENCE
     }
 }
--- a/crates/transport/src/pilot.rs
+++ b/crates/transport/src/pilot.rs
@@ -141,8 +141,8 @@
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<Sheet>,
     above: Option<SocketAddr>,
-    /// What the last root heard of said of itself, with a place in the tree.
-    root_fresh: bool,
+    /// The version of the last root heard of, if it said that it is of this moment, with a place in the tree.
+    root_version: Option<u64>,
     signed: Instant,
     roster: Roster,
     events: mpsc::Sender<Event>,
@@ -172,7 +172,7 @@
             body: Vec::new(),
             doubtful: None,
             above: None,
-            root_fresh: false,
+            root_version: None,
             signed: began,
             roster: Roster::default(),
             events,
@@ -378,7 +378,8 @@
     }
 
     fn take_doubtful(&mut self) {
-        if self.doubtful.is_none() || self.have.version == 0 && !self.may_begin() {
+        let Some(version) = self.doubtful.as_ref().map(|sheet| sheet.version) else { return };
+        if self.have.version == 0 && !self.may_begin(version) {
             return;
         }
         if let Some(sheet) = self.doubtful.take().filter(|sheet| sheet.version > self.have.version) {
@@ -395,8 +396,9 @@
         self.course.seeds(seeds);
     }
 
-    fn may_begin(&self) -> bool {
-        self.root_fresh || self.course.may_begin(self.now())
+    fn may_begin(&self, version: u64) -> bool {
+        let vouched = self.root_version.is_some_and(|newest| version >= newest);
+        vouched || self.course.may_begin(self.now(), version)
     }
 
     fn tend_tree(&mut self, now: u64) {
@@ -423,7 +425,7 @@
         for output in news.into_iter().flatten() {
             let flag = match output {
                 Output::Pulse(mut pulse) => {
-                    self.root_fresh = pulse.fresh;
+                    self.root_version = pulse.fresh.then_some(pulse.version);
                     // The root does not count those that it does not know one by one.
                     let mut hasher = DefaultHasher::new();
                     self.settings.me.name.hash(&mut hasher);
--- a/crates/transport/tests/course.rs
+++ b/crates/transport/tests/course.rs
@@ -78,10 +78,23 @@
     let mut course = course(&[(1, "a")]);
     course.choose(0);
     course.pulse(10, &pulse(1, 1, false));
-    assert!(!course.may_begin(7000));
-    assert!(course.may_begin(8001), "at last an old configuration is better than none");
+    assert!(!course.may_begin(7000, 1));
+    assert!(course.may_begin(8001, 1), "at last an old configuration is better than none");
     course.pulse(20, &pulse(1, 1, true));
-    assert!(course.may_begin(30));
+    assert!(course.may_begin(30, 1));
+}
+
+#[test]
+fn what_came_from_a_former_one_is_not_vouched_for_by_the_next() {
+    let mut course = course(&[(1, "a")]);
+    course.choose(0);
+    course.pulse(10, &pulse(1, 1, false));
+    course.failed(20);
+    course.choose(300);
+    // The next one says how new it is before its configuration comes.
+    course.pulse(310, &Pulse { version: 9, ..pulse(1, 1, true) });
+    assert!(!course.may_begin(320, 5), "r5 came from the one before");
+    assert!(course.may_begin(320, 9));
 }
 
 #[test]
