control-plane: what is told as of this moment rests on the leader's answer

A process that does not lead called its news current because a heartbeat, or news of another process, had come lately, whenever that was sent. After a freeze or a held link it worked through what lay in its socket and called that current; beside a leader that was cut off with it, it did so for up to 640 ms of the leader and 640 of its own. Now it asks the leader for its read index every 200 ms. Only a leader that holds its lease answers, and the answer counts for 800 ms from when the question was sent. Delays on the way, and of a relay between, no longer make news younger.

Any process gave backends leave to end (2xx to draining and departure), cut off or not. One that is not in touch now passes on what it heard, and answers 503, so that the backend asks another.

An order handed to a leader that died or lost its place waited for it for 2.3 s. It is handed to the next leader, under another token; an order that the log has is acknowledged, not taken twice.

For tests, connections and the disk can be replaced (Connect, Disk::over, Line::over), and faults planted.

--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -25,9 +25,7 @@
 }
 
 /// The way to the disk.
-pub struct Disk {
-    writer: Writer,
-}
+pub struct Disk(Box<dyn Fn(Save)>);
 
 impl Disk {
     /// Opens the log in a folder, or begins one as this voter. A file that is damaged is set aside: its voter is lost,
@@ -94,11 +92,16 @@
         };
         let writer = Writer::start(store, saved.me.clone(), told)
             .map_err(|e| unusable("start the thread for", &path, e.to_string()))?;
-        Ok((Self { writer }, saved))
+        Ok((Self::over(move |save| writer.save(save)), saved))
+    }
+
+    /// A disk that is written by this; it does not wait.
+    pub fn over(save: impl Fn(Save) + 'static) -> Self {
+        Self(Box::new(save))
     }
 
     /// Queues a write; its ticket comes back as [`Command::Saved`].
     pub fn save(&self, save: Save) {
-        self.writer.save(save);
+        (self.0)(save);
     }
 }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -7,7 +7,9 @@
 #![warn(missing_docs)]
 
 mod calls;
+mod contact;
 mod disk;
+mod faults;
 mod ledger;
 mod lines;
 mod master;
@@ -15,6 +17,8 @@
 
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
+#[doc(hidden)]
+pub use faults::Faults;
 pub use ledger::{Change, Ledger, Marks, Place, Verdict};
-pub use lines::listen;
+pub use lines::{Connect, ConnectTcp, listen};
 pub use master::{Command, Master, MasterSettings};
--- a/crates/control-plane/src/lines.rs
+++ b/crates/control-plane/src/lines.rs
@@ -1,17 +1,41 @@
 //! Connections of other processes that come to this one.
 
 use crate::master::Command;
+use config::Detours;
 use observability::Seldom;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
-use transport::{Line, Reader, attach};
+use transport::{Line, Reader, attach, dial};
 
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// How a process comes to connections with others.
+pub trait Connect {
+    /// Connects to a process. The owner hears of it under this number: that it stands, what comes on it, and its end;
+    /// or its end alone.
+    fn connect(&self, number: u64, to: SocketAddr, commands: mpsc::Sender<Command>);
+}
+
+/// Connections over TCP, by the ways that lead to others.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectTcp(pub Detours);
+
+impl Connect for ConnectTcp {
+    fn connect(&self, number: u64, to: SocketAddr, commands: mpsc::Sender<Command>) {
+        let ways = self.0.clone();
+        transport::spawn(async move {
+            match dial(to, &ways).await {
+                Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
+                Err(error) => drop(commands.send(Command::Closed { number, error }).await),
+            }
+        });
+    }
+}
+
 /// Takes connections until the program ends; each gets a number, and what comes on it goes to the owner.
 pub async fn listen(listener: TcpListener, commands: mpsc::Sender<Command>, numbers: impl Fn() -> u64) {
     let (began, mut failed) = (Instant::now(), Seldom::new(1, 10_000));
--- a/crates/control-plane/src/master.rs
+++ b/crates/control-plane/src/master.rs
@@ -1,5 +1,6 @@
 //! The owner of all tables of the control plane.
 
+mod contact;
 mod entries;
 mod links;
 mod news;
@@ -9,12 +10,14 @@
 mod tree;
 
 use crate::calls::{Call, Reply};
+use crate::contact::{Confirmation, Contact, ContactMessage};
 use crate::disk::Disk;
+use crate::faults::Faults;
 use crate::ledger::{Change, Ledger, Marks, Place, Verdict};
-use crate::lines::carry;
+use crate::lines::{Connect, ConnectTcp};
 use crate::watch::{Watch, What as Happened};
 use config::{Config, Detours};
-use protocol::{Berth, Flag, Hail, Held, MasterCard, Order, Plane, Pulse, Sheet, Splice};
+use protocol::{Berth, Flag, Hail, Held, MasterCard, Order, Phase, Plane, Pulse, Sheet, Splice};
 use quota::{Office, Placer, Quota, Roster};
 use raft::{Input, Node, Output, Role, Saved, Timing, VoterId, What};
 use registry::{Fleet, Judgement, Register};
@@ -25,7 +28,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use transport::sheets::{self, Sheets};
-use transport::{Line, LineError, Lookout, dial};
+use transport::{Line, LineError, Lookout};
 
 /// How often things are looked after.
 const TICK: u64 = 50;
@@ -33,7 +36,7 @@
 const PULSE: u64 = 350;
 /// ... and news of the leader no more often than this.
 const LEAST_PULSE: u64 = 40;
-/// What others told of the leader is of this moment for so long: two of their pulses and some room. Quays leave whoever
+/// What others told of the leader stands for so long: two of their pulses and some room. Quays leave whoever
 /// is behind 0.9 s after its last good word, so that those behind a relay that was cut off have news again within 2 s.
 const WORD: u64 = 800;
 /// Other masters hear whose beats came here, and who else serves control, this often.
@@ -204,6 +207,10 @@
     /// Known from others, of a master without a log of its own.
     told: Pulse,
     told_at: u64,
+    /// Whether the leader has said that what this process tells is of this moment, if it does not lead.
+    contact: Contact,
+    connect: Rc<dyn Connect>,
+    faults: Faults,
     tokens: u64,
     waiting: HashMap<u64, Waiting>,
     proposed: BTreeMap<u64, Proposed>,
@@ -266,6 +273,9 @@
             offers: Offers::default(),
             told: Pulse::default(),
             told_at: 0,
+            contact: Contact::default(),
+            connect: Rc::new(ConnectTcp(settings.ways.clone())),
+            faults: Faults::default(),
             tokens: 0,
             waiting: HashMap::new(),
             proposed: BTreeMap::new(),
@@ -292,6 +302,16 @@
         Self { lookout, ..self }
     }
 
+    /// Reaches others in another way than by TCP.
+    pub fn with_connect(self, connect: Rc<dyn Connect>) -> Self {
+        Self { connect, ..self }
+    }
+
+    #[doc(hidden)]
+    pub fn with_faults(self, faults: Faults) -> Self {
+        Self { faults, ..self }
+    }
+
     fn now(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
@@ -310,6 +330,7 @@
             let due = self.node.as_ref().map_or(due, |node| due.min(node.next_due()));
             let due = self.began + Duration::from_millis(due.max(self.now() + 1));
             tokio::select! {
+                biased;
                 command = queue.recv() => match command {
                     Some(command) => self.work(command),
                     None => return,
@@ -348,6 +369,7 @@
             self.tend_office(now);
             self.tend_tree(now);
         }
+        self.tend_contact(now);
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
         self.watch.stands(now, leader, epoch, self.ledger.version());
--- a/crates/control-plane/src/master/links.rs
+++ b/crates/control-plane/src/master/links.rs
@@ -74,15 +74,7 @@
             }
             let number = (self.numbers)();
             self.dialing.insert(to, (number, now + DIALING));
-            let (commands, ways) = (self.commands.clone(), self.settings.ways.clone());
-            transport::spawn(async move {
-                match dial(to, &ways).await {
-                    Ok((line, reader)) => carry(number, line, reader, Some(to), commands).await,
-                    Err(error) => {
-                        let _ = commands.send(Command::Closed { number, error }).await;
-                    }
-                }
-            });
+            self.connect.connect(number, to, self.commands.clone());
         }
     }
 
@@ -231,6 +223,9 @@
     }
 
     pub(super) fn on_log(&mut self, number: u64, incarnation: u64, message: &[u8]) {
+        if let Some(message) = ContactMessage::read(message) {
+            return self.on_contact(number, &message);
+        }
         let Some(hail) = self.peers.get(&number).and_then(|p| p.hail.as_ref()) else { return };
         let from = VoterId { address: hail.address.clone(), incarnation };
         if let Ok(message) = bitcode::decode(message) {
--- a/crates/control-plane/src/master/news.rs
+++ b/crates/control-plane/src/master/news.rs
@@ -4,23 +4,6 @@
 use failure_detector::State;
 
 impl Master {
-    /// The leader of the log as this process knows it, its term, and whether that is of this moment.
-    pub(super) fn leader(&self, now: u64) -> (Option<SocketAddr>, u64, bool) {
-        match &self.node {
-            Some(node) if node.is_leader() => {
-                (Some(self.settings.address), node.term(), node.holds_lease(now))
-            }
-            Some(node) => {
-                let leader = node.leader().and_then(|voter| voter.address.parse().ok());
-                (leader, node.term(), leader.is_some() && node.commit() > 0 && !node.lags())
-            }
-            None => {
-                let fresh = self.told.fresh && now < self.told_at + WORD;
-                (self.told.leader.as_ref().and_then(|l| l.parse().ok()), self.told.epoch, fresh)
-            }
-        }
-    }
-
     pub(super) fn pulse_for(&self, number: u64, now: u64) -> Pulse {
         let (leader, epoch, fresh) = self.leader(now);
         let (assignment, deputies) = self.deputies(epoch);
--- a/crates/control-plane/src/master/office.rs
+++ b/crates/control-plane/src/master/office.rs
@@ -209,7 +209,8 @@
     /// What followers are told of the assignment of a term: nothing while the leader holds all counts alone.
     pub(super) fn deputies(&self, term: u64) -> (u32, Vec<String>) {
         if self.node.is_none() {
-            return (self.told.assignment, self.told.deputies.clone());
+            let known = self.told.epoch == term;
+            return if known { (self.told.assignment, self.told.deputies.clone()) } else { (0, Vec::new()) };
         }
         let Epoch { term: of, number } = self.roster.epoch;
         if of != term || number <= 1 {
--- a/crates/control-plane/src/master/orders.rs
+++ b/crates/control-plane/src/master/orders.rs
@@ -8,14 +8,15 @@
         *self.watch.counted.calls.entry(call.kind()).or_default() += 1;
         match call {
             Call::Beat(berth) => {
+                let leaves = berth.phase == Phase::Draining;
                 let judgement = self.register.beat(now, berth);
                 self.on_judgement(judgement);
-                let _ = reply.send(Reply::done());
+                let _ = reply.send(if leaves { self.leave_acknowledged(now) } else { Reply::done() });
             }
             Call::Departure(id) => {
                 let judgement = self.register.departed(now, &id);
                 self.on_judgement(judgement);
-                let _ = reply.send(Reply::done());
+                let _ = reply.send(self.leave_acknowledged(now));
             }
             Call::Order(order) => self.on_order_here(order, reply, now),
             Call::Status => drop(reply.send(self.status(now))),
@@ -26,6 +27,16 @@
         }
     }
 
+    /// Once it is acknowledged that a backend leaves, it ends soon, and the others must know. A process that is cut off
+    /// passes on what it hears, but sends the backend to another one.
+    fn leave_acknowledged(&self, now: u64) -> Reply {
+        let (.., current) = self.leader(now);
+        if current || self.faults.acknowledges_drains {
+            return Reply::done();
+        }
+        Reply::why(503, "this process may be cut off: ask another one")
+    }
+
     pub(super) fn on_judgement(&mut self, judgement: Judgement) {
         if let Judgement::Changed(berths) = judgement {
             self.to_masters(&Flag::Berths { whole: false, berths: berths.clone() });
@@ -49,8 +60,9 @@
 
     /// Calls that wait for a leader go to it as soon as it is known.
     pub(super) fn pass_on(&mut self, now: u64) {
-        let (leader, ..) = self.leader(now);
+        let (leader, _, current) = self.leader(now);
         let leads = self.node.as_ref().is_some_and(|node| node.is_leader());
+        self.take_back(leader.filter(|_| current));
         let ready: Vec<u64> =
             self.waiting.iter().filter(|(_, w)| w.passed.is_none()).map(|(t, _)| *t).collect();
         for token in ready {
@@ -68,6 +80,21 @@
         }
     }
 
+    /// Orders whose leader is out of reach, or leads no more, are passed on anew: an order that the log has already is
+    /// acknowledged, not taken twice. Each gets another token, so that the former leader's word does not count.
+    fn take_back(&mut self, current_leader: Option<SocketAddr>) {
+        let gone =
+            |to: SocketAddr| self.line_to(&to).is_none() || current_leader.is_some_and(|leader| leader != to);
+        let stranded: Vec<u64> =
+            self.waiting.iter().filter(|(_, w)| w.passed.is_some_and(gone)).map(|(t, _)| *t).collect();
+        for token in stranded {
+            if let Some(waiting) = self.waiting.remove(&token) {
+                self.tokens += 1;
+                self.waiting.insert(self.tokens, Waiting { passed: None, ..waiting });
+            }
+        }
+    }
+
     pub(super) fn tend_calls(&mut self, now: u64) {
         self.pass_on(now);
         let over = |w: &Waiting| now > w.since + if w.passed.is_some() { PASSED } else { LEADERLESS };
@@ -106,7 +133,10 @@
 
     /// A call of the operator at the leader.
     pub(super) fn on_order(&mut self, asker: Asker, order: Order, now: u64) {
-        let leads = self.node.as_ref().is_some_and(|node| node.is_leader() && node.holds_lease(now));
+        let leads = self
+            .node
+            .as_ref()
+            .is_some_and(|node| node.is_leader() && (node.holds_lease(now) || self.faults.ignores_lease));
         if !leads {
             return self.answer(asker, Reply::why(503, "this process does not lead"));
         }
@@ -139,6 +169,9 @@
                         self.proposed.insert(token, Proposed { asker, since: now });
                         let change = bitcode::encode(&Change { base, version, digest, body });
                         self.log(Input::Propose { token, change });
+                        if self.faults.acknowledges_early {
+                            self.answer_proposed(token, Reply::done());
+                        }
                     }
                     verdict => {
                         self.watch.change(now, version, verdict);
--- a/crates/transport/src/line.rs
+++ b/crates/transport/src/line.rs
@@ -63,6 +63,11 @@
 pub struct Line(mpsc::Sender<Rc<[u8]>>);
 
 impl Line {
+    /// A line whose frames are taken from the other end of this queue.
+    pub fn over(frames: mpsc::Sender<Rc<[u8]>>) -> Self {
+        Self(frames)
+    }
+
     /// Queues a message; false when the connection is lost or its queue full, which loses it.
     pub fn send(&self, flag: &Flag) -> bool {
         self.send_frame(protocol::frame(flag).into())
