--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admission;
 mod calls;
 mod contact;
 mod disk;
@@ -15,10 +16,11 @@
 mod master;
 mod watch;
 
+pub use admission::{Decision, decide, reply_to};
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
 #[doc(hidden)]
 pub use faults::Faults;
-pub use ledger::{Change, Ledger, Marks, Place, Verdict};
+pub use ledger::{Change, Ledger, Marks, Place, Verdict, snapshot_format};
 pub use lines::{Connect, ConnectTcp, listen};
 pub use master::{Command, Master, MasterSettings};
