--- a/crates/control-plane/tests/support/linearizability.rs
+++ b/crates/control-plane/tests/support/linearizability.rs
@@ -167,10 +167,21 @@
 
 /// Which calls may come next: those that began before any other open one was answered. None once no answer is open.
 fn next_calls<O, A>(calls: &[Call<O, A>], done: &Done) -> Option<Vec<usize>> {
-    let open: Vec<usize> = (0..calls.len()).filter(|number| !done.has(*number)).collect();
-    let answers = open.iter().filter_map(|number| calls[*number].answered.as_ref());
-    let first_answer = answers.map(|(at, _)| *at).min()?;
-    Some(open.into_iter().filter(|number| calls[*number].invoked < first_answer).collect())
+    let mut first_answer = None;
+    let mut next = Vec::new();
+    for (number, call) in calls.iter().enumerate() {
+        if done.has(number) {
+            continue;
+        }
+        // Calls stand in the order of their invocations, and none is answered before it is made.
+        if first_answer.is_some_and(|first| call.invoked > first) {
+            break;
+        }
+        let answer = call.answered.as_ref().map(|(at, _)| *at);
+        first_answer = first_answer.into_iter().chain(answer).min();
+        next.push(number);
+    }
+    first_answer.map(|first| next.into_iter().filter(|number| calls[*number].invoked < first).collect())
 }
 
 /// The configuration as operators see it: a register with compare-and-set on the version that also knows what it took.
