--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod admission;
 mod calls;
+mod contact;
 mod disk;
+mod faults;
 mod ledger;
 mod lines;
 mod master;
@@ -18,7 +20,9 @@
 pub use admission::{Decision, decide, reply_to};
 pub use calls::{CALLS, Call, Declared, Reply, serve};
 pub use disk::{Disk, DiskError};
+#[doc(hidden)]
+pub use faults::Faults;
 pub use ledger::{Change, Ledger, Marks, Place, Verdict, snapshot_format};
-pub use lines::listen;
+pub use lines::{Connect, ConnectTcp, listen};
 pub use master::{Command, Master, MasterSettings};
 pub use tolerance::{Losses, Tolerance};
