control-plane: a test that orders reach the next leader when theirs is lost

Two orders are given at a follower and at a process without a log at the moment their leader is cut off. Each gets a clear answer; without Master::take_back the first gets none (seen).

--- a/crates/control-plane/tests/contact.rs
+++ b/crates/control-plane/tests/contact.rs
@@ -438,3 +438,19 @@
     let faults = Faults { acknowledges_drains: true, ..Faults::default() };
     is_found(faults, Trouble::CutBoth, Victims::WithoutLog, "leave to end by process");
 }
+
+#[test]
+fn an_order_handed_to_a_leader_that_is_lost_reaches_the_next_one() {
+    let wrong = run(3, 2, 7, Faults::default(), |world| async move {
+        sleep(CONTACT * 2).await;
+        let leader = world.leader().await;
+        world.apply(Trouble::CutBoth, &[leader], true);
+        // It builds on a version that is long gone: a clear answer, whatever else is taken meanwhile.
+        let stale = Order::Replace { base: 1, version: 2, content: 1 << 40 };
+        for process in [(leader + 1) % 3, 3] {
+            let answer = world.order(process, stale.clone()).await;
+            assert_eq!(answer, Some(Answer::Refused), "process {process}");
+        }
+    });
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
