--- a/crates/control-plane/tests/support/simulation.rs
+++ b/crates/control-plane/tests/support/simulation.rs
@@ -1,7 +1,7 @@
 //! Whole control planes in one thread under a simulated clock: links that are cut, held or half open, processes that
 //! freeze, disks that hang.
 
-use control_plane::{Command, Connect, Disk, Faults, Master, MasterSettings, Reply};
+use control_plane::{Command, Connect, Disk, Faults, Losses, Master, MasterSettings, Reply, Tolerance};
 use protocol::{Flag, Hail, Plane};
 use raft::{Save, Saved, Timing, VoterId};
 use std::cell::{Cell, RefCell};
@@ -334,6 +334,8 @@
         seeds: (0..voters.min(3)).map(address).collect(),
         beat_interval: 500,
         timing: TIMING,
+        tolerance: Tolerance { losses: Losses { machines: 1, zones: 0, regions: 0 }, ..Tolerance::default() },
+        retire_after: 2000,
         draws_a_holder: 0.0,
         relay_room: None,
         seed: seed.wrapping_mul(31) + process as u64 + 1,
