control-plane: the fleet that a process without a log was told holds for any word of its own

Cause: the test waited for a word that is of this moment. Since contact with the leader decides that, the leader that the test plays would have to answer questions. Change: the test takes the first word that names the leader, of this moment or not; it must not say less than what was told.

--- a/crates/control-plane/tests/fleet/mod.rs
+++ b/crates/control-plane/tests/fleet/mod.rs
@@ -85,10 +85,11 @@
     voter.say(&Flag::Hail(hail("voter", 1, Plane::Master)));
     let leader = Some(ports[1].to_string());
     voter.say(&Flag::Pulse(Pulse { leader, epoch: 1, fresh: true, fleet: 9, ..Pulse::default() }));
-    // It has heard of one data plane itself: that one's slice would be the whole of each quota.
+    // It has heard of one data plane itself: that one's slice would be the whole of each quota. The leader that it was told
+    // of answers nothing, so that no word is of this moment; none of them may say less than it was told.
     let mut only = Played::data_plane(ports[0], "a", 1);
     let fleet = until(|| match only.next() {
-        Flag::Pulse(pulse) if pulse.fresh => Some(pulse.fleet),
+        Flag::Pulse(pulse) if pulse.leader.is_some() => Some(pulse.fleet),
         _ => None,
     });
     assert_eq!(fleet, 9);
