--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -20,7 +20,7 @@
 use crate::faults::Faults;
 use crate::lines::{Connect, ConnectTcp};
 use crate::tolerance::Tolerance;
-use crate::watch::{Watch, What as Happened};
+use crate::watch::{Origin, Watch, What as Happened};
 use config::{Config, Detours};
 use protocol::{
     Backend, ConfigDelta, ConfigSnapshot, ControlPlaneAddress, Heartbeat, Held, Hello, Message, Order, Phase,
--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -173,12 +173,13 @@
             }
             Message::Follow { have } => self.on_follow(number, have, now),
             Message::Backends { backends, .. } => {
+                let origin = peer.hello.as_ref().map_or_else(String::new, |hello| hello.name.clone());
                 let changed = self.register.hear(now, backends);
-                self.tell_backends(changed);
+                self.tell_backends(changed, Origin::Peer(&origin));
             }
             Message::Heard(heard) => {
                 let back = self.register.alive(now, &heard);
-                self.tell_backends(back);
+                self.tell_backends(back, Origin::Silence);
             }
             Message::DataPlanes(data_planes) => {
                 data_planes.iter().for_each(|(name, life)| self.fleet.heard(now, name, *life));
--- a/crates/control-plane/src/control_plane/orders.rs
+++ b/crates/control-plane/src/control_plane/orders.rs
@@ -9,15 +9,16 @@
         *self.watch.counted.calls.entry(call.kind()).or_default() += 1;
         match call {
             Call::Beat(backend) => {
-                let leaves = backend.phase == Phase::Draining;
+                let leaving = (backend.phase == Phase::Draining).then(|| backend.id.clone());
                 let judgement = self.register.beat(now, backend);
                 self.on_judgement(judgement);
-                let _ = reply.send(if leaves { self.leave_acknowledged(now) } else { Reply::done() });
+                let answer = leaving.map_or_else(Reply::done, |id| self.leave_acknowledged(now, &id));
+                let _ = reply.send(answer);
             }
             Call::Departure(id) => {
                 let judgement = self.register.departed(now, &id);
                 self.on_judgement(judgement);
-                let _ = reply.send(self.leave_acknowledged(now));
+                let _ = reply.send(self.leave_acknowledged(now, &id));
             }
             Call::Order(order) => self.on_order_here(order, reply, now),
             Call::Status => drop(reply.send(self.status(now))),
@@ -30,9 +31,11 @@
 
     /// Once it is acknowledged that a backend leaves, it ends soon, and the others must know. A process that is cut off
     /// passes on what it hears, but sends the backend to another one.
-    fn leave_acknowledged(&self, now: u64) -> Reply {
+    fn leave_acknowledged(&mut self, now: u64, id: &str) -> Reply {
         let (.., current) = self.leader(now);
-        if current || self.faults.acknowledges_drains {
+        let acknowledged = current || self.faults.acknowledges_drains;
+        self.watch.leaving_answered(now, id, acknowledged);
+        if acknowledged {
             return Reply::done();
         }
         Reply::why(503, "this process may be cut off: ask another one")
@@ -41,7 +44,7 @@
     pub(super) fn on_judgement(&mut self, judgement: Judgement) {
         if let Judgement::Changed(backends) = judgement {
             self.to_control_planes(&Message::Backends { whole: false, backends: backends.clone() });
-            self.tell_backends(backends);
+            self.tell_backends(backends, Origin::Call);
         }
     }
 
--- a/crates/control-plane/src/control_plane/status.rs
+++ b/crates/control-plane/src/control_plane/status.rs
@@ -161,6 +161,9 @@
         let changes = counted.changes.iter().map(|(outcome, changes)| (row("outcome", outcome), *changes));
         page.counters("changes", "Configurations judged here", changes);
         page.counter("leader_changes", "Times that another leader was known here", counted.leaders);
+        let (acknowledged, refused) = counted.leavings;
+        let leavings = [(row("outcome", "acknowledged"), acknowledged), (row("outcome", "refused"), refused)];
+        page.counters("leavings", "Calls of backends that leave, by the answer", leavings);
         let draws =
             [(row("outcome", "answered"), counted.draws.0), (row("outcome", "not_holder"), counted.draws.1)];
         page.counters("draws", "Draws of data planes on the counts", draws);
--- a/crates/control-plane/src/control_plane/updates.rs
+++ b/crates/control-plane/src/control_plane/updates.rs
@@ -118,7 +118,7 @@
             self.to_control_planes(&Message::Heard(heard));
         }
         let changed = self.register.sweep(now);
-        self.tell_backends(changed);
+        self.tell_backends(changed, Origin::Silence);
         self.tend_voters(now);
         self.count_data_planes(now);
         self.look_round(now);
@@ -175,10 +175,10 @@
         self.on_departures(departures, now);
     }
 
-    pub(super) fn tell_backends(&mut self, backends: Vec<Backend>) {
+    pub(super) fn tell_backends(&mut self, backends: Vec<Backend>, origin: Origin<'_>) {
         if !backends.is_empty() {
             let now = self.now();
-            self.watch.backends(now, &backends);
+            self.watch.backends(now, &backends, origin);
             self.to_followers(&Message::Backends { whole: false, backends: backends.clone() });
             self.tell_tree(relay_tree::Input::Change(backends));
         }
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -20,7 +20,7 @@
 /// So many lines of one kind go to the log in so many ms; what is left out there is among the records.
 const LINES: (u32, u64) = (20, 10_000);
 /// The kinds of lines.
-const STEPS: [&str; 6] = ["leader", "quota_service", "config", "data_plane", "voters", "dial"];
+const STEPS: [&str; 7] = ["leader", "quota_service", "config", "data_plane", "voters", "dial", "drain"];
 
 /// What happened.
 #[derive(Clone, Debug)]
@@ -35,12 +35,38 @@
     Unread(Box<str>),
     /// A backend of a service.
     Backend(Rc<str>, Seen),
+    /// The leaving of a backend was acknowledged, or refused as this process may be cut off.
+    LeavingAnswered {
+        /// Whether it was acknowledged.
+        acknowledged: bool,
+    },
     /// A data plane.
     DataPlane(Seen),
     /// The voters are these now.
     Voters(Box<[Box<str>]>),
 }
 
+/// How this process learnt of a change of a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin<'a> {
+    /// The backend called this process.
+    Call,
+    /// Another control plane told of it.
+    Peer(&'a str),
+    /// It was silent for too long.
+    Silence,
+}
+
+impl fmt::Display for Origin<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call => f.write_str("its own call"),
+            Self::Peer(name) => f.write_str(name),
+            Self::Silence => f.write_str("its silence"),
+        }
+    }
+}
+
 /// What became of somebody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -75,6 +101,7 @@
             Self::QuotaService(_) => "quota_service",
             Self::Change(_) | Self::Unread(_) => "config",
             Self::Backend(..) => "backend",
+            Self::LeavingAnswered { .. } => "drain",
             Self::DataPlane(_) => "data_plane",
             Self::Voters(_) => "voters",
         }
@@ -104,6 +131,10 @@
             }
             Self::Unread(why) => write!(f, "refused: {why}"),
             Self::Backend(service, seen) => write!(f, "backend of {service}: {seen}"),
+            Self::LeavingAnswered { acknowledged: true } => write!(f, "its leaving is acknowledged"),
+            Self::LeavingAnswered { acknowledged: false } => {
+                write!(f, "its leaving is not acknowledged: this process may be cut off")
+            }
             Self::DataPlane(seen) => write!(f, "data plane: {seen}"),
             Self::Voters(list) => write!(f, "the voters are {}", list.join(", ")),
         }
@@ -132,6 +163,8 @@
     pub changes: BTreeMap<&'static str, u64>,
     /// Other leaders than before.
     pub leaders: u64,
+    /// Calls of backends that leave, acknowledged and refused.
+    pub leavings: (u64, u64),
     /// Draws that this process answered as the holder, and others.
     pub draws: (u64, u64),
 }
@@ -182,7 +215,8 @@
         } else if let Some(left_out) = self.pass(step, at) {
             spdlog::info!("{}", what, kv: { step, peer, version, epoch, left_out });
         }
-        let ring = if matches!(what, What::Backend(..)) { &mut self.backends } else { &mut self.others };
+        let of_backend = matches!(what, What::Backend(..) | What::LeavingAnswered { .. });
+        let ring = if of_backend { &mut self.backends } else { &mut self.others };
         ring.push(Event { at, subject, what, epoch, version });
     }
 
@@ -240,8 +274,23 @@
         self.note(at, "unread", What::Unread(why.chars().take(200).collect::<String>().into()));
     }
 
+    /// A call of a backend that leaves got its answer.
+    pub fn leaving_answered(&mut self, at: u64, id: &str, acknowledged: bool) {
+        let (done, refused) = &mut self.counted.leavings;
+        *if acknowledged { done } else { refused } += 1;
+        self.note(at, id, What::LeavingAnswered { acknowledged });
+    }
+
+    /// A line of the log that says who told this process that a backend drains.
+    fn log_drain(&mut self, at: u64, id: &str, origin: Origin<'_>) {
+        if let Some(left_out) = self.pass("drain", at) {
+            let (version, epoch) = (self.version, self.epoch);
+            spdlog::info!("drains, by {}", origin, kv: { step = "drain", peer = id, version, epoch, left_out });
+        }
+    }
+
     /// These backends are told otherwise from now on.
-    pub fn backends(&mut self, at: u64, backends: &[Backend]) {
+    pub fn backends(&mut self, at: u64, backends: &[Backend], origin: Origin<'_>) {
         for backend in backends {
             let known = self.known.get(&*backend.id).copied();
             let seen = match (known, backend.phase) {
@@ -264,6 +313,9 @@
                 self.known.insert(id.clone(), (backend.phase, backend.overdue));
             }
             let service = self.service(&backend.service);
+            if seen == Seen::Draining {
+                self.log_drain(at, &id, origin);
+            }
             self.note(at, id, What::Backend(service, seen));
         }
     }
@@ -363,7 +415,7 @@
             (Phase::Draining, false),
         ];
         for (at, (phase, overdue)) in words.into_iter().chain([(Phase::Gone, false); 2]).enumerate() {
-            watch.backends(at as u64, &[backend(phase, overdue)]);
+            watch.backends(at as u64, &[backend(phase, overdue)], Origin::Call);
         }
         let told =
             ["gone", "drains", "heard again", "overdue, its beats are missed", "heard for the first time"];
@@ -387,7 +439,8 @@
         let mut watch = Watch::new();
         watch.stands(1, Some(([127, 0, 0, 1], 7).into()), 3, 2);
         for n in 0..OF_BACKENDS * 2 {
-            watch.backends(2, &[Backend { id: n.to_string(), ..backend(Phase::Serving, false) }]);
+            let backend = Backend { id: n.to_string(), ..backend(Phase::Serving, false) };
+            watch.backends(2, &[backend], Origin::Peer("m"));
         }
         assert_eq!(texts(&watch, "127.0.0.1:7").len(), 1);
         assert_eq!((texts(&watch, "s").len(), watch.dropped()), (OF_BACKENDS, OF_BACKENDS as u64));
--- a/crates/data-plane/src/data_plane.rs
+++ b/crates/data-plane/src/data_plane.rs
@@ -16,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -162,9 +163,17 @@
     /// Takes in a list of backends or changes to it.
     pub fn backends(&self, changes: &[Backend], whole: bool) {
         let changed = self.lives.borrow_mut().update(changes, whole);
+        for (id, _) in changed.iter().filter(|(_, life)| life.phase == Phase::Draining) {
+            self.watch.note("drain", format_args!("backend {id}: drains, nothing more is sent to it"));
+        }
         self.tell(changed);
     }
 
+    /// Updates come from this process from now on.
+    pub fn follows(&self, upstream: SocketAddr) {
+        self.watch.note("upstream", format_args!("updates come from {upstream}"));
+    }
+
     /// There are so many gateways, of which this one has that number, from 0.
     pub fn fleet(&self, gateways: u32, number: u32) {
         let gateways = gateways.max(1);
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -28,6 +28,8 @@
 const MOST_TRIES: usize = 8;
 /// So many lines of one kind go to the log in so many ms: a service whose backends fail has many to say.
 const LINES: (u32, u64) = (10, 10_000);
+/// The kinds of lines that are limited so.
+const LIMITED: [&str; 4] = ["backend", "decision", "drain", "upstream"];
 /// Bounds of the times that answers took, in seconds.
 const BOUNDS: [f64; 9] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
@@ -135,7 +137,7 @@
     notes: RefCell<Ring<Note>>,
     version: Cell<u64>,
     /// One for each kind of line.
-    seldom: RefCell<[(&'static str, Seldom); 2]>,
+    seldom: RefCell<[(&'static str, Seldom); LIMITED.len()]>,
     nowhere: Counts,
     tries: [Cell<u64>; OUTCOMES.len()],
 }
@@ -164,7 +166,7 @@
             unsent: RefCell::new(Ring::new(OF_UNSENT)),
             notes: RefCell::new(Ring::new(OF_NOTES)),
             version: Cell::default(),
-            seldom: RefCell::new(["backend", "decision"].map(|step| (step, Seldom::new(LINES.0, LINES.1)))),
+            seldom: RefCell::new(LIMITED.map(|step| (step, Seldom::new(LINES.0, LINES.1)))),
             nowhere: Counts::default(),
             tries: Default::default(),
         })
--- a/crates/reachlb/src/run_data_plane.rs
+++ b/crates/reachlb/src/run_data_plane.rs
@@ -86,9 +86,7 @@
                 data_plane.fleet(heartbeat.fleet, heartbeat.number);
             }
             Update::HolderAssignment(assignment) => lease_client.assignment(&assignment),
-            Update::Follows(relay) => {
-                spdlog::info!("the news comes from another one", kv: { step = "relay", peer = relay.to_string().as_str() });
-            }
+            Update::Follows(upstream) => data_plane.follows(upstream),
             Update::Grant(grant) => lease_client.granted(grant),
             Update::Unanswered { number } => lease_client.unanswered(number),
         }
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -44,7 +44,7 @@
     Heartbeat(Heartbeat),
     /// Who holds the counts.
     HolderAssignment(HolderAssignment),
-    /// Whom this process follows in the tree of relays.
+    /// Whom this process follows: a control plane, or its place above in the tree of relays.
     Follows(SocketAddr),
     /// An answer to a draw.
     Grant(quota::Grant),
@@ -346,6 +346,7 @@
         if let Some(upstream) = self.control_plane.as_mut().filter(|v| v.number == number) {
             line.send(&Message::Follow { have: self.have });
             upstream.line = Some(line);
+            (self.news)(Update::Follows(upstream.to));
         } else if let Some(holder) = self.holders.iter_mut().find(|holder| holder.upstream.number == number) {
             // Among several holders only one that says which assignment it knows counts as heard.
             if self.assignment.epoch.number > 1 {
