Tests that fail: leavings that some control planes never hear of (KNOWN-RED)

Checked is that no process vouches for a list (a fresh heartbeat) in which a backend serves whose leaving was acknowledged more than 0.8 s ago.

--- /dev/null
+++ b/crates/control-plane/tests/drains.rs
@@ -0,0 +1,246 @@
+//! Backends that leave while links between control planes are cut.
+//!
+//! Once a leaving is acknowledged, each process whose heartbeats say that it tells what is of this moment has told its
+//! followers so, but for the span for which the leader's word counts.
+
+#[path = "support/simulation.rs"]
+mod simulation;
+
+use control_plane::{Call, Faults};
+use protocol::{Backend, Message, Phase};
+use simulation::{Link, Random, Simulation};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+const VOTERS: usize = 3;
+/// Processes without a log.
+const OTHERS: usize = 3;
+/// Until all have met and a leader is known everywhere.
+const SETTLED: Duration = Duration::from_secs(6);
+/// What is told as of this moment may be older by this: the span for which the leader's answer counts.
+const AGE: Duration = Duration::from_millis(800);
+/// A caller goes on to another process after this.
+const CALLER_WAITS: Duration = Duration::from_secs(1);
+/// ... and pauses before that: what it said has reached other processes meanwhile.
+const CALLER_PAUSES: Duration = Duration::from_millis(25);
+
+/// What the follower of one process has been told.
+#[derive(Default)]
+struct Told {
+    leaving: BTreeSet<String>,
+    fresh_at: Option<Instant>,
+}
+
+struct World {
+    simulation: Simulation,
+    told: RefCell<BTreeMap<usize, Told>>,
+    /// Backends whose leaving was acknowledged, and when.
+    acknowledged: RefCell<BTreeMap<String, Instant>>,
+    wrong: RefCell<Vec<String>>,
+}
+
+fn backend(id: &str, phase: Phase, call_count: u64) -> Backend {
+    Backend {
+        id: id.into(),
+        service: "s".into(),
+        address: format!("10.1.0.1:{}", 8000 + id.len()),
+        zone: "a".into(),
+        generation: "1".into(),
+        capacity: 1,
+        phase,
+        warmup_left_ms: 0,
+        call_count,
+        overdue: false,
+    }
+}
+
+impl World {
+    /// A data plane on the machine of a process, and what it must have been told.
+    async fn follow(&self, process: usize) {
+        let mut frames = self.simulation.follow(process).await;
+        while let Some(frame) = frames.recv().await {
+            let Ok(Some((message, _))) = protocol::unframe::<Message>(&frame) else { continue };
+            match message {
+                Message::Backends { backends, .. } => {
+                    let leaving = backends.into_iter().filter(|backend| backend.phase != Phase::Serving);
+                    let ids = leaving.map(|backend| backend.id);
+                    self.told.borrow_mut().entry(process).or_default().leaving.extend(ids);
+                }
+                Message::Heartbeat(heartbeat) if heartbeat.fresh => self.told_as_of_now(process),
+                _ => {}
+            }
+        }
+    }
+
+    /// A process vouches for what it has told.
+    fn told_as_of_now(&self, process: usize) {
+        let mut told = self.told.borrow_mut();
+        let told = told.entry(process).or_default();
+        told.fresh_at = Some(Instant::now());
+        for (id, at) in self.acknowledged.borrow().iter().filter(|(_, at)| at.elapsed() > AGE) {
+            if !told.leaving.contains(id) {
+                let late = at.elapsed();
+                self.wrong
+                    .borrow_mut()
+                    .push(format!("process {process} vouches for a list in which {id} serves, {late:?} on"));
+            }
+        }
+    }
+
+    /// A call of a backend; whether it was acknowledged.
+    async fn call(&self, process: usize, call: Call) -> bool {
+        let reply = self.simulation.call(process, call, CALLER_WAITS).await;
+        reply.is_some_and(|reply| reply.status == 200)
+    }
+
+    /// A backend says that it drains, or that it departs, until it is acknowledged.
+    async fn leave(
+        &self, id: &str, departs: bool, processes: impl IntoIterator<Item = usize>,
+    ) -> Option<usize> {
+        for (process, call_count) in processes.into_iter().zip(100..) {
+            let call = match departs {
+                true => Call::Departure(id.into()),
+                false => Call::Beat(backend(id, Phase::Draining, call_count)),
+            };
+            if self.call(process, call).await {
+                self.acknowledged.borrow_mut().entry(id.into()).or_insert_with(Instant::now);
+                return Some(process);
+            }
+            sleep(CALLER_PAUSES).await;
+        }
+        None
+    }
+
+    /// Who leads, by its own word.
+    async fn leader(&self) -> usize {
+        for process in (0..VOTERS).cycle() {
+            let status = self.simulation.call(process, Call::Status, CALLER_WAITS).await;
+            let body = status.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
+            if body.is_some_and(|body| body.contains(r#""holds_lease":true"#)) {
+                return process;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        unreachable!("processes go round")
+    }
+
+    /// Cuts both directions between two processes, or joins them.
+    fn cut(&self, one: usize, other: usize, cut: bool) {
+        let link = cut.then_some(Link::Cut);
+        self.simulation.link(one, other, link);
+        self.simulation.link(other, one, link);
+    }
+
+    fn cut_from(&self, one: usize, others: impl IntoIterator<Item = usize>, cut: bool) {
+        others.into_iter().filter(|other| *other != one).for_each(|other| self.cut(one, other, cut));
+    }
+
+    /// How many followers have had a word of this moment within the last second.
+    fn in_touch(&self) -> usize {
+        let recently = |told: &&Told| told.fresh_at.is_some_and(|at| at.elapsed() < Duration::from_secs(1));
+        self.told.borrow().values().filter(recently).count()
+    }
+}
+
+fn run<F: Future>(seed: u64, story: impl FnOnce(Rc<World>) -> F) -> Vec<String> {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async move {
+        let world = Rc::new(World {
+            simulation: Simulation::start(VOTERS, OTHERS, seed, Faults::default()),
+            told: RefCell::default(),
+            acknowledged: RefCell::default(),
+            wrong: RefCell::default(),
+        });
+        for process in 0..world.simulation.size() {
+            let follower = world.clone();
+            spawn_local(async move { follower.follow(process).await });
+        }
+        sleep(SETTLED).await;
+        story(world.clone()).await;
+        world.wrong.take()
+    })
+}
+
+/// The recorded incident: a backend calls a voter first that is cut off from the other voters only.
+#[test]
+fn a_leaving_that_others_know_by_hearsay_is_told_to_all_before_it_is_acknowledged() {
+    for departs in [false, true] {
+        let wrong = run(1, |world| async move {
+            assert!(world.call(VOTERS, Call::Beat(backend("b", Phase::Serving, 1))).await);
+            sleep(SETTLED).await;
+            let victim = (world.leader().await + 1) % VOTERS;
+            world.cut_from(victim, 0..VOTERS, true);
+            sleep(SETTLED).await;
+            let by = world.leave("b", departs, [victim, VOTERS, VOTERS + 1]).await;
+            assert_eq!(by, Some(VOTERS), "who acknowledges");
+            sleep(AGE * 4).await;
+            assert_eq!(world.in_touch(), VOTERS + OTHERS - 1, "all but the one that is cut off");
+        });
+        assert!(wrong.is_empty(), "departs: {departs}: {wrong:#?}");
+    }
+}
+
+/// A process is lost in the moment in which it acknowledges: what it sent just before is on its way to nobody.
+#[test]
+fn a_leaving_is_known_to_others_before_the_process_that_acknowledges_it_is_lost() {
+    for (seed, departs) in [(2, false), (3, true)] {
+        let wrong = run(seed, |world| async move {
+            assert!(world.call(VOTERS, Call::Beat(backend("b", Phase::Serving, 1))).await);
+            sleep(SETTLED).await;
+            let by = world.leave("b", departs, [VOTERS]).await;
+            assert_eq!(by, Some(VOTERS), "who acknowledges");
+            world.cut_from(VOTERS, 0..VOTERS + OTHERS, true);
+            sleep(AGE * 4).await;
+            assert_eq!(world.in_touch(), VOTERS + OTHERS - 1, "all but the one that is lost");
+        });
+        assert!(wrong.is_empty(), "departs: {departs}: {wrong:#?}");
+    }
+}
+
+/// Backends come and leave at processes drawn by lot while links between pairs are cut, processes stand still and disks
+/// hang, and who acknowledged is cut off.
+async fn drawn_story(world: Rc<World>, seed: u64) {
+    let mut random = Random::new(seed);
+    let size = (VOTERS + OTHERS) as u64;
+    let mut draw = move |below: u64| random.below(below);
+    for round in 0..12 {
+        let pair = (draw(size) as usize, draw(size) as usize);
+        match draw(6) {
+            0 => world.simulation.freeze(pair.0),
+            1 => world.simulation.hang_disk(pair.0, true),
+            _ => world.cut_from(pair.0, [pair.1], true),
+        }
+        let id = format!("b-{round}");
+        let born_at = draw(size) as usize;
+        world.call(born_at, Call::Beat(backend(&id, Phase::Serving, 1))).await;
+        // Some depart before anybody else has heard of them.
+        sleep(Duration::from_millis([0, 40, 1500][draw(3) as usize])).await;
+        let departs = draw(2) == 0;
+        let order: Vec<usize> = (0..4).map(|_| draw(size) as usize).collect();
+        let by = world.leave(&id, departs, order).await;
+        let struck = by.filter(|_| draw(3) == 0);
+        struck.into_iter().for_each(|process| world.cut_from(process, 0..size as usize, true));
+        sleep(Duration::from_millis(300 + draw(3000))).await;
+        (0..size as usize).for_each(|one| world.cut_from(one, 0..size as usize, false));
+        world.simulation.thaw(pair.0);
+        world.simulation.hang_disk(pair.0, false);
+        sleep(Duration::from_millis(draw(2500))).await;
+    }
+    sleep(SETTLED).await;
+    let at = draw(size) as usize;
+    world.call(at, Call::Beat(backend("last", Phase::Serving, 1))).await;
+    assert!(world.leave("last", false, [at]).await.is_some(), "seed {seed}: not acknowledged in calm times");
+}
+
+#[test]
+fn leavings_are_told_to_all_through_drawn_cuts() {
+    for seed in 1..=8 {
+        let wrong = run(seed, |world| drawn_story(world, seed));
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
