control-plane: a backend's leaving is acknowledged once the log has it

Cause: a leaving was acknowledged by any process in touch with the leader as soon as it had sent the word on, and it was sent on only if it changed the table of the process that was called. A word that had come by hearsay (from a voter cut off from the others, which the backend had called first) changed nothing, so that it was acknowledged and went to nobody; the leader and another voter never knew. The class: an acknowledgement that rests on what one process has sent, and lists that are vouched for as of this moment though that proof covers the log only.

Change: the leader records the ids of backends that leave in the log (Order::Drain, DrainEntry) and a process acknowledges once that is committed. Voters have the records by their log. A process without one gets them with the leader's answers to its questions (RecordsQuestion) and vouches for its list only when it has as many as the leader had. Followers also hear of recorded backends that a process knows by their id only. Departures at a process that does not know the backend, acknowledged and told to nobody until now, go the same way.

The same cause elsewhere: a new backend, or an end, known by hearsay was not passed on by the process that the backend then calls; it is now, once for each process. Departures of data planes are flooded and were not affected.

--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -64,6 +64,7 @@
             Self::Order(Order::Replace { .. }) => "replace",
             Self::Order(Order::Read) => "read",
             Self::Order(Order::Remove(_)) => "remove",
+            Self::Order(Order::Drain(_)) => "drain",
             Self::Status => "status",
             Self::History | Self::Past(_) => "history",
             Self::Events(_) => "events",
--- a/crates/control-plane/src/contact.rs
+++ b/crates/control-plane/src/contact.rs
@@ -7,6 +7,7 @@
 //! clock. No delay on the way can make it younger than it is.
 
 use bitcode::{Decode, Encode};
+use registry::DrainRun;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -44,6 +45,26 @@
         /// The newest version that it has taken.
         version: u64,
     },
+    /// The question of a process without a log, which has to be told what the log records.
+    RecordsQuestion {
+        /// Chosen by the asker, each higher than the last.
+        number: u64,
+        /// The number of the newest record of a backend that leaves, as the asker has them.
+        drains: u64,
+    },
+    /// The answer to it.
+    RecordsAnswer {
+        /// The question's number.
+        number: u64,
+        /// The leader's term.
+        term: u64,
+        /// The newest version that it has taken.
+        version: u64,
+        /// The number of its newest record of a backend that leaves.
+        drains: u64,
+        /// Records that the asker lacks; more of them follow its next question.
+        missing: DrainRun,
+    },
 }
 
 impl ContactMessage {
@@ -71,6 +92,8 @@
     pub(crate) commit: u64,
     /// The newest version that it had taken.
     pub(crate) version: u64,
+    /// The number of its newest record of a backend that leaves; 0 where a voter asked, which has them in its log.
+    pub(crate) drains: u64,
     /// When the question was sent.
     asked_at: Millis,
 }
@@ -84,8 +107,8 @@
 }
 
 impl Contact {
-    /// The question for this leader, if one is due.
-    pub(crate) fn question(&mut self, now: Millis, leader: SocketAddr) -> Option<ContactMessage> {
+    /// The number of a question for this leader, if one is due.
+    pub(crate) fn question(&mut self, now: Millis, leader: SocketAddr) -> Option<u64> {
         let proved = self.newest(now).is_some_and(|newest| newest.leader == leader);
         let pause = if proved { ASK_EVERY } else { ASK_AGAIN };
         let last = self.asked.back().copied();
@@ -99,19 +122,27 @@
         if self.asked.len() > QUESTIONS {
             self.asked.pop_front();
         }
-        Some(ContactMessage::Question { number })
+        Some(number)
     }
 
-    /// An answer came from this process. It counts once, and from when its question was sent.
-    pub(crate) fn answered(&mut self, leader: SocketAddr, answer: &ContactMessage) {
-        let ContactMessage::Answer { number, term, commit, version } = *answer else { return };
-        let Some((_, asked_at)) = self.asked.iter().find(|(asked, _)| *asked == number).copied() else {
-            return;
+    /// An answer came from this process. It counts once, and from when its question was sent; whether it does.
+    pub(crate) fn answered(&mut self, leader: SocketAddr, answer: &ContactMessage) -> bool {
+        let (number, term, commit, version, drains) = match answer {
+            ContactMessage::Answer { number, term, commit, version } => (number, term, *commit, version, 0),
+            ContactMessage::RecordsAnswer { number, term, version, drains, .. } => {
+                (number, term, 0, version, *drains)
+            }
+            ContactMessage::Question { .. } | ContactMessage::RecordsQuestion { .. } => return false,
+        };
+        let Some((_, asked_at)) = self.asked.iter().find(|(asked, _)| asked == number).copied() else {
+            return false;
         };
+        let (term, version) = (*term, *version);
         let newer = self.newest.is_none_or(|newest| (term, asked_at) > (newest.term, newest.asked_at));
         if newer {
-            self.newest = Some(Confirmation { leader, term, commit, version, asked_at });
+            self.newest = Some(Confirmation { leader, term, commit, version, drains, asked_at });
         }
+        newer
     }
 
     /// The newest answer, while it proves contact.
--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -2,6 +2,7 @@
 
 mod contact;
 mod departures;
+mod drains;
 mod ending;
 mod entries;
 mod links;
@@ -19,9 +20,11 @@
 use crate::disk::Disk;
 use crate::faults::Faults;
 use crate::lines::{Connect, ConnectTcp};
+use crate::state::State;
 use crate::tolerance::Tolerance;
 use crate::watch::{Origin, Watch, What as Happened};
 use config::{Config, Detours};
+use drains::DrainProposals;
 use protocol::{
     Backend, ConfigDelta, ConfigSnapshot, ControlPlaneAddress, Heartbeat, Held, Hello, Message, Order, Phase,
     Plane,
@@ -230,6 +233,11 @@
     tokens: u64,
     waiting: HashMap<u64, Waiting>,
     proposed: BTreeMap<u64, Proposed>,
+    /// Orders that came to this leader before its first lease.
+    early_orders: Vec<(Asker, Order)>,
+    drain_proposals: DrainProposals,
+    /// Control planes that read [`Order::Drain`], as they said since this process started.
+    understand_drains: BTreeSet<SocketAddr>,
     /// What to answer once entries come back, by their index: emptied when this process leads no more.
     accepted: BTreeMap<u64, u64>,
     changes: f64,
@@ -262,15 +270,18 @@
         settings: ControlPlaneSettings, log: Option<(Disk, Saved)>, commands: mpsc::Sender<Command>,
         numbers: Rc<dyn Fn() -> u64>,
     ) -> Self {
-        let (mut node, mut disk, mut config_history) = (None, None, ConfigHistory::default());
+        let (mut node, mut disk, mut state) = (None, None, State::default());
         if let Some((opened, saved)) = log {
             // The log tells its entries again, but only those after its snapshot.
             // It was read before, when the disk was opened.
-            let state = saved.snapshot.as_ref().map(|snapshot| ConfigHistory::restore(&snapshot.state));
-            config_history = state.and_then(Result::ok).unwrap_or_default();
+            let restored = saved.snapshot.as_ref().map(|snapshot| State::restore(&snapshot.state));
+            state = restored.and_then(Result::ok).unwrap_or_default();
             node = Some(Node::start(saved, settings.timing, settings.seed, 0));
             disk = Some(opened);
         }
+        let State { config_history, drains } = state;
+        let mut register = Register::new(settings.beat_interval);
+        register.restore_drains(&drains);
         let mut control_plane = Self {
             began: Instant::now(),
             random: settings.seed | 1,
@@ -280,7 +291,7 @@
             dialing: BTreeMap::new(),
             control_planes: Directory::default(),
             incarnations: BTreeMap::new(),
-            register: Register::new(settings.beat_interval),
+            register,
             fleet: Fleet::default(),
             config_history,
             config: None,
@@ -301,6 +312,9 @@
             tokens: 0,
             waiting: HashMap::new(),
             proposed: BTreeMap::new(),
+            early_orders: Vec::new(),
+            drain_proposals: DrainProposals::default(),
+            understand_drains: BTreeSet::new(),
             accepted: BTreeMap::new(),
             changes: 0.0,
             marking: None,
@@ -396,6 +410,7 @@
             self.tend_tree(now);
         }
         self.tend_contact(now);
+        self.tend_early_orders(now);
         self.tend_end();
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
--- a/crates/control-plane/src/control_plane/contact.rs
+++ b/crates/control-plane/src/control_plane/contact.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// So many records of backends that leave go into one answer.
+const RECORDS_AN_ANSWER: usize = 512;
+
 impl ControlPlane {
     /// The leader of the log as this process knows it, its term, and whether that is of this moment.
     pub(super) fn leader(&self, now: u64) -> (Option<SocketAddr>, u64, bool) {
@@ -34,7 +37,9 @@
         }
         match self.contact.newest(now) {
             Some(newest) if newest.term >= self.told.epoch => {
-                (Some(newest.leader), newest.term, newest.version <= self.config_history.version())
+                let has_versions = newest.version <= self.config_history.version();
+                let has_drains = newest.drains <= self.register.drains().last();
+                (Some(newest.leader), newest.term, has_versions && has_drains)
             }
             _ => (self.leader_address(), self.told.epoch, false),
         }
@@ -54,7 +59,11 @@
             return;
         };
         let Some(line) = self.line_to(&leader).cloned() else { return };
-        if let Some(question) = self.contact.question(now, leader) {
+        if let Some(number) = self.contact.question(now, leader) {
+            let question = match self.node {
+                Some(_) => ContactMessage::Question { number },
+                None => ContactMessage::RecordsQuestion { number, drains: self.register.drains().last() },
+            };
             line.send(&contact_message(&question));
         }
     }
@@ -63,18 +72,47 @@
     pub(super) fn on_contact(&mut self, number: u64, message: &ContactMessage) {
         let now = self.now();
         let Some(peer) = self.peers.get(&number) else { return };
-        let ContactMessage::Question { number } = *message else {
-            if let Some(leader) = peer.dialed {
-                self.contact.answered(leader, message);
+        let answer = match message {
+            ContactMessage::Question { number } => self.contact_answer(*number, now),
+            ContactMessage::RecordsQuestion { number, drains } => self.records_answer(*number, *drains, now),
+            ContactMessage::Answer { .. } | ContactMessage::RecordsAnswer { .. } => {
+                if let Some(leader) = peer.dialed {
+                    self.on_contact_answer(leader, message);
+                }
+                return;
             }
-            return;
         };
-        if let Some(node) = self.node.as_ref().filter(|node| node.holds_lease(now)) {
-            let (term, commit, version) = (node.term(), node.commit(), self.config_history.version());
-            let answer = ContactMessage::Answer { number, term, commit, version };
+        if let Some(answer) = answer {
             peer.line.send(&contact_message(&answer));
         }
     }
+
+    /// The log of this process, while it leads and holds its lease.
+    fn leased_node(&self, now: u64) -> Option<&Node> {
+        self.node.as_ref().filter(|node| node.holds_lease(now))
+    }
+
+    fn contact_answer(&self, number: u64, now: u64) -> Option<ContactMessage> {
+        let node = self.leased_node(now)?;
+        let (term, commit, version) = (node.term(), node.commit(), self.config_history.version());
+        Some(ContactMessage::Answer { number, term, commit, version })
+    }
+
+    fn records_answer(&self, number: u64, known: u64, now: u64) -> Option<ContactMessage> {
+        let (term, version) = (self.leased_node(now)?.term(), self.config_history.version());
+        let table = self.register.drains();
+        let (drains, missing) = (table.last(), table.run_after(known, RECORDS_AN_ANSWER));
+        Some(ContactMessage::RecordsAnswer { number, term, version, drains, missing })
+    }
+
+    fn on_contact_answer(&mut self, leader: SocketAddr, message: &ContactMessage) {
+        let counts = self.contact.answered(leader, message);
+        if let ContactMessage::RecordsAnswer { drains, missing, .. } = message
+            && counts
+        {
+            self.follow_drains(missing, *drains);
+        }
+    }
 }
 
 fn contact_message(message: &ContactMessage) -> Message {
--- /dev/null
+++ b/crates/control-plane/src/control_plane/drains.rs
@@ -0,0 +1,208 @@
+//! Backends that leave.
+//!
+//! Once its leaving is acknowledged a backend ends soon, and no request may reach it after a while, whichever process dies
+//! or is cut off meanwhile. What one process has told others proves nothing: it may have reached nobody. So a leaving is
+//! acknowledged when the log has it. Whoever says that what it tells is of this moment has all that was in the log when the
+//! leader was asked last (`contact`), so that a data plane hears of it or leaves whom it follows.
+
+use super::*;
+use crate::drain_entry::DrainEntry;
+use protocol::UNDERSTANDS_DRAINS;
+use registry::{DrainRun, Drained};
+
+/// So many ids go into one entry.
+const IDS_AN_ENTRY: usize = 256;
+/// More calls than this don't wait for an entry: a zone's backends that are taken away at once fit.
+const QUEUED: usize = 4096;
+/// So many calls of backends may wait here for the leader. The others of [`CALLS_WAITING`] are the operators'.
+pub(super) const LEAVINGS_WAITING: usize = CALLS_WAITING / 2;
+
+/// A call that waits until a backend is recorded.
+struct Leaving {
+    asker: Asker,
+    id: String,
+}
+
+/// At the leader: what is on its way into the log, one entry at a time.
+#[derive(Default)]
+pub(super) struct DrainProposals {
+    queued: Vec<Leaving>,
+    in_flight: Vec<Leaving>,
+    token: Option<u64>,
+}
+
+impl DrainProposals {
+    /// Whether no call waits for an entry.
+    pub(super) fn is_empty(&self) -> bool {
+        self.queued.is_empty() && self.token.is_none()
+    }
+
+    /// The ids of the next entry, if there is none on its way and something to record.
+    fn next(&mut self, token: u64) -> Option<DrainEntry> {
+        if self.token.is_some() || self.queued.is_empty() {
+            return None;
+        }
+        let most = self.queued.len().min(IDS_AN_ENTRY);
+        self.in_flight = self.queued.drain(..most).collect();
+        self.token = Some(token);
+        let ids: BTreeSet<&String> = self.in_flight.iter().map(|leaving| &leaving.id).collect();
+        Some(DrainEntry { ids: ids.into_iter().cloned().collect() })
+    }
+
+    /// The calls of an entry that is decided, if this is its token.
+    fn decided(&mut self, token: u64) -> Vec<Leaving> {
+        if self.token.take_if(|known| *known == token).is_none() {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.in_flight)
+    }
+
+    /// All calls that wait.
+    fn take_all(&mut self) -> Vec<Leaving> {
+        self.token = None;
+        let mut all = std::mem::take(&mut self.in_flight);
+        all.append(&mut self.queued);
+        all
+    }
+}
+
+impl ControlPlane {
+    /// A backend says that it drains, or that it has departed.
+    pub(super) fn on_leaving(&mut self, id: String, reply: oneshot::Sender<Reply>, now: u64) {
+        if self.faults.acknowledges_drains {
+            return self.answer_leaving(&id, reply, Reply::done(), now);
+        }
+        // Whoever may be cut off sends the backend to another process at once.
+        let (.., current) = self.leader(now);
+        if !current {
+            let refused = Reply::why(503, "this process may be cut off: ask another one");
+            return self.answer_leaving(&id, reply, refused, now);
+        }
+        if self.register.drains().contains(&id) {
+            return self.answer_leaving(&id, reply, Reply::done(), now);
+        }
+        self.on_order_here(Order::Drain(id), reply, now);
+    }
+
+    /// A backend that leaves gets its answer.
+    pub(super) fn answer_leaving(&mut self, id: &str, to: oneshot::Sender<Reply>, reply: Reply, now: u64) {
+        self.watch.leaving_answered(now, id, reply.status == 200);
+        let _ = to.send(reply);
+    }
+
+    /// The leader records a backend, unless it has.
+    pub(super) fn on_drain(&mut self, asker: Asker, id: String, now: u64) {
+        if self.register.drains().contains(&id) {
+            return self.answer_drain(Leaving { asker, id }, Reply::done(), now);
+        }
+        if self.drain_proposals.queued.len() >= QUEUED {
+            let full = Reply::why(503, "too many backends leave at once: ask again");
+            return self.answer_drain(Leaving { asker, id }, full, now);
+        }
+        self.drain_proposals.queued.push(Leaving { asker, id });
+        self.propose_drains();
+    }
+
+    fn propose_drains(&mut self) {
+        self.tokens += 1;
+        if let Some(entry) = self.drain_proposals.next(self.tokens) {
+            self.log(Input::Propose { token: self.tokens, change: entry.encoded() });
+        }
+    }
+
+    fn answer_drain(&mut self, leaving: Leaving, reply: Reply, now: u64) {
+        let Leaving { asker, id } = leaving;
+        match asker {
+            Asker::Here(to) => self.answer_leaving(&id, to, reply, now),
+            there @ Asker::There { .. } => self.answer(there, reply),
+        }
+    }
+
+    /// An entry of the log records backends.
+    pub(super) fn on_drain_entry(&mut self, index: u64, entry: Option<DrainEntry>) {
+        if let Some(entry) = entry {
+            let drained = self.register.record_drains(&entry.ids);
+            self.tell_drained(drained);
+        }
+        if let Some(token) = self.accepted.remove(&index) {
+            self.drains_decided(token, &Reply::done());
+        }
+    }
+
+    /// What became of an entry that this leader proposed.
+    pub(super) fn drains_decided(&mut self, token: u64, reply: &Reply) {
+        let now = self.now();
+        for leaving in self.drain_proposals.decided(token) {
+            self.answer_drain(leaving, reply.clone(), now);
+        }
+        self.propose_drains();
+    }
+
+    /// This process leads no more: an entry of its own may be decided yet, so that all may ask again.
+    pub(super) fn give_up_drains(&mut self) {
+        let now = self.now();
+        for leaving in self.drain_proposals.take_all() {
+            self.answer_drain(leaving, Reply::why(503, "another process leads now: ask again"), now);
+        }
+    }
+
+    /// A process without a log takes over the leader's records.
+    pub(super) fn follow_drains(&mut self, run: &DrainRun, last: u64) {
+        if self.node.is_none() {
+            let drained = self.register.follow_drains(run, last);
+            self.tell_drained(drained);
+        }
+    }
+
+    /// Followers hear of all backends that are recorded from now on: they may know some that this process does not.
+    pub(super) fn tell_drained(&mut self, drained: Drained) {
+        self.tell_backends(drained.changed, Origin::Log);
+        if !drained.unknown.is_empty() {
+            let backends = drained.unknown.into_iter().map(known_by_id).collect();
+            self.to_followers(&Message::Backends { whole: false, backends });
+        }
+    }
+
+    /// Backends that are recorded and not known otherwise, for a follower that may know them.
+    pub(super) fn drained_unknown(&self) -> Vec<Backend> {
+        self.register.drained_unknown().into_iter().map(known_by_id).collect()
+    }
+
+    /// What a snapshot says of backends that leave: nothing while there may be voters that could not read it.
+    pub(super) fn drains_for_snapshot(&self) -> Option<DrainRun> {
+        let me = self.settings.address.to_string();
+        let mut others = self.node.iter().flat_map(|node| node.members()).filter(|voter| voter.address != me);
+        let read_by_all = others.all(|voter| {
+            voter.address.parse().is_ok_and(|address| self.understand_drains.contains(&address))
+        });
+        read_by_all.then(|| self.register.drains().run())
+    }
+
+    /// The other end of a connection reads [`Order::Drain`].
+    pub(super) fn on_understands_drains(&mut self, number: u64) {
+        if let Some(address) = self.peers.get(&number).and_then(|peer| peer.dialed) {
+            self.understand_drains.insert(address);
+        }
+    }
+
+    /// What another process of control is told, that it may send [`Order::Drain`] here.
+    pub(super) fn understands_drains() -> Message {
+        Message::NotHolder { number: UNDERSTANDS_DRAINS }
+    }
+}
+
+/// A backend of which nothing is known but that it leaves. Whoever does not know it either can't send to it.
+fn known_by_id(id: String) -> Backend {
+    Backend {
+        id,
+        service: String::new(),
+        address: String::new(),
+        zone: String::new(),
+        generation: String::new(),
+        capacity: 1,
+        phase: Phase::Draining,
+        warmup_left_ms: 0,
+        call_count: 0,
+        overdue: false,
+    }
+}
--- a/crates/control-plane/src/control_plane/ending.rs
+++ b/crates/control-plane/src/control_plane/ending.rs
@@ -16,7 +16,8 @@
     /// Orders that are in the log are answered first. Deputies hold counts by leases that rest on the leader's, and that
     /// it can't call back: with them the lead is not handed over, so that these have ended when another one leads.
     fn hand_over_lead(&mut self) {
-        if !self.proposed.is_empty() || self.settings.draws_a_holder > 0.0 {
+        if !self.proposed.is_empty() || !self.drain_proposals.is_empty() || self.settings.draws_a_holder > 0.0
+        {
             return;
         }
         // The counts are given up with the lead, before anything else is worked through (`on_role`).
@@ -36,6 +37,8 @@
         }
         if self.waiting.is_empty()
             && self.proposed.is_empty()
+            && self.drain_proposals.is_empty()
+            && self.early_orders.is_empty()
             && let Some(ended) = self.ended.take()
         {
             let _ = ended.send(());
--- a/crates/control-plane/src/control_plane/entries.rs
+++ b/crates/control-plane/src/control_plane/entries.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::admission::reply_to;
+use crate::drain_entry::DrainEntry;
 
 impl ControlPlane {
     pub(super) fn log(&mut self, input: Input) {
@@ -50,10 +51,14 @@
             }
             Output::Refused { token, .. } => {
                 self.marking.take_if(|marking| *marking == token);
-                self.answer_proposed(token, Reply::why(503, "this process does not lead"));
+                let refused = Reply::why(503, "this process does not lead");
+                self.drains_decided(token, &refused);
+                self.answer_proposed(token, refused);
             }
             Output::Unclear { token } => {
-                self.answer_proposed(token, Reply::why(503, "another process leads now: ask again"));
+                let unclear = Reply::why(503, "another process leads now: ask again");
+                self.drains_decided(token, &unclear);
+                self.answer_proposed(token, unclear);
             }
             Output::Role(role) => self.on_role(role),
         }
@@ -62,11 +67,13 @@
     /// Takes over the leader's state. If it can't be read, this process takes no part in the log any more, and writes
     /// nothing of it: it would judge changes, and lead, by a state that is behind its log.
     fn install(&mut self, snapshot: &Snapshot) {
-        match ConfigHistory::restore(&snapshot.state) {
-            Ok(config_history) => {
+        match State::restore(&snapshot.state) {
+            Ok(State { config_history, drains }) => {
                 self.changed |= config_history.version() > self.config_history.version();
                 self.config_history = config_history;
                 (self.changes, self.change_bytes) = (0.0, 0);
+                let drained = self.register.restore_drains(&drains);
+                self.tell_drained(drained);
             }
             Err(error) => {
                 let (index, epoch) = (snapshot.index, snapshot.term);
@@ -89,6 +96,7 @@
             self.resign(now);
             self.accepted.clear();
             self.marking = None;
+            self.give_up_drains();
         }
     }
 
@@ -111,6 +119,10 @@
         if let Some(marks) = Marks::read(&change) {
             return self.on_marks(index, marks.ok());
         }
+        if let Some(entry) = DrainEntry::read(&change) {
+            self.on_drain_entry(index, entry.ok());
+            return self.written(index, MARKS_WEIGH);
+        }
         let Ok(change) = Change::read(&change) else { return };
         let version = change.version;
         let verdict = self.config_history.apply(at, change);
@@ -139,7 +151,7 @@
         self.changes += weight;
         if self.changes >= COMPACT_AFTER || self.change_bytes >= COMPACT_BYTES {
             (self.changes, self.change_bytes) = (0.0, 0);
-            let state = self.config_history.snapshot();
+            let state = State::snapshot(&self.config_history, self.drains_for_snapshot());
             self.log(Input::Compact { index, state });
         }
     }
--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -1,7 +1,7 @@
 //! Connections with other processes, and what comes on them.
 
 use super::*;
-use protocol::UNDERSTANDS_DEPARTURES;
+use protocol::{UNDERSTANDS_DEPARTURES, UNDERSTANDS_DRAINS};
 
 impl ControlPlane {
     pub(super) fn on_opened(&mut self, number: u64, line: Line, dialed: Option<SocketAddr>) {
@@ -215,6 +215,7 @@
             Message::NotHolder { number: UNDERSTANDS_DEPARTURES } => {
                 self.on_understands_departures(number, now)
             }
+            Message::NotHolder { number: UNDERSTANDS_DRAINS } => self.on_understands_drains(number),
             Message::Grant(_) | Message::NotHolder { .. } | Message::LeaveAccepted => {}
         }
     }
@@ -234,6 +235,7 @@
                 me.incarnation = self.node.as_ref().map(|node| node.me().incarnation);
                 if let Some(peer) = self.peers.get(&number) {
                     peer.line.send(&Message::Welcome(me));
+                    peer.line.send(&Self::understands_drains());
                     peer.line.send(&Self::understands_departures());
                 }
                 self.meet(&hello);
@@ -289,7 +291,10 @@
         peer.line.send(&Message::Heartbeat(heartbeat));
         self.send_config_snapshot(number);
         let young = now < YOUNG;
-        let backends = if young { self.register.everything(now) } else { self.register.all(now) };
+        let mut backends = if young { self.register.everything(now) } else { self.register.all(now) };
+        if young {
+            backends.extend(self.drained_unknown());
+        }
         let cards = self.cards();
         if let Some(peer) = self.peers.get(&number) {
             peer.line.send(&Message::Backends { whole: !young, backends });
--- a/crates/control-plane/src/control_plane/orders.rs
+++ b/crates/control-plane/src/control_plane/orders.rs
@@ -1,5 +1,6 @@
 //! Calls of backends and of the operator, at the leader and on their way to it.
 
+use super::drains::LEAVINGS_WAITING;
 use super::*;
 use crate::admission::{Decision, decide};
 
@@ -12,13 +13,15 @@
                 let leaving = (backend.phase == Phase::Draining).then(|| backend.id.clone());
                 let judgement = self.register.beat(now, backend);
                 self.on_judgement(judgement);
-                let answer = leaving.map_or_else(Reply::done, |id| self.leave_acknowledged(now, &id));
-                let _ = reply.send(answer);
+                match leaving {
+                    Some(id) => self.on_leaving(id, reply, now),
+                    None => drop(reply.send(Reply::done())),
+                }
             }
             Call::Departure(id) => {
                 let judgement = self.register.departed(now, &id);
                 self.on_judgement(judgement);
-                let _ = reply.send(self.leave_acknowledged(now, &id));
+                self.on_leaving(id, reply, now);
             }
             Call::Order(order) => self.on_order_here(order, reply, now),
             Call::Status => drop(reply.send(self.status(now))),
@@ -29,18 +32,6 @@
         }
     }
 
-    /// Once it is acknowledged that a backend leaves, it ends soon, and the others must know. A process that is cut off
-    /// passes on what it hears, but sends the backend to another one.
-    fn leave_acknowledged(&mut self, now: u64, id: &str) -> Reply {
-        let (.., current) = self.leader(now);
-        let acknowledged = current || self.faults.acknowledges_drains;
-        self.watch.leaving_answered(now, id, acknowledged);
-        if acknowledged {
-            return Reply::done();
-        }
-        Reply::why(503, "this process may be cut off: ask another one")
-    }
-
     pub(super) fn on_judgement(&mut self, judgement: Judgement) {
         if let Judgement::Changed(backends) = judgement {
             self.to_control_planes(&Message::Backends { whole: false, backends: backends.clone() });
@@ -52,7 +43,8 @@
         if self.takes_orders() {
             return self.on_order(Asker::Here(reply), order, now);
         }
-        if self.waiting.len() >= CALLS_WAITING {
+        let most = if matches!(order, Order::Drain(_)) { LEAVINGS_WAITING } else { CALLS_WAITING };
+        if self.waiting.len() >= most {
             let _ = reply.send(Reply::why(503, "too many calls wait"));
             return;
         }
@@ -75,6 +67,7 @@
                     self.on_order(Asker::Here(waiting.reply), waiting.order, now);
                 }
             } else if let Some(to) = leader.filter(|to| *to != self.settings.address)
+                && self.may_be_asked(&to, token)
                 && let Some((number, line)) = self.connection_to(&to)
                 && let Some(waiting) = self.waiting.get_mut(&token)
                 && line.send(&Message::Ask { token, order: waiting.order.clone() })
@@ -84,13 +77,27 @@
         }
     }
 
+    /// Whether a leader reads the order of a call that waits.
+    fn may_be_asked(&self, leader: &SocketAddr, token: u64) -> bool {
+        let drains = |waiting: &Waiting| matches!(waiting.order, Order::Drain(_));
+        self.understand_drains.contains(leader) || !self.waiting.get(&token).is_some_and(drains)
+    }
+
     /// The leader's answer to a call. It comes on the connection that carried the call, or it is nobody's.
     pub(super) fn on_told(&mut self, number: u64, token: u64, reply: Reply) {
         let asked = |waiting: &Waiting| waiting.passed == Some(number);
         if self.waiting.get(&token).is_some_and(asked)
             && let Some(waiting) = self.waiting.remove(&token)
         {
-            let _ = waiting.reply.send(reply);
+            self.answer_waiting(waiting, reply);
+        }
+    }
+
+    fn answer_waiting(&mut self, waiting: Waiting, reply: Reply) {
+        let now = self.now();
+        match waiting.order {
+            Order::Drain(id) => self.answer_leaving(&id, waiting.reply, reply, now),
+            _ => drop(waiting.reply.send(reply)),
         }
     }
 
@@ -112,6 +119,23 @@
         }
     }
 
+    /// Whether this process leads and has yet to get its first lease: until then it does not know all that its
+    /// predecessors had committed.
+    fn awaits_lease(&self, now: u64) -> bool {
+        let awaits = |node: &Node| node.is_leader() && node.lease_until(now).is_none();
+        self.node.as_ref().is_some_and(awaits) && !self.faults.ignores_lease
+    }
+
+    /// Orders that came to a new leader are worked through once it has its first lease, or leads no more.
+    pub(super) fn tend_early_orders(&mut self, now: u64) {
+        if self.early_orders.is_empty() || self.awaits_lease(now) {
+            return;
+        }
+        for (asker, order) in std::mem::take(&mut self.early_orders) {
+            self.on_order(asker, order, now);
+        }
+    }
+
     pub(super) fn tend_calls(&mut self, now: u64) {
         self.pass_on(now);
         let over = |w: &Waiting| now > w.since + if w.passed.is_some() { PASSED } else { LEADERLESS };
@@ -120,7 +144,7 @@
             if let Some(waiting) = self.waiting.remove(&token) {
                 let why =
                     if waiting.passed.is_some() { "the leader gave no answer" } else { "no leader is known" };
-                let _ = waiting.reply.send(Reply::why(503, why));
+                self.answer_waiting(waiting, Reply::why(503, why));
             }
         }
         let late: Vec<u64> =
@@ -154,6 +178,9 @@
         if self.is_ending && matches!(asker, Asker::There { .. }) {
             return;
         }
+        if self.awaits_lease(now) && self.early_orders.len() < CALLS_WAITING {
+            return self.early_orders.push((asker, order));
+        }
         let leads = self
             .node
             .as_ref()
@@ -173,6 +200,7 @@
                 let reply = self.remove(&address, now);
                 self.answer(asker, reply);
             }
+            Order::Drain(id) => self.on_drain(asker, id, now),
             Order::Replace { base, body } => {
                 let decision = decide(&self.config_history, base, body);
                 self.watch.decided(now, &decision);
--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -1,7 +1,7 @@
 //! The disk of a voter: its file, and the thread that writes to it.
 
-use crate::config_history::ConfigHistory;
 use crate::control_plane::Command;
+use crate::state::State;
 use miette::Diagnostic;
 use raft::store::Store;
 use raft::{Save, Saved, Told, VoterId, Writer};
@@ -62,7 +62,7 @@
         };
         // Whoever went on without its snapshot's state would decide on changes by another one than the others.
         if let Some(Err(error)) =
-            saved.as_ref().and_then(|saved| saved.snapshot.as_ref()).map(|s| ConfigHistory::restore(&s.state))
+            saved.as_ref().and_then(|saved| saved.snapshot.as_ref()).map(|s| State::restore(&s.state))
         {
             let why = format!(
                 "its state is of no version known here ({error}): start the version that wrote it, or empty the folder"
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -13,8 +13,10 @@
 mod control_plane;
 mod directory;
 mod disk;
+mod drain_entry;
 mod faults;
 mod lines;
+mod state;
 mod tolerance;
 mod watch;
 
@@ -23,7 +25,9 @@
 pub use config_history::{Change, ConfigHistory, Marks, Place, Verdict, snapshot_format};
 pub use control_plane::{Command, ControlPlane, ControlPlaneSettings};
 pub use disk::{Disk, DiskError};
+pub use drain_entry::DrainEntry;
 #[doc(hidden)]
 pub use faults::Faults;
 pub use lines::{Connect, ConnectTcp, listen};
+pub use state::State;
 pub use tolerance::{Losses, Tolerance};
--- a/crates/control-plane/src/watch.rs
+++ b/crates/control-plane/src/watch.rs
@@ -35,7 +35,7 @@
     Unread(Box<str>),
     /// A backend of a service.
     Backend(Rc<str>, Seen),
-    /// The leaving of a backend was acknowledged, or refused as this process may be cut off.
+    /// The leaving of a backend was acknowledged or refused.
     LeavingAnswered {
         /// Whether it was acknowledged.
         acknowledged: bool,
@@ -55,6 +55,8 @@
     Peer(&'a str),
     /// It was silent for too long.
     Silence,
+    /// The log records it.
+    Log,
 }
 
 impl fmt::Display for Origin<'_> {
@@ -63,6 +65,7 @@
             Self::Call => f.write_str("its own call"),
             Self::Peer(name) => f.write_str(name),
             Self::Silence => f.write_str("its silence"),
+            Self::Log => f.write_str("the log"),
         }
     }
 }
@@ -133,7 +136,7 @@
             Self::Backend(service, seen) => write!(f, "backend of {service}: {seen}"),
             Self::LeavingAnswered { acknowledged: true } => write!(f, "its leaving is acknowledged"),
             Self::LeavingAnswered { acknowledged: false } => {
-                write!(f, "its leaving is not acknowledged: this process may be cut off")
+                write!(f, "its leaving is not acknowledged here")
             }
             Self::DataPlane(seen) => write!(f, "data plane: {seen}"),
             Self::Voters(list) => write!(f, "the voters are {}", list.join(", ")),
--- a/crates/control-plane/tests/config_history.rs
+++ b/crates/control-plane/tests/config_history.rs
@@ -2,7 +2,8 @@
 
 use bitcode::Encode;
 use control_plane::snapshot_format::{Format, TAG, formats_of};
-use control_plane::{Change, ConfigHistory, Marks, Place, Verdict};
+use control_plane::{Change, ConfigHistory, DrainEntry, Marks, Place, State, Verdict};
+use registry::DrainRun;
 use std::collections::BTreeMap;
 
 fn change(base: u64, version: u64, digest: u8) -> Change {
@@ -251,6 +252,28 @@
     }
 }
 
+/// A state with records of backends that leave is read by this version only; one without them is as it was before.
+#[test]
+fn states_with_and_without_records_of_backends_are_told_apart() {
+    let mut random = 23;
+    let mut config_history = ConfigHistory::default();
+    config_history.mark(Marks { floors: vec![("t".into(), 3)], fleet: 9 });
+    assert_eq!(State::snapshot(&config_history, Some(DrainRun::default())), config_history.snapshot());
+    assert_eq!(State::snapshot(&config_history, None), config_history.snapshot());
+    for round in 0..400 {
+        let ids = (0..1 + round % 5).map(|_| format!("i-{}", drawn_number(&mut random))).collect();
+        let drains = DrainRun { after: drawn_number(&mut random), ids };
+        let state = State::snapshot(&config_history, Some(drains.clone()));
+        assert_eq!(formats_of(&state), [], "round {round}");
+        let read = State::restore(&state).expect("what it wrote");
+        assert_eq!(read, State { config_history: config_history.clone(), drains });
+        assert!(State::restore(&state[..state.len() - 1]).is_err());
+        for former in drawn_state(&mut random) {
+            assert_eq!(State::restore(&former).expect("a former one").drains, DrainRun::default());
+        }
+    }
+}
+
 /// What the check above finds: a format that differs from a former one in the meaning of its fields alone.
 #[test]
 fn a_format_without_a_tag_that_is_laid_out_like_a_former_one_is_found() {
@@ -279,5 +302,9 @@
         let floors = vec![(format!("t{base}"), version as u32); round % 3];
         let marks = Marks { floors, fleet: base as u32 };
         assert!(Change::read(&marks.entry()).is_err(), "{marks:?}");
+        let drains = DrainEntry { ids: vec![format!("i-{base}"); round % 3] };
+        assert!(Change::read(&drains.encoded()).is_err() && Marks::read(&drains.encoded()).is_none());
+        assert!(DrainEntry::read(&entry).is_none() && DrainEntry::read(&marks.entry()).is_none());
+        assert_eq!(DrainEntry::read(&drains.encoded()).expect("drains").expect("whole"), drains);
     }
 }
--- a/crates/data-plane/src/backends.rs
+++ b/crates/data-plane/src/backends.rs
@@ -87,8 +87,10 @@
     }
 
     fn hear(&mut self, backend: &Backend) -> Option<(Name, Life)> {
-        let dial = self.ways.to(backend.address.parse().ok()?);
+        // Of one that others have only recorded as leaving nothing but the id is told.
+        let dial = backend.address.parse().ok().map(|address| self.ways.to(address));
         let Some(life) = self.lives.get_mut(&*backend.id) else {
+            let dial = dial?;
             let id = Name::from(&*backend.id);
             let mut life = Life {
                 service: Name::from(&*backend.service),
@@ -115,11 +117,13 @@
             return None;
         }
         life.phase = life.phase.max(backend.phase);
-        if backend.call_count >= life.calls {
-            life.overdue = backend.overdue;
-            life.dial = dial;
+        if let Some(dial) = dial {
+            if backend.call_count >= life.calls {
+                life.overdue = backend.overdue;
+                life.dial = dial;
+            }
+            life.listed = true;
         }
-        life.listed = true;
         if life.missed.is_some_and(|calls| calls < backend.call_count) {
             life.missed = None;
         }
@@ -207,6 +211,22 @@
         assert!(!lives.has("s"));
     }
 
+    #[test]
+    fn of_one_that_is_recorded_as_leaving_the_id_is_enough() {
+        let mut lives = Lives::default();
+        lives.update(&[backend("a", Phase::Serving, 9)], false);
+        let recorded = |id: &str| Backend {
+            address: String::new(),
+            service: String::new(),
+            ..backend(id, Phase::Draining, 0)
+        };
+        let changed = lives.update(&[recorded("a"), recorded("b")], false);
+        let [(id, life)] = &changed[..] else { panic!("{changed:?}") };
+        assert_eq!((&**id, life.state(), &*life.service), ("a", BackendState::Draining, "s"));
+        assert_eq!(life.dial, "127.0.0.1:9".parse().expect("an address"));
+        assert_eq!(told(&mut lives, &[backend("a", Phase::Serving, 10)], true), []);
+    }
+
     #[test]
     fn who_is_not_on_a_whole_list_is_out_until_it_is_named_again() {
         let mut lives = Lives::default();
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -138,6 +138,9 @@
 /// such a message, and ignores this one; no lease request has this number.
 pub const UNDERSTANDS_DEPARTURES: u64 = u64::MAX;
 
+/// As [`UNDERSTANDS_DEPARTURES`], of [`Order::Drain`] and of entries of the log that record backends that leave.
+pub const UNDERSTANDS_DRAINS: u64 = u64::MAX - 1;
+
 /// A process that serves control, as others know it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct ControlPlaneAddress {
@@ -215,6 +218,8 @@
     Read,
     /// Take a voter that is gone for good off the list, by its address.
     Remove(String),
+    /// Record that a backend leaves, by its id. It goes only to those that have sent [`UNDERSTANDS_DRAINS`].
+    Drain(String),
 }
 
 /// One message.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,13 +7,15 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod drains;
 mod fleet;
 mod register;
 
+pub use drains::{DrainRun, DrainTable};
 #[doc(hidden)]
 pub use fleet::FleetFaults;
 pub use fleet::{COUNTED_WHILE_SILENT, Fleet};
-pub use register::{Judgement, Register};
+pub use register::{Drained, Judgement, Register};
 
 /// Milliseconds of the host's steady clock.
 pub type Millis = u64;
--- a/crates/registry/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -1,6 +1,6 @@
 //! The backends, each life of them once.
 
-use crate::Millis;
+use crate::{DrainRun, DrainTable, Millis};
 use protocol::{Backend, Phase};
 use std::collections::BTreeMap;
 
@@ -23,6 +23,9 @@
     said: Millis,
     /// Whether it was heard here since the last round to others.
     news: bool,
+    /// Whether this process has told the others of what is kept, and not heard it from one of them: who told it may have
+    /// reached few.
+    announced: bool,
 }
 
 /// What became of a word about a backend.
@@ -36,16 +39,30 @@
     Ignored,
 }
 
+/// Backends that are recorded as leaving from now on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Drained {
+    /// Those that are known, as they are now.
+    pub changed: Vec<Backend>,
+    /// The ids of those that are not: somebody else may know them.
+    pub unknown: Vec<String>,
+}
+
 /// All lives of backends that are known.
 pub struct Register {
     registrations: BTreeMap<String, Registration>,
+    drains: DrainTable,
     overdue_after: Millis,
 }
 
 impl Register {
     /// An empty register of backends that beat this often.
     pub fn new(beat_interval: Millis) -> Self {
-        Self { registrations: BTreeMap::new(), overdue_after: beat_interval * MISSED + ON_THE_WAY }
+        Self {
+            registrations: BTreeMap::new(),
+            drains: DrainTable::default(),
+            overdue_after: beat_interval * MISSED + ON_THE_WAY,
+        }
     }
 
     /// A beat came here.
@@ -57,11 +74,65 @@
         }
     }
 
+    /// The records of the log of backends that leave.
+    pub fn drains(&self) -> &DrainTable {
+        &self.drains
+    }
+
+    /// An entry of the log records these backends as leaving.
+    pub fn record_drains(&mut self, ids: &[String]) -> Drained {
+        let mut drained = Drained::default();
+        for id in ids {
+            if self.drains.record(id) {
+                self.drain(id, &mut drained);
+            }
+        }
+        drained
+    }
+
+    /// The leader's records, for a process without a log: see [`DrainTable::follow`].
+    pub fn follow_drains(&mut self, run: &DrainRun, last: u64) -> Drained {
+        let mut drained = Drained::default();
+        for id in self.drains.follow(run, last) {
+            self.drain(&id, &mut drained);
+        }
+        drained
+    }
+
+    /// A snapshot's records take the place of those here.
+    pub fn restore_drains(&mut self, run: &DrainRun) -> Drained {
+        let mut drained = Drained::default();
+        self.drains = DrainTable::of(run);
+        for id in &run.ids {
+            self.drain(id, &mut drained);
+        }
+        drained
+    }
+
+    /// The ids of backends that are recorded as leaving and not known otherwise.
+    pub fn drained_unknown(&self) -> Vec<String> {
+        let ids = self.drains.run().ids.into_iter();
+        ids.filter(|id| !self.registrations.contains_key(id)).collect()
+    }
+
+    fn drain(&mut self, id: &str, drained: &mut Drained) {
+        match self.registrations.get_mut(id) {
+            Some(known) if known.backend.phase == Phase::Serving => {
+                known.backend.phase = Phase::Draining;
+                drained.changed.push(known.backend.clone());
+            }
+            Some(_) => {}
+            None => drained.unknown.push(id.to_owned()),
+        }
+    }
+
     /// A backend says that it ends. One that nobody knows has ended all the same: a late beat must not bring it up.
     pub fn departed(&mut self, now: Millis, id: &str) -> Judgement {
         let Some(registration) = self.registrations.get_mut(id) else { return Judgement::Ignored };
         registration.heard = now;
-        if registration.backend.phase == Phase::Gone {
+        // What came by hearsay may have reached few.
+        let is_told = std::mem::replace(&mut registration.announced, true);
+        if registration.backend.phase == Phase::Gone && is_told {
             return Judgement::Alive;
         }
         registration.backend.phase = Phase::Gone;
@@ -131,29 +202,41 @@
     fn merge(&mut self, now: Millis, mut backend: Backend, here: bool) -> Vec<Backend> {
         let mut changed = Vec::new();
         backend.overdue = false;
+        if self.drains.contains(&backend.id) {
+            backend.phase = backend.phase.max(Phase::Draining);
+        }
         let full = self.registrations.len() >= MOST;
         match self.registrations.get_mut(&backend.id) {
             None if full => return changed,
             None => {
                 changed.extend(self.evict(now, &backend));
                 changed.push(backend.clone());
-                let registration =
-                    Registration { heard: now, said: now, news: here, backend: backend.clone() };
+                let registration = Registration {
+                    heard: now,
+                    said: now,
+                    news: here,
+                    announced: here,
+                    backend: backend.clone(),
+                };
                 self.registrations.insert(backend.id, registration);
             }
             Some(known) => {
                 let old = known.backend.clone();
                 let phase = old.phase.max(backend.phase);
-                if backend.call_count > old.call_count {
+                let newer = backend.call_count > old.call_count;
+                if newer {
                     (known.heard, known.said) = (now, now);
                     known.news |= here;
                     known.backend = backend;
                 }
                 known.backend.phase = phase;
                 let plain = |b: &Backend| Backend { call_count: 0, warmup_left_ms: 0, ..b.clone() };
-                if plain(&known.backend) != plain(&old) {
+                let differs = plain(&known.backend) != plain(&old);
+                let is_announced = here && (newer || differs);
+                if differs || is_announced && !known.announced {
                     changed.push(known.shown(now));
                 }
+                known.announced = is_announced || known.announced && !differs;
             }
         }
         changed
--- a/crates/registry/tests/register.rs
+++ b/crates/registry/tests/register.rs
@@ -1,7 +1,7 @@
 //! Words about backends, in any order and any number of times, and what becomes of them.
 
 use protocol::{Backend, Departure, Phase};
-use registry::{Fleet, Judgement, Register};
+use registry::{Drained, Fleet, Judgement, Register};
 use yare::parameterized;
 
 const BEAT: u64 = 1300;
@@ -137,3 +137,37 @@
     fleet.departed(31_000, &departure(2));
     assert_eq!(fleet.size(), 0);
 }
+
+#[test]
+fn what_came_by_hearsay_is_passed_on_once_the_backend_itself_says_so() {
+    let said = |phase, calls| backend("i-1", "10.0.0.1:80", phase, calls);
+    let mut register = Register::new(BEAT);
+    assert_eq!(register.hear(0, vec![said(Phase::Serving, 1)]).len(), 1);
+    // A first word is passed on: who told this process may have reached few others.
+    assert!(matches!(register.beat(5, said(Phase::Serving, 2)), Judgement::Changed(_)));
+    assert_eq!(register.beat(6, said(Phase::Serving, 3)), Judgement::Alive);
+    register.hear(7, vec![said(Phase::Draining, 4)]);
+    let Judgement::Changed(told) = register.beat(8, said(Phase::Draining, 5)) else {
+        panic!("not passed on")
+    };
+    assert_eq!(told[0].phase, Phase::Draining);
+    assert_eq!(register.beat(9, said(Phase::Draining, 6)), Judgement::Alive);
+    register.hear(10, vec![said(Phase::Gone, 7)]);
+    assert!(matches!(register.departed(11, "i-1"), Judgement::Changed(_)), "nor is its end");
+    assert_eq!(register.departed(12, "i-1"), Judgement::Alive);
+}
+
+#[test]
+fn who_is_recorded_as_leaving_never_serves_again_whoever_says_so() {
+    let mut register = Register::new(BEAT);
+    register.beat(0, backend("i-1", "10.0.0.1:80", Phase::Serving, 1));
+    let drained = register.record_drains(&["i-1".to_owned(), "i-2".to_owned()]);
+    assert_eq!((drained.changed[0].phase, drained.unknown), (Phase::Draining, vec!["i-2".to_owned()]));
+    assert_eq!(register.drained_unknown(), ["i-2"]);
+    for id in ["i-1", "i-2"] {
+        register.beat(1, backend(id, &format!("10.0.0.{id}:80"), Phase::Serving, 9));
+        assert_eq!(phase(&register, id), Some(Phase::Draining), "{id}");
+    }
+    assert_eq!(register.record_drains(&["i-1".to_owned()]), Drained::default());
+    assert!(register.drained_unknown().is_empty());
+}
