control-plane, transport: a leaving is acknowledged once nobody may vouch for a list without it; followers leave sooner who is behind

With the record in the log a process that was cut off just before still vouched for its list for 0.8 s, and a data plane that followed it left it 0.9 s later, then perhaps for another one that was cut off: 1.9 s and 3.0 s after the acknowledgement, reckoned, where drain_ms is 2.0 s. The leader now knows by each question which records the asker has, and acknowledges when all that go by its answers have the record or go by them no more (the wait of a lease). A process asks again at once when it has new records. A follower that had a word of this moment before gives a newcomer 0.4 s for one, and 0.65 s for a first word.

--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -15,7 +15,7 @@
 
 use crate::calls::{Call, Reply};
 use crate::config_history::{Change, ConfigHistory, Marks, Place, Verdict};
-use crate::contact::{Confirmation, Contact, ContactMessage};
+use crate::contact::{Confirmation, Contact, ContactMessage, Vouchers};
 use crate::directory::Directory;
 use crate::disk::Disk;
 use crate::faults::Faults;
@@ -228,6 +228,8 @@
     told_at: u64,
     /// Whether the leader has said that what this process tells is of this moment, if it does not lead.
     contact: Contact,
+    /// Who goes by the answers of this process, if it leads.
+    vouchers: Vouchers,
     connect: Rc<dyn Connect>,
     faults: Faults,
     tokens: u64,
@@ -307,6 +309,7 @@
             told: Heartbeat::default(),
             told_at: 0,
             contact: Contact::default(),
+            vouchers: Vouchers::default(),
             connect: Rc::new(ConnectTcp(settings.ways.clone())),
             faults: Faults::default(),
             tokens: 0,
@@ -411,6 +414,7 @@
         }
         self.tend_contact(now);
         self.tend_early_orders(now);
+        self.tend_settling(now);
         self.tend_end();
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
--- a/crates/control-plane/src/control_plane/contact.rs
+++ b/crates/control-plane/src/control_plane/contact.rs
@@ -37,6 +37,7 @@
         }
         match self.contact.newest(now) {
             Some(newest) if newest.term >= self.told.epoch => {
+                // One of the version before says nothing of records, and has none.
                 let has_versions = newest.version <= self.config_history.version();
                 let has_drains = newest.drains <= self.register.drains().last();
                 (Some(newest.leader), newest.term, has_versions && has_drains)
@@ -58,11 +59,19 @@
         let Some(leader) = self.leader_address().filter(|leader| *leader != self.settings.address) else {
             return;
         };
-        let Some(line) = self.line_to(&leader).cloned() else { return };
+        let Some((connection, line)) = self.connection_to(&leader) else { return };
+        // Which version the leader is of is said first on a connection.
+        let reads_records = self.understand_drains.contains(&leader);
+        let is_earlier_version =
+            !reads_records && self.peers.get(&connection).is_some_and(|peer| peer.understands_departures);
+        if !reads_records && !is_earlier_version {
+            return;
+        }
         if let Some(number) = self.contact.question(now, leader) {
-            let question = match self.node {
-                Some(_) => ContactMessage::Question { number },
-                None => ContactMessage::RecordsQuestion { number, drains: self.register.drains().last() },
+            let question = if reads_records {
+                ContactMessage::RecordsQuestion { number, drains: self.register.drains().last() }
+            } else {
+                ContactMessage::Question { number }
             };
             line.send(&contact_message(&question));
         }
@@ -72,18 +81,25 @@
     pub(super) fn on_contact(&mut self, number: u64, message: &ContactMessage) {
         let now = self.now();
         let Some(peer) = self.peers.get(&number) else { return };
-        let answer = match message {
-            ContactMessage::Question { number } => self.contact_answer(*number, now),
-            ContactMessage::RecordsQuestion { number, drains } => self.records_answer(*number, *drains, now),
+        match message {
+            ContactMessage::Question { number } => {
+                if let Some(answer) = self.contact_answer(*number, now) {
+                    peer.line.send(&contact_message(&answer));
+                }
+            }
+            ContactMessage::RecordsQuestion { number: question, drains } => {
+                let has_log = peer.hello.as_ref().is_some_and(|hello| hello.quorum);
+                let most = if has_log { 0 } else { RECORDS_AN_ANSWER };
+                if let Some(answer) = self.records_answer(*question, *drains, most, now) {
+                    peer.line.send(&contact_message(&answer));
+                    self.vouchers.answer(now, number, *drains);
+                }
+            }
             ContactMessage::Answer { .. } | ContactMessage::RecordsAnswer { .. } => {
                 if let Some(leader) = peer.dialed {
                     self.on_contact_answer(leader, message);
                 }
-                return;
             }
-        };
-        if let Some(answer) = answer {
-            peer.line.send(&contact_message(&answer));
         }
     }
 
@@ -98,11 +114,12 @@
         Some(ContactMessage::Answer { number, term, commit, version })
     }
 
-    fn records_answer(&self, number: u64, known: u64, now: u64) -> Option<ContactMessage> {
-        let (term, version) = (self.leased_node(now)?.term(), self.config_history.version());
+    fn records_answer(&self, number: u64, known: u64, most: usize, now: u64) -> Option<ContactMessage> {
+        let node = self.leased_node(now)?;
+        let (term, commit, version) = (node.term(), node.commit(), self.config_history.version());
         let table = self.register.drains();
-        let (drains, missing) = (table.last(), table.run_after(known, RECORDS_AN_ANSWER));
-        Some(ContactMessage::RecordsAnswer { number, term, version, drains, missing })
+        let (drains, missing) = (table.last(), table.run_after(known, most));
+        Some(ContactMessage::RecordsAnswer { number, term, commit, version, drains, missing })
     }
 
     fn on_contact_answer(&mut self, leader: SocketAddr, message: &ContactMessage) {
--- a/crates/control-plane/src/control_plane/drains.rs
+++ b/crates/control-plane/src/control_plane/drains.rs
@@ -2,8 +2,9 @@
 //!
 //! Once its leaving is acknowledged a backend ends soon, and no request may reach it after a while, whichever process dies
 //! or is cut off meanwhile. What one process has told others proves nothing: it may have reached nobody. So a leaving is
-//! acknowledged when the log has it. Whoever says that what it tells is of this moment has all that was in the log when the
-//! leader was asked last (`contact`), so that a data plane hears of it or leaves whom it follows.
+//! acknowledged when the log has it, and when all processes that go by the leader's answers (`contact`) have it too or go
+//! by them no more. From then on nobody says that what it tells is of this moment and lacks it, so that a data plane hears of
+//! it or leaves whom it follows.
 
 use super::*;
 use crate::drain_entry::DrainEntry;
@@ -23,18 +24,20 @@
     id: String,
 }
 
-/// At the leader: what is on its way into the log, one entry at a time.
+/// At the leader: what is on its way into the log, one entry at a time, and what is there and not yet known to all.
 #[derive(Default)]
 pub(super) struct DrainProposals {
     queued: Vec<Leaving>,
     in_flight: Vec<Leaving>,
     token: Option<u64>,
+    /// Recorded, with the number of the record.
+    settling: Vec<(u64, Leaving)>,
 }
 
 impl DrainProposals {
-    /// Whether no call waits for an entry.
+    /// Whether no call waits.
     pub(super) fn is_empty(&self) -> bool {
-        self.queued.is_empty() && self.token.is_none()
+        self.queued.is_empty() && self.token.is_none() && self.settling.is_empty()
     }
 
     /// The ids of the next entry, if there is none on its way and something to record.
@@ -62,6 +65,7 @@
         self.token = None;
         let mut all = std::mem::take(&mut self.in_flight);
         all.append(&mut self.queued);
+        all.extend(self.settling.drain(..).map(|(_, leaving)| leaving));
         all
     }
 }
@@ -78,9 +82,6 @@
             let refused = Reply::why(503, "this process may be cut off: ask another one");
             return self.answer_leaving(&id, reply, refused, now);
         }
-        if self.register.drains().contains(&id) {
-            return self.answer_leaving(&id, reply, Reply::done(), now);
-        }
         self.on_order_here(Order::Drain(id), reply, now);
     }
 
@@ -92,13 +93,15 @@
 
     /// The leader records a backend, unless it has.
     pub(super) fn on_drain(&mut self, asker: Asker, id: String, now: u64) {
-        if self.register.drains().contains(&id) {
-            return self.answer_drain(Leaving { asker, id }, Reply::done(), now);
-        }
-        if self.drain_proposals.queued.len() >= QUEUED {
+        let waiting = self.drain_proposals.queued.len() + self.drain_proposals.settling.len();
+        if waiting >= QUEUED {
             let full = Reply::why(503, "too many backends leave at once: ask again");
             return self.answer_drain(Leaving { asker, id }, full, now);
         }
+        if let Some(record) = self.register.drains().position(&id) {
+            self.drain_proposals.settling.push((record, Leaving { asker, id }));
+            return;
+        }
         self.drain_proposals.queued.push(Leaving { asker, id });
         self.propose_drains();
     }
@@ -125,12 +128,26 @@
             self.tell_drained(drained);
         }
         if let Some(token) = self.accepted.remove(&index) {
-            self.drains_decided(token, &Reply::done());
+            let record = self.register.drains().last();
+            let recorded = self.drain_proposals.decided(token).into_iter();
+            self.drain_proposals.settling.extend(recorded.map(|leaving| (record, leaving)));
+            self.propose_drains();
+        }
+    }
+
+    /// Acknowledges what all have who may vouch for their lists.
+    pub(super) fn tend_settling(&mut self, now: u64) {
+        for (record, leaving) in std::mem::take(&mut self.drain_proposals.settling) {
+            if self.vouchers.all_have(now, record) || self.faults.acknowledges_unsettled {
+                self.answer_drain(leaving, Reply::done(), now);
+            } else {
+                self.drain_proposals.settling.push((record, leaving));
+            }
         }
     }
 
-    /// What became of an entry that this leader proposed.
-    pub(super) fn drains_decided(&mut self, token: u64, reply: &Reply) {
+    /// An entry that this leader proposed was refused, or its fate is not known.
+    pub(super) fn drains_undecided(&mut self, token: u64, reply: &Reply) {
         let now = self.now();
         for leaving in self.drain_proposals.decided(token) {
             self.answer_drain(leaving, reply.clone(), now);
@@ -156,6 +173,8 @@
 
     /// Followers hear of all backends that are recorded from now on: they may know some that this process does not.
     pub(super) fn tell_drained(&mut self, drained: Drained) {
+        // The leader waits to hear that this process has them.
+        self.contact.hurry();
         self.tell_backends(drained.changed, Origin::Log);
         if !drained.unknown.is_empty() {
             let backends = drained.unknown.into_iter().map(known_by_id).collect();
--- a/crates/control-plane/src/control_plane/entries.rs
+++ b/crates/control-plane/src/control_plane/entries.rs
@@ -52,12 +52,12 @@
             Output::Refused { token, .. } => {
                 self.marking.take_if(|marking| *marking == token);
                 let refused = Reply::why(503, "this process does not lead");
-                self.drains_decided(token, &refused);
+                self.drains_undecided(token, &refused);
                 self.answer_proposed(token, refused);
             }
             Output::Unclear { token } => {
                 let unclear = Reply::why(503, "another process leads now: ask again");
-                self.drains_decided(token, &unclear);
+                self.drains_undecided(token, &unclear);
                 self.answer_proposed(token, unclear);
             }
             Output::Role(role) => self.on_role(role),
@@ -87,12 +87,13 @@
     }
 
     pub(super) fn on_role(&mut self, role: Role) {
+        let now = self.now();
         if let Role::Candidate { term } = role {
-            let now = self.now();
             self.watch.candidate(now, term);
         }
-        if !matches!(role, Role::Leader { .. }) {
-            let now = self.now();
+        if matches!(role, Role::Leader { .. }) {
+            self.vouchers.begin(now);
+        } else {
             self.resign(now);
             self.accepted.clear();
             self.marking = None;
--- a/crates/control-plane/tests/drains.rs
+++ b/crates/control-plane/tests/drains.rs
@@ -1,7 +1,7 @@
 //! Backends that leave while links between control planes are cut.
 //!
 //! Once a leaving is acknowledged, each process whose heartbeats say that it tells what is of this moment has told its
-//! followers so, but for the span for which the leader's word counts.
+//! followers so.
 
 #[path = "support/simulation.rs"]
 mod simulation;
@@ -21,8 +21,10 @@
 const OTHERS: usize = 3;
 /// Until all have met and a leader is known everywhere.
 const SETTLED: Duration = Duration::from_secs(6);
-/// What is told as of this moment may be older by this: the span for which the leader's answer counts.
-const AGE: Duration = Duration::from_millis(800);
+/// A follower reads what was told to it within this.
+const ON_THE_WAY: Duration = Duration::from_millis(5);
+/// All that a process which is cut off may still vouch for is over after this.
+const LONG: Duration = Duration::from_millis(3200);
 /// A caller goes on to another process after this.
 const CALLER_WAITS: Duration = Duration::from_secs(1);
 /// ... and pauses before that: what it said has reached other processes meanwhile.
@@ -81,7 +83,7 @@
         let mut told = self.told.borrow_mut();
         let told = told.entry(process).or_default();
         told.fresh_at = Some(Instant::now());
-        for (id, at) in self.acknowledged.borrow().iter().filter(|(_, at)| at.elapsed() > AGE) {
+        for (id, at) in self.acknowledged.borrow().iter().filter(|(_, at)| at.elapsed() > ON_THE_WAY) {
             if !told.leaving.contains(id) {
                 let late = at.elapsed();
                 self.wrong
@@ -147,11 +149,15 @@
 }
 
 fn run<F: Future>(seed: u64, story: impl FnOnce(Rc<World>) -> F) -> Vec<String> {
+    run_with(Faults::default(), seed, story)
+}
+
+fn run_with<F: Future>(faults: Faults, seed: u64, story: impl FnOnce(Rc<World>) -> F) -> Vec<String> {
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async move {
         let world = Rc::new(World {
-            simulation: Simulation::start(VOTERS, OTHERS, seed, Faults::default()),
+            simulation: Simulation::start(VOTERS, OTHERS, seed, faults),
             told: RefCell::default(),
             acknowledged: RefCell::default(),
             wrong: RefCell::default(),
@@ -178,7 +184,7 @@
             sleep(SETTLED).await;
             let by = world.leave("b", departs, [victim, VOTERS, VOTERS + 1]).await;
             assert_eq!(by, Some(VOTERS), "who acknowledges");
-            sleep(AGE * 4).await;
+            sleep(LONG).await;
             assert_eq!(world.in_touch(), VOTERS + OTHERS - 1, "all but the one that is cut off");
         });
         assert!(wrong.is_empty(), "departs: {departs}: {wrong:#?}");
@@ -195,7 +201,7 @@
             let by = world.leave("b", departs, [VOTERS]).await;
             assert_eq!(by, Some(VOTERS), "who acknowledges");
             world.cut_from(VOTERS, 0..VOTERS + OTHERS, true);
-            sleep(AGE * 4).await;
+            sleep(LONG).await;
             assert_eq!(world.in_touch(), VOTERS + OTHERS - 1, "all but the one that is lost");
         });
         assert!(wrong.is_empty(), "departs: {departs}: {wrong:#?}");
@@ -237,6 +243,47 @@
     assert!(world.leave("last", false, [at]).await.is_some(), "seed {seed}: not acknowledged in calm times");
 }
 
+/// The longest that a backend waits in calm times: a question of each process and its answer.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_millis(300);
+
+#[test]
+fn in_calm_times_a_leaving_is_acknowledged_soon_at_each_process() {
+    let wrong = run(4, |world| async move {
+        for process in 0..VOTERS + OTHERS {
+            let id = format!("b-{process}");
+            world.call(process, Call::Beat(backend(&id, Phase::Serving, 1))).await;
+            sleep(Duration::from_millis(70)).await;
+            for repeated in [false, true] {
+                let asked = Instant::now();
+                assert_eq!(world.leave(&id, repeated, [process]).await, Some(process));
+                assert!(asked.elapsed() < ACKNOWLEDGED_WITHIN, "process {process}: {:?}", asked.elapsed());
+            }
+        }
+    });
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// A voter that has no entries any more vouches for its list until the leader's last answer is too old.
+async fn cut_off_story(world: Rc<World>) {
+    let victim = (world.leader().await + 1) % VOTERS;
+    assert!(world.call(VOTERS, Call::Beat(backend("b", Phase::Serving, 1))).await);
+    sleep(SETTLED).await;
+    world.cut_from(victim, 0..VOTERS + OTHERS, true);
+    let asked = Instant::now();
+    while world.leave("b", false, [VOTERS]).await.is_none() {
+        assert!(asked.elapsed() < LONG, "not acknowledged after {:?}", asked.elapsed());
+    }
+    sleep(LONG).await;
+}
+
+#[test]
+fn an_acknowledgement_waits_for_a_process_that_is_cut_off_and_may_still_vouch() {
+    let wrong = run(5, cut_off_story);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    let faults = Faults { acknowledges_unsettled: true, ..Faults::default() };
+    assert!(!run_with(faults, 5, cut_off_story).is_empty(), "the planted fault is not found");
+}
+
 #[test]
 fn leavings_are_told_to_all_through_drawn_cuts() {
     for seed in 1..=4 {
--- a/crates/transport/src/peer_choice.rs
+++ b/crates/transport/src/peer_choice.rs
@@ -13,6 +13,11 @@
 const SILENT: Millis = 1300;
 /// Who has lost the leader is left after this long, if there is anybody else.
 const BEHIND: Millis = 900;
+/// Who was chosen just now and has said nothing is left sooner, by whoever had a word of this moment from another one
+/// before: a connection comes up and a first word comes within this, also between regions.
+const FIRST_WORD: Millis = 650;
+/// ... and so is one whose words so far were not of this moment: another one's may be.
+const FIRST_FRESH_WORD: Millis = 400;
 /// Who failed is not asked again for this long, while others are there.
 const AVOIDED: Millis = 1500;
 /// While all have failed, each is asked again after this long: whoever is dead refuses at once, and asking in a circle
@@ -30,6 +35,9 @@
     heard: Millis,
     fresh_at: Millis,
     fresh: bool,
+    /// Whether it has said anything, and whether that was ever of this moment.
+    has_spoken: bool,
+    was_fresh: bool,
     /// The version that it said it has, when it last said that it is of this moment.
     version: u64,
 }
@@ -45,6 +53,8 @@
     /// When those failed that are not to be asked again yet.
     failed: BTreeMap<SocketAddr, Millis>,
     following: Option<Leading>,
+    /// Whether anybody has had a word of this moment for this process. After a start of the whole system nobody has one.
+    had_fresh_word: bool,
     leader: Option<SocketAddr>,
     /// Who holds the counts.
     assignment: HolderAssignment,
@@ -62,6 +72,7 @@
             control_planes: BTreeMap::new(),
             failed: BTreeMap::new(),
             following: None,
+            had_fresh_word: false,
             leader: None,
             assignment: HolderAssignment::default(),
             started: now,
@@ -105,7 +116,15 @@
             return None;
         }
         let to = self.best(now)?;
-        self.following = Some(Leading { to, heard: now, fresh_at: now, fresh: false, version: 0 });
+        self.following = Some(Leading {
+            to,
+            heard: now,
+            fresh_at: now,
+            fresh: false,
+            has_spoken: false,
+            was_fresh: false,
+            version: 0,
+        });
         Some(to)
     }
 
@@ -140,6 +159,7 @@
     pub fn heard(&mut self, now: Millis) {
         if let Some(following) = &mut self.following {
             following.heard = now;
+            following.has_spoken = true;
         }
     }
 
@@ -157,9 +177,11 @@
                 self.assignment = HolderAssignment { epoch, holders };
             }
         }
+        self.had_fresh_word |= heartbeat.fresh;
         if let Some(following) = &mut self.following {
             if heartbeat.fresh {
                 following.fresh_at = now;
+                following.was_fresh = true;
                 following.version = heartbeat.version;
             }
             following.fresh = heartbeat.fresh;
@@ -172,8 +194,12 @@
         let spared = |address: &SocketAddr| self.failed_at(address, now).is_none();
         let others = self.control_planes.keys().chain(&self.seeds);
         let others = others.filter(|a| **a != following.to && Some(**a) != self.own).any(spared);
-        let behind = !following.fresh && now > following.fresh_at + BEHIND;
-        now > following.heard + SILENT || behind && others
+        let hurries = self.had_fresh_word && others;
+        let behind_after =
+            if following.was_fresh || !following.has_spoken || !hurries { BEHIND } else { FIRST_FRESH_WORD };
+        let behind = !following.fresh && now > following.fresh_at + behind_after;
+        let silent_after = if following.has_spoken || !hurries { SILENT } else { FIRST_WORD };
+        now > following.heard + silent_after || behind && others
     }
 
     /// Whether a configuration that comes now may be taken by a process that has none yet: one that is behind would
--- a/crates/transport/tests/peer_choice.rs
+++ b/crates/transport/tests/peer_choice.rs
@@ -107,3 +107,47 @@
     }
     assert!(followed.len() == 6 && followed.values().all(|n| (25..=80).contains(n)), "{followed:?}");
 }
+
+/// Whoever follows a process that is cut off goes on until it has one that is not: within the shortest `drain_ms` of the
+/// deployments, counted from the last word of that process which was of this moment.
+#[test]
+fn the_second_that_is_cut_off_is_left_soon() {
+    const TICK: u64 = 200;
+    const CUT_AT: u64 = 5000;
+    for (name, speaks) in [("one that is behind", true), ("one that says nothing", false)] {
+        let mut peer_choice = peer_choice(&[(1, "a"), (2, "b"), (3, "c")]);
+        let first = peer_choice.choose(0).expect("one");
+        let mut tried = vec![first];
+        let mut found_at = None;
+        for now in (0..20_000).step_by(50) {
+            let following = peer_choice.following().expect("somebody");
+            // The first is cut off, the second is too, the third is well.
+            let well = tried.len() == 3 || (following == first && now <= CUT_AT);
+            if well || speaks || following == first {
+                peer_choice.heard(now);
+                peer_choice.heartbeat(now, &heartbeat(9, 1, well));
+            }
+            if well && now > CUT_AT {
+                found_at = Some(now);
+                break;
+            }
+            if now % TICK == 0 && peer_choice.is_over(now) {
+                peer_choice.failed(now);
+                tried.extend(peer_choice.choose(now));
+            }
+        }
+        assert!(found_at.is_some_and(|at| at < CUT_AT + 2000), "{name}: found at {found_at:?}");
+    }
+}
+
+/// After a start of the whole system nobody has a word of this moment, and going round costs those that start.
+#[test]
+fn before_the_first_word_of_this_moment_nobody_is_left_sooner() {
+    let mut peer_choice = peer_choice(&[(1, "a"), (2, "a")]);
+    peer_choice.choose(0);
+    assert!(!peer_choice.is_over(900));
+    peer_choice.heard(10);
+    peer_choice.heartbeat(10, &heartbeat(5, 2, false));
+    assert!(!peer_choice.is_over(900));
+    assert!(peer_choice.is_over(901));
+}
