--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -31,6 +31,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 const JSON: &str = "application/json";
+/// The longest id of a backend, in bytes: ids of those that leave go into the log.
+const LONGEST_ID: usize = 256;
 /// The header that names the version on which an order builds.
 const BASE_VERSION: &str = "x-base-version";
 
@@ -130,7 +132,7 @@
         longest: 16 * 1024,
         within: ANSWER_WITHIN,
         says: JSON,
-        read: |id, _, _| Ok(Call::Departure(id.to_owned())),
+        read: |id, _, _| Ok(Call::Departure(backend_id(id)?)),
     },
     Declared {
         method: Method::POST,
@@ -256,7 +258,15 @@
     warmup_left_ms: f64,
 }
 
+fn backend_id(id: &str) -> Result<String, Reply> {
+    if id.len() > LONGEST_ID {
+        return Err(Reply::why(400, &format!("an id of {} bytes, at most {LONGEST_ID}", id.len())));
+    }
+    Ok(id.to_owned())
+}
+
 fn beat(id: &str, _: &HeaderMap, body: &[u8]) -> Result<Call, Reply> {
+    let known_as = backend_id(id)?;
     let unread = |why: String| Reply::why(400, &format!("beat of {id}: {why}"));
     let beat: BeatBody = serde_json::from_slice(body).map_err(|error| unread(error.to_string()))?;
     let phase = match beat.condition.phase.as_str() {
@@ -268,7 +278,7 @@
         return Err(unread(format!("address: {:?} is no ip:port", beat.address)));
     }
     Ok(Call::Beat(Backend {
-        id: id.to_owned(),
+        id: known_as,
         service: beat.summary.target,
         address: beat.address,
         zone: beat.summary.zone,
--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -101,7 +101,7 @@
         /// The connection.
         number: u64,
         /// The message.
-        flag: Message,
+        message: Message,
     },
     /// A connection is over, or never came up.
     Closed {
@@ -387,7 +387,7 @@
         match command {
             Command::Call { call, reply } => self.on_call(call, reply),
             Command::Opened { number, line, dialed } => self.on_opened(number, line, dialed),
-            Command::Frame { number, flag } => self.on_frame(number, flag),
+            Command::Frame { number, message } => self.on_frame(number, message),
             Command::Closed { number, error } => self.on_closed(number, &error),
             Command::Saved { ticket } => self.log(Input::Saved { ticket }),
             Command::Seeds(seeds) => self.settings.seeds = seeds,
--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -90,15 +90,15 @@
         }
     }
 
-    pub(super) fn to_control_planes(&self, flag: &Message) {
-        let frame: Rc<[u8]> = protocol::frame(flag).into();
+    pub(super) fn to_control_planes(&self, message: &Message) {
+        let frame: Rc<[u8]> = protocol::frame(message).into();
         for peer in self.peers.values().filter(|p| p.dialed.is_some()) {
             peer.line.send_frame(frame.clone());
         }
     }
 
-    pub(super) fn to_followers(&self, flag: &Message) {
-        let frame: Rc<[u8]> = protocol::frame(flag).into();
+    pub(super) fn to_followers(&self, message: &Message) {
+        let frame: Rc<[u8]> = protocol::frame(message).into();
         for peer in self.peers.values().filter(|p| p.follows) {
             peer.line.send_frame(frame.clone());
         }
@@ -155,12 +155,12 @@
         data_planes.map(|h| (h.name.clone(), h.life)).collect()
     }
 
-    pub(super) fn on_frame(&mut self, number: u64, flag: Message) {
+    pub(super) fn on_frame(&mut self, number: u64, message: Message) {
         let now = self.now();
         let Some(peer) = self.peers.get_mut(&number) else { return };
         peer.heard = now;
         self.frames += 1;
-        match flag {
+        match message {
             Message::Hello(hello) => self.on_hello(number, hello, now),
             Message::Welcome(hello) => self.meet(&hello),
             Message::Log { incarnation, message } => self.on_log(number, incarnation, &message),
--- a/crates/control-plane/src/control_plane/quota_service.rs
+++ b/crates/control-plane/src/control_plane/quota_service.rs
@@ -223,7 +223,7 @@
             return;
         }
         self.fleet.heard(now, &hello.name, hello.life);
-        let flag = match self.quota_service.draw(now as f64, &hello.name, &draw) {
+        let message = match self.quota_service.draw(now as f64, &hello.name, &draw) {
             Some(grant) => {
                 self.watch.counted.draws.0 += 1;
                 Message::Grant(grant)
@@ -233,7 +233,7 @@
                 Message::NotHolder { number: draw.number }
             }
         };
-        peer.line.send(&flag);
+        peer.line.send(&message);
         if self.quota_service.presses() {
             self.tend_marks(now);
         }
--- a/crates/control-plane/src/lines.rs
+++ b/crates/control-plane/src/lines.rs
@@ -67,7 +67,7 @@
     }
     loop {
         let next = match reader.next().await {
-            Ok(flag) => Command::Frame { number, flag },
+            Ok(message) => Command::Frame { number, message },
             Err(error) => Command::Closed { number, error },
         };
         let over = matches!(next, Command::Closed { .. });
--- a/crates/control-plane/tests/bytes.rs
+++ b/crates/control-plane/tests/bytes.rs
@@ -132,10 +132,10 @@
         Message::Backends { whole: true, backends: vec![backend("i-1", 4), backend("i-2", u64::MAX)] },
     ];
     feed(5, whole.iter().map(frame).collect(), |bytes| match unframe::<Message>(bytes) {
-        Ok(Some((flag, taken))) => {
+        Ok(Some((message, taken))) => {
             assert!(taken <= bytes.len());
-            let again = unframe::<Message>(&frame(&flag)).expect("whole").expect("whole");
-            assert_eq!(format!("{:?}", again.0), format!("{flag:?}"));
+            let again = unframe::<Message>(&frame(&message)).expect("whole").expect("whole");
+            assert_eq!(format!("{:?}", again.0), format!("{message:?}"));
             true
         }
         Ok(None) | Err(_) => false,
--- a/crates/control-plane/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -84,3 +84,13 @@
     let answer = tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), upload_in_two_parts());
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
 }
+
+#[test]
+fn ids_of_backends_are_bounded() {
+    let departure = CALLS.iter().find(|call| call.path == "/Backends.Departure/").expect("it is declared");
+    let status = |length: usize| {
+        let read = (departure.read)(&"i".repeat(length), &HeaderMap::new(), b"");
+        read.map_err(|reply| reply.status).map(|call| matches!(call, Call::Departure(_)))
+    };
+    assert_eq!((status(256), status(257)), (Ok(true), Err(400)));
+}
--- a/crates/control-plane/tests/played/mod.rs
+++ b/crates/control-plane/tests/played/mod.rs
@@ -24,15 +24,15 @@
         played
     }
 
-    pub fn say(&mut self, flag: &Message) {
-        self.stream.write_all(&protocol::frame(flag)).expect("sent");
+    pub fn say(&mut self, message: &Message) {
+        self.stream.write_all(&protocol::frame(message)).expect("sent");
     }
 
     pub fn next(&mut self) -> Message {
         loop {
-            if let Some((flag, length)) = protocol::unframe::<Message>(&self.read).expect("a frame") {
+            if let Some((message, length)) = protocol::unframe::<Message>(&self.read).expect("a frame") {
                 self.read.drain(..length);
-                return flag;
+                return message;
             }
             let mut bytes = [0; 4096];
             let length = self.stream.read(&mut bytes).expect("the next bytes");
--- a/crates/control-plane/tests/processes.rs
+++ b/crates/control-plane/tests/processes.rs
@@ -384,10 +384,10 @@
 /// The next configuration on this connection, in whatever form.
 fn next_config_snapshot(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Message {
     until(|| {
-        while let Some((flag, taken)) = protocol::unframe::<Message>(buffer).expect("a message") {
+        while let Some((message, taken)) = protocol::unframe::<Message>(buffer).expect("a message") {
             buffer.drain(..taken);
-            if matches!(flag, Message::ConfigSnapshot(_) | Message::ConfigDelta(_)) {
-                return Some(flag);
+            if matches!(message, Message::ConfigSnapshot(_) | Message::ConfigDelta(_)) {
+                return Some(message);
             }
         }
         let mut bytes = [0; 4096];
@@ -414,7 +414,7 @@
     };
     let mut stream = TcpStream::connect(fleet.peers[1]).expect("a line");
     stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
-    let mut say = |flag: Message| stream.write_all(&protocol::frame(&flag)).expect("sent");
+    let mut say = |message: Message| stream.write_all(&protocol::frame(&message)).expect("sent");
     say(Message::Hello(hello));
     say(Message::Follow { have: Held::default() });
     let (mut read, mut buffer) = (stream.try_clone().expect("the same"), Vec::new());
@@ -431,7 +431,7 @@
     assert_eq!(next.base, 3);
     assert_eq!(rebuild(Some(&first.body), &next).expect("the next").body, config(4).into_bytes());
     // It could not make it out, so it says.
-    let mut say = |flag: Message| stream.write_all(&protocol::frame(&flag)).expect("sent");
+    let mut say = |message: Message| stream.write_all(&protocol::frame(&message)).expect("sent");
     say(Message::Whole);
     let whole = ConfigSnapshot { version: 4, body: config(4).into_bytes() };
     assert_eq!(next_config_snapshot(&mut read, &mut buffer), Message::ConfigSnapshot(whole));
@@ -555,15 +555,15 @@
         incarnation: None,
     };
     let frames = [Message::Hello(hello), Message::Follow { have: Held::default() }]
-        .map(|flag| protocol::frame(&flag))
+        .map(|message| protocol::frame(&message))
         .concat();
     follower.write_all(&frames).expect("sent");
     follower.set_read_timeout(Some(PATIENCE)).expect("a limit");
     let (mut read, mut config_snapshots) = (Vec::new(), Vec::new());
     loop {
-        while let Some((flag, length)) = protocol::unframe::<Message>(&read).expect("a frame") {
+        while let Some((message, length)) = protocol::unframe::<Message>(&read).expect("a frame") {
             read.drain(..length);
-            match flag {
+            match message {
                 Message::ConfigSnapshot(config_snapshot) => config_snapshots.push(config_snapshot.version),
                 Message::ConfigDelta(config_delta) => config_snapshots.push(config_delta.version),
                 Message::Heartbeat(heartbeat) if heartbeat.fresh => {
@@ -615,7 +615,7 @@
             };
             let mut stream = TcpStream::connect(pair[at]).expect("a line");
             let frames = [Message::Hello(hello), Message::Heartbeat(heartbeat)]
-                .map(|flag| protocol::frame(&flag))
+                .map(|message| protocol::frame(&message))
                 .concat();
             stream.write_all(&frames).expect("sent");
             stream
--- a/crates/control-plane/tests/support/simulation.rs
+++ b/crates/control-plane/tests/support/simulation.rs
@@ -136,8 +136,8 @@
     while let Some(frame) = frames.recv().await {
         let (from, to) = (sender.process, receiver.process);
         let mut lost = !network.passes(from, to).await;
-        if !lost && let Ok(Some((flag, _))) = protocol::unframe::<Message>(&frame) {
-            let _ = receiver.commands.send(Command::Frame { number: receiver.number, flag }).await;
+        if !lost && let Ok(Some((message, _))) = protocol::unframe::<Message>(&frame) {
+            let _ = receiver.commands.send(Command::Frame { number: receiver.number, message }).await;
         }
         if network.link(to, from) == Some(Link::Cut) {
             lost |= unacknowledged.get_or_insert_with(Instant::now).elapsed() > UNACKNOWLEDGED;
@@ -310,8 +310,8 @@
         let commands = &self.commands[process];
         let _ = commands.send(Command::Opened { number, line: Line::over(line), dialed: None }).await;
         let follow = Message::Follow { have: protocol::Held::default() };
-        for flag in [Message::Hello(hello), follow] {
-            let _ = commands.send(Command::Frame { number, flag }).await;
+        for message in [Message::Hello(hello), follow] {
+            let _ = commands.send(Command::Frame { number, message }).await;
         }
         frames
     }
--- a/crates/testbed/src/capacity/messages.rs
+++ b/crates/testbed/src/capacity/messages.rs
@@ -165,7 +165,7 @@
     let body = configuration_bytes(size, 1);
     let (whole, difference) = configuration_frames(size);
     let (beat, answer) = heartbeat();
-    let of = |kind, flag: Message| MessageLength { kind, bytes: frame(&flag).len() };
+    let of = |kind, message: Message| MessageLength { kind, bytes: frame(&message).len() };
     let raw = |kind, bytes| MessageLength { kind, bytes };
     let appended = log(&append(body.clone()));
     vec![
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -374,8 +374,8 @@
             Ok(received) if from_control_plane => {
                 let now = self.now();
                 self.peer_choice.heard(now);
-                if let Received::Message(flag) = received {
-                    self.on_news(flag, now);
+                if let Received::Message(message) = received {
+                    self.on_news(message, now);
                 }
             }
             Ok(Received::Message(Message::Grant(grant))) if is_answer(grant.number) => {
@@ -388,8 +388,8 @@
         }
     }
 
-    fn on_news(&mut self, flag: Message, now: u64) {
-        match flag {
+    fn on_news(&mut self, message: Message, now: u64) {
+        match message {
             Message::Heartbeat(heartbeat) => {
                 self.peer_choice.heartbeat(now, &heartbeat);
                 self.take_doubtful();
@@ -486,7 +486,7 @@
         }
         self.above = above;
         for output in news.into_iter().flatten() {
-            let flag = match output {
+            let message = match output {
                 Output::Heartbeat(mut heartbeat) => {
                     self.root_version = heartbeat.fresh.then_some(heartbeat.version);
                     // The root does not count those that it does not know one by one.
@@ -499,7 +499,7 @@
                 Output::Backends { whole, backends, .. } => Message::Backends { whole, backends },
                 Output::Send { .. } => continue,
             };
-            self.on_news(flag, now);
+            self.on_news(message, now);
         }
     }
 
--- a/crates/transport/src/line.rs
+++ b/crates/transport/src/line.rs
@@ -74,8 +74,8 @@
     }
 
     /// Queues a message; false when the connection is lost or its queue full, which loses it.
-    pub fn send(&self, flag: &Message) -> bool {
-        self.send_frame(protocol::frame(flag).into())
+    pub fn send(&self, message: &Message) -> bool {
+        self.send_frame(protocol::frame(message).into())
     }
 
     /// Queues a frame that goes to several.
@@ -112,8 +112,8 @@
     /// When there will be none: the connection is to be dropped.
     pub async fn next(&mut self) -> Result<Message, LineError> {
         loop {
-            if let Received::Message(flag) = self.receive().await? {
-                return Ok(flag);
+            if let Received::Message(message) = self.receive().await? {
+                return Ok(message);
             }
         }
     }
@@ -124,8 +124,8 @@
     /// When there will be neither: the connection is to be dropped.
     pub async fn receive(&mut self) -> Result<Received, LineError> {
         let peer = self.peer;
-        if let Some(flag) = self.take_message()? {
-            return Ok(Received::Message(flag));
+        if let Some(message) = self.take_message()? {
+            return Ok(Received::Message(message));
         }
         let read = self.stream.read_buf(&mut self.buffer).await;
         if read.map_err(|source| LineError::Read { peer, source })? == 0 {
@@ -138,9 +138,9 @@
     fn take_message(&mut self) -> Result<Option<Message>, LineError> {
         let peer = self.peer;
         let next = protocol::unframe(&self.buffer).map_err(|source| LineError::Garbled { peer, source })?;
-        Ok(next.map(|(flag, taken)| {
+        Ok(next.map(|(message, taken)| {
             self.buffer.advance(taken);
-            flag
+            message
         }))
     }
 }
--- a/crates/transport/src/tree.rs
+++ b/crates/transport/src/tree.rs
@@ -47,8 +47,8 @@
 }
 
 /// The word that a message is, on a connection between relays.
-pub fn word_of(flag: Message) -> Option<Word> {
-    match flag {
+pub fn word_of(message: Message) -> Option<Word> {
+    match message {
         Message::Relay(word) => Some(word),
         Message::ConfigSnapshot(config_snapshot) => Some(Word::ConfigSnapshot(config_snapshot)),
         // It comes with no base: who can't make it out asks again, by the number in the next heartbeat.
@@ -184,8 +184,8 @@
                 }
                 None
             }
-            Event::Said(number, Ok(flag)) => {
-                let word = word_of(flag)?;
+            Event::Said(number, Ok(message)) => {
+                let word = word_of(message)?;
                 let dialed = self.dialed.as_ref().filter(|dialed| dialed.number == number);
                 let from = match dialed {
                     Some(dialed) => Some(dialed.to),
