--- a/crates/control-plane/src/control_plane/drains.rs
+++ b/crates/control-plane/src/control_plane/drains.rs
@@ -18,6 +18,10 @@
 /// So many calls of backends may wait here for the leader. The others of [`CALLS_WAITING`] are the operators'.
 pub(super) const LEAVINGS_WAITING: usize = CALLS_WAITING / 2;
 
+/// A backend that leaves is sent to another process when the leader has not answered within this: the process that it called
+/// may be cut off and not know it yet.
+pub(super) const LEAVING_PASSED: u64 = 450;
+
 /// A call that waits until a backend is recorded.
 struct Leaving {
     asker: Asker,
--- a/crates/control-plane/src/control_plane/orders.rs
+++ b/crates/control-plane/src/control_plane/orders.rs
@@ -1,6 +1,6 @@
 //! Calls of backends and of the operator, at the leader and on their way to it.
 
-use super::drains::LEAVINGS_WAITING;
+use super::drains::{LEAVING_PASSED, LEAVINGS_WAITING};
 use super::*;
 use crate::admission::{Decision, decide};
 
@@ -138,7 +138,12 @@
 
     pub(super) fn tend_calls(&mut self, now: u64) {
         self.pass_on(now);
-        let over = |w: &Waiting| now > w.since + if w.passed.is_some() { PASSED } else { LEADERLESS };
+        let may_wait = |waiting: &Waiting| match waiting {
+            Waiting { order: Order::Drain(_), .. } => LEAVING_PASSED,
+            Waiting { passed: Some(_), .. } => PASSED,
+            Waiting { passed: None, .. } => LEADERLESS,
+        };
+        let over = |waiting: &Waiting| now > waiting.since + may_wait(waiting);
         let late: Vec<u64> = self.waiting.iter().filter(|(_, w)| over(w)).map(|(t, _)| *t).collect();
         for token in late {
             if let Some(waiting) = self.waiting.remove(&token) {
