registry: a backend without an address is not taken in; logs name a dialed peer by its address

Found on reading the change again: what followers are told of a backend known by its id only also reaches control planes without a log, which follow the voters, and these registered it with no service and no address for a minute. The word is for data planes; records come to the table by the log. A test with it. The line "drains, by ..." was empty where the word came on a connection that the process had dialed itself; it has the address now.

--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -173,7 +173,9 @@
             }
             Message::Follow { have } => self.on_follow(number, have, now),
             Message::Backends { backends, .. } => {
-                let origin = peer.hello.as_ref().map_or_else(String::new, |hello| hello.name.clone());
+                // Of one that this process has dialed the address is known, and no name.
+                let address = peer.dialed.map_or_else(String::new, |address| address.to_string());
+                let origin = peer.hello.as_ref().map_or(address, |hello| hello.name.clone());
                 let changed = self.register.hear(now, backends);
                 self.tell_backends(changed, Origin::Peer(&origin));
             }
--- a/crates/registry/src/register.rs
+++ b/crates/registry/src/register.rs
@@ -139,9 +139,11 @@
         Judgement::Changed(vec![registration.backend.clone()])
     }
 
-    /// Words of another process; gives what they change.
+    /// Words of another process; gives what they change. One without an address names a record of a backend that leaves,
+    /// for followers: records come to this table by the log only.
     pub fn hear(&mut self, now: Millis, backends: Vec<Backend>) -> Vec<Backend> {
-        backends.into_iter().flat_map(|backend| self.merge(now, backend, false)).collect()
+        let backends = backends.into_iter().filter(|backend| !backend.address.is_empty());
+        backends.flat_map(|backend| self.merge(now, backend, false)).collect()
     }
 
     /// Another process has heard these since its last round; gives those that were overdue here.
--- a/crates/registry/tests/register.rs
+++ b/crates/registry/tests/register.rs
@@ -157,6 +157,13 @@
     assert_eq!(register.departed(12, "i-1"), Judgement::Alive);
 }
 
+#[test]
+fn a_backend_without_an_address_is_not_taken_in() {
+    let mut register = Register::new(BEAT);
+    assert_eq!(register.hear(0, vec![backend("i-1", "", Phase::Draining, 0)]), []);
+    assert!(register.everything(0).is_empty());
+}
+
 #[test]
 fn who_is_recorded_as_leaving_never_serves_again_whoever_says_so() {
     let mut register = Register::new(BEAT);
