--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -308,10 +308,6 @@
         log_level: Text = "info", "reachlb.log_level",
             |level| matches!(&**level, "off" | "error" | "warn" | "info" | "debug" | "trace")
                 => "wants off, error, warn, info, debug or trace";
-        /// Whether news goes down a tree of relays: the same on all machines.
-        relays: Message = false, "reachlb.relays";
-        /// Megabits a second of its link for each process that follows a relay.
-        relay_share: Figure = 10.0, "reachlb.relay_mbps", |share| *share > 0.0 => "wants more than 0";
         /// Addresses of machines and backends that are reached under another one, as `own=other`.
         ways: Ways = empty, "reachlb.ways";
     }
--- a/crates/control-plane/src/contact.rs
+++ b/crates/control-plane/src/contact.rs
@@ -8,7 +8,7 @@
 
 use bitcode::{Decode, Encode};
 use registry::DrainRun;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// Milliseconds of the host's steady clock.
@@ -97,43 +97,7 @@
     /// The number of its newest record of a backend that leaves; 0 if it did not say.
     pub(crate) drains: u64,
     /// When the question was sent.
-    asked_at: Millis,
-}
-
-/// Whom a leader has answered: who goes by its answers, for how long, and what they are known to have.
-///
-/// A leader that waits until all of them have a record, or go by its answers no more, knows that from then on nobody
-/// vouches for a list without it. It is the wait of a lease (Gray and Cheriton, 1989) for an invalidation.
-#[derive(Debug, Default)]
-pub(crate) struct Vouchers {
-    /// By connection: the newest record that the asker had, and when it was answered last.
-    answered: BTreeMap<u64, (u64, Millis)>,
-    /// Whoever led before may have answered others up to here.
-    since: Millis,
-}
-
-impl Vouchers {
-    /// This process leads from now on.
-    pub(crate) fn begin(&mut self, now: Millis) {
-        *self = Self { answered: BTreeMap::new(), since: now };
-    }
-
-    /// A question was answered on this connection, of an asker that has all records up to this one.
-    pub(crate) fn answer(&mut self, now: Millis, connection: u64, has: u64) {
-        self.forget(now);
-        self.answered.insert(connection, (has, now));
-    }
-
-    /// Those who go by their last answer no more.
-    fn forget(&mut self, now: Millis) {
-        self.answered.retain(|_, (_, at)| now < *at + CONTACT_SPAN);
-    }
-
-    /// Whether all who go by an answer have the record of this number.
-    pub(crate) fn all_have(&mut self, now: Millis, record: u64) -> bool {
-        self.forget(now);
-        now >= self.since + CONTACT_SPAN && self.answered.values().all(|(has, _)| *has >= record)
-    }
+    pub(crate) asked_at: Millis,
 }
 
 /// The questions of one process, and the newest answer.
@@ -141,8 +105,6 @@
 pub(crate) struct Contact {
     asked: VecDeque<(u64, Millis)>,
     last_asked: Option<SocketAddr>,
-    /// The leader waits for the next question.
-    is_urgent: bool,
     newest: Option<Confirmation>,
 }
 
@@ -150,7 +112,7 @@
     /// The number of a question for this leader, if one is due.
     pub(crate) fn question(&mut self, now: Millis, leader: SocketAddr) -> Option<u64> {
         let proved = self.newest(now).is_some_and(|newest| newest.leader == leader);
-        let pause = if proved && !self.is_urgent { ASK_EVERY } else { ASK_AGAIN };
+        let pause = if proved { ASK_EVERY } else { ASK_AGAIN };
         let last = self.asked.back().copied();
         let waits = last.is_some_and(|(_, at)| now < at + pause);
         if waits && self.last_asked == Some(leader) {
@@ -159,18 +121,12 @@
         let number = last.map_or(1, |(number, _)| number + 1);
         self.asked.push_back((number, now));
         self.last_asked = Some(leader);
-        self.is_urgent = false;
         if self.asked.len() > QUESTIONS {
             self.asked.pop_front();
         }
         Some(number)
     }
 
-    /// The next question says something that the leader waits for: it is due soon.
-    pub(crate) fn hurry(&mut self) {
-        self.is_urgent = true;
-    }
-
     /// An answer came from this process. It counts once, and from when its question was sent; whether it does.
     pub(crate) fn answered(&mut self, leader: SocketAddr, answer: &ContactMessage) -> bool {
         let (number, term, commit, version, drains) = match answer {
--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -10,12 +10,11 @@
 mod orders;
 mod quota_service;
 mod status;
-mod tree;
 mod updates;
 
 use crate::calls::{Call, Reply};
 use crate::config_history::{Change, ConfigHistory, Marks, Place, Verdict};
-use crate::contact::{Confirmation, Contact, ContactMessage, Vouchers};
+use crate::contact::{Confirmation, Contact, ContactMessage};
 use crate::directory::Directory;
 use crate::disk::Disk;
 use crate::faults::Faults;
@@ -140,8 +139,6 @@
     pub retire_after: u64,
     /// Draws a second that one holder of counts bears: more, and the leader shares the counts out. 0 for never.
     pub draws_a_holder: f64,
-    /// How many relays may follow it, if the tree is in use.
-    pub relay_room: Option<usize>,
     /// A number drawn for this life.
     pub seed: u64,
     /// By which ways others are reached.
@@ -164,8 +161,6 @@
     hello: Option<Hello>,
     dialed: Option<SocketAddr>,
     follows: bool,
-    /// Whether it draws on the counts here, and is to be known to the others by that.
-    here: bool,
     /// What it has, or will have once it has read all that was sent.
     has: Held,
     heard: u64,
@@ -214,7 +209,6 @@
     config_encoder: ConfigEncoder,
     /// Entries have brought another configuration into force, and followers are yet to be told.
     changed: bool,
-    root: Option<tree::Root>,
     node: Option<Node>,
     disk: Option<Disk>,
     quota_service: QuotaService,
@@ -228,8 +222,6 @@
     told_at: u64,
     /// Whether the leader has said that what this process tells is of this moment, if it does not lead.
     contact: Contact,
-    /// Who goes by the answers of this process, if it leads.
-    vouchers: Vouchers,
     connect: Rc<dyn Connect>,
     faults: Faults,
     tokens: u64,
@@ -299,7 +291,6 @@
             config: None,
             config_encoder: ConfigEncoder::default(),
             changed: false,
-            root: None,
             node,
             disk,
             quota_service: QuotaService::new(&settings.address.to_string()),
@@ -309,7 +300,6 @@
             told: Heartbeat::default(),
             told_at: 0,
             contact: Contact::default(),
-            vouchers: Vouchers::default(),
             connect: Rc::new(ConnectTcp(settings.ways.clone())),
             faults: Faults::default(),
             tokens: 0,
@@ -410,11 +400,9 @@
             self.tend_calls(now);
             self.tend_lines(now);
             self.tend_quota_service(now);
-            self.tend_tree(now);
         }
         self.tend_contact(now);
         self.tend_early_orders(now);
-        self.tend_settling(now);
         self.tend_end();
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
--- a/crates/control-plane/src/control_plane/contact.rs
+++ b/crates/control-plane/src/control_plane/contact.rs
@@ -1,6 +1,7 @@
 //! Contact with the leader: whether what this process tells is of this moment.
 
 use super::*;
+use protocol::{FreshnessAnswer, FreshnessQuestion, UNDERSTANDS_FRESHNESS};
 
 /// So many records of backends that leave go into one answer.
 const RECORDS_AN_ANSWER: usize = 512;
@@ -77,6 +78,44 @@
         }
     }
 
+    /// How old the leader's word is on which this process goes; nothing if it may be cut off.
+    fn word_age(&self, now: u64) -> Option<u64> {
+        let (.., current) = self.leader(now);
+        if !current {
+            return None;
+        }
+        let leads = self.node.as_ref().is_some_and(Node::is_leader);
+        if leads || self.faults.trusts_heartbeats || self.faults.tells_no_age {
+            return Some(0);
+        }
+        self.contact.newest(now).map(|newest| now.saturating_sub(newest.asked_at))
+    }
+
+    /// A data plane asks how old what it is told may be, and gets the records of backends that leave which it lacks.
+    pub(super) fn on_freshness_question(&mut self, connection: u64, question: FreshnessQuestion, now: u64) {
+        let FreshnessQuestion { number, drains: known } = question;
+        let age_ms = self.word_age(now).map(|age| u32::try_from(age).unwrap_or(u32::MAX));
+        let table = self.register.drains();
+        // Whoever has more of them lacks none.
+        let most = if known > table.last() { 0 } else { RECORDS_AN_ANSWER };
+        let run = table.run_after(known, most);
+        let answer = FreshnessAnswer {
+            number,
+            age_ms,
+            drains: table.last(),
+            missing_after: run.after,
+            missing: run.ids,
+        };
+        if let Some(peer) = self.peers.get(&connection) {
+            peer.line.send(&Message::FreshnessAnswer(answer));
+        }
+    }
+
+    /// What a data plane is told, that it may send [`Message::FreshnessQuestion`].
+    pub(super) fn understands_freshness() -> Message {
+        Message::NotHolder { number: UNDERSTANDS_FRESHNESS }
+    }
+
     /// A question is answered by a leader that holds its lease, and by nobody else.
     pub(super) fn on_contact(&mut self, number: u64, message: &ContactMessage) {
         let now = self.now();
@@ -92,7 +131,6 @@
                 let most = if has_log { 0 } else { RECORDS_AN_ANSWER };
                 if let Some(answer) = self.records_answer(*question, *drains, most, now) {
                     peer.line.send(&contact_message(&answer));
-                    self.vouchers.answer(now, number, *drains);
                 }
             }
             ContactMessage::Answer { .. } | ContactMessage::RecordsAnswer { .. } => {
--- a/crates/control-plane/src/control_plane/drains.rs
+++ b/crates/control-plane/src/control_plane/drains.rs
@@ -2,9 +2,8 @@
 //!
 //! Once its leaving is acknowledged a backend ends soon, and no request may reach it after a while, whichever process dies
 //! or is cut off meanwhile. What one process has told others proves nothing: it may have reached nobody. So a leaving is
-//! acknowledged when the log has it, and when all processes that go by the leader's answers (`contact`) have it too or go
-//! by them no more. From then on nobody says that what it tells is of this moment and lacks it, so that a data plane hears of
-//! it or leaves whom it follows.
+//! acknowledged when the log has it. Who goes by an answer that the leader gave after that has the record
+//! (`contact`), and a data plane looks for such an answer before its own is too old (`transport::freshness`).
 
 use super::*;
 use crate::drain_entry::DrainEntry;
@@ -28,20 +27,18 @@
     id: String,
 }
 
-/// At the leader: what is on its way into the log, one entry at a time, and what is there and not yet known to all.
+/// At the leader: what is on its way into the log, one entry at a time.
 #[derive(Default)]
 pub(super) struct DrainProposals {
     queued: Vec<Leaving>,
     in_flight: Vec<Leaving>,
     token: Option<u64>,
-    /// Recorded, with the number of the record.
-    settling: Vec<(u64, Leaving)>,
 }
 
 impl DrainProposals {
     /// Whether no call waits.
     pub(super) fn is_empty(&self) -> bool {
-        self.queued.is_empty() && self.token.is_none() && self.settling.is_empty()
+        self.queued.is_empty() && self.token.is_none()
     }
 
     /// The ids of the next entry, if there is none on its way and something to record.
@@ -69,7 +66,6 @@
         self.token = None;
         let mut all = std::mem::take(&mut self.in_flight);
         all.append(&mut self.queued);
-        all.extend(self.settling.drain(..).map(|(_, leaving)| leaving));
         all
     }
 }
@@ -97,14 +93,13 @@
 
     /// The leader records a backend, unless it has.
     pub(super) fn on_drain(&mut self, asker: Asker, id: String, now: u64) {
-        let waiting = self.drain_proposals.queued.len() + self.drain_proposals.settling.len();
-        if waiting >= QUEUED {
+        if self.drain_proposals.queued.len() >= QUEUED {
             let full = Reply::why(503, "too many backends leave at once: ask again");
             return self.answer_drain(Leaving { asker, id }, full, now);
         }
-        if let Some(record) = self.register.drains().position(&id) {
-            self.drain_proposals.settling.push((record, Leaving { asker, id }));
-            return;
+        // What is in the table is committed.
+        if self.register.drains().contains(&id) {
+            return self.answer_drain(Leaving { asker, id }, Reply::done(), now);
         }
         self.drain_proposals.queued.push(Leaving { asker, id });
         self.propose_drains();
@@ -132,21 +127,11 @@
             self.tell_drained(drained);
         }
         if let Some(token) = self.accepted.remove(&index) {
-            let record = self.register.drains().last();
-            let recorded = self.drain_proposals.decided(token).into_iter();
-            self.drain_proposals.settling.extend(recorded.map(|leaving| (record, leaving)));
-            self.propose_drains();
-        }
-    }
-
-    /// Acknowledges what all have who may vouch for their lists.
-    pub(super) fn tend_settling(&mut self, now: u64) {
-        for (record, leaving) in std::mem::take(&mut self.drain_proposals.settling) {
-            if self.vouchers.all_have(now, record) || self.faults.acknowledges_unsettled {
+            let now = self.now();
+            for leaving in self.drain_proposals.decided(token) {
                 self.answer_drain(leaving, Reply::done(), now);
-            } else {
-                self.drain_proposals.settling.push((record, leaving));
             }
+            self.propose_drains();
         }
     }
 
@@ -177,18 +162,16 @@
 
     /// Followers hear of all backends that are recorded from now on: they may know some that this process does not.
     pub(super) fn tell_drained(&mut self, drained: Drained) {
-        // The leader waits to hear that this process has them.
-        self.contact.hurry();
         self.tell_backends(drained.changed, Origin::Log);
         if !drained.unknown.is_empty() {
-            let backends = drained.unknown.into_iter().map(known_by_id).collect();
+            let backends = drained.unknown.into_iter().map(Backend::leaving).collect();
             self.to_followers(&Message::Backends { whole: false, backends });
         }
     }
 
     /// Backends that are recorded and not known otherwise, for a follower that may know them.
     pub(super) fn drained_unknown(&self) -> Vec<Backend> {
-        self.register.drained_unknown().into_iter().map(known_by_id).collect()
+        self.register.drained_unknown().into_iter().map(Backend::leaving).collect()
     }
 
     /// What a snapshot says of backends that leave: nothing while there may be voters that could not read it.
@@ -213,19 +196,3 @@
         Message::NotHolder { number: UNDERSTANDS_DRAINS }
     }
 }
-
-/// A backend of which nothing is known but that it leaves. Whoever does not know it either can't send to it.
-fn known_by_id(id: String) -> Backend {
-    Backend {
-        id,
-        service: String::new(),
-        address: String::new(),
-        zone: String::new(),
-        generation: String::new(),
-        capacity: 1,
-        phase: Phase::Draining,
-        warmup_left_ms: 0,
-        call_count: 0,
-        overdue: false,
-    }
-}
--- a/crates/control-plane/src/control_plane/entries.rs
+++ b/crates/control-plane/src/control_plane/entries.rs
@@ -91,9 +91,7 @@
         if let Role::Candidate { term } = role {
             self.watch.candidate(now, term);
         }
-        if matches!(role, Role::Leader { .. }) {
-            self.vouchers.begin(now);
-        } else {
+        if !matches!(role, Role::Leader { .. }) {
             self.resign(now);
             self.accepted.clear();
             self.marking = None;
--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -15,7 +15,6 @@
             hello: None,
             dialed,
             follows: false,
-            here: false,
             has: Held::default(),
             heard: now,
             opened: now,
@@ -149,7 +148,7 @@
     }
 
     pub(super) fn data_planes_here(&self, now: u64) -> Vec<(String, u64)> {
-        let hellos = self.peers.values().filter(|p| (p.follows || p.here) && now < p.heard + PEER_SILENT);
+        let hellos = self.peers.values().filter(|p| p.follows && now < p.heard + PEER_SILENT);
         let data_planes = hellos.filter_map(|p| p.hello.as_ref());
         let data_planes = data_planes.filter(|h| h.plane == Plane::DataPlane && !self.has_departed(h));
         data_planes.map(|h| (h.name.clone(), h.life)).collect()
@@ -172,6 +171,7 @@
                 }
             }
             Message::Follow { have } => self.on_follow(number, have, now),
+            Message::FreshnessQuestion(question) => self.on_freshness_question(number, question, now),
             Message::Backends { backends, .. } => {
                 // Of one that this process has dialed the address is known, and no name.
                 let address = peer.dialed.map_or_else(String::new, |address| address.to_string());
@@ -191,8 +191,6 @@
             Message::Leave => self.on_leave(number, now),
             Message::Departures(departures) => self.on_departures(departures, now),
             Message::Here { epoch } => {
-                // Below a relay a data plane follows no control plane: its sign to the holders of the counts says that it lives.
-                peer.here = self.root.is_some();
                 if let Some(hello) = peer.hello.clone() {
                     self.heard_data_plane(&hello, epoch, now);
                 }
@@ -213,12 +211,15 @@
             Message::ConfigSnapshot(config_snapshot) => self.on_config_snapshot(config_snapshot),
             Message::ConfigDelta(config_delta) => self.on_config_delta(number, &config_delta),
             Message::Whole => self.on_whole(number),
-            Message::Relay(word) => self.on_relay(number, word),
             Message::NotHolder { number: UNDERSTANDS_DEPARTURES } => {
                 self.on_understands_departures(number, now)
             }
             Message::NotHolder { number: UNDERSTANDS_DRAINS } => self.on_understands_drains(number),
-            Message::Grant(_) | Message::NotHolder { .. } | Message::LeaveAccepted => {}
+            Message::Grant(_)
+            | Message::NotHolder { .. }
+            | Message::LeaveAccepted
+            | Message::FreshnessAnswer(_)
+            | Message::Retired => {}
         }
     }
 
@@ -231,6 +232,9 @@
                 // First that it is there: else it would stand in for one that is silent.
                 self.resize_fleet(now);
                 self.heard_data_plane(&hello, quota::Epoch::default(), now);
+                if let Some(peer) = self.peers.get(&number) {
+                    peer.line.send(&Self::understands_freshness());
+                }
             }
             Plane::ControlPlane => {
                 let mut me = self.settings.me.clone();
--- a/crates/control-plane/src/control_plane/updates.rs
+++ b/crates/control-plane/src/control_plane/updates.rs
@@ -133,7 +133,6 @@
         if !self.grown && now >= YOUNG {
             self.grown = true;
             self.to_followers(&Message::Backends { whole: true, backends: self.register.all(now) });
-            self.take_root(now);
         }
         self.watch.data_planes(now, self.fleet.incarnations());
         self.resize_fleet(now);
@@ -179,8 +178,7 @@
         if !backends.is_empty() {
             let now = self.now();
             self.watch.backends(now, &backends, origin);
-            self.to_followers(&Message::Backends { whole: false, backends: backends.clone() });
-            self.tell_tree(relay_tree::Input::Change(backends));
+            self.to_followers(&Message::Backends { whole: false, backends });
         }
     }
 
@@ -193,7 +191,6 @@
         for number in followers {
             self.send_config_snapshot(number);
         }
-        self.tell_tree_config_snapshot();
         let (now, quotas) = (self.now(), self.quotas());
         self.quota_service.quotas(now as f64, quotas);
     }
--- a/crates/control-plane/src/faults.rs
+++ b/crates/control-plane/src/faults.rs
@@ -11,6 +11,6 @@
     pub trusts_heartbeats: bool,
     /// A process that is cut off acknowledges that backends drain.
     pub acknowledges_drains: bool,
-    /// A leaving is acknowledged once it is recorded, whoever may still vouch for a list without it.
-    pub acknowledges_unsettled: bool,
+    /// Data planes are told that the leader's word is of this moment, however old it is.
+    pub tells_no_age: bool,
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,9 +7,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod relay;
+mod freshness;
 
 use bitcode::{Decode, DecodeOwned, Encode};
+pub use freshness::{FreshnessAnswer, FreshnessQuestion};
 
 /// The longest frame that is read, in bytes: a whole configuration of some thousand routes fits.
 pub const LONGEST: usize = 8 * 1024 * 1024;
@@ -50,6 +51,24 @@
     pub overdue: bool,
 }
 
+impl Backend {
+    /// A backend of which nothing is known but that it leaves. Whoever does not know it either can't send to it.
+    pub fn leaving(id: String) -> Self {
+        Self {
+            id,
+            service: String::new(),
+            address: String::new(),
+            zone: String::new(),
+            generation: String::new(),
+            capacity: 1,
+            phase: Phase::Draining,
+            warmup_left_ms: 0,
+            call_count: 0,
+            overdue: false,
+        }
+    }
+}
+
 /// Frames a message.
 pub fn frame<M: Encode>(message: &M) -> Vec<u8> {
     let body = bitcode::encode(message);
@@ -141,6 +160,9 @@
 /// As [`UNDERSTANDS_DEPARTURES`], of [`Order::Drain`] and of entries of the log that record backends that leave.
 pub const UNDERSTANDS_DRAINS: u64 = u64::MAX - 1;
 
+/// As [`UNDERSTANDS_DEPARTURES`], to a data plane: it may send a [`Message::FreshnessQuestion`].
+pub const UNDERSTANDS_FRESHNESS: u64 = u64::MAX - 2;
+
 /// A process that serves control, as others know it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct ControlPlaneAddress {
@@ -314,8 +336,8 @@
     ConfigDelta(ConfigDelta),
     /// Asks for the newest configuration whole: what came made none.
     Whole,
-    /// Between relays and those that follow them. A configuration goes as a [`Message::ConfigDelta`] instead.
-    Relay(relay::Word),
+    /// The place of a message that is spoken no more: `bitcode` goes by the order of variants.
+    Retired,
     /// A data plane says that it has ended: it admits no request and spends nothing from now on.
     Leave,
     /// The answer to it: the sender counts it no more, and has passed that on.
@@ -323,4 +345,8 @@
     /// Between processes that serve control: data planes that have said that they ended. It goes only to those that
     /// have sent [`UNDERSTANDS_DEPARTURES`].
     Departures(Vec<Departure>),
+    /// A data plane asks how old what it is told may be. It goes only to those that have sent [`UNDERSTANDS_FRESHNESS`].
+    FreshnessQuestion(FreshnessQuestion),
+    /// The answer to it.
+    FreshnessAnswer(FreshnessAnswer),
 }
--- a/crates/reachlb/src/lib.rs
+++ b/crates/reachlb/src/lib.rs
@@ -35,8 +35,6 @@
 pub struct Switches {
     /// Processes watch each other.
     pub watching: bool,
-    /// Update goes down a tree of relays.
-    pub relays: bool,
 }
 
 /// Runs a program until the platform ends it. Without a path, [`SETTINGS`] names the settings file.
@@ -54,7 +52,6 @@
         }
     };
     settings.tuning.watching |= switches.watching;
-    settings.tuning.relays |= switches.relays;
     if let Err(error) = logs::start(&settings.tuning.log_level) {
         eprintln!("logs: {error}");
         return ExitCode::from(UNUSABLE);
--- a/crates/reachlb/src/main.rs
+++ b/crates/reachlb/src/main.rs
@@ -53,9 +53,6 @@
     help: bool,
     /// watch a few other processes, and be watched by them
     watching: bool,
-    /// news goes down a tree of relays, whatever the settings say; the same on all machines
-    #[options(no_short)]
-    relays: bool,
 }
 
 fn main() -> ExitCode {
@@ -74,6 +71,6 @@
         Command::DataPlane(plane) => (Program::DataPlane, plane),
         Command::ControlPlane(plane) => (Program::ControlPlane, plane),
     };
-    let Plane { watching, relays, .. } = plane;
-    serve(program, arguments.settings, Switches { watching, relays })
+    let Plane { watching, .. } = plane;
+    serve(program, arguments.settings, Switches { watching })
 }
--- a/crates/reachlb/src/run_control_plane.rs
+++ b/crates/reachlb/src/run_control_plane.rs
@@ -85,7 +85,6 @@
         tolerance: tolerance(&settings),
         retire_after: retire_after(&settings),
         draws_a_holder: settings.tuning.draws_a_holder,
-        relay_room: settings.tuning.relays.then(|| start::room(&settings)),
         seed: life,
         ways: settings.tuning.ways.clone(),
     };
--- a/crates/reachlb/src/run_data_plane.rs
+++ b/crates/reachlb/src/run_data_plane.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
-use transport::{ControlFollower, FollowerSettings, Place, Update};
+use transport::{ControlFollower, FollowerSettings, Update, freshness};
 
 /// A process that has ended waits at most this long until control has accepted that.
 const LEAVE_WAIT: Duration = Duration::from_millis(400);
@@ -93,12 +93,11 @@
     };
     let neighbor_watch = start::watch(&settings, true, life)?;
     let seeds = start::seeds(&settings);
-    let place = match settings.tuning.relays {
-        true => Some(place(&settings)?),
-        false => None,
-    };
     let ways = settings.tuning.ways.clone();
-    *follower.borrow_mut() = Some(ControlFollower::start(FollowerSettings { me, seeds, ways }, place, news));
+    *follower.borrow_mut() = Some(ControlFollower::start(
+        FollowerSettings { me, seeds, ways, stale_after: stale_after(&settings) },
+        news,
+    ));
     let (watch, seeded) = (neighbor_watch.clone(), follower.clone());
     let mut end = signal(SignalKind::terminate()).map_err(|e| miette!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| miette!("signals: {e}"))?;
@@ -137,11 +136,17 @@
     Ok(())
 }
 
-/// The second of the ports between gateways: the first is a control plane's on the same machine.
-fn place(settings: &Settings) -> Result<Place> {
-    let port = start::peer_port(settings).saturating_add(1);
-    let at = SocketAddr::new(settings.ip, port);
-    Ok(Place { at, listener: start::listen("relays", at)?, room: start::room(settings) })
+/// How old the leader's word may be before another process is asked, in ms: changes of backends and configurations have to
+/// be obeyed within their bounds.
+fn stale_after(settings: &Settings) -> u64 {
+    let bound = settings.bounds.drain.min(settings.bounds.apply).as_millis() as u64;
+    if !freshness::keeps(bound) {
+        let least = freshness::LEAST_BOUND;
+        spdlog::error!(
+            "bound_table: drain_ms or apply_ms is {}, and less than {} is not kept while control planes are cut off",
+            bound, least, kv: { step = "settings" });
+    }
+    freshness::stale_after(bound)
 }
 
 fn quotas(config: &Config) -> Vec<Quota> {
--- a/crates/reachlb/src/start.rs
+++ b/crates/reachlb/src/start.rs
@@ -34,11 +34,6 @@
     settings.seed_list.iter().map(|seed| SocketAddr::new(seed.ip(), peer_port(settings))).collect()
 }
 
-/// How many may follow this process in the tree of relays.
-pub fn room(settings: &Settings) -> usize {
-    relay_tree::room(settings.link_mbps, settings.tuning.relay_share)
-}
-
 /// Starts the watch, where the settings want it. DataPlanes take datagrams at the first of the ports that are theirs,
 /// processes that serve control at the second, so that two on one machine get along.
 pub fn watch(settings: &Settings, data_plane: bool, life: u64) -> Result<Option<Rc<NeighborWatch>>> {
--- a/crates/registry/src/drains.rs
+++ b/crates/registry/src/drains.rs
@@ -82,12 +82,6 @@
         self.ids.contains(id)
     }
 
-    /// The number of a backend's record.
-    pub fn position(&self, id: &str) -> Option<u64> {
-        let newer = self.recent.iter().rev().position(|known| **known == *id)?;
-        Some(self.last - newer as u64)
-    }
-
     /// The number of the newest record; 0 before the first.
     pub fn last(&self) -> u64 {
         self.last
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -113,10 +113,10 @@
             quorum: false,
             incarnation: None,
         };
-        let about = FollowerSettings { me, seeds: settings.seeds.clone(), ways: Detours::default() };
+        let (seeds, ways) = (settings.seeds.clone(), Detours::default());
+        let about = FollowerSettings { me, seeds, ways, stale_after: 900 };
         let hears = self.clone();
-        *self.follower.borrow_mut() =
-            Some(ControlFollower::start(about, None, move |news| hears.on_news(news)));
+        *self.follower.borrow_mut() = Some(ControlFollower::start(about, move |news| hears.on_news(news)));
         let mut requests = 0;
         loop {
             let pause = -(1.0 - chance.unit()).ln() / settings.requests_per_s.max(1e-3);
--- a/crates/transport/src/config_snapshots.rs
+++ b/crates/transport/src/config_snapshots.rs
@@ -1,7 +1,7 @@
 //! Configurations on their way: as what makes one out of another that the receiver has, or whole.
 //!
 //! What is sent is a `zstd` frame with the base as its dictionary (`zstd --patch-from` does the same), so text that
-//! repeats itself gets shorter also where there is no base. `docs/relays.md` has the ways weighed and the figures.
+//! repeats itself gets shorter also where there is no base. `docs/updates.md` has the ways weighed and the figures.
 
 use miette::Diagnostic;
 use protocol::{ConfigDelta, ConfigSnapshot, Held, LONGEST, Message};
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -1,30 +1,34 @@
-//! Follows the news: one process that serves control at a time, another one when that falls silent or behind; and a
-//! connection to the holder of the counts.
+//! Follows the news: one process that serves control at a time, another one when that falls silent or behind, or when its
+//! word of the leader is too old; and a connection to the holder of the counts.
 
 use crate::config_snapshots;
+use crate::drain_records::DrainRecords;
+use crate::freshness::Freshness;
 use crate::leaving::Leaving;
-use crate::line::{Line, LineError, Reader, Received, dial};
+use crate::line::{Line, LineError, Received};
 use crate::peer_choice::PeerChoice;
+use crate::search::Search;
 use crate::spawn;
-use crate::tree::{self, Tree};
 use crate::unanswered::Unanswered;
+use crate::upstream::{Event, Inbox, Upstream};
 use config::Detours;
-use protocol::{Backend, ConfigDelta, ConfigSnapshot, ControlPlaneAddress, Heartbeat, Held, Hello, Message};
+use protocol::{
+    Backend, ConfigDelta, ConfigSnapshot, ControlPlaneAddress, FreshnessAnswer, FreshnessQuestion, Heartbeat,
+    Held, Hello, Message, UNDERSTANDS_FRESHNESS,
+};
 use quota::HolderAssignment;
-use relay_tree::{Input, Output};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// How often things are looked after.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(100);
 /// A sign of life goes out this often.
 const SIGN: Duration = Duration::from_millis(800);
-/// Bytes of a message that is still on its way are a sign of life, noted this often at most.
-const PART_NOTED: Duration = Duration::from_millis(300);
+/// A message of which bytes came within this is still on its way, in ms: whoever sends it is not left for another one, from
+/// which it would have to come anew.
+const ON_ITS_WAY: u64 = 700;
 /// A draw that has no answer by then, in ms, gets none.
 const DRAW_LOST: u64 = 400;
 
@@ -44,7 +48,7 @@
     Heartbeat(Heartbeat),
     /// Who holds the counts.
     HolderAssignment(HolderAssignment),
-    /// Whom this process follows: a control plane, or its place above in the tree of relays.
+    /// Whom this process follows.
     Follows(SocketAddr),
     /// An answer to a draw.
     Grant(quota::Grant),
@@ -64,17 +68,8 @@
     pub seeds: Vec<SocketAddr>,
     /// By which ways others are reached.
     pub ways: Detours,
-}
-
-/// What a follower is told that takes a place in the tree of relays.
-#[derive(Debug)]
-pub struct Place {
-    /// Where it takes connections of those that follow it.
-    pub at: SocketAddr,
-    /// There.
-    pub listener: TcpListener,
-    /// How many may.
-    pub room: usize,
+    /// How old the leader's word may be, in ms, before others than the one that is followed are asked for it.
+    pub stale_after: u64,
 }
 
 /// A follower of the news.
@@ -90,13 +85,9 @@
 
 impl ControlFollower {
     /// Follows from now on; `news` hears all of it, in order.
-    ///
-    /// With a place it follows whom the tree names, and passes the news on; else a process that serves control.
-    pub fn start(
-        settings: FollowerSettings, place: Option<Place>, news: impl FnMut(Update) + 'static,
-    ) -> Self {
+    pub fn start(settings: FollowerSettings, news: impl FnMut(Update) + 'static) -> Self {
         let (orders, queue) = mpsc::channel(64);
-        spawn(FollowerTask::run(settings, place, Box::new(news), queue));
+        spawn(FollowerTask::run(settings, Box::new(news), queue));
         Self { orders }
     }
 
@@ -120,22 +111,6 @@
     }
 }
 
-/// What happened on a connection: its number, and what came or why it ended.
-type Event = (u64, Result<Received, LineError>);
-
-struct Upstream {
-    number: u64,
-    to: SocketAddr,
-    /// Nothing while it comes up.
-    line: Option<Line>,
-}
-
-impl Upstream {
-    fn is_lost(&self) -> bool {
-        self.line.as_ref().is_some_and(Line::is_lost)
-    }
-}
-
 /// A holder of counts, and the draws that it has not answered.
 struct QuotaHolder {
     upstream: Upstream,
@@ -149,35 +124,35 @@
     began: Instant,
     numbers: u64,
     control_plane: Option<Upstream>,
-    tree: Option<Tree>,
+    /// When the process that is followed was asked last, and when bytes of a longer message came from it.
+    asked_at: u64,
+    part_at: Option<u64>,
+    freshness: Freshness,
+    search: Search,
+    drain_records: DrainRecords,
     holders: Vec<QuotaHolder>,
     /// What was taken last, and its body: what comes next may be a change of it.
     have: Held,
     body: Vec<u8>,
     /// A configuration from one who is perhaps behind, for a process that has none.
     doubtful: Option<ConfigSnapshot>,
-    above: Option<SocketAddr>,
-    /// The version of the last root heard of, if it said that it is of this moment, with a place in the tree.
-    root_version: Option<u64>,
     signed: Instant,
     assignment: HolderAssignment,
     /// This process has ended and says so.
     leaving: Option<Leaving>,
-    events: mpsc::Sender<Event>,
-    lines: mpsc::Sender<(u64, Line)>,
+    inbox: Inbox,
 }
 
 impl FollowerTask {
     async fn run(
-        settings: FollowerSettings, place: Option<Place>, news: Box<dyn FnMut(Update)>,
-        mut orders: mpsc::Receiver<Order>,
+        settings: FollowerSettings, news: Box<dyn FnMut(Update)>, mut orders: mpsc::Receiver<Order>,
     ) {
-        let (events, mut inbox) = mpsc::channel(256);
+        let (events, mut happened) = mpsc::channel::<Event>(256);
         let (lines, mut up) = mpsc::channel(8);
         let (me, began) = (&settings.me, Instant::now());
-        let (tree, mut said) = place.map(|place| placed(place, &settings)).unzip();
         let peer_choice =
             PeerChoice::new(0, &me.name, &me.zone, me.address.parse().ok(), settings.seeds.clone());
+        let freshness = Freshness::new(0, settings.stale_after);
         let mut task = Self {
             settings,
             news,
@@ -185,26 +160,26 @@
             began,
             numbers: 0,
             control_plane: None,
-            tree,
+            asked_at: 0,
+            part_at: None,
+            freshness,
+            search: Search::default(),
+            drain_records: DrainRecords::default(),
             holders: Vec::new(),
             have: Held::default(),
             body: Vec::new(),
             doubtful: None,
-            above: None,
-            root_version: None,
             signed: began,
             assignment: HolderAssignment::default(),
             leaving: None,
-            events,
-            lines,
+            inbox: Inbox { lines, events },
         };
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some((number, line)) = up.recv() => task.on_up(number, line),
-                Some((number, event)) = inbox.recv() => task.on_event(number, event),
-                Some(event) = next(&mut said) => task.on_tree(event),
+                Some((number, event)) = happened.recv() => task.on_event(number, event),
                 order = orders.recv() => match order {
                     Some(Order::LeaseRequest(to, draw)) => task.on_draw(to, draw),
                     Some(Order::Seeds(seeds)) => task.on_seeds(seeds),
@@ -222,57 +197,22 @@
 
     fn upstream(&mut self, to: SocketAddr) -> Upstream {
         self.numbers += 1;
-        let (number, events, lines) = (self.numbers, self.events.clone(), self.lines.clone());
         let hello = Message::Hello(self.settings.me.clone());
-        let ways = self.settings.ways.clone();
-        spawn(async move {
-            let (line, mut reader): (Line, Reader) = match dial(to, &ways).await {
-                Ok(both) => both,
-                Err(error) => {
-                    let _ = events.send((number, Err(error))).await;
-                    return;
-                }
-            };
-            line.send(&hello);
-            if lines.send((number, line)).await.is_err() {
-                return;
-            }
-            let mut noted = Instant::now();
-            loop {
-                let next = reader.receive().await;
-                if matches!(next, Ok(Received::Part)) {
-                    if noted.elapsed() < PART_NOTED {
-                        continue;
-                    }
-                    noted = Instant::now();
-                }
-                let over = next.is_err();
-                if events.send((number, next)).await.is_err() || over {
-                    return;
-                }
-            }
-        });
-        Upstream { number, to, line: None }
+        Upstream::open(self.numbers, to, self.settings.ways.clone(), hello, self.inbox.clone())
     }
 
     fn leave(&mut self) {
         let now = self.now();
         self.peer_choice.failed(now);
-        self.control_plane = None;
+        (self.control_plane, self.part_at) = (None, None);
     }
 
     fn on_tick(&mut self) {
         let now = self.now();
-        if self.tree.is_some() {
-            self.tend_tree(now);
-        } else if self.peer_choice.is_over(now) || self.control_plane.as_ref().is_some_and(Upstream::is_lost)
-        {
+        if self.peer_choice.is_over(now) || self.control_plane.as_ref().is_some_and(Upstream::is_lost) {
             self.leave();
         }
-        // Also a process in the tree of relays says its last word to one that serves control.
-        if (self.tree.is_none() || self.leaving.is_some())
-            && let Some(to) = self.peer_choice.choose(now)
-        {
+        if let Some(to) = self.peer_choice.choose(now) {
             self.control_plane = Some(self.upstream(to));
         }
         self.take_doubtful();
@@ -280,24 +220,125 @@
             self.signed = Instant::now();
             let sign = Message::Follow { have: self.have };
             // Only a sign of life on a connection that has its news already.
-            if let Some(line) = self.control_plane.as_ref().and_then(|v| v.line.as_ref()) {
-                line.send(&sign);
+            if let Some(upstream) = &self.control_plane {
+                upstream.send(&sign);
             }
             let here = Message::Here { epoch: self.assignment.epoch };
-            for line in self.holders.iter().filter_map(|holder| holder.upstream.line.as_ref()) {
-                line.send(&here);
+            for holder in &self.holders {
+                holder.upstream.send(&here);
             }
         }
         // A holder that says nothing may be cut off: another connection finds out sooner.
         self.part(|holder| holder.drawn.is_overdue(now, DRAW_LOST));
         self.tend_holders();
+        self.tend_freshness(now);
+    }
+
+    /// Asks the process that is followed how old what it tells may be, and others once that is too old.
+    fn tend_freshness(&mut self, now: u64) {
+        if now >= self.asked_at + self.freshness.ask_every() {
+            self.ask_followed(now);
+        }
+        let width = self.freshness.width(now);
+        if width == 0 {
+            return self.search.end();
+        }
+        let next = self.search.next_to_dial(now, self.peer_choice.others(now).into_iter(), width);
+        for to in next {
+            let upstream = self.upstream(to);
+            self.search.add(upstream);
+        }
+        self.ask_searched(now);
+    }
+
+    fn ask_followed(&mut self, now: u64) {
+        let Some(upstream) = self.control_plane.as_ref().filter(|upstream| upstream.answers) else { return };
+        self.asked_at = now;
+        let number = self.freshness.question(now);
+        upstream.send(&freshness_question(number, &self.drain_records));
+    }
+
+    fn ask_searched(&mut self, now: u64) {
+        for upstream in self.search.due_questions(now) {
+            let number = self.freshness.question(now);
+            upstream.send(&freshness_question(number, &self.drain_records));
+        }
+    }
+
+    /// An answer on this connection: it dates what is known here, once all records that it counts are here.
+    fn on_freshness_answer(&mut self, connection: u64, answer: &FreshnessAnswer, now: u64) {
+        let Some(age) = answer.age_ms else { return };
+        let new = self.drain_records.take(now, answer);
+        if !new.is_empty() {
+            let backends = new.into_iter().map(Backend::leaving).collect();
+            (self.news)(Update::Backends { whole: false, backends });
+        }
+        if !self.drain_records.is_complete(answer) {
+            return self.ask_again(connection, now);
+        }
+        if self.freshness.answered(answer.number, age.into()) && self.freshness.is_recent(now) {
+            self.go_over_to(connection, now);
+        }
+    }
+
+    /// The records were more than fit into one answer.
+    fn ask_again(&mut self, connection: u64, now: u64) {
+        let followed = self.control_plane.as_ref().filter(|upstream| upstream.number == connection);
+        let Some(upstream) = followed.or(self.search.connection(connection).map(|upstream| &*upstream))
+        else {
+            return;
+        };
+        let number = self.freshness.question(now);
+        upstream.send(&freshness_question(number, &self.drain_records));
+    }
+
+    /// One of those that are searched is in touch with the leader: it is followed from now on, unless a message of the
+    /// present one is on its way.
+    fn go_over_to(&mut self, connection: u64, now: u64) {
+        if self.part_at.is_some_and(|at| now < at + ON_ITS_WAY) {
+            return;
+        }
+        let Some(upstream) = self.search.choose(connection) else { return };
+        self.peer_choice.follow(now, upstream.to);
+        (self.asked_at, self.part_at) = (now, None);
+        upstream.send(&Message::Follow { have: self.have });
+        (self.news)(Update::Follows(upstream.to));
+        self.control_plane = Some(upstream);
+    }
+
+    /// The other end of a connection answers questions about its freshness.
+    fn on_understands_freshness(&mut self, connection: u64, now: u64) {
+        self.freshness.understood();
+        if let Some(upstream) = self.control_plane.as_mut().filter(|upstream| upstream.number == connection) {
+            upstream.answers = true;
+            self.ask_followed(now);
+        } else if let Some(upstream) = self.search.connection(connection) {
+            upstream.answers = true;
+            self.ask_searched(now);
+        }
+    }
+
+    /// What comes from those that are searched. They are not followed: nothing else of theirs counts.
+    fn on_search_event(&mut self, connection: u64, event: Result<Received, LineError>) {
+        let now = self.now();
+        match event {
+            Err(_) => self.search.lost(connection),
+            Ok(Received::Message(Message::NotHolder { number: UNDERSTANDS_FRESHNESS })) => {
+                self.on_understands_freshness(connection, now);
+            }
+            Ok(Received::Message(Message::FreshnessAnswer(answer))) => {
+                self.on_freshness_answer(connection, &answer, now);
+            }
+            Ok(Received::Message(Message::LeaveAccepted)) => self.on_leave_accepted(connection),
+            Ok(_) => {}
+        }
     }
 
     fn on_leave(&mut self, done: oneshot::Sender<()>) {
         let mut leaving = Leaving::new(done);
         let upstreams = self.control_plane.iter().chain(self.holders.iter().map(|holder| &holder.upstream));
         for upstream in upstreams {
-            if upstream.line.as_ref().is_some_and(|line| line.send(&Message::Leave)) {
+            if upstream.send(&Message::Leave) {
                 leaving.said(upstream.number);
             }
         }
@@ -347,6 +388,8 @@
             line.send(&Message::Follow { have: self.have });
             upstream.line = Some(line);
             (self.news)(Update::Follows(upstream.to));
+        } else if let Some(upstream) = self.search.connection(number) {
+            upstream.line = Some(line);
         } else if let Some(holder) = self.holders.iter_mut().find(|holder| holder.upstream.number == number) {
             // Among several holders only one that says which assignment it knows counts as heard.
             if self.assignment.epoch.number > 1 {
@@ -360,6 +403,9 @@
         if let (Err(_), Some(leaving)) = (&event, &mut self.leaving) {
             leaving.lost(number);
         }
+        if self.search.connection(number).is_some() {
+            return self.on_search_event(number, event);
+        }
         let from_control_plane = self.control_plane.as_ref().is_some_and(|v| v.number == number);
         let mut holder = self.holders.iter_mut().find(|holder| holder.upstream.number == number);
         // Whatever answers no draw of this connection is nobody's.
@@ -374,8 +420,9 @@
             Ok(received) if from_control_plane => {
                 let now = self.now();
                 self.peer_choice.heard(now);
-                if let Received::Message(message) = received {
-                    self.on_news(message, now);
+                match received {
+                    Received::Message(message) => self.on_news(number, message, now),
+                    Received::Part => self.part_at = Some(now),
                 }
             }
             Ok(Received::Message(Message::Grant(grant))) if is_answer(grant.number) => {
@@ -388,7 +435,7 @@
         }
     }
 
-    fn on_news(&mut self, message: Message, now: u64) {
+    fn on_news(&mut self, connection: u64, message: Message, now: u64) {
         match message {
             Message::Heartbeat(heartbeat) => {
                 self.peer_choice.heartbeat(now, &heartbeat);
@@ -405,7 +452,14 @@
                 self.take_doubtful();
             }
             Message::ConfigDelta(config_delta) => self.on_config_delta(&config_delta),
-            Message::Backends { whole, backends } => (self.news)(Update::Backends { whole, backends }),
+            Message::Backends { whole, backends } => {
+                let backends = self.drain_records.applied(backends);
+                (self.news)(Update::Backends { whole, backends });
+            }
+            Message::FreshnessAnswer(answer) => self.on_freshness_answer(connection, &answer, now),
+            Message::NotHolder { number: UNDERSTANDS_FRESHNESS } => {
+                self.on_understands_freshness(connection, now);
+            }
             Message::ControlPlanes(cards) => {
                 let read = |card: ControlPlaneAddress| Some((card.address.parse().ok()?, card.zone));
                 self.peer_choice.control_planes(cards.into_iter().filter_map(read));
@@ -429,8 +483,8 @@
                 self.take_doubtful();
             }
             Err(_) => {
-                if let Some(line) = self.control_plane.as_ref().and_then(|v| v.line.as_ref()) {
-                    line.send(&Message::Whole);
+                if let Some(upstream) = &self.control_plane {
+                    upstream.send(&Message::Whole);
                 }
             }
         }
@@ -440,7 +494,7 @@
         let Some(version) = self.doubtful.as_ref().map(|config_snapshot| config_snapshot.version) else {
             return;
         };
-        if self.have.version == 0 && !self.may_begin(version) {
+        if self.have.version == 0 && !self.peer_choice.may_begin(self.now(), version) {
             return;
         }
         if let Some(config_snapshot) =
@@ -453,61 +507,13 @@
     }
 
     fn on_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        if self.tree.is_some() {
-            self.work_tree(self.now(), Input::Roots(seeds.clone()));
-        }
         self.peer_choice.seeds(seeds);
     }
 
-    fn may_begin(&self, version: u64) -> bool {
-        let vouched = self.root_version.is_some_and(|newest| version >= newest);
-        vouched || self.peer_choice.may_begin(self.now(), version)
-    }
-
-    fn tend_tree(&mut self, now: u64) {
-        let lost = self.tree.as_mut().and_then(|tree| tree.lost(now));
-        for input in lost.into_iter().chain([Input::Tick]) {
-            self.work_tree(now, input);
-        }
-    }
-
-    fn on_tree(&mut self, event: tree::Event) {
-        let now = self.now();
-        if let Some(input) = self.tree.as_mut().and_then(|tree| tree.input(now, event)) {
-            self.work_tree(now, input);
-        }
-    }
-
-    fn work_tree(&mut self, now: u64, input: Input) {
-        let news = self.tree.as_mut().map(|tree| tree.work(now, input));
-        let above = self.tree.as_ref().and_then(Tree::follows);
-        if let Some(above) = above.filter(|_| above != self.above) {
-            (self.news)(Update::Follows(above));
-        }
-        self.above = above;
-        for output in news.into_iter().flatten() {
-            let message = match output {
-                Output::Heartbeat(mut heartbeat) => {
-                    self.root_version = heartbeat.fresh.then_some(heartbeat.version);
-                    // The root does not count those that it does not know one by one.
-                    let mut hasher = DefaultHasher::new();
-                    self.settings.me.name.hash(&mut hasher);
-                    heartbeat.number = (hasher.finish() % u64::from(heartbeat.fleet.max(1))) as u32;
-                    Message::Heartbeat(heartbeat)
-                }
-                Output::ConfigSnapshot(config_snapshot) => Message::ConfigSnapshot(config_snapshot),
-                Output::Backends { whole, backends, .. } => Message::Backends { whole, backends },
-                Output::Send { .. } => continue,
-            };
-            self.on_news(message, now);
-        }
-    }
-
     fn on_draw(&mut self, to: SocketAddr, draw: quota::LeaseRequest) {
         let (number, now) = (draw.number, self.now());
         let holder = self.holders.iter_mut().find(|holder| holder.upstream.to == to);
-        let sent = holder
-            .filter(|h| h.upstream.line.as_ref().is_some_and(|line| line.send(&Message::LeaseRequest(draw))));
+        let sent = holder.filter(|holder| holder.upstream.send(&Message::LeaseRequest(draw)));
         let unanswered = match sent {
             Some(holder) => holder.drawn.sent(number, now),
             None => Some(number),
@@ -518,17 +524,6 @@
     }
 }
 
-fn placed(place: Place, settings: &FollowerSettings) -> (Tree, mpsc::Receiver<tree::Event>) {
-    let Place { at, listener, room } = place;
-    let (roots, seed) = (settings.seeds.clone(), settings.me.life | 1);
-    let about = relay_tree::Settings { me: at, room, epoch: None, roots, seed };
-    Tree::start(about, settings.me.clone(), settings.ways.clone(), listener)
-}
-
-/// The next event of a tree, if there is one.
-async fn next(said: &mut Option<mpsc::Receiver<tree::Event>>) -> Option<tree::Event> {
-    match said {
-        Some(said) => said.recv().await,
-        None => std::future::pending().await,
-    }
+fn freshness_question(number: u64, records: &DrainRecords) -> Message {
+    Message::FreshnessQuestion(FreshnessQuestion { number, drains: records.last() })
 }
--- a/crates/transport/src/peer_choice.rs
+++ b/crates/transport/src/peer_choice.rs
@@ -2,7 +2,7 @@
 
 use protocol::Heartbeat;
 use quota::{Epoch, HolderAssignment};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -116,6 +116,17 @@
             return None;
         }
         let to = self.best(now)?;
+        self.begin(now, to);
+        Some(to)
+    }
+
+    /// This one is followed from now on, and whoever was followed has failed.
+    pub fn follow(&mut self, now: Millis, to: SocketAddr) {
+        self.failed(now);
+        self.begin(now, to);
+    }
+
+    fn begin(&mut self, now: Millis, to: SocketAddr) {
         self.following = Some(Leading {
             to,
             heard: now,
@@ -125,12 +136,11 @@
             was_fresh: false,
             version: 0,
         });
-        Some(to)
     }
 
-    /// The next one: not one that just failed, of the own zone first, then by a hash of both names, so that each
-    /// follower has an order of its own and all together spread evenly.
-    fn best(&self, now: Millis) -> Option<SocketAddr> {
+    /// All that may be followed, the best one first: not one that just failed, of the own zone first, then by a hash of both
+    /// names, so that each follower has an order of its own and all together spread evenly.
+    fn ranked(&self, now: Millis) -> Vec<SocketAddr> {
         let seeds = self.seeds.iter().map(|seed| (*seed, ""));
         let known = self.control_planes.iter().map(|(address, zone)| (*address, zone.as_str()));
         let rank = |(address, zone): &(SocketAddr, &str)| {
@@ -138,8 +148,21 @@
             (&self.name, address).hash(&mut hasher);
             (self.failed_at(address, now), *zone != self.zone, hasher.finish())
         };
-        let others = known.chain(seeds).filter(|(address, _)| Some(*address) != self.own);
-        let (best, _) = others.min_by_key(rank)?;
+        let mut others: Vec<_> =
+            known.chain(seeds).filter(|(address, _)| Some(*address) != self.own).collect();
+        others.sort_by_cached_key(rank);
+        let mut seen = BTreeSet::new();
+        others.into_iter().map(|(address, _)| address).filter(|address| seen.insert(*address)).collect()
+    }
+
+    /// All but the one that is followed, the best one first.
+    pub fn others(&self, now: Millis) -> Vec<SocketAddr> {
+        let following = self.following();
+        self.ranked(now).into_iter().filter(|address| Some(*address) != following).collect()
+    }
+
+    fn best(&self, now: Millis) -> Option<SocketAddr> {
+        let best = *self.ranked(now).first()?;
         self.failed_at(&best, now).is_none_or(|at| now >= at + AGAIN).then_some(best)
     }
 
--- /dev/null
+++ b/crates/transport/tests/search.rs
@@ -0,0 +1,236 @@
+//! Whom a data plane follows while many processes of control are cut off from the leader: it finds the one that is not,
+//! however many it has asked before.
+
+use protocol::{Backend, ControlPlaneAddress, FreshnessAnswer, Heartbeat, Hello, Message, Phase, Plane};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_blocking, spawn_local, yield_now};
+use tokio::time::{Instant, sleep};
+use transport::{ControlFollower, FollowerSettings, Line, Reader, Update, attach, freshness};
+
+const STEP: Duration = Duration::from_millis(10);
+/// The least bound of any deployment.
+const BOUND: u64 = 2000;
+
+/// Processes of control tell their followers how things stand this often.
+const HEARTBEAT: Duration = Duration::from_millis(350);
+/// ... and take themselves for being in touch for this long after a cut.
+const VOUCHES: Duration = Duration::from_millis(800);
+
+/// Before that the data plane has long been in touch.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// What a process of control does once the others are cut off from the leader.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Cut {
+    /// It says that it is.
+    Admits,
+    /// It goes on saying that it is in touch, by a word that grows older.
+    KnowsNothing,
+    /// It says nothing more.
+    Silent,
+}
+
+/// A process of control.
+struct Control {
+    cut: Cell<Option<(Cut, Instant)>>,
+    /// Whether it knows that the backend leaves.
+    knows: Cell<bool>,
+    followed: Cell<bool>,
+}
+
+struct World {
+    controls: Vec<Rc<Control>>,
+    addresses: Vec<SocketAddr>,
+    /// When the data plane was told that the backend leaves.
+    leaving_at: Rc<Cell<Option<Instant>>>,
+    _follower: ControlFollower,
+}
+
+impl Control {
+    fn is_silent(&self) -> bool {
+        matches!(self.cut.get(), Some((Cut::Silent, _)))
+    }
+
+    fn answer(&self, number: u64, drains: u64) -> FreshnessAnswer {
+        let knows = self.knows.get();
+        let age_ms = match self.cut.get() {
+            Some((Cut::KnowsNothing, since)) => Some(since.elapsed().as_millis() as u32),
+            Some(_) => None,
+            None => Some(0),
+        };
+        let missing = if knows && drains == 0 { vec!["b".to_owned()] } else { Vec::new() };
+        FreshnessAnswer { number, age_ms, drains: u64::from(knows), missing_after: 0, missing }
+    }
+
+    fn heartbeat(&self) -> Message {
+        let fresh = match self.cut.get() {
+            Some((Cut::KnowsNothing, since)) => since.elapsed() < VOUCHES,
+            cut => cut.is_none(),
+        };
+        Message::Heartbeat(Heartbeat { leader: None, epoch: 1, fresh, fleet: 1, ..Heartbeat::default() })
+    }
+
+    fn backend(&self) -> Backend {
+        let phase = if self.knows.get() { Phase::Draining } else { Phase::Serving };
+        Backend { address: "10.0.0.1:80".into(), phase, ..Backend::leaving("b".into()) }
+    }
+
+    /// Tells a follower how things stand, again and again.
+    async fn tell(self: Rc<Self>, line: Line) {
+        while !line.is_lost() {
+            sleep(HEARTBEAT).await;
+            if !self.is_silent() {
+                line.send(&self.heartbeat());
+            }
+        }
+    }
+
+    /// Works through what comes on one connection.
+    async fn serve(self: Rc<Self>, line: Line, mut reader: Reader, cards: Vec<ControlPlaneAddress>) {
+        while let Ok(message) = reader.next().await {
+            if self.is_silent() {
+                continue;
+            }
+            match message {
+                Message::Hello(_) => {
+                    line.send(&Message::NotHolder { number: protocol::UNDERSTANDS_FRESHNESS });
+                }
+                Message::Follow { .. } => {
+                    self.followed.set(true);
+                    line.send(&self.heartbeat());
+                    line.send(&Message::Backends { whole: true, backends: vec![self.backend()] });
+                    line.send(&Message::ControlPlanes(cards.clone()));
+                    spawn_local(self.clone().tell(line.clone()));
+                }
+                Message::FreshnessQuestion(question) => {
+                    line.send(&Message::FreshnessAnswer(self.answer(question.number, question.drains)));
+                }
+                _ => {}
+            }
+        }
+        self.followed.set(false);
+    }
+}
+
+impl World {
+    /// Processes that all are in touch, and a data plane that follows one of them.
+    async fn start(count: usize) -> Self {
+        let (mut controls, mut addresses, mut listeners) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            addresses.push(listener.local_addr().expect("an address"));
+            listeners.push(listener);
+            controls.push(Rc::new(Control {
+                cut: Cell::default(),
+                knows: Cell::default(),
+                followed: Cell::default(),
+            }));
+        }
+        let card =
+            |address: &SocketAddr| ControlPlaneAddress { address: address.to_string(), zone: "z".into() };
+        let cards: Vec<_> = addresses.iter().map(card).collect();
+        for (control, listener) in controls.iter().zip(listeners) {
+            let (control, cards) = (control.clone(), cards.clone());
+            spawn_local(async move {
+                while let Ok((stream, peer)) = listener.accept().await {
+                    let (line, reader) = attach(stream, peer);
+                    spawn_local(control.clone().serve(line, reader, cards.clone()));
+                }
+            });
+        }
+        let leaving_at = Rc::<Cell<Option<Instant>>>::default();
+        let noted = leaving_at.clone();
+        let phase = RefCell::new(Phase::Serving);
+        let news = move |update| {
+            if let Update::Backends { backends, .. } = update {
+                let newest = backends.iter().map(|backend| backend.phase).max().unwrap_or(Phase::Serving);
+                let mut phase = phase.borrow_mut();
+                *phase = newest.max(*phase);
+                if *phase == Phase::Draining && noted.get().is_none() {
+                    noted.set(Some(Instant::now()));
+                }
+            }
+        };
+        let me = Hello {
+            name: "q".into(),
+            life: 1,
+            plane: Plane::DataPlane,
+            address: String::new(),
+            zone: "z".into(),
+            quorum: false,
+            incarnation: None,
+        };
+        let (seeds, ways) = (addresses.clone(), config::Detours::default());
+        let stale_after = freshness::stale_after(BOUND);
+        let follower = ControlFollower::start(FollowerSettings { me, seeds, ways, stale_after }, news);
+        Self { controls, addresses, leaving_at, _follower: follower }
+    }
+
+    /// Lets so much time pass; what is on the sockets comes through meanwhile.
+    async fn pass(&self, span: Duration) {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            tokio::time::advance(STEP).await;
+            for _ in 0..60 {
+                yield_now().await;
+            }
+        }
+    }
+
+    fn followed(&self) -> Vec<usize> {
+        (0..self.controls.len()).filter(|at| self.controls[*at].followed.get()).collect()
+    }
+}
+
+fn on_held_clock(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        // While a blocking task runs the paused clock does not jump to the next timer by itself.
+        let (end, ended) = std::sync::mpsc::channel::<()>();
+        let held = spawn_blocking(move || ended.recv().is_ok());
+        test.await;
+        drop(end);
+        let _ = held.await;
+    });
+}
+
+/// All but one are cut off from the leader, and a backend's leaving is recorded at that moment.
+fn all_but_one(cut: Cut, count: usize) {
+    on_held_clock(async {
+        let world = World::start(count).await;
+        world.pass(IN_TOUCH).await;
+        let followed = world.followed();
+        assert_eq!(followed.len(), 1, "{cut:?}: one is followed");
+        let spared = (0..count).find(|at| !followed.contains(at)).expect("another one");
+        let began = Instant::now();
+        for (at, control) in world.controls.iter().enumerate() {
+            control.cut.set((at != spared).then_some((cut, began)));
+            control.knows.set(at == spared);
+        }
+        world.pass(Duration::from_millis(BOUND)).await;
+        let told_at = world.leaving_at.get();
+        let late = told_at.unwrap_or_else(|| panic!("{cut:?}, {count}: never told")).duration_since(began);
+        assert!(late < Duration::from_millis(BOUND), "{cut:?}, {count}: told {late:?} after the cut");
+        world.pass(Duration::from_secs(1)).await;
+        assert_eq!(world.followed(), [spared], "{cut:?}, {count}, {:?}", world.addresses);
+    });
+}
+
+#[test]
+fn the_one_that_is_in_touch_is_found_however_many_admit_that_they_are_cut_off() {
+    [2, 3, 5, 9, 13].into_iter().for_each(|count| all_but_one(Cut::Admits, count));
+}
+
+#[test]
+fn the_one_that_is_in_touch_is_found_however_many_do_not_know_that_they_are_cut_off() {
+    [2, 3, 5, 9, 13].into_iter().for_each(|count| all_but_one(Cut::KnowsNothing, count));
+}
+
+#[test]
+fn the_one_that_is_in_touch_is_found_however_many_say_nothing() {
+    [2, 3, 5, 9, 13].into_iter().for_each(|count| all_but_one(Cut::Silent, count));
+}
