--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -75,6 +75,8 @@
 const YOUNG: u64 = 4000;
 /// A connection that has said nothing for this long is no sign of life.
 const PEER_SILENT: u64 = 2500;
+/// A process that has been out of touch with the leader for this long is cut off: an election takes less.
+const CUT_OFF: u64 = 1500;
 
 /// Something for the owner to work through.
 #[derive(Debug)]
@@ -222,6 +224,8 @@
     told_at: u64,
     /// Whether the leader has said that what this process tells is of this moment, if it does not lead.
     contact: Contact,
+    /// When what this process tells was of that moment last; its start, while it never was.
+    current_at: u64,
     connect: Rc<dyn Connect>,
     faults: Faults,
     tokens: u64,
@@ -300,6 +304,7 @@
             told: Heartbeat::default(),
             told_at: 0,
             contact: Contact::default(),
+            current_at: 0,
             connect: Rc::new(ConnectTcp(settings.ways.clone())),
             faults: Faults::default(),
             tokens: 0,
@@ -406,6 +411,9 @@
         self.tend_end();
         // Whoever waits for a leader, or for this process to have caught up, hears of it at once.
         let (leader, epoch, fresh) = self.leader(now);
+        if fresh {
+            self.current_at = now;
+        }
         self.watch.stands(now, leader, epoch, self.config_history.version());
         let news = (leader, fresh);
         let early =
--- a/crates/control-plane/src/control_plane/orders.rs
+++ b/crates/control-plane/src/control_plane/orders.rs
@@ -15,7 +15,7 @@
                 self.on_judgement(judgement);
                 match leaving {
                     Some(id) => self.on_leaving(id, reply, now),
-                    None => drop(reply.send(Reply::done())),
+                    None => drop(reply.send(self.answer_beat(now))),
                 }
             }
             Call::Departure(id) => {
@@ -32,6 +32,17 @@
         }
     }
 
+    /// Whoever is cut off sends a backend on to another process: what it says would reach few, and it would count as overdue
+    /// elsewhere.
+    fn answer_beat(&self, now: u64) -> Reply {
+        let (.., current) = self.leader(now);
+        if current || now < self.current_at + CUT_OFF {
+            Reply::done()
+        } else {
+            Reply::why(503, "this process is cut off: call another one")
+        }
+    }
+
     pub(super) fn on_judgement(&mut self, judgement: Judgement) {
         if let Judgement::Changed(backends) = judgement {
             self.to_control_planes(&Message::Backends { whole: false, backends: backends.clone() });
--- /dev/null
+++ b/crates/control-plane/tests/heartbeats.rs
@@ -0,0 +1,135 @@
+//! Ordinary heartbeats of backends at processes that are cut off, and who knows of these backends then.
+
+#[path = "support/simulation.rs"]
+#[allow(dead_code)] // Not all that share this simulation freeze processes or hang disks.
+mod simulation;
+
+use control_plane::{Call, Faults};
+use protocol::{Backend, Message, Phase};
+use simulation::{Link, Simulation};
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+const VOTERS: usize = 3;
+const OTHERS: usize = 2;
+/// Until all have met and a leader is known everywhere.
+const SETTLED: Duration = Duration::from_secs(6);
+/// A caller goes on to another process after this.
+const CALLER_WAITS: Duration = Duration::from_secs(1);
+/// Who is cut off does not say so sooner than this after the cut, and does after the second one.
+const ELECTION: Duration = Duration::from_millis(1400);
+const NOTICED: Duration = Duration::from_millis(2500);
+const STEP: Duration = Duration::from_millis(100);
+
+fn heartbeat(id: &str, capacity: u32, call_count: u64) -> Call {
+    Call::Beat(Backend {
+        service: "s".into(),
+        address: "10.1.0.1:80".into(),
+        zone: "a".into(),
+        capacity,
+        phase: Phase::Serving,
+        call_count,
+        ..Backend::leaving(id.into())
+    })
+}
+
+fn cut(simulation: &Simulation, victim: usize, others: impl IntoIterator<Item = usize>, link: Option<Link>) {
+    for other in others.into_iter().filter(|other| *other != victim) {
+        simulation.link(victim, other, link);
+        simulation.link(other, victim, link);
+    }
+}
+
+async fn acknowledges(simulation: &Simulation, process: usize, call: Call) -> bool {
+    simulation.call(process, call, CALLER_WAITS).await.is_some_and(|reply| reply.status == 200)
+}
+
+/// Who leads, by its own word.
+async fn leader(simulation: &Simulation) -> usize {
+    for process in 0..VOTERS {
+        let status = simulation.call(process, Call::Status, CALLER_WAITS).await;
+        let body = status.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
+        if body.is_some_and(|body| body.contains(r#""holds_lease":true"#)) {
+            return process;
+        }
+    }
+    unreachable!("a settled system has a leader")
+}
+
+/// The capacity of a backend, as a process tells a follower that has just come.
+async fn capacity_told(simulation: &Simulation, process: usize, id: &str) -> Option<u32> {
+    let (_, mut frames) = simulation.follow(process).await;
+    while let Some(frame) = frames.recv().await {
+        if let Ok(Some((Message::Backends { backends, .. }, _))) = protocol::unframe::<Message>(&frame) {
+            return backends.into_iter().find(|backend| backend.id == id).map(|backend| backend.capacity);
+        }
+    }
+    None
+}
+
+fn run<F: Future>(story: impl FnOnce(Simulation) -> F) {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async move {
+        let simulation = Simulation::start(VOTERS, OTHERS, 3, Faults::default());
+        sleep(SETTLED).await;
+        story(simulation).await;
+    });
+}
+
+/// A voter and a process without a log: cut off from all, or from the voters only.
+#[test]
+fn who_is_cut_off_sends_backends_on_and_the_others_learn_what_is_new() {
+    for (victim, from) in [(2, 0..VOTERS + OTHERS), (2, 0..VOTERS), (3, 0..VOTERS), (4, 0..VOTERS + OTHERS)] {
+        run(|simulation| async move {
+            assert!(acknowledges(&simulation, victim, heartbeat("b", 4, 1)).await);
+            sleep(SETTLED).await;
+            cut(&simulation, victim, from.clone(), Some(Link::Cut));
+            let began = Instant::now();
+            let mut call_count = 2;
+            while acknowledges(&simulation, victim, heartbeat("b", 9, call_count)).await {
+                assert!(
+                    began.elapsed() < NOTICED,
+                    "{victim} acknowledges {:?} after the cut",
+                    began.elapsed()
+                );
+                call_count += 1;
+                sleep(STEP).await;
+            }
+            // Sent on, the backend calls another process: its new room is known there.
+            let other = (0..VOTERS).find(|at| *at != victim).expect("another one");
+            assert!(acknowledges(&simulation, other, heartbeat("b", 9, call_count + 1)).await);
+            for process in (0..VOTERS).filter(|at| *at != victim) {
+                sleep(STEP).await;
+                assert_eq!(capacity_told(&simulation, process, "b").await, Some(9), "{victim}, {process}");
+            }
+            cut(&simulation, victim, from, None);
+            sleep(SETTLED).await;
+            assert!(acknowledges(&simulation, victim, heartbeat("b", 9, call_count + 2)).await, "it is back");
+        });
+    }
+}
+
+#[test]
+fn an_election_sends_no_backend_on() {
+    run(|simulation| async move {
+        let mut call_count = 1;
+        let leader = leader(&simulation).await;
+        cut(&simulation, leader, 0..VOTERS + OTHERS, Some(Link::Cut));
+        let others = || (0..VOTERS + OTHERS).filter(|process| *process != leader);
+        let began = Instant::now();
+        while began.elapsed() < ELECTION {
+            for process in others() {
+                assert!(acknowledges(&simulation, process, heartbeat("b", 4, call_count)).await, "{process}");
+                call_count += 1;
+            }
+            sleep(STEP).await;
+        }
+        sleep(SETTLED).await;
+        for process in others() {
+            assert!(acknowledges(&simulation, process, heartbeat("b", 4, call_count)).await, "{process}");
+            call_count += 1;
+        }
+    });
+}
--- a/crates/control-plane/tests/processes.rs
+++ b/crates/control-plane/tests/processes.rs
@@ -455,6 +455,25 @@
     assert_eq!(control_planes[lost].read(), (200, config(2)));
 }
 
+/// Right after an acknowledgement one voter, the leader or another one, loses its disk, and everybody else is gone in the
+/// same moment, also who has none. Whoever is asked afterwards tells of the change, or nothing yet.
+#[test]
+fn a_change_outlives_a_lost_disk_while_all_others_are_gone() {
+    for is_leader in [true, false] {
+        let fleet = TestFleet::new();
+        let mut processes: Vec<_> = (0..=VOTERS).map(|at| fleet.start(at, true)).collect();
+        assert_eq!(processes[0].insist(0, &config(1)), 200);
+        let lost = (leader(&processes[..VOTERS]) + usize::from(!is_leader)) % VOTERS;
+        assert_eq!(processes[VOTERS].insist(1, &config(2)), 200);
+        processes.iter_mut().for_each(Process::kill);
+        std::fs::remove_dir_all(fleet.disk(lost)).expect("its disk is gone");
+        let processes: Vec<_> = (0..=VOTERS).map(|at| fleet.start(at, false)).collect();
+        for process in processes.iter().chain(&processes) {
+            assert_eq!(process.read(), (200, config(2)), "leader: {is_leader}");
+        }
+    }
+}
+
 #[test]
 fn a_voter_that_is_gone_is_taken_off_the_list_and_one_that_lives_is_not() {
     let fleet = TestFleet::new();
--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -198,6 +198,7 @@
         at
     }
 
+    #[allow(dead_code)] // As above.
     pub fn freeze(&mut self, at: usize, span: Millis) {
         self.hosts[at].frozen_until = self.now + span;
     }
