raft, control-plane: a voter that is told to end leaves an even list of voters first

Cause: after a planned replacement of one of three voters the list has four; the former voter, once ended, counted until it had been silent for a third of catch_up_s. A second loss in that time, which the deployment tolerates, left two of four, and no change was taken.

Change: at SIGTERM a voter of an even list asks the leader to go on without it (Input::VoterEnds), after the lead was handed over if it had it, and ends when the list is without it; it is added again once it has started anew. An odd list stays as it is.

--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -171,6 +171,8 @@
     data_planes: Vec<(String, u64)>,
     /// Whether it may be told of departures of data planes.
     understands_departures: bool,
+    /// Whether it has said that it ends: it is not to become a voter.
+    is_ending: bool,
 }
 
 struct Waiting {
@@ -260,6 +262,8 @@
     is_ending: bool,
     /// Who waits until nothing is left to do before that.
     ended: Option<oneshot::Sender<()>>,
+    /// When the leader is to be told of that again.
+    tells_end_at: u64,
 }
 
 impl ControlPlane {
@@ -328,6 +332,7 @@
             neighbor_watch: None,
             is_ending: false,
             ended: None,
+            tells_end_at: 0,
             settings,
         };
         control_plane.renewed();
--- a/crates/control-plane/src/control_plane/contact.rs
+++ b/crates/control-plane/src/control_plane/contact.rs
@@ -48,7 +48,7 @@
     }
 
     /// Whom to ask: the leader that this voter follows, or the one that voters tell of.
-    fn leader_address(&self) -> Option<SocketAddr> {
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
         match &self.node {
             Some(node) => node.leader().and_then(|voter| voter.address.parse().ok()),
             None => self.told.leader.as_ref().and_then(|leader| leader.parse().ok()),
--- a/crates/control-plane/src/control_plane/departures.rs
+++ b/crates/control-plane/src/control_plane/departures.rs
@@ -17,10 +17,16 @@
 const SETTLED: u64 = 30_000;
 
 impl ControlPlane {
-    /// A data plane says on its connection that it has ended.
+    /// A data plane says on its connection that it has ended, or a process of control that it is about to.
     pub(super) fn on_leave(&mut self, number: u64, now: u64) {
-        let Some(peer) = self.peers.get(&number) else { return };
-        let Some(hello) = peer.hello.as_ref().filter(|hello| hello.plane == Plane::DataPlane) else { return };
+        let Some(hello) = self.peers.get(&number).and_then(|peer| peer.hello.clone()) else { return };
+        match hello.plane {
+            Plane::DataPlane => self.on_data_plane_leaves(number, &hello, now),
+            Plane::ControlPlane => self.on_control_plane_ends(number, &hello),
+        }
+    }
+
+    fn on_data_plane_leaves(&mut self, number: u64, hello: &Hello, now: u64) {
         let departure = Departure { name: hello.name.clone(), incarnation: hello.life, ago_ms: 0 };
         self.on_departures(vec![departure], now);
         if let Some(peer) = self.peers.get(&number) {
--- a/crates/control-plane/src/control_plane/ending.rs
+++ b/crates/control-plane/src/control_plane/ending.rs
@@ -1,5 +1,6 @@
-//! The orderly end of a process of control: its lead goes to another voter before it ends, and calls that wait here are
-//! answered. Without that the others would find out by silence, for which no change is ordered and no unit granted.
+//! The orderly end of a process of control: its lead goes to another voter before it ends, it leaves an even list of voters,
+//! and calls that wait here are answered. Without that the others would find out by silence, for which no change is ordered
+//! and no unit granted, and the list would bear one loss less meanwhile.
 
 use super::*;
 
@@ -24,6 +25,22 @@
         self.log(Input::TransferLeadership);
     }
 
+    /// Asks the leader to go on without this voter.
+    fn leave_voters(&mut self) {
+        let now = self.now();
+        if now < self.tells_end_at {
+            return;
+        }
+        if let Some(line) = self.leader_address().and_then(|leader| self.line_to(&leader)) {
+            line.send(&Message::Leave);
+            self.tells_end_at = now + TICK;
+        }
+    }
+
+    fn should_leave_voters(&self) -> bool {
+        self.node.as_ref().is_some_and(Node::should_leave)
+    }
+
     /// Hands over the lead as soon as that is possible, and tells who waits for the end when nothing is left to do.
     pub(super) fn tend_end(&mut self) {
         if self.ended.is_none() {
@@ -35,6 +52,9 @@
         if self.leads() {
             return;
         }
+        if self.should_leave_voters() {
+            return self.leave_voters();
+        }
         if self.waiting.is_empty()
             && self.proposed.is_empty()
             && self.drain_proposals.is_empty()
--- a/crates/control-plane/src/control_plane/links.rs
+++ b/crates/control-plane/src/control_plane/links.rs
@@ -20,6 +20,7 @@
             opened: now,
             data_planes: Vec::new(),
             understands_departures: false,
+            is_ending: false,
         };
         self.peers.insert(number, peer);
         if dialed.is_some() {
--- a/crates/control-plane/src/control_plane/membership.rs
+++ b/crates/control-plane/src/control_plane/membership.rs
@@ -29,10 +29,20 @@
         }
     }
 
+    /// Another process of control is about to end: if it votes, what is left may bear more without it.
+    pub(super) fn on_control_plane_ends(&mut self, number: u64, hello: &Hello) {
+        if let Some(peer) = self.peers.get_mut(&number) {
+            peer.is_ending = true;
+        }
+        if let Some(incarnation) = hello.incarnation.filter(|_| hello.quorum) {
+            self.log(Input::VoterEnds(VoterId { address: hello.address.clone(), incarnation }));
+        }
+    }
+
     /// The processes with a disk that counts that are connected now. Those that were once known may be gone: they would
     /// take the places of others among the learners.
     fn candidates(&self, now: u64) -> BTreeSet<VoterId> {
-        let heard = self.peers.values().filter(|peer| now < peer.heard + CANDIDATE_SILENT);
+        let heard = self.peers.values().filter(|peer| !peer.is_ending && now < peer.heard + CANDIDATE_SILENT);
         let hellos = heard.filter_map(|peer| peer.hello.as_ref());
         let hellos = hellos.filter(|hello| hello.plane == Plane::ControlPlane && hello.quorum);
         hellos
--- a/crates/control-plane/tests/ending.rs
+++ b/crates/control-plane/tests/ending.rs
@@ -1,7 +1,7 @@
 //! A process of control that is to end hands over its lead: orders go on, and none that waits there is lost.
 
 #[path = "support/simulation.rs"]
-#[allow(dead_code)] // Nothing is cut off here.
+#[allow(dead_code)] // Nothing is cut off here, and no disk hangs.
 mod simulation;
 
 use control_plane::{Call, Faults, Reply};
@@ -44,7 +44,7 @@
 /// Who leads, as each process says of itself.
 async fn leader(simulation: &Simulation) -> usize {
     loop {
-        for process in 0..VOTERS {
+        for process in 0..simulation.size() {
             if status(simulation, process).await["log"]["holds_lease"] == true {
                 return process;
             }
@@ -93,6 +93,55 @@
     }
 }
 
+/// Control goes on within this after a voter is lost: an election, the first lease, and a round.
+const AFTER_A_LOSS: Duration = Duration::from_millis(1500);
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// A planned replacement: the successor votes, one of the former voters ends, and right then another one is lost.
+#[test]
+fn an_even_list_bears_another_loss_as_soon_as_a_voter_has_ended() {
+    for seed in 0..12 {
+        on_simulated_clock(async move {
+            let simulation = Simulation::start(4, WITHOUT_LOG, seed, Faults::default());
+            let leads = leader(&simulation).await;
+            change(&simulation, leads, 1).await.expect("an answer");
+            sleep(SETTLED).await;
+            // The leader itself, and each of the others, in turn.
+            let ends = (leads + seed as usize) % 4;
+            let ended = simulation.end(ends).await;
+            assert!(timeout(HANDED_OVER_WITHIN, ended).await.is_ok(), "seed {seed}: not ended");
+            simulation.freeze(ends);
+            let next = (ends + 1) % 4;
+            simulation.freeze(next);
+            let lost = Instant::now();
+            let asked = (ends + 2) % 4;
+            while change(&simulation, asked, 2).await.is_none_or(|reply| reply.status != 200) {
+                assert!(lost.elapsed() < AFTER_A_LOSS, "seed {seed}: no change is taken");
+            }
+            assert!(lost.elapsed() < AFTER_A_LOSS, "seed {seed}: {:?}", lost.elapsed());
+        });
+    }
+}
+
+/// One that ends is no voter again before it has started anew.
+#[test]
+fn who_ends_is_not_added_again_and_an_odd_list_stays_as_it_is() {
+    for (voters, left) in [(4, 3), (3, 3)] {
+        on_simulated_clock(async move {
+            let simulation = Simulation::start(voters, WITHOUT_LOG, 5, Faults::default());
+            let leads = leader(&simulation).await;
+            change(&simulation, leads, 1).await.expect("an answer");
+            sleep(SETTLED).await;
+            let ended = simulation.end((leads + 1) % voters).await;
+            assert!(timeout(HANDED_OVER_WITHIN, ended).await.is_ok(), "not ended");
+            // It has answered all and goes on for as long as it is let.
+            sleep(SETTLED).await;
+            let standing = status(&simulation, leads).await["log"]["standing"]["voters"].clone();
+            assert_eq!(standing, left, "of {voters}");
+        });
+    }
+}
+
 /// A former leader that granted units on beside its successor would break quotas.
 #[test]
 fn counts_are_given_up_with_the_lead() {
--- a/crates/raft/src/members.rs
+++ b/crates/raft/src/members.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use crate::replication::{Lead, Peer};
 use crate::tolerance::{
-    Learner, RetirementPolicy, Standing, further_losses, promotion_helps, retirement_helps,
+    Learner, RetirementPolicy, Standing, departure_helps, further_losses, promotion_helps, retirement_helps,
 };
 use crate::types::{Millis, Output, VoterId, What};
 
@@ -75,6 +75,14 @@
         }
     }
 
+    /// A voter is about to end. Off an even list it leaves what is borne as it is, without waiting for its silence.
+    pub(crate) fn voter_ends(&mut self, now: Millis, voter: &VoterId, out: &mut Vec<Output>) {
+        let helps = departure_helps(self.members().len(), self.retirement.least_voters);
+        if helps && self.holds_lease(now) {
+            self.remove_voter(now, voter, out);
+        }
+    }
+
     /// Adds a learner to the list, if it has caught up, no other change is under way and the list bears no less with
     /// it. Whoever was at its address goes first, in an entry of its own: a list with one voter exchanged may have a
     /// majority that the old list lacks. That voter never comes back, so the list loses nothing without it.
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -5,7 +5,7 @@
 use crate::election::Campaign;
 use crate::log::Log;
 use crate::replication::Lead;
-use crate::tolerance::{RetirementPolicy, least_voters};
+use crate::tolerance::{RetirementPolicy, departure_helps, least_voters};
 use crate::transfer::{IncomingTransfer, TransferLimits};
 use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
 
@@ -195,6 +195,7 @@
             Input::Propose { token, change } => self.propose(now, token, change, out),
             Input::AddVoter(voter) => self.add_voter(now, voter, out),
             Input::RemoveVoter(voter) => self.remove_voter(now, &voter, out),
+            Input::VoterEnds(voter) => self.voter_ends(now, &voter, out),
             Input::TransferLeadership => self.transfer_leadership(now, out),
             Input::Saved { ticket } => self.on_disk(now, ticket, out),
             Input::Compact { index, state } => self.compact(index, state),
@@ -249,6 +250,11 @@
         self.is_member(&self.me)
     }
 
+    /// Whether it had better leave the list before it ends: what is left then bears more.
+    pub fn should_leave(&self) -> bool {
+        self.is_voter() && departure_helps(self.members().len(), self.retirement.least_voters)
+    }
+
     /// Whether the newest list of voters is committed.
     pub fn voters_settled(&self) -> bool {
         self.log.members_index() <= self.commit
--- a/crates/raft/src/tolerance.rs
+++ b/crates/raft/src/tolerance.rs
@@ -62,6 +62,13 @@
     silent >= needed && voters.saturating_sub(needed) >= least_voters
 }
 
+/// Whether a voter that is to end had better leave the list before.
+///
+/// The majority of an even list falls with it, so that what is left bears as much as before; on an odd list it does not.
+pub const fn departure_helps(voters: usize, least_voters: usize) -> bool {
+    voters.is_multiple_of(2) && voters > least_voters
+}
+
 /// Whether another voter may be added without lowering the number of further losses that the list bears.
 ///
 /// An even list has the same majority with one more voter, so that voter is a gain. An odd list has a larger one: if a
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -309,6 +309,9 @@
     AddVoter(VoterId),
     /// This voter is to go; the host repeats it until the list is without it.
     RemoveVoter(VoterId),
+    /// This voter is about to end: it goes off the list if what is left bears more without it. The host repeats it until it
+    /// has ended.
+    VoterEnds(VoterId),
     /// This node is about to end: if it leads, another one is to. The host repeats it until it leads no more.
     TransferLeadership,
     /// The save with this ticket, and all before it, are on disk.
--- a/crates/reachlb/src/run_control_plane.rs
+++ b/crates/reachlb/src/run_control_plane.rs
@@ -131,7 +131,7 @@
     let (ending, ended) = oneshot::channel();
     let in_order = async { commands.send(Command::End(ending)).await.is_ok() && ended.await.is_ok() };
     if !timeout(END_WAIT, in_order).await.unwrap_or(false) {
-        spdlog::warn!("the lead was not handed over, or calls still wait", kv: { step = "end" });
+        spdlog::warn!("the lead was not handed over, this voter is still on the list, or calls still wait", kv: { step = "end" });
     }
     sleep(ANSWERS_LEAVE).await;
 }
