raft, control-plane: types below those who handle them

The modules of the control plane imported each other in a ring around Command, Call and Reply, which stood with the owner of the tables and with the socket; those of the log around the campaign, the lead and the transfers of Node. They have modules of their own now (call, command; campaign, lead, transfer), and handlers import downwards only.

--- a/crates/control-plane/src/admission.rs
+++ b/crates/control-plane/src/admission.rs
@@ -4,7 +4,7 @@
 //! without being proposed only by a verdict that no later entry can change (see [`Verdict::is_final`]), so that neither
 //! an entry in flight, nor an earlier copy of the order that is still on its way, can bring a refused order into force.
 
-use crate::calls::Reply;
+use crate::call::Reply;
 use crate::config_history::{Change, ConfigHistory, Verdict};
 use config::Config;
 
--- a/crates/control-plane/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -1,6 +1,7 @@
 //! The calls of backends and operators, declared in one table, and the socket that takes them.
 
-use crate::control_plane::Command;
+use crate::call::{Call, Reply};
+use crate::command::Command;
 use bytes::{Bytes, BytesMut};
 use config::Version;
 use http_body_util::{BodyExt, Full};
@@ -40,66 +41,6 @@
 /// The header that names the version on which an order builds.
 const BASE_VERSION: &str = "x-base-version";
 
-/// What a call asks for.
-#[derive(Debug)]
-pub enum Call {
-    /// A backend beats.
-    Beat(Backend),
-    /// A backend ends.
-    Departure(String),
-    /// The operator's.
-    Order(Order),
-    /// How this process and what it knows stand.
-    Status,
-    /// The last versions, and when they were taken.
-    History,
-    /// The body of one of the last versions.
-    Past(u64),
-    /// Records about something, or all.
-    Events(Option<String>),
-    /// Metrics.
-    Metrics,
-}
-
-impl Call {
-    /// Its kind, for metrics.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Beat(_) => "beat",
-            Self::Departure(_) => "departure",
-            Self::Order(Order::Replace { .. }) => "replace",
-            Self::Order(Order::Read) => "read",
-            Self::Order(Order::Remove(_)) => "remove",
-            Self::Order(Order::Drain(_)) => "drain",
-            Self::Status => "status",
-            Self::History | Self::Past(_) => "history",
-            Self::Events(_) => "events",
-            Self::Metrics => "metrics",
-        }
-    }
-}
-
-/// The answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reply {
-    /// Its status.
-    pub status: u16,
-    /// Its body, JSON but for metrics.
-    pub body: Vec<u8>,
-}
-
-impl Reply {
-    /// An answer that says why.
-    pub fn why(status: u16, why: &str) -> Self {
-        Self { status, body: serde_json::json!({ "error": why }).to_string().into_bytes() }
-    }
-
-    /// Done, nothing to say.
-    pub fn done() -> Self {
-        Self { status: 200, body: b"{}".to_vec() }
-    }
-}
-
 /// One kind of call.
 pub struct Declared {
     /// Its method.
--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -12,7 +12,8 @@
 mod status;
 mod updates;
 
-use crate::calls::{Call, Reply};
+use crate::call::{Call, Reply};
+use crate::command::Command;
 use crate::config_history::{Change, ConfigHistory, Marks, Place, Verdict};
 use crate::contact::{Confirmation, Contact, ContactMessage};
 use crate::directory::Directory;
@@ -78,50 +79,6 @@
 /// A process that has been out of touch with the leader for this long is cut off: an election takes less.
 const CUT_OFF: u64 = 1500;
 
-/// Something for the owner to work through.
-#[derive(Debug)]
-pub enum Command {
-    /// A call came on the control socket.
-    Call {
-        /// What it asks.
-        call: Call,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Reply>,
-    },
-    /// A connection stands.
-    Opened {
-        /// Its number.
-        number: u64,
-        /// Where frames go.
-        line: Line,
-        /// Whom this process dialed, if it did.
-        dialed: Option<SocketAddr>,
-    },
-    /// A message came.
-    Frame {
-        /// The connection.
-        number: u64,
-        /// The message.
-        message: Message,
-    },
-    /// A connection is over, or never came up.
-    Closed {
-        /// Its number.
-        number: u64,
-        /// Why.
-        error: LineError,
-    },
-    /// A write is on disk.
-    Saved {
-        /// Its ticket.
-        ticket: u64,
-    },
-    /// The settings file names other seeds.
-    Seeds(Vec<SocketAddr>),
-    /// This process is to end. The sender hears once another one leads, and no call waits here any more.
-    End(oneshot::Sender<()>),
-}
-
 /// What a control plane is told at its start.
 #[derive(Clone, Debug)]
 pub struct ControlPlaneSettings {
--- a/crates/control-plane/src/control_plane/status.rs
+++ b/crates/control-plane/src/control_plane/status.rs
@@ -1,7 +1,7 @@
 //! What operators are told: status, history, records, metrics.
 
 use super::ControlPlane;
-use crate::calls::Reply;
+use crate::call::Reply;
 use observability::Page;
 use serde_json::json;
 
--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -1,6 +1,6 @@
 //! The disk of a voter: its file, and the thread that writes to it.
 
-use crate::control_plane::Command;
+use crate::command::Command;
 use crate::state::State;
 use miette::Diagnostic;
 use raft::store::Store;
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -7,7 +7,9 @@
 #![warn(missing_docs)]
 
 mod admission;
+mod call;
 mod calls;
+mod command;
 mod config_history;
 mod contact;
 mod control_plane;
@@ -21,9 +23,11 @@
 mod watch;
 
 pub use admission::{Decision, decide, reply_to};
-pub use calls::{CALLS, Call, Declared, Reply, serve};
+pub use call::{Call, Reply};
+pub use calls::{CALLS, Declared, serve};
+pub use command::Command;
 pub use config_history::{Change, ConfigHistory, Marks, Place, Verdict, snapshot_format};
-pub use control_plane::{Command, ControlPlane, ControlPlaneSettings};
+pub use control_plane::{ControlPlane, ControlPlaneSettings};
 pub use disk::{Disk, DiskError};
 pub use drain_entry::DrainEntry;
 #[doc(hidden)]
--- a/crates/control-plane/src/lines.rs
+++ b/crates/control-plane/src/lines.rs
@@ -1,6 +1,6 @@
 //! Connections of other processes that come to this one.
 
-use crate::control_plane::Command;
+use crate::command::Command;
 use config::Detours;
 use observability::Seldom;
 use std::net::SocketAddr;
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -1,7 +1,8 @@
 //! Elections: a round that binds nobody, then votes that do.
 
+use crate::campaign::Campaign;
+use crate::lead::Lead;
 use crate::node::Node;
-use crate::replication::Lead;
 use crate::types::{Message, Millis, Output, VoterId, What};
 
 /// Elections lost in a row that make the next one wait for longer, twice as long each: two syncs of a second fit then.
@@ -11,17 +12,6 @@
 /// silent.
 const SOON_PARTS: Millis = 4;
 
-/// A round of asking for votes.
-#[derive(Debug)]
-#[cfg_attr(test, derive(Clone, Hash))]
-pub(crate) struct Campaign {
-    /// Whether this is the election itself, not the sounding out before it.
-    pub(crate) binding: bool,
-    granted: Vec<VoterId>,
-    /// Whether a voter has said that its vote of this term is another one's.
-    refused: bool,
-}
-
 impl Node {
     /// Nothing was heard of a leader for too long.
     pub(crate) fn look_for_leader(&mut self, now: Millis, out: &mut Vec<Output>) {
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -9,8 +9,10 @@
 
 #[cfg(test)]
 mod agreement;
+mod campaign;
 mod checksum;
 mod election;
+mod lead;
 mod leadership_transfer;
 mod log;
 mod members;
@@ -19,6 +21,7 @@
 pub mod store;
 mod tolerance;
 mod transfer;
+mod transfers;
 mod types;
 mod writer;
 
--- a/crates/raft/src/members.rs
+++ b/crates/raft/src/members.rs
@@ -1,7 +1,7 @@
 //! Who votes: one change at a time, so that the majorities before and after it overlap.
 
+use crate::lead::{Lead, Peer};
 use crate::node::Node;
-use crate::replication::{Lead, Peer};
 use crate::tolerance::{
     Learner, RetirementPolicy, Standing, departure_helps, further_losses, promotion_helps, retirement_helps,
 };
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 
-use crate::election::Campaign;
+use crate::campaign::Campaign;
+use crate::lead::Lead;
 use crate::log::Log;
-use crate::replication::Lead;
 use crate::tolerance::{RetirementPolicy, departure_helps, least_voters};
 use crate::transfer::{IncomingTransfer, TransferLimits};
 use crate::types::{Entry, Input, Message, Millis, Output, Role, Save, Saved, Timing, VoterId, What};
--- /dev/null
+++ b/crates/raft/src/transfers.rs
@@ -0,0 +1,193 @@
+//! A node at both ends of a transfer in pieces.
+
+use crate::checksum::checksum;
+use crate::node::Node;
+use crate::transfer::{IncomingTransfer, OutgoingTransfer, Payload, PieceSupport, TransferLimits};
+use crate::types::{Entry, Message, Millis, Output, PayloadKind, Snapshot, TransferId, VoterId};
+
+/// The longest payload that a follower assembles, in bytes: a configuration of the largest size, its predecessors and
+/// what is remembered of versions and floors.
+const LARGEST_PAYLOAD_BYTES: u64 = 24 << 20;
+/// First pieces without any answer, while heartbeats are answered, after which a follower is taken for a process of the
+/// version before, which knows no pieces and ignores them.
+const ATTEMPTS_BEFORE_WHOLE: u32 = 3;
+
+impl Node {
+    #[doc(hidden)]
+    pub fn limit_transfers(&mut self, limits: TransferLimits) {
+        self.limits = limits;
+    }
+
+    /// Whether a message of this length goes to this follower in pieces.
+    pub(crate) fn goes_in_pieces(&self, id: &VoterId, length: usize) -> bool {
+        let peer = self.lead.iter().flat_map(|lead| &lead.peers).find(|peer| peer.id == *id);
+        let supported = peer.is_some_and(|peer| peer.pieces != PieceSupport::Missing);
+        supported && length > self.limits.least_window_bytes
+    }
+
+    /// Begins to send the snapshot that stands for what this follower lacks.
+    pub(crate) fn transfer_snapshot(&mut self, to: &VoterId, snapshot: Snapshot) {
+        self.begin_transfer(to, &Payload::Snapshot(snapshot));
+    }
+
+    /// Begins to send an entry that is too long for one message.
+    pub(crate) fn transfer_entry(&mut self, to: &VoterId, previous_term: u64, entry: Entry) {
+        self.begin_transfer(to, &Payload::Entry { previous_term, entry });
+    }
+
+    fn begin_transfer(&mut self, to: &VoterId, payload: &Payload) {
+        let limits = self.limits;
+        let (kind, index, term) = payload.place();
+        let Some(lead) = &mut self.lead else { return };
+        let same =
+            |other: &&OutgoingTransfer| (other.id.kind, other.id.index, other.id.term) == (kind, index, term);
+        let others = lead.peers.iter().filter_map(|peer| peer.transfer.as_ref());
+        let (id, bytes) = match others.clone().find(same) {
+            Some(other) => (other.id, other.payload.clone()),
+            None => {
+                let bytes = bitcode::encode(payload);
+                let (length, checksum) = (bytes.len() as u64, checksum(&bytes));
+                (TransferId { kind, index, term, length, checksum }, bytes.into())
+            }
+        };
+        if let Some(peer) = lead.peer(to) {
+            peer.transfer = Some(OutgoingTransfer::new(id, bytes, limits));
+        }
+    }
+
+    /// Sends what the window of a transfer has room for; false if none is under way.
+    pub(crate) fn continue_transfer(&mut self, now: Millis, to: &VoterId, out: &mut Vec<Output>) -> bool {
+        let (term, heartbeat, piece_bytes) =
+            (self.term, self.timing.heartbeat.max(1), self.limits.piece_bytes);
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(to)) else { return false };
+        let Some(transfer) = &mut peer.transfer else { return false };
+        while let Some((offset, bytes)) = transfer.next_piece(now, heartbeat, piece_bytes) {
+            let message = Message::Piece { term, transfer: transfer.id, offset, bytes };
+            out.push(Output::Send { to: to.clone(), message });
+        }
+        true
+    }
+
+    /// A heartbeat that was sent then was answered: pieces from before it that were not are sent again.
+    pub(crate) fn resume_transfer(&mut self, id: &VoterId, heartbeat_sent_at: Millis) {
+        let (limits, faults, base) = (self.limits, self.faults, self.log.base());
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(id)) else { return };
+        let Some(transfer) = &mut peer.transfer else { return };
+        if !transfer.resume_if_lost(heartbeat_sent_at, limits) {
+            return;
+        }
+        if faults.transfers_restart {
+            transfer.rewind(0);
+        }
+        if peer.pieces == PieceSupport::Unknown {
+            peer.piece_attempts += 1;
+            if peer.piece_attempts >= ATTEMPTS_BEFORE_WHOLE {
+                peer.pieces = PieceSupport::Missing;
+                peer.transfer = None;
+                return;
+            }
+        }
+        // Nothing of it is there yet, so that the newest snapshot may as well go instead.
+        if transfer.acknowledged == 0 && transfer.id.kind == PayloadKind::Snapshot && transfer.id.index < base
+        {
+            peer.transfer = None;
+        }
+    }
+
+    pub(crate) fn piece_answered(
+        &mut self, now: Millis, from: &VoterId, term: u64, (id, offset, received): (TransferId, u64, u64),
+        out: &mut Vec<Output>,
+    ) {
+        if !self.answer_counts(now, from, term, out) {
+            return;
+        }
+        let (heartbeat, limits) = (self.timing.heartbeat.max(1), self.limits);
+        let Some(peer) = self.lead.as_mut().and_then(|lead| lead.peer(from)) else { return };
+        peer.pieces = PieceSupport::Known;
+        if let Some(transfer) = peer.transfer.as_mut().filter(|transfer| transfer.id == id) {
+            transfer.answered(now, heartbeat, limits, offset, received);
+        }
+        self.pump(now, from, out);
+    }
+
+    pub(crate) fn piece_came(
+        &mut self, now: Millis, from: VoterId, term: u64, (id, offset, bytes): (TransferId, u64, Vec<u8>),
+        out: &mut Vec<Output>,
+    ) {
+        if !self.follows(now, &from, term, out) {
+            if term < self.term {
+                let message = Message::PieceReceived { term: self.term, transfer: id, offset, received: 0 };
+                self.answer(from, message);
+            }
+            return;
+        }
+        if self.has(id) {
+            self.incoming = None;
+            self.verified = self.verified.max(id.index);
+            self.answer(from, Message::AppendAccepted { term: self.term, index: id.index });
+            return;
+        }
+        let received = self.assemble(id, offset, &bytes);
+        let message = Message::PieceReceived { term: self.term, transfer: id, offset, received };
+        out.push(Output::Send { to: from.clone(), message });
+        if received == id.length {
+            self.take_payload(now, from, out);
+        }
+    }
+
+    /// Whether this log has what a transfer would bring: by the log matching property all before it as well.
+    fn has(&self, id: TransferId) -> bool {
+        match id.kind {
+            PayloadKind::Snapshot => id.index <= self.commit,
+            PayloadKind::Entry => self.log.term_at(id.index) == Some(id.term),
+        }
+    }
+
+    /// Drops what has come of a transfer that this log no longer needs.
+    pub(crate) fn drop_incoming(&mut self, upto: u64) {
+        self.incoming.take_if(|incoming| incoming.id.index <= upto);
+    }
+
+    /// Adds a piece if it is the next one; says how many bytes are there, from the first on.
+    fn assemble(&mut self, id: TransferId, offset: u64, bytes: &[u8]) -> u64 {
+        if id.length > LARGEST_PAYLOAD_BYTES || bytes.len() as u64 > id.length {
+            return 0;
+        }
+        let other = self.incoming.as_ref().is_none_or(|incoming| incoming.id != id);
+        let begins_again = offset == 0 && self.faults.transfers_restart;
+        if other && !self.faults.transfers_mixed || begins_again {
+            self.incoming = None;
+        }
+        let incoming = self.incoming.get_or_insert_with(|| IncomingTransfer { id, received: Vec::new() });
+        incoming.id = id;
+        let have = incoming.received.len() as u64;
+        if offset == have && have + bytes.len() as u64 <= id.length {
+            incoming.received.extend_from_slice(bytes);
+        }
+        incoming.received.len() as u64
+    }
+
+    /// All pieces are there: they count as the message that they make.
+    fn take_payload(&mut self, now: Millis, from: VoterId, out: &mut Vec<Output>) {
+        let Some(IncomingTransfer { id, received }) = self.incoming.take() else { return };
+        // Otherwise it is sent again from its first byte.
+        if checksum(&received) != id.checksum && !self.faults.transfers_mixed {
+            return;
+        }
+        let Ok(payload) = bitcode::decode::<Payload>(&received) else { return };
+        if payload.place() != (id.kind, id.index, id.term) && !self.faults.transfers_mixed {
+            return;
+        }
+        let term = self.term;
+        match payload {
+            Payload::Snapshot(snapshot) => self.snapshot_came(now, from, term, snapshot, out),
+            Payload::Entry { previous_term, entry } => {
+                let previous = (entry.index.saturating_sub(1), previous_term);
+                let commit = self.told_commit;
+                if let Some(answer) = self.append_came(now, &from, term, previous, vec![entry], commit, out) {
+                    self.answer(from, answer);
+                }
+            }
+        }
+    }
+}
