transport, control-plane: a change of a large configuration is a difference too

The body before the newest was dropped where both have more than 1 MiB, so that each change went whole to each data plane (161 kB at 300 machines), and the window and tables of zstd at level 3 forget what is megabytes back. Receivers read both as before.

--- a/crates/control-plane/src/config_history.rs
+++ b/crates/control-plane/src/config_history.rs
@@ -124,6 +124,10 @@
     places: BTreeMap<u64, Place>,
     /// The bodies of versions before the newest.
     bodies: BTreeMap<u64, Vec<u8>>,
+    /// The version before the newest one and its body, if it is too long for these: followers have it, and get what makes
+    /// the newest out of it. In memory only.
+    #[bitcode(skip)]
+    former: Option<(u64, Vec<u8>)>,
     /// Floors of counts; those that are not here are zero.
     floors: BTreeMap<String, u32>,
     /// How many data planes there were when last it was said.
@@ -178,14 +182,16 @@
         let verdict = self.judge(change.base, change.version, &change.digest);
         if verdict == Verdict::Taken {
             let before = std::mem::replace(&mut self.body, change.body);
+            self.former = None;
             if self.version > 0 {
                 self.bodies.insert(self.version, before);
             }
             let mut bytes: usize = self.bodies.values().map(Vec::len).sum();
             while (self.bodies.len() > BODIES || bytes > BODY_BYTES)
-                && let Some((_, oldest)) = self.bodies.pop_first()
+                && let Some((version, oldest)) = self.bodies.pop_first()
             {
                 bytes -= oldest.len();
+                self.former = (version == self.version).then_some((version, oldest));
             }
             self.version = change.version;
             self.digests.insert(change.version, change.digest);
@@ -230,7 +236,11 @@
 
     /// The body of a version, as long as it is kept.
     pub fn body_of(&self, version: u64) -> Option<&[u8]> {
-        if version == self.version { self.body() } else { self.bodies.get(&version).map(Vec::as_slice) }
+        if version == self.version {
+            return self.body();
+        }
+        let former = self.former.as_ref().filter(|(known, _)| *known == version).map(|(_, body)| body);
+        self.bodies.get(&version).or(former).map(Vec::as_slice)
     }
 
     /// The newest version; 0 before the first.
--- a/crates/control-plane/tests/config_history.rs
+++ b/crates/control-plane/tests/config_history.rs
@@ -139,6 +139,22 @@
     );
 }
 
+/// What makes the newest configuration out of the one before is short, whatever their lengths.
+#[test]
+fn the_body_before_the_newest_is_there_however_long_it_is() {
+    let mut config_history = ConfigHistory::default();
+    for version in 1..=4 {
+        let body = vec![version as u8; 3 << 20];
+        let change = Change { base: version - 1, version, digest: [version as u8; 32], body };
+        assert_eq!(config_history.apply(Place::default(), change), Verdict::Taken);
+    }
+    let kept: Vec<_> = (1..=4).filter(|version| config_history.body_of(*version).is_some()).collect();
+    assert_eq!(kept, [3, 4]);
+    assert!(config_history.snapshot().len() < 4 << 20, "a snapshot holds one of them");
+    let restored = ConfigHistory::restore(&config_history.snapshot()).expect("a history");
+    assert_eq!((restored.version(), restored.body_of(3)), (4, None));
+}
+
 fn marks(floors: &[(&str, u32)], fleet: u32) -> Marks {
     Marks { floors: floors.iter().map(|(tenant, units)| ((*tenant).to_owned(), *units)).collect(), fleet }
 }
--- a/crates/transport/src/config_snapshots.rs
+++ b/crates/transport/src/config_snapshots.rs
@@ -9,10 +9,16 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use thiserror::Error;
+use zstd::zstd_safe::CParameter;
 
 /// The library's default: more work gains little on texts of this kind.
 const LEVEL: i32 = 3;
 
+/// Base and body of more bytes than this together are searched for repeats that are far back.
+const LONG: usize = 1 << 20;
+/// Windows reach back over 128 MiB at most: receivers read no longer ones unless they are told to.
+const MOST_WINDOW_LOG: u32 = 27;
+
 /// Why what came makes no configuration. The whole one is to be asked for.
 #[derive(Debug, Error, Diagnostic)]
 pub enum Unfit {
@@ -113,10 +119,28 @@
     }
 }
 
+fn failed(code: zstd::zstd_safe::ErrorCode) -> std::io::Error {
+    std::io::Error::other(zstd::zstd_safe::get_error_name(code))
+}
+
+/// The window that reaches back over so many bytes, as a power of two: what is out of it can't be drawn on.
+fn window_log(bytes: usize) -> u32 {
+    bytes.next_power_of_two().trailing_zeros().min(MOST_WINDOW_LOG)
+}
+
 fn config_delta(
     base: u64, of: &[u8], version: u64, digest: [u8; 32], body: &[u8],
 ) -> Result<ConfigDelta, std::io::Error> {
-    let bytes = zstd::bulk::Compressor::with_dictionary(LEVEL, of)?.compress(body)?;
+    let mut library = zstd::bulk::Compressor::new(LEVEL)?;
+    let reach = of.len() + body.len();
+    if reach > LONG {
+        // The tables of this level forget repeats that are megabytes back.
+        library.set_parameter(CParameter::WindowLog(window_log(reach)))?;
+        library.set_parameter(CParameter::EnableLongDistanceMatching(true))?;
+    }
+    // A prefix is searched for repeats that are far back, a dictionary is not; receivers read both in the same way.
+    library.context_mut().ref_prefix(of).map_err(failed)?;
+    let bytes = library.compress(body)?;
     Ok(ConfigDelta { version, base, digest, length: body.len() as u32, bytes })
 }
 
--- a/crates/transport/tests/config_snapshots.rs
+++ b/crates/transport/tests/config_snapshots.rs
@@ -41,6 +41,21 @@
     assert_eq!(rebuild(None, &first).map(|config_snapshot| config_snapshot.body).ok(), Some(base));
 }
 
+/// As many routes as are planned, and less: what changed is a few hundred bytes, however far back the rest lies.
+#[test]
+fn a_change_of_megabytes_is_as_short() {
+    for entries in [30_000, 200_000] {
+        let base = table(0..entries);
+        let whole = table((0..entries).map(|n| if n == entries / 2 { 9 } else { n }));
+        let config_delta = as_delta(held(3, &base), Some(&base), 8, &whole);
+        let (length, bytes) = (whole.len(), config_delta.bytes.len());
+        println!("{length} bytes, {bytes} on the way");
+        assert!(bytes < 1000, "{length} bytes, {bytes} on the way");
+        let rebuilt = rebuild(Some(&base), &config_delta).map(|config_snapshot| config_snapshot.body);
+        assert_eq!(rebuilt.ok(), Some(whole));
+    }
+}
+
 #[test]
 fn another_base_gives_an_error_and_never_another_body() {
     let (base, whole) = (table(0..300), table(1..301));
