--- a/crates/raft/tests/drawn.rs
+++ b/crates/raft/tests/drawn.rs
@@ -4,7 +4,7 @@
 mod membership;
 mod world;
 
-use raft::{Faults, Input, TransferLimits};
+use raft::{Faults, Input, Node, TransferLimits};
 use world::{TIMING, World};
 use yare::parameterized;
 
@@ -264,6 +264,43 @@
     assert!(long <= MOST_LONG, "{long}");
 }
 
+/// How long disks hang, how many terms that costs at the most, and when somebody leads after it.
+const HUNG: u64 = 10_000;
+const MOST_TERMS: u64 = 20;
+const LEADS_AGAIN: u64 = 1_200;
+
+/// The leader is lost while one of the two others, or both, can't write: no vote is given for long. Each node waits for
+/// longer after an election that is lost for that, so that few terms go by and the one after the last of them is won.
+#[parameterized(one = { 1 }, both = { 2 })]
+fn a_leader_is_elected_soon_after_disks_that_hung(count: usize) {
+    let (mut waits, mut terms) = (Vec::new(), Vec::new());
+    for seed in 0..100 {
+        let mut world = World::new(seed, 3, Faults::default());
+        (world.lossy, world.slow) = (false, (0, 0));
+        world.run_until(world.now + 2_000).expect("a calm world");
+        let leader = world.leader().expect("somebody leads");
+        let before = world.hosts[leader].node.as_ref().map_or(0, Node::term);
+        let healed_at = world.now + HUNG;
+        world.hung_until = (1..=count).map(|other| ((leader + other) % 3, healed_at)).collect();
+        world.kill(leader, 60_000);
+        world.run_until(healed_at).expect("a calm world");
+        let newest = world.hosts.iter().filter_map(|host| host.node.as_ref()).map(Node::term).max();
+        terms.push(newest.unwrap_or(0) - before);
+        let leads = |world: &World| {
+            let leader = world.leader().and_then(|at| world.hosts[at].node.as_ref());
+            leader.is_some_and(|node| node.holds_lease(world.now))
+        };
+        while !leads(&world) {
+            world.run_until(world.now + 5).expect("a calm world");
+            assert!(world.now < healed_at + LEADS_AGAIN, "seed {seed}: nobody leads");
+        }
+        waits.push(world.now - healed_at);
+    }
+    let (longest, most) = (waits.iter().max(), terms.iter().max().copied().unwrap_or(0));
+    println!("{count} hung: {most} terms at most, a leader after {longest:?} ms at most");
+    assert!(most <= MOST_TERMS, "{most} terms");
+}
+
 /// Silence would take an election, 300 ms at the least.
 #[parameterized(three = { 3 }, five = { 5 })]
 fn a_leader_that_hands_over_its_lead_has_a_successor_at_once(size: usize) {
--- a/crates/raft/tests/world/mod.rs
+++ b/crates/raft/tests/world/mod.rs
@@ -74,6 +74,8 @@
     pub lossy: bool,
     /// How many saves, and messages, of a hundred take long.
     pub slow: (u64, u64),
+    /// No save of these hosts' disks ends before.
+    pub hung_until: BTreeMap<usize, Millis>,
     pub policy: RetirementPolicy,
     faults: Faults,
     limits: TransferLimits,
@@ -116,6 +118,7 @@
             cut: vec![vec![false; size]; size],
             lossy: true,
             slow: (2, 3),
+            hung_until: BTreeMap::new(),
             policy: RetirementPolicy { silence: 6 * TIMING.election, least_voters: size },
             faults,
             limits,
@@ -311,7 +314,9 @@
                 // The disk does one after the other.
                 let ticket = save.ticket;
                 self.hosts[at].saves.push_back(save);
-                let (at_time, life) = (self.now + 1 + self.draw.below(slow), self.hosts[at].life);
+                let hung_until = self.hung_until.get(&at).copied().unwrap_or(0);
+                let at_time = (self.now + 1 + self.draw.below(slow)).max(hung_until);
+                let life = self.hosts[at].life;
                 self.schedule(
                     at_time,
                     Event::Input { host: at, life: Some(life), input: Input::Saved { ticket } },
