--- a/crates/control-plane/src/control_plane.rs
+++ b/crates/control-plane/src/control_plane.rs
@@ -12,6 +12,7 @@
 mod status;
 mod updates;
 
+use crate::backend_batch::BackendBatch;
 use crate::call::{Call, Reply};
 use crate::command::Command;
 use crate::config_history::{Change, ConfigHistory, Marks, Place, Verdict};
@@ -164,6 +165,9 @@
     /// The incarnations of those with a disk that counts.
     incarnations: BTreeMap<SocketAddr, u64>,
     register: Register,
+    /// What followers, and other control planes, are yet to be told of it.
+    for_followers: BackendBatch,
+    for_control_planes: BackendBatch,
     fleet: Fleet,
     config_history: ConfigHistory,
     config: Option<Config>,
@@ -251,6 +255,8 @@
             control_planes: Directory::default(),
             incarnations: BTreeMap::new(),
             register,
+            for_followers: BackendBatch::default(),
+            for_control_planes: BackendBatch::default(),
             fleet: Fleet::default(),
             config_history,
             config: None,
@@ -364,6 +370,7 @@
         }
         if now >= self.next[0] {
             self.next[0] = now + TICK;
+            self.tell_waiting_backends();
             self.tend_calls(now);
             self.tend_lines(now);
             self.tend_quota_service(now);
--- a/crates/control-plane/src/control_plane/orders.rs
+++ b/crates/control-plane/src/control_plane/orders.rs
@@ -45,8 +45,7 @@
 
     pub(super) fn on_judgement(&mut self, judgement: Judgement) {
         if let Judgement::Changed(backends) = judgement {
-            self.to_control_planes(&Message::Backends { whole: false, backends: backends.clone() });
-            self.tell_backends(backends, Origin::Call);
+            self.tell_called_backends(backends);
         }
     }
 
--- a/crates/control-plane/src/control_plane/updates.rs
+++ b/crates/control-plane/src/control_plane/updates.rs
@@ -178,10 +178,37 @@
         if !backends.is_empty() {
             let now = self.now();
             self.watch.backends(now, &backends, origin);
+            let urgent = self.for_followers.add(backends);
+            self.backends_to_followers(urgent);
+        }
+    }
+
+    fn backends_to_followers(&self, backends: Vec<Backend>) {
+        if !backends.is_empty() {
             self.to_followers(&Message::Backends { whole: false, backends });
         }
     }
 
+    fn backends_to_control_planes(&self, backends: Vec<Backend>) {
+        if !backends.is_empty() {
+            self.to_control_planes(&Message::Backends { whole: false, backends });
+        }
+    }
+
+    /// A backend's own call changes what is known of it: all are told.
+    pub(super) fn tell_called_backends(&mut self, backends: Vec<Backend>) {
+        let urgent = self.for_control_planes.add(backends.clone());
+        self.backends_to_control_planes(urgent);
+        self.tell_backends(backends, Origin::Call);
+    }
+
+    /// Changes that could wait are told together.
+    pub(super) fn tell_waiting_backends(&mut self) {
+        let (for_control_planes, for_followers) = (self.for_control_planes.take(), self.for_followers.take());
+        self.backends_to_control_planes(for_control_planes);
+        self.backends_to_followers(for_followers);
+    }
+
     /// A newer configuration is in force.
     pub(super) fn renewed(&mut self) {
         let Some(body) = self.config_history.body() else { return };
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod admission;
+mod backend_batch;
 mod call;
 mod calls;
 mod command;
--- a/crates/control-plane/tests/heartbeats.rs
+++ b/crates/control-plane/tests/heartbeats.rs
@@ -7,9 +7,10 @@
 use control_plane::{Call, Faults};
 use protocol::{Backend, Message, Phase};
 use simulation::{Link, Simulation};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 const VOTERS: usize = 3;
 const OTHERS: usize = 2;
@@ -25,7 +26,11 @@
 fn heartbeat(id: &str, capacity: u32, call_count: u64) -> Call {
     Call::Beat(Backend {
         service: "s".into(),
-        address: "10.1.0.1:80".into(),
+        // Each at an address of its own, or the next one at it would end the one before.
+        address: format!(
+            "10.1.0.1:{}",
+            1000 + id.bytes().fold(0u32, |sum, byte| (sum * 31 + u32::from(byte)) % 60_000)
+        ),
         zone: "a".into(),
         capacity,
         phase: Phase::Serving,
@@ -111,6 +116,66 @@
     }
 }
 
+/// What a follower of a process is told of backends in this time: messages, and the ids of those that serve and that leave.
+async fn told(simulation: &Simulation, process: usize, span: Duration) -> impl Future<Output = Told> + use<> {
+    let (_, mut frames) = simulation.follow(process).await;
+    async move {
+        let mut told = Told::default();
+        let until = Instant::now() + span;
+        while let Ok(Some(frame)) = timeout_at(until, frames.recv()).await {
+            if let Ok(Some((Message::Backends { whole: false, backends }, _))) =
+                protocol::unframe::<Message>(&frame)
+            {
+                told.messages += 1;
+                for backend in backends {
+                    match backend.phase {
+                        Phase::Serving => told.serving.insert(backend.id),
+                        _ => told.leaving.insert(backend.id),
+                    };
+                }
+            }
+        }
+        told
+    }
+}
+
+#[derive(Debug, Default)]
+struct Told {
+    messages: usize,
+    serving: BTreeSet<String>,
+    leaving: BTreeSet<String>,
+}
+
+/// Hundreds of backends come within moments: few messages tell of them, here and elsewhere, and none is left out. Who leaves
+/// is told of at once.
+#[test]
+fn many_that_come_at_once_are_told_of_together_and_who_leaves_at_once() {
+    run(|simulation| async move {
+        assert!(acknowledges(&simulation, 0, heartbeat("old", 4, 1)).await);
+        sleep(SETTLED).await;
+        for process in [0, 1, VOTERS] {
+            let prefix = format!("b-{process}");
+            let hears = told(&simulation, process, Duration::from_millis(300)).await;
+            for number in 0..HERD {
+                assert!(acknowledges(&simulation, 0, heartbeat(&format!("{prefix}-{number}"), 4, 1)).await);
+            }
+            let told = hears.await;
+            let heard = told.serving.iter().filter(|id| id.starts_with(&prefix)).count();
+            assert_eq!(heard, HERD as usize, "process {process}");
+            assert!(told.messages <= MOST_MESSAGES, "process {process}: {} messages", told.messages);
+        }
+        let hears = told(&simulation, 0, Duration::from_millis(10)).await;
+        let leaving = Backend { call_count: 2, ..Backend::leaving("old".into()) };
+        let leaving = Backend { address: "10.1.0.1:80".into(), service: "s".into(), ..leaving };
+        let _ = simulation.call(0, Call::Beat(leaving), Duration::from_millis(1)).await;
+        assert!(hears.await.leaving.contains("old"));
+    });
+}
+
+const HERD: u32 = 200;
+/// Within 300 ms: a message for each 50 ms, and some.
+const MOST_MESSAGES: usize = 12;
+
 #[test]
 fn an_election_sends_no_backend_on() {
     run(|simulation| async move {
