--- a/crates/transport/tests/follower.rs
+++ b/crates/transport/tests/follower.rs
@@ -1,5 +1,9 @@
 //! Answers to lease requests: each goes to its own request, on the connection that carried it.
 
+#[path = "support/held_clock.rs"]
+mod held_clock;
+
+use held_clock::on_held_clock;
 use protocol::{ConfigSnapshot, Heartbeat, Hello, Message, Plane};
 use quota::{Epoch, Grant, LeaseRequest};
 use std::cell::RefCell;
@@ -8,7 +12,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_blocking, yield_now};
+use tokio::task::yield_now;
 use transport::{ControlFollower, FollowerSettings, Line, Reader, Update, attach};
 
 /// Longer than a request waits for its answer, in steps shorter than the silence that ends a connection.
@@ -107,18 +111,6 @@
     }
 }
 
-fn on_held_clock(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        // While a blocking task runs the paused clock does not jump to the next timer by itself.
-        let (end, ended) = std::sync::mpsc::channel::<()>();
-        let held = spawn_blocking(move || ended.recv().is_ok());
-        test.await;
-        drop(end);
-        let _ = held.await;
-    });
-}
-
 #[test]
 fn each_answer_is_its_own_request_s_and_none_outlives_its_connection() {
     on_held_clock(async {
--- a/crates/transport/tests/search.rs
+++ b/crates/transport/tests/search.rs
@@ -1,13 +1,17 @@
 //! Whom a data plane follows while many processes of control are cut off from the leader: it finds the one that is not,
 //! however many it has asked before.
 
+#[path = "support/held_clock.rs"]
+mod held_clock;
+
+use held_clock::on_held_clock;
 use protocol::{Backend, ControlPlaneAddress, FreshnessAnswer, Heartbeat, Hello, Message, Phase, Plane};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_blocking, spawn_local, yield_now};
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep};
 use transport::{ControlFollower, FollowerSettings, Line, Reader, Update, attach, freshness};
 
@@ -186,18 +190,6 @@
     }
 }
 
-fn on_held_clock(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
-        // While a blocking task runs the paused clock does not jump to the next timer by itself.
-        let (end, ended) = std::sync::mpsc::channel::<()>();
-        let held = spawn_blocking(move || ended.recv().is_ok());
-        test.await;
-        drop(end);
-        let _ = held.await;
-    });
-}
-
 /// All but one are cut off from the leader, and a backend's leaving is recorded at that moment.
 fn all_but_one(cut: Cut, count: usize) {
     on_held_clock(async {
