transport: whoever is followed has a moment to hear of a new leader before it is left

With a new leader its own process answers first: of 300 data planes that search all would have gone over to it, each for the whole list of backends. The one that is followed and the other candidates have 0.15 s now, and the best of those that are in touch is taken. An answer counts by its own age where it ends a search, not by what is known from others; an answer of the one that is followed counts for it as a heartbeat does.

--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -236,11 +236,11 @@
 
     /// Asks the process that is followed how old what it tells may be, and others once that is too old.
     fn tend_freshness(&mut self, now: u64) {
-        if now >= self.asked_at + self.freshness.ask_every() {
+        if self.search.has_found() || now >= self.asked_at + self.freshness.ask_every() {
             self.ask_followed(now);
         }
         let width = self.freshness.width(now);
-        if width == 0 {
+        if width == 0 && !self.search.has_found() {
             return self.search.end();
         }
         let next = self.search.next_to_dial(now, self.peer_choice.others(now).into_iter(), width);
@@ -249,6 +249,7 @@
             self.search.add(upstream);
         }
         self.ask_searched(now);
+        self.go_over(now);
     }
 
     fn ask_followed(&mut self, now: u64) {
@@ -276,8 +277,18 @@
         if !self.drain_records.is_complete(answer) {
             return self.ask_again(connection, now);
         }
-        if self.freshness.answered(answer.number, age.into()) && self.freshness.is_recent(now) {
-            self.go_over_to(connection, now);
+        let as_of = self.freshness.answered(answer.number, age.into());
+        if !as_of.is_some_and(|as_of| self.freshness.is_recent(now, as_of)) {
+            return;
+        }
+        if self.search.connection(connection).is_some() {
+            self.search.found(now, connection);
+            // It may have heard of the leader by now, too.
+            self.ask_followed(now);
+        } else {
+            // The one that is followed is in touch again.
+            self.peer_choice.answered(now);
+            self.search.end();
         }
     }
 
@@ -292,13 +303,13 @@
         upstream.send(&freshness_question(number, &self.drain_records));
     }
 
-    /// One of those that are searched is in touch with the leader: it is followed from now on, unless a message of the
-    /// present one is on its way.
-    fn go_over_to(&mut self, connection: u64, now: u64) {
+    /// The best of those that are in touch with the leader is followed from now on, where the present one is not, unless a
+    /// message of that one is on its way.
+    fn go_over(&mut self, now: u64) {
         if self.part_at.is_some_and(|at| now < at + ON_ITS_WAY) {
             return;
         }
-        let Some(upstream) = self.search.choose(connection) else { return };
+        let Some(upstream) = self.search.choose(now) else { return };
         self.peer_choice.follow(now, upstream.to);
         (self.asked_at, self.part_at) = (now, None);
         upstream.send(&Message::Follow { have: self.have });
--- a/crates/transport/src/freshness.rs
+++ b/crates/transport/src/freshness.rs
@@ -25,8 +25,9 @@
 const STEP: Millis = 100;
 /// The width grows no more after so many steps: it is more than there are to ask.
 const MOST_STEPS: Millis = 7;
-/// What the search takes until somebody has answered, in ms: a dial of 300 ms in vain beside the steps, and a tick.
-pub const SEARCH: Millis = 700;
+/// What the search takes until somebody is followed that is in touch, in ms: a tick, the steps to sixteen, a dial of 300 ms
+/// in vain, and the time that the others have to answer too, with another tick.
+pub const SEARCH: Millis = 950;
 /// The least bound that is kept, in ms.
 pub const LEAST_BOUND: Millis = LEAST_STALE + SEARCH;
 /// Questions whose answers still count: those to all that are searched for some steps.
@@ -89,14 +90,14 @@
         self.last
     }
 
-    /// An answer came, by which all is known that was ordered `age` ms before it was given. Whether it is one to a
-    /// question that was asked lately and not answered yet.
-    pub fn answered(&mut self, number: u64, age: Millis) -> bool {
-        let Some(at) = self.asked.iter().position(|(asked, _)| *asked == number) else { return false };
-        if let Some((_, sent)) = self.asked.remove(at) {
-            self.as_of = self.as_of.max(sent.saturating_sub(age));
-        }
-        true
+    /// An answer came, by which all is known that was ordered `age` ms before it was given. Gives when that was, if it is
+    /// the answer to a question that was asked lately and not answered yet.
+    pub fn answered(&mut self, number: u64, age: Millis) -> Option<Millis> {
+        let at = self.asked.iter().position(|(asked, _)| *asked == number)?;
+        let (_, sent) = self.asked.remove(at)?;
+        let as_of = sent.saturating_sub(age);
+        self.as_of = self.as_of.max(as_of);
+        Some(as_of)
     }
 
     /// How old what is known may be, in ms.
@@ -104,10 +105,10 @@
         now.saturating_sub(self.as_of)
     }
 
-    /// Whether what is known is so new that nobody else needs to be asked any more: half of the age at which that begins, so
+    /// Whether an answer is so new that nobody else needs to be asked any more: half of the age at which that begins, so
     /// that an answer of somebody who is just cut off does not end it.
-    pub fn is_recent(&self, now: Millis) -> bool {
-        self.age(now) < self.stale_after / 2
+    pub fn is_recent(&self, now: Millis, as_of: Millis) -> bool {
+        now.saturating_sub(as_of) < self.stale_after / 2
     }
 
     /// How many processes are to be asked now beside the one that is followed.
@@ -115,7 +116,7 @@
         let is_stale = self.is_understood && now >= self.as_of + self.stale_after;
         if is_stale {
             self.searched_since.get_or_insert(now);
-        } else if self.is_recent(now) {
+        } else if self.is_recent(now, self.as_of) {
             self.searched_since = None;
         }
         let steps = |since: Millis| (now.saturating_sub(since) / STEP).min(MOST_STEPS);
--- a/crates/transport/src/peer_choice.rs
+++ b/crates/transport/src/peer_choice.rs
@@ -34,6 +34,8 @@
     to: SocketAddr,
     heard: Millis,
     fresh_at: Millis,
+    /// When it answered last that it is in touch with the leader.
+    answered_at: Millis,
     fresh: bool,
     /// Whether it has said anything, and whether that was ever of this moment.
     has_spoken: bool,
@@ -131,6 +133,7 @@
             to,
             heard: now,
             fresh_at: now,
+            answered_at: now,
             fresh: false,
             has_spoken: false,
             was_fresh: false,
@@ -211,6 +214,14 @@
         }
     }
 
+    /// The one that is followed has answered that it is in touch with the leader; its next heartbeat will say so.
+    pub fn answered(&mut self, now: Millis) {
+        if let Some(following) = &mut self.following {
+            following.answered_at = now;
+            following.was_fresh = true;
+        }
+    }
+
     /// Whether the one that is followed is to be left.
     pub fn is_over(&self, now: Millis) -> bool {
         let Some(following) = &self.following else { return false };
@@ -220,7 +231,8 @@
         let hurries = self.had_fresh_word && others;
         let behind_after =
             if following.was_fresh || !following.has_spoken || !hurries { BEHIND } else { FIRST_FRESH_WORD };
-        let behind = !following.fresh && now > following.fresh_at + behind_after;
+        let fresh_at = following.fresh_at.max(following.answered_at);
+        let behind = !following.fresh && now > fresh_at + behind_after;
         let silent_after = if following.has_spoken || !hurries { SILENT } else { FIRST_WORD };
         now > following.heard + silent_after || behind && others
     }
--- a/crates/transport/src/search.rs
+++ b/crates/transport/src/search.rs
@@ -12,16 +12,26 @@
 /// Who answered that it is cut off is asked anew after this.
 const ASK_AGAIN: Millis = 200;
 
+/// After the first answer that is new enough the others, and the one that is followed, have this long to give one too: with a
+/// new leader the leader itself answers first, and not all may go over to it.
+const SETTLES: Millis = 150;
+/// An answer that is older than this does not make a candidate one to go over to.
+const LATELY: Millis = 2 * ASK_AGAIN;
+
 struct Candidate {
     upstream: Upstream,
     asked_at: Option<Millis>,
+    fresh_at: Option<Millis>,
 }
 
 /// The connections to them.
 #[derive(Default)]
 pub(crate) struct Search {
+    /// The best one first.
     candidates: Vec<Candidate>,
     dialed: BTreeMap<SocketAddr, Millis>,
+    /// When one of them gave an answer that is new enough first.
+    found_at: Option<Millis>,
 }
 
 impl Search {
@@ -29,6 +39,20 @@
     pub(crate) fn end(&mut self) {
         self.candidates.clear();
         self.dialed.clear();
+        self.found_at = None;
+    }
+
+    /// Whether one of them is in touch with the leader.
+    pub(crate) fn has_found(&self) -> bool {
+        self.found_at.is_some()
+    }
+
+    /// An answer of this connection is new enough.
+    pub(crate) fn found(&mut self, now: Millis, number: u64) {
+        self.found_at.get_or_insert(now);
+        for candidate in self.candidates.iter_mut().filter(|one| one.upstream.number == number) {
+            candidate.fresh_at = Some(now);
+        }
     }
 
     /// Who is to be dialed so that so many are asked, of these in their order.
@@ -47,7 +71,7 @@
 
     /// Another one is asked.
     pub(crate) fn add(&mut self, upstream: Upstream) {
-        self.candidates.push(Candidate { upstream, asked_at: None });
+        self.candidates.push(Candidate { upstream, asked_at: None, fresh_at: None });
     }
 
     /// The connection of this number.
@@ -61,9 +85,12 @@
         self.candidates.retain(|candidate| candidate.upstream.number != number);
     }
 
-    /// Takes the connection of this number out and ends all others.
-    pub(crate) fn choose(&mut self, number: u64) -> Option<Upstream> {
-        let at = self.candidates.iter().position(|candidate| candidate.upstream.number == number)?;
+    /// Takes the best connection out on which an answer was new enough lately, once all had the time for one, and ends all
+    /// others.
+    pub(crate) fn choose(&mut self, now: Millis) -> Option<Upstream> {
+        self.found_at.filter(|found_at| now >= found_at + SETTLES)?;
+        let is_fresh = |candidate: &Candidate| candidate.fresh_at.is_some_and(|at| now < at + LATELY);
+        let at = self.candidates.iter().position(is_fresh)?;
         let chosen = self.candidates.swap_remove(at).upstream;
         self.end();
         Some(chosen)
--- a/crates/transport/tests/search.rs
+++ b/crates/transport/tests/search.rs
@@ -36,6 +36,8 @@
     KnowsNothing,
     /// It says nothing more.
     Silent,
+    /// It says that it is when it is asked, and its heartbeats are as before: nobody is left for those.
+    AdmitsIfAsked,
 }
 
 /// A process of control.
@@ -73,6 +75,7 @@
     fn heartbeat(&self) -> Message {
         let fresh = match self.cut.get() {
             Some((Cut::KnowsNothing, since)) => since.elapsed() < VOUCHES,
+            Some((Cut::AdmitsIfAsked, _)) => true,
             cut => cut.is_none(),
         };
         Message::Heartbeat(Heartbeat { leader: None, epoch: 1, fresh, fleet: 1, ..Heartbeat::default() })
@@ -212,6 +215,31 @@
     });
 }
 
+/// Nobody has a leader for a while. With the new one its own process answers first, and a moment later the one that is
+/// followed: not all data planes go over to the leader.
+#[test]
+fn who_is_followed_has_a_moment_to_hear_of_a_new_leader() {
+    on_held_clock(async {
+        let world = World::start(5).await;
+        world.pass(IN_TOUCH).await;
+        let began = Instant::now();
+        world.controls.iter().for_each(|control| control.cut.set(Some((Cut::AdmitsIfAsked, began))));
+        world.pass(LEADERLESS).await;
+        let followed = world.followed();
+        assert_eq!(followed.len(), 1, "one is followed");
+        let leader = (0..5).find(|at| !followed.contains(at)).expect("another one");
+        world.controls[leader].cut.set(None);
+        world.pass(HEARS_OF_IT).await;
+        world.controls.iter().for_each(|control| control.cut.set(None));
+        world.pass(Duration::from_secs(1)).await;
+        assert_eq!(world.followed(), followed, "the leader is {leader}");
+    });
+}
+
+/// Longer than a word of the leader may be old, and shorter than others are followed for.
+const LEADERLESS: Duration = Duration::from_millis(1200);
+const HEARS_OF_IT: Duration = Duration::from_millis(80);
+
 #[test]
 fn the_one_that_is_in_touch_is_found_however_many_admit_that_they_are_cut_off() {
     [2, 3, 5, 9, 13].into_iter().for_each(|count| all_but_one(Cut::Admits, count));
