transport: who is in touch first is followed, not the first in a data plane's own order

Who answers first is least loaded; the first in a data plane's own order may be the reason why it searches.

--- a/crates/transport/src/search.rs
+++ b/crates/transport/src/search.rs
@@ -21,6 +21,8 @@
 struct Candidate {
     upstream: Upstream,
     asked_at: Option<Millis>,
+    /// When an answer of it was new enough first, and last.
+    found_at: Option<Millis>,
     fresh_at: Option<Millis>,
 }
 
@@ -51,6 +53,7 @@
     pub(crate) fn found(&mut self, now: Millis, number: u64) {
         self.found_at.get_or_insert(now);
         for candidate in self.candidates.iter_mut().filter(|one| one.upstream.number == number) {
+            candidate.found_at.get_or_insert(now);
             candidate.fresh_at = Some(now);
         }
     }
@@ -71,7 +74,7 @@
 
     /// Another one is asked.
     pub(crate) fn add(&mut self, upstream: Upstream) {
-        self.candidates.push(Candidate { upstream, asked_at: None, fresh_at: None });
+        self.candidates.push(Candidate { upstream, asked_at: None, found_at: None, fresh_at: None });
     }
 
     /// The connection of this number.
@@ -85,12 +88,13 @@
         self.candidates.retain(|candidate| candidate.upstream.number != number);
     }
 
-    /// Takes the best connection out on which an answer was new enough lately, once all had the time for one, and ends all
-    /// others.
+    /// Takes the connection out on which an answer was new enough first, and is so lately, once all had the time for one, and
+    /// ends all others. Who answers first is least loaded: the first in a data plane's own order may be the reason why it searches.
     pub(crate) fn choose(&mut self, now: Millis) -> Option<Upstream> {
         self.found_at.filter(|found_at| now >= found_at + SETTLES)?;
         let is_fresh = |candidate: &Candidate| candidate.fresh_at.is_some_and(|at| now < at + LATELY);
-        let at = self.candidates.iter().position(is_fresh)?;
+        let fresh = self.candidates.iter().enumerate().filter(|(_, candidate)| is_fresh(candidate));
+        let (at, _) = fresh.min_by_key(|(_, candidate)| candidate.found_at)?;
         let chosen = self.candidates.swap_remove(at).upstream;
         self.end();
         Some(chosen)
