transport: a heartbeat is of its moment only while an answer says so

One that lay in a socket while the data plane stood still, or that comes from a process that does not know that it is cut off, let it spend slices for 30 s more, while the holder keeps slices back for 30 s from when it heard the data plane last. Now a heartbeat passes for fresh only while the dated answers are not too old. Test: transport/tests/search.rs, seen to fail without it.

Names: answers of the leader, not words; the tests' data plane introduces itself in one place.

--- a/crates/control-plane/src/control_plane/contact.rs
+++ b/crates/control-plane/src/control_plane/contact.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// How old the leader's word is on which this process goes; nothing if it may be cut off.
-    fn word_age(&self, now: u64) -> Option<u64> {
+    /// How old the leader's answer is on which this process goes; nothing if it may be cut off.
+    fn confirmation_age(&self, now: u64) -> Option<u64> {
         let (.., current) = self.leader(now);
         if !current {
             return None;
@@ -94,7 +94,7 @@
     /// A data plane asks how old what it is told may be, and gets the records of backends that leave which it lacks.
     pub(super) fn on_freshness_question(&mut self, connection: u64, question: FreshnessQuestion, now: u64) {
         let FreshnessQuestion { number, drains: known } = question;
-        let age_ms = self.word_age(now).map(|age| u32::try_from(age).unwrap_or(u32::MAX));
+        let age_ms = self.confirmation_age(now).map(|age| u32::try_from(age).unwrap_or(u32::MAX));
         let table = self.register.drains();
         // Whoever has more of them lacks none.
         let most = if known > table.last() { 0 } else { RECORDS_AN_ANSWER };
--- a/crates/control-plane/src/faults.rs
+++ b/crates/control-plane/src/faults.rs
@@ -11,6 +11,6 @@
     pub trusts_heartbeats: bool,
     /// A process that is cut off acknowledges that backends drain.
     pub acknowledges_drains: bool,
-    /// Data planes are told that the leader's word is of this moment, however old it is.
+    /// Data planes are told that the leader's answer is of this moment, however old it is.
     pub tells_no_age: bool,
 }
--- a/crates/protocol/src/freshness.rs
+++ b/crates/protocol/src/freshness.rs
@@ -16,7 +16,7 @@
 pub struct FreshnessAnswer {
     /// The question's number.
     pub number: u64,
-    /// How old the leader's word is on which the sender goes, in ms; nothing if the sender may be cut off.
+    /// How old the leader's answer is on which the sender goes, in ms; nothing if the sender may be cut off.
     pub age_ms: Option<u32>,
     /// The number of the sender's newest record of a backend that leaves.
     pub drains: u64,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -350,7 +350,8 @@
     Whole,
     /// The place of a message that is spoken no more: `bitcode` goes by the order of variants.
     Retired,
-    /// A data plane says that it has ended: it admits no request and spends nothing from now on.
+    /// A data plane says that it has ended: it admits no request and spends nothing from now on. A process that serves
+    /// control says that it is about to end: a leader takes it off an even list of voters.
     Leave,
     /// The answer to it: the sender counts it no more, and has passed that on.
     LeaveAccepted,
--- a/crates/transport/src/follower.rs
+++ b/crates/transport/src/follower.rs
@@ -1,5 +1,5 @@
 //! Follows the news: one process that serves control at a time, another one when that falls silent or behind, or when its
-//! word of the leader is too old; and a connection to the holder of the counts.
+//! answer is too old; and a connection to the holder of the counts.
 
 use crate::config_snapshots;
 use crate::drain_records::DrainRecords;
@@ -68,7 +68,7 @@
     pub seeds: Vec<SocketAddr>,
     /// By which ways others are reached.
     pub ways: Detours,
-    /// How old the leader's word may be, in ms, before others than the one that is followed are asked for it.
+    /// How old the leader's answer may be, in ms, before others than the one that is followed are asked for it.
     pub stale_after: u64,
 }
 
@@ -303,7 +303,7 @@
         upstream.send(&freshness_question(number, &self.drain_records));
     }
 
-    /// The best of those that are in touch with the leader is followed from now on, where the present one is not, unless a
+    /// The first of those that are in touch with the leader is followed from now on, where the present one is not, unless a
     /// message of that one is on its way.
     fn go_over(&mut self, now: u64) {
         if self.part_at.is_some_and(|at| now < at + ON_ITS_WAY) {
@@ -456,7 +456,9 @@
                     (self.news)(Update::HolderAssignment(self.assignment.clone()));
                 }
                 self.tend_holders();
-                (self.news)(Update::Heartbeat(heartbeat));
+                // It may have lain in a socket, or come from one that does not know that it is cut off.
+                let fresh = heartbeat.fresh && !self.freshness.is_stale(now);
+                (self.news)(Update::Heartbeat(Heartbeat { fresh, ..heartbeat }));
             }
             Message::ConfigSnapshot(config_snapshot) => {
                 self.doubtful = Some(config_snapshot);
--- a/crates/transport/src/freshness.rs
+++ b/crates/transport/src/freshness.rs
@@ -1,7 +1,7 @@
 //! How old what a data plane goes by may be: bounded staleness (Terry et al., 2013), by the steady clock of the data
 //! plane alone. State machine without I/O or clock.
 //!
-//! Whoever serves control says how old the leader's word is on which it goes, and the answer counts from when the question
+//! Whoever serves control says how old the leader's answer is on which it goes, and its own answer counts from when the question
 //! was sent. So neither a link that holds messages back nor a process that does not know that it is cut off makes anything
 //! younger than it is. Once the newest answer is too old, other processes are asked, twice as many with each step: each
 //! that is in touch with the leader answers at once, however many that are not were asked before.
@@ -111,10 +111,14 @@
         now.saturating_sub(as_of) < self.stale_after / 2
     }
 
+    /// Whether what is known is too old to go by. Never where nobody answers.
+    pub fn is_stale(&self, now: Millis) -> bool {
+        self.is_understood && self.age(now) >= self.stale_after
+    }
+
     /// How many processes are to be asked now beside the one that is followed.
     pub fn width(&mut self, now: Millis) -> usize {
-        let is_stale = self.is_understood && now >= self.as_of + self.stale_after;
-        if is_stale {
+        if self.is_stale(now) {
             self.searched_since.get_or_insert(now);
         } else if self.is_recent(now, self.as_of) {
             self.searched_since = None;
--- a/crates/transport/tests/follower.rs
+++ b/crates/transport/tests/follower.rs
@@ -1,10 +1,13 @@
 //! Answers to lease requests: each goes to its own request, on the connection that carried it.
 
+#[path = "support/data_plane.rs"]
+mod data_plane;
 #[path = "support/held_clock.rs"]
 mod held_clock;
 
+use data_plane::hello;
 use held_clock::on_held_clock;
-use protocol::{ConfigSnapshot, Heartbeat, Hello, Message, Plane};
+use protocol::{ConfigSnapshot, Heartbeat, Message};
 use quota::{Epoch, Grant, LeaseRequest};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -41,15 +44,7 @@
     async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let me = Hello {
-            name: "q".into(),
-            life: 1,
-            plane: Plane::DataPlane,
-            address: String::new(),
-            zone: "z".into(),
-            quorum: false,
-            incarnation: None,
-        };
+        let me = hello("q");
         let heard = Rc::<RefCell<Vec<Heard>>>::default();
         let noted = heard.clone();
         let news = move |news| match news {
--- a/crates/transport/tests/leaving.rs
+++ b/crates/transport/tests/leaving.rs
@@ -1,7 +1,11 @@
 //! The last word of a data plane: said on every connection, again on the next one, until it is accepted.
 
+#[path = "support/data_plane.rs"]
+mod data_plane;
+
 use config::Detours;
-use protocol::{Heartbeat, Hello, Message, Plane};
+use data_plane::hello;
+use protocol::{Heartbeat, Message};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -26,15 +30,7 @@
 }
 
 fn follower(seed: SocketAddr) -> ControlFollower {
-    let me = Hello {
-        name: "a".into(),
-        life: 1,
-        plane: Plane::DataPlane,
-        address: "127.0.0.1:1".into(),
-        zone: "z".into(),
-        quorum: false,
-        incarnation: None,
-    };
+    let me = hello("a");
     ControlFollower::start(
         FollowerSettings { me, seeds: vec![seed], ways: Detours::default(), stale_after: 900 },
         |_| {},
--- a/crates/transport/tests/line.rs
+++ b/crates/transport/tests/line.rs
@@ -1,6 +1,10 @@
 //! A frame of megabytes on a slow link goes through for as long as the peer takes some of it.
 
-use protocol::{Garbled, Held, Hello, Message, Plane};
+#[path = "support/data_plane.rs"]
+mod data_plane;
+
+use data_plane::hello;
+use protocol::{Garbled, Held, Message};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, duplex};
 use tokio::net::{TcpListener, TcpStream};
@@ -44,18 +48,6 @@
     assert!(!whole && took < Duration::from_secs(7), "{whole} after {took:?}");
 }
 
-fn hello(name: String) -> Message {
-    Message::Hello(Hello {
-        name,
-        life: 1,
-        plane: Plane::DataPlane,
-        address: "10.0.0.1:7660".into(),
-        zone: "z".into(),
-        quorum: false,
-        incarnation: None,
-    })
-}
-
 /// Whoever connects may be anybody: before it has said who it is a long frame is not even read. Afterwards it is.
 #[test]
 fn the_first_frame_of_a_connection_that_came_is_short() {
@@ -69,7 +61,7 @@
             let (line, _replies) = attach(near, address);
             let (_line, mut reader) = attach(stream, peer);
             reader.expect_hello();
-            line.send(&hello(name.clone()));
+            line.send(&Message::Hello(hello(&name)));
             line.send(&Message::Heard(vec![("i".repeat(5000), 1)]));
             line.send(&Message::Follow { have: Held::default() });
             match reader.next().await {
--- a/crates/transport/tests/search.rs
+++ b/crates/transport/tests/search.rs
@@ -1,11 +1,14 @@
 //! Whom a data plane follows while many processes of control are cut off from the leader: it finds the one that is not,
 //! however many it has asked before.
 
+#[path = "support/data_plane.rs"]
+mod data_plane;
 #[path = "support/held_clock.rs"]
 mod held_clock;
 
+use data_plane::hello;
 use held_clock::on_held_clock;
-use protocol::{Backend, ControlPlaneAddress, FreshnessAnswer, Heartbeat, Hello, Message, Phase, Plane};
+use protocol::{Backend, ControlPlaneAddress, FreshnessAnswer, Heartbeat, Message, Phase};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,6 +56,8 @@
     addresses: Vec<SocketAddr>,
     /// When the data plane was told that the backend leaves.
     leaving_at: Rc<Cell<Option<Instant>>>,
+    /// Whether the newest heartbeat that the data plane was given is of its moment.
+    is_fresh: Rc<Cell<bool>>,
     _follower: ControlFollower,
 }
 
@@ -151,8 +156,13 @@
         }
         let leaving_at = Rc::<Cell<Option<Instant>>>::default();
         let noted = leaving_at.clone();
+        let is_fresh = Rc::<Cell<bool>>::default();
+        let fresh = is_fresh.clone();
         let phase = RefCell::new(Phase::Serving);
         let news = move |update| {
+            if let Update::Heartbeat(heartbeat) = &update {
+                fresh.set(heartbeat.fresh);
+            }
             if let Update::Backends { backends, .. } = update {
                 let newest = backends.iter().map(|backend| backend.phase).max().unwrap_or(Phase::Serving);
                 let mut phase = phase.borrow_mut();
@@ -162,19 +172,11 @@
                 }
             }
         };
-        let me = Hello {
-            name: "q".into(),
-            life: 1,
-            plane: Plane::DataPlane,
-            address: String::new(),
-            zone: "z".into(),
-            quorum: false,
-            incarnation: None,
-        };
+        let me = hello("q");
         let (seeds, ways) = (addresses.clone(), config::Detours::default());
         let stale_after = freshness::stale_after(BOUND);
         let follower = ControlFollower::start(FollowerSettings { me, seeds, ways, stale_after }, news);
-        Self { controls, addresses, leaving_at, _follower: follower }
+        Self { controls, addresses, leaving_at, is_fresh, _follower: follower }
     }
 
     /// Lets so much time pass; what is on the sockets comes through meanwhile.
@@ -236,7 +238,25 @@
     });
 }
 
-/// Longer than a word of the leader may be old, and shorter than others are followed for.
+/// Heartbeats that lay in a socket while this process stood still, or that one sends who does not know that it is cut off, say
+/// that they are of this moment. They pass for that only while an answer says so.
+#[test]
+fn heartbeats_are_of_this_moment_only_while_answers_are() {
+    on_held_clock(async {
+        let world = World::start(2).await;
+        world.pass(IN_TOUCH).await;
+        assert!(world.is_fresh.get());
+        let began = Instant::now();
+        world.controls.iter().for_each(|control| control.cut.set(Some((Cut::AdmitsIfAsked, began))));
+        world.pass(2 * LEADERLESS).await;
+        assert!(!world.is_fresh.get(), "it goes by heartbeats alone");
+        world.controls.iter().for_each(|control| control.cut.set(None));
+        world.pass(LEADERLESS).await;
+        assert!(world.is_fresh.get(), "it is in touch again");
+    });
+}
+
+/// Longer than an answer may be old, and shorter than others are followed for.
 const LEADERLESS: Duration = Duration::from_millis(1200);
 const HEARS_OF_IT: Duration = Duration::from_millis(80);
 
--- /dev/null
+++ b/crates/transport/tests/support/data_plane.rs
@@ -0,0 +1,15 @@
+//! A data plane, as it introduces itself.
+
+use protocol::{Hello, Plane};
+
+pub fn hello(name: &str) -> Hello {
+    Hello {
+        name: name.to_owned(),
+        life: 1,
+        plane: Plane::DataPlane,
+        address: String::new(),
+        zone: "z".into(),
+        quorum: false,
+        incarnation: None,
+    }
+}
