Review case 2: taking a tenant away can abort data planes

Cause: a request that waits for a lease of a tenant that a configuration removes is refused with an infinite delay; its conversion panics, and a panic aborts the process.

--- a/review/standin/src/cut.rs
+++ b/review/standin/src/cut.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{Backend, Runs};
 use crate::client::{send, Outcome, Random, Request};
-use crate::fleet::{is_ready, Fleet};
+use crate::fleet::{is_ready, Fleet, Links};
 use crate::operator::{configuration, replace, Tenant};
 use crate::record::Record;
 use crate::Verdict;
@@ -33,7 +33,7 @@
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
-    let fleet = Arc::new(Fleet::start(record.clone(), 4, Some(ISLAND))?);
+    let fleet = Arc::new(Fleet::start(record.clone(), 4, Links::Island(ISLAND))?);
     let tenants: Vec<Tenant> = (0..8).map(|n| Tenant { label: format!("tenant{n}"), rate: 100 }).collect();
     let all: Vec<&Tenant> = tenants.iter().collect();
     replace(&fleet, 0, 1, &configuration(1, &all, 3000, &[]), Duration::from_secs(20))?;
