--- a/review/standin/src/cut.rs
+++ b/review/standin/src/cut.rs
@@ -34,7 +34,8 @@
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
     let fleet = Arc::new(Fleet::start(record.clone(), 4, Links::Island(ISLAND))?);
-    let tenants: Vec<Tenant> = (0..8).map(|n| Tenant { label: format!("tenant{n}"), rate: 100 }).collect();
+    let tenants: Vec<Tenant> =
+        (0..8).map(|n| Tenant { label: format!("tenant{n}"), rate: 100, burst: 100 }).collect();
     let all: Vec<&Tenant> = tenants.iter().collect();
     replace(&fleet, 0, 1, &configuration(1, &all, 3000, &[]), Duration::from_secs(20))?;
     let runs = Arc::new(Runs::default());
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -40,6 +40,8 @@
 /// Which links between machines go through relays.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Links {
+    /// None.
+    Direct,
     /// All links of this machine, which can be cut.
     Island(usize),
     /// All links between zones, which have the delay of the deployment.
@@ -186,6 +188,7 @@
 
     fn start_relays(&self, edges: usize) {
         match self.links {
+            Links::Direct => {}
             Links::Island(island) => {
                 for port in [PEERS, CONTROL] {
                     let (at, to) = (self.relay_to_island(island), self.ip(island));
@@ -214,6 +217,7 @@
             (0..3).filter(|m| *m != n).filter_map(way).collect::<Vec<_>>().join(",")
         };
         let ways = match self.links {
+            Links::Direct => return String::new(),
             Links::Island(island) if island == n => others(&|m| Some(self.relay_from_island(m))),
             Links::Island(island) => others(&|m| (m == island).then(|| self.relay_to_island(island))),
             Links::Zones => others(&|m| (m != n % 3).then(|| self.relay_between_zones(n % 3, m))),
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,6 +11,7 @@
 mod operator;
 mod record;
 mod relay;
+mod requota;
 mod tenants;
 
 use record::Record;
@@ -41,6 +42,7 @@
     let result = match case.as_str() {
         "tenants" => tenants::run(&record, trouble),
         "cut" => cut::run(&record, trouble),
+        "requota" => requota::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     match result {
--- a/review/standin/src/operator.rs
+++ b/review/standin/src/operator.rs
@@ -7,6 +7,7 @@
 pub struct Tenant {
     pub label: String,
     pub rate: u32,
+    pub burst: u32,
 }
 
 /// A configuration with one route for reads and one for bookings, and further routes for reads at `more` prefixes.
@@ -15,8 +16,8 @@
         .iter()
         .map(|t| {
             format!(
-                r#""{0}":{{"api_keys":["key-{0}"],"rank":1,"rate_per_s":{1},"burst_size":{1}}}"#,
-                t.label, t.rate
+                r#""{0}":{{"api_keys":["key-{0}"],"rank":1,"rate_per_s":{1},"burst_size":{2}}}"#,
+                t.label, t.rate, t.burst
             )
         })
         .collect();
--- a/review/standin/src/tenants.rs
+++ b/review/standin/src/tenants.rs
@@ -38,7 +38,7 @@
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
     let fleet = Arc::new(Fleet::start(record.clone(), GATEWAYS, Links::Zones)?);
     let tenants: Vec<Tenant> =
-        (0..TENANTS).map(|n| Tenant { label: format!("tenant{n:03}"), rate: 40 }).collect();
+        (0..TENANTS).map(|n| Tenant { label: format!("tenant{n:03}"), rate: 40, burst: 40 }).collect();
     let all: Vec<&Tenant> = tenants.iter().collect();
     let staying: Vec<&Tenant> = tenants.iter().skip(LEAVING).collect();
     let routes: Vec<String> = (0..ROUTES).map(|n| format!("/more{n:03}/")).collect();
