--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -74,6 +74,15 @@
     }
 }
 
+/// All processes that were started, so that they can be ended however a case ends.
+static STARTED: Mutex<Vec<Arc<Process>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started.
+pub fn end_all() {
+    let started = STARTED.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    started.iter().for_each(|process| process.kill());
+}
+
 impl Process {
     fn spawn(&self) -> std::io::Result<Child> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
@@ -152,6 +161,7 @@
             fleet.machines.push(machine);
         }
         for process in fleet.processes() {
+            STARTED.lock().unwrap().push(process.clone());
             let child = process.spawn().map_err(|e| format!("target/release/reachlb: {e}"))?;
             *process.child.lock().unwrap() = Some(child);
             fleet.watch(process);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -18,6 +18,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// A case runs for 120 s at most.
+const LONGEST: Duration = Duration::from_secs(117);
 
 /// What a case came to.
 pub enum Verdict {
@@ -39,12 +43,22 @@
             return ExitCode::from(2);
         }
     };
-    let result = match case.as_str() {
-        "tenants" => tenants::run(&record, trouble),
+    let watchdog = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(LONGEST);
+        fleet::end_all();
+        watchdog.say("the case could not run: it took too long");
+        std::process::exit(2);
+    });
+    let run = || match case.as_str() {
         "cut" => cut::run(&record, trouble),
+        "tenants" => tenants::run(&record, trouble),
         "requota" => requota::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Err("the stand-in panicked".into()));
+    fleet::end_all();
     match result {
         Ok(Verdict::Held) => {
             record.say("the rule held");
--- a/review/standin/src/tenants.rs
+++ b/review/standin/src/tenants.rs
@@ -12,15 +12,15 @@
 
 const TENANTS: usize = 190;
 /// So many of the tenants go and come back.
-const LEAVING: usize = 95;
+const LEAVING: usize = 140;
 /// Routes beyond the two that are used.
 const ROUTES: usize = 350;
 const WORKERS: usize = 96;
 /// Requests that each worker sends a second.
-const RATE: f64 = 7.0;
+const RATE: f64 = 10.0;
 const QUIET: Duration = Duration::from_secs(20);
 const CHANGING: Duration = Duration::from_secs(70);
-const BETWEEN: Duration = Duration::from_millis(1500);
+const BETWEEN: Duration = Duration::from_millis(700);
 const ANSWER: usize = 400;
 const GATEWAYS: usize = 6;
 const DEADLINE_MS: u64 = 3000;
