reachlb: a panic is logged with the calls that led to it

Cause: a panic left only the standard text, with the location inside the standard library where a conversion gave up (`core/src/time.rs`). Which caller passed the value could not be told from the log, nor was the text a line of JSON.

Change: a panic hook logs one line of step `panic`, level critical, with the message and the backtrace, before the standard text.

--- a/crates/reachlb/src/lib.rs
+++ b/crates/reachlb/src/lib.rs
@@ -8,6 +8,7 @@
 mod founder;
 mod logs;
 pub mod operator;
+mod panic_log;
 mod run_control_plane;
 mod run_data_plane;
 mod start;
@@ -53,7 +54,7 @@
         }
     };
     settings.tuning.failure_detection |= overrides.watching;
-    if let Err(error) = logs::start(&settings.tuning.log_level) {
+    if let Err(error) = start_logs(&settings.tuning.log_level) {
         eprintln!("logs: {error}");
         return ExitCode::from(EXIT_INVALID_INPUT);
     }
@@ -70,3 +71,14 @@
         }
     }
 }
+
+/// Starts the log of this process, which writes lines of the given level and above, panics included. An unknown level
+/// means `info`.
+///
+/// # Errors
+/// Returns an error when the logger cannot be created.
+pub fn start_logs(level: &str) -> Result<(), spdlog::Error> {
+    logs::start(level)?;
+    panic_log::install();
+    Ok(())
+}
