Lease cache: a removed tenant leaves no state behind, and its waiting requests are refused at once

Cause: a removed tenant whose requests waited for a lease kept its state, marked by a window that ends at infinity. Each refusal by that state had an infinite delay, at whose conversion to a Duration the process aborts: the next tick, a request that asked for a unit after the configuration, and each request of a tenant that came back beside a grant of the same window, which did not replace the mark.

Change: LeaseCache::set_quotas returns the decisions on the waiting requests of removed tenants, as `close` does, and drops their state. Why it works: no state of a removed tenant is left that could refuse or come back.

--- a/crates/quota/src/lease_cache.rs
+++ b/crates/quota/src/lease_cache.rs
@@ -34,6 +34,8 @@
 /// Maximum number of waiting requests, per tenant and in total.
 const MAX_WAITING_PER_TENANT: usize = 512;
 const MAX_WAITING: usize = 4096;
+/// Retry delay of a refusal for a tenant that the configuration does not name.
+const UNKNOWN_TENANT_RETRY_DELAY: Millis = 1000.0;
 /// Refused requests may retry after the window's end plus a random part of this fraction of a window.
 const RETRY_JITTER_RATIO: f64 = 0.25;
 
@@ -54,6 +56,11 @@
     },
 }
 
+impl Verdict {
+    /// The refusal of a request whose tenant the configuration does not name.
+    const UNKNOWN_TENANT: Self = Self::Refused { retry_after: UNKNOWN_TENANT_RETRY_DELAY };
+}
+
 /// Statistics of one tenant at this gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TenantStats {
@@ -166,8 +173,8 @@
     }
 
     /// Applies a configuration. Current blocks expire with their windows. Removed tenants are dropped, and their
-    /// waiting requests are refused at the next `tick`.
-    pub fn set_quotas(&mut self, now: Millis, quotas: Vec<Quota>) {
+    /// waiting requests are refused at once.
+    pub fn set_quotas(&mut self, now: Millis, quotas: Vec<Quota>, out: &mut Vec<(u64, Verdict)>) {
         let mut previous = std::mem::take(&mut self.tenants);
         for quota in quotas {
             let mut tenant = previous
@@ -178,11 +185,9 @@
             tenant.burst = quota.burst.max(0.0);
             self.tenants.insert(quota.tenant, tenant);
         }
-        // Requests of a removed tenant may still wait for a decision. The tenant's state is kept, without any units,
-        // until these requests are refused.
-        for (name, mut tenant) in previous.into_iter().filter(|(_, state)| !state.waiting.is_empty()) {
-            tenant.mark_removed(now);
-            self.tenants.insert(name, tenant);
+        for removed in previous.into_values() {
+            self.waiting_count -= removed.waiting.len();
+            out.extend(removed.waiting.into_iter().map(|(request, _)| (request, Verdict::UNKNOWN_TENANT)));
         }
     }
 
@@ -275,7 +280,7 @@
         let random = self.random_fraction();
         let (fleet_size, may_use_slices) = (self.fleet_size, self.may_use_slices(now));
         let cache_full = self.waiting_count >= MAX_WAITING;
-        let Some(state) = self.tenants.get_mut(name) else { return Verdict::Refused { retry_after: 1000.0 } };
+        let Some(state) = self.tenants.get_mut(name) else { return Verdict::UNKNOWN_TENANT };
         let silent = self.holders.get_mut(state.holder_index).is_some_and(|holder| holder.is_silent(now));
         if state.params.is_none() {
             state.granted += 1;
--- a/crates/quota/src/lease_cache/tenant_state.rs
+++ b/crates/quota/src/lease_cache/tenant_state.rs
@@ -131,12 +131,6 @@
         (needed, target.saturating_sub(self.block).max(needed))
     }
 
-    pub(super) fn mark_removed(&mut self, now: Millis) {
-        self.advance_window(now);
-        (self.block, self.remaining, self.window_ends_at) = (0, 0, f64::INFINITY);
-        self.waiting.iter_mut().for_each(|(_, deadline)| *deadline = now);
-    }
-
     /// Applies a holder's grant. The window's end is counted from when the request was sent, so the block expires
     /// early rather than late.
     pub(super) fn apply_grant(&mut self, now: Millis, sent_at: Millis, tenant_grant: &TenantGrant) {
--- a/crates/testbed/src/capacity/costs.rs
+++ b/crates/testbed/src/capacity/costs.rs
@@ -138,7 +138,7 @@
 
 fn lease_cache(size: &Size) -> LeaseCache {
     let mut cache = LeaseCache::new(7);
-    cache.set_quotas(0.0, quotas(size));
+    cache.set_quotas(0.0, quotas(size), &mut Vec::new());
     cache.set_assignment(&assignment());
     cache.set_fleet_size(size.gateways as u32);
     cache.record_contact(0.0);
--- a/crates/testbed/src/capacity/memory.rs
+++ b/crates/testbed/src/capacity/memory.rs
@@ -76,7 +76,7 @@
 
 fn lease_cache(inputs: &Inputs) -> LeaseCache {
     let mut cache = LeaseCache::new(7);
-    cache.set_quotas(0.0, inputs.quotas.clone());
+    cache.set_quotas(0.0, inputs.quotas.clone(), &mut Vec::new());
     cache
 }
 
