Lease cache: requests that wait while their tenant's quota is lifted are granted at once

Callers saw: a tenant's quota is lifted (rate 0), and requests of that tenant that wait for a lease wait on; if the lease request is lost they are refused at their deadline, although nothing limits the tenant.

Cause: waiting requests are decided by a grant or by their deadline, and no lease is requested for a tenant without a limit.

No run of real processes has shown it.

Change: LeaseCache::set_quotas grants them. With it the test passes.

--- a/crates/quota/src/lease_cache.rs
+++ b/crates/quota/src/lease_cache.rs
@@ -173,7 +173,8 @@
     }
 
     /// Applies a configuration. Current blocks expire with their windows. Removed tenants are dropped, and their
-    /// waiting requests are refused at once.
+    /// waiting requests are refused at once. Waiting requests of a tenant that has no limit any more are granted at
+    /// once.
     pub fn set_quotas(&mut self, now: Millis, quotas: Vec<Quota>, out: &mut Vec<(u64, Verdict)>) {
         let mut previous = std::mem::take(&mut self.tenants);
         for quota in quotas {
@@ -183,6 +184,10 @@
             tenant.params = WindowParams::from_quota(&quota);
             tenant.holder_index = self.assignment.holder_index(&quota.tenant).unwrap_or(0);
             tenant.burst = quota.burst.max(0.0);
+            if tenant.params.is_none() {
+                self.waiting_count -= tenant.waiting.len();
+                tenant.grant_all_waiting(out);
+            }
             self.tenants.insert(quota.tenant, tenant);
         }
         for removed in previous.into_values() {
--- a/crates/quota/src/lease_cache/tenant_state.rs
+++ b/crates/quota/src/lease_cache/tenant_state.rs
@@ -187,4 +187,10 @@
             out.push((request, verdict));
         }
     }
+
+    /// Grants all waiting requests of a tenant without a limit.
+    pub(super) fn grant_all_waiting(&mut self, out: &mut Vec<(u64, Verdict)>) {
+        self.granted += self.waiting.len() as u64;
+        out.extend(self.waiting.drain(..).map(|(request, _)| (request, Verdict::Granted)));
+    }
 }
--- a/crates/quota/tests/table_changes.rs
+++ b/crates/quota/tests/table_changes.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// Guards against requests that wait for a lease until their deadline although their tenant has no limit any more. The
+/// grant on its way is lost, and no lease is requested for a tenant without a limit.
+#[test]
+fn waiting_requests_of_a_tenant_that_becomes_unlimited_are_granted_at_once() {
+    let (mut cache, _, lost) = cache_with_waiting_request();
+    cache.request_failed(3.0, lost.number);
+    let verdicts = apply(&mut cache, 4.0, vec![quota(TENANT, 0.0, 0.0)]);
+    assert!(matches!(verdicts[..], [(_, Verdict::Granted)]), "{verdicts:?}");
+    assert_eq!(cache.stats()[0].waiting, 0);
+}
+
 /// Random number generator (splitmix64).
 struct Random(u64);
 
