Lease cache: a grant of a window without an end is ignored, and no conversion of a time can abort

Callers could see: the same abort as with removed tenants. No sound holder sends such a grant; a fault in one, or another version, would end all data planes that ask it.

Cause: times come from the wire as f64 and were taken as they came, and LeaseClient converted them with Duration::from_secs_f64, which panics beyond the range of a Duration.

No run of real processes has shown it.

Change: the grant of a window that does not end within a minute is ignored and asked for again after RETRY_DELAY; LeaseClient uses http-proxy's conversions, which are total, in place of its own.

--- a/crates/data-plane/src/lease_client.rs
+++ b/crates/data-plane/src/lease_client.rs
@@ -4,6 +4,7 @@
 //! units that the holder grants to one gateway for a limited time. A client request spends one unit.
 
 use crate::{Admission, AdmissionDecision};
+use http_proxy::time::clock::{millis, to_duration};
 use quota::{Grant, HolderAssignment, LeaseCache, LeaseRequest, Quota, Verdict};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -48,7 +49,7 @@
 
     /// The time since the start, in ms, which is the clock of the lease cache.
     fn now_ms(&self) -> f64 {
-        self.started.elapsed().as_secs_f64() * 1000.0
+        millis(self.started.elapsed())
     }
 
     /// Applies the quotas of a newer configuration.
@@ -98,7 +99,7 @@
         for (request, verdict) in verdicts {
             let result = match verdict {
                 Verdict::Granted => Ok(()),
-                Verdict::Refused { retry_after } => Err(from_ms(retry_after)),
+                Verdict::Refused { retry_after } => Err(to_duration(retry_after)),
                 Verdict::Wait { .. } => continue,
             };
             let Some((tenant, sender)) = self.waiting.borrow_mut().remove(&request) else { continue };
@@ -129,7 +130,7 @@
             lease_client.deliver(verdicts);
             lease_client.send_lease_requests();
             let due = lease_client.cache.borrow().next_deadline();
-            let due = due.map(|due| lease_client.started + from_ms(due.max(lease_client.now_ms() + 1.0)));
+            let due = due.map(|due| lease_client.started + to_duration(due.max(lease_client.now_ms() + 1.0)));
             let due = due.unwrap_or_else(|| Instant::now() + Duration::from_millis(500));
             tokio::select! {
                 () = sleep_until(due) => {}
@@ -143,12 +144,11 @@
     fn acquire(&self, tenant: &str, max_wait: Duration) -> AdmissionDecision {
         let (now, request) = (self.now_ms(), self.next_request.get());
         self.next_request.set(request + 1);
-        let max_wait_ms = max_wait.as_secs_f64() * 1000.0;
-        let verdict = self.cache.borrow_mut().admit(now, request, tenant, max_wait_ms);
+        let verdict = self.cache.borrow_mut().admit(now, request, tenant, millis(max_wait));
         let decision = match verdict {
             Verdict::Granted => AdmissionDecision::Granted,
             Verdict::Refused { retry_after } => {
-                AdmissionDecision::Refused { retry_after: from_ms(retry_after) }
+                AdmissionDecision::Refused { retry_after: to_duration(retry_after) }
             }
             Verdict::Wait { .. } => {
                 let (sender, receiver) = oneshot::channel();
@@ -168,7 +168,3 @@
         self.cache.borrow_mut().return_unit(self.now_ms(), tenant);
     }
 }
-
-fn from_ms(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis.max(0.0) / 1000.0)
-}
--- a/crates/data-plane/tests/lease_client.rs
+++ b/crates/data-plane/tests/lease_client.rs
@@ -36,12 +36,17 @@
 
     /// Answers the last lease request with units of a window that lasts for a minute.
     fn grant(&self, granted: u32, remaining: u32) {
+        self.grant_until(granted, remaining, 60_000.0);
+    }
+
+    /// Answers the last lease request with units of a window that ends in `ends_in` ms.
+    fn grant_until(&self, granted: u32, remaining: u32, ends_in: f64) {
         let tenant_grant = TenantGrant {
             tenant: TENANT.into(),
             window: 1,
             granted,
             remaining,
-            ends_in: 60_000.0,
+            ends_in,
             status: CounterStatus::Open,
         };
         self.lease_client.apply_grant(Grant {
@@ -119,3 +124,19 @@
         assert_eq!(returned.await.expect("a decision"), Ok(()));
     });
 }
+
+/// Guards against an abort, and against units without an end, by a grant whose window does not end.
+#[test]
+fn a_grant_of_a_window_without_an_end_is_ignored() {
+    run(async {
+        for ends_in in [f64::INFINITY, f64::NAN, f64::NEG_INFINITY, f64::MAX] {
+            let gateway = Gateway::start(|_| true);
+            let waiting = gateway.wait_for_unit();
+            gateway.grant_until(0, 0, ends_in);
+            // The request waits on, and is decided by the answer to the next lease request.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            gateway.grant(1, 0);
+            assert_eq!(waiting.await.expect("a decision"), Ok(()), "{ends_in}");
+        }
+    });
+}
--- a/crates/quota/src/lease_cache.rs
+++ b/crates/quota/src/lease_cache.rs
@@ -34,6 +34,8 @@
 /// Maximum number of waiting requests, per tenant and in total.
 const MAX_WAITING_PER_TENANT: usize = 512;
 const MAX_WAITING: usize = 4096;
+/// Longest time until the end of a granted window. No window of a holder, closed or open, ends later.
+const MAX_GRANT_TIME: Millis = 60_000.0;
 /// Retry delay of a refusal for a tenant that the configuration does not name.
 const UNKNOWN_TENANT_RETRY_DELAY: Millis = 1000.0;
 /// Refused requests may retry after the window's end plus a random part of this fraction of a window.
@@ -433,8 +435,9 @@
         out
     }
 
-    /// Handles a holder's answer. An answer from a former holder or to an abandoned request is ignored. No gateway
-    /// spends the units of an ignored answer, although the counter counts them as granted until their window ends.
+    /// Handles a holder's answer. An answer from a former holder or to an abandoned request is ignored, and so is the
+    /// grant of a window whose end is not a time in the near future. No gateway spends the units of an ignored answer,
+    /// although the counter counts them as granted until their window ends.
     pub fn handle_grant(&mut self, now: Millis, grant: Grant, out: &mut Vec<(u64, Verdict)>) {
         let answered =
             self.holders.iter_mut().find_map(|holder| Some((holder.take_in_flight(grant.number)?, holder)));
@@ -460,6 +463,10 @@
             else {
                 continue;
             };
+            if !(0.0..=MAX_GRANT_TIME).contains(&tenant_grant.ends_in) {
+                state.retry_at = now + RETRY_DELAY;
+                continue;
+            }
             state.in_flight = None;
             state.apply_grant(now, sent.sent_at, &tenant_grant);
             let waiting_before = state.waiting.len();
