--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -15,6 +15,7 @@
 pub mod load_metrics;
 pub mod membership;
 mod node_faults;
+mod table;
 use load_metrics::LoadMetrics;
 
 const LOG_LEASE: f64 = 230.0;
@@ -75,6 +76,7 @@
     ContactTimer(usize),
     HeartbeatTimer(usize),
     ClientRequest(usize),
+    TableUpdate(Node),
 }
 
 struct Scheduled {
@@ -157,6 +159,8 @@
     client_rng: Rng,
     pub metrics: LoadMetrics,
     loads: Vec<Load>,
+    /// Tenants that the configuration does not name, as indexes of `loads`.
+    absent_tenants: BTreeSet<usize>,
     control_planes: Vec<ControlPlane>,
     gateways: Vec<Gateway>,
     queue: BinaryHeap<Reverse<Scheduled>>,
@@ -193,6 +197,7 @@
             client_rng: Rng(seed ^ 0x5eed),
             metrics,
             loads,
+            absent_tenants: BTreeSet::new(),
             control_planes: Vec::new(),
             gateways: Vec::new(),
             queue: BinaryHeap::new(),
@@ -262,7 +267,9 @@
     }
 
     fn quotas(&self) -> Vec<Quota> {
-        self.loads.iter().map(|load| load.quota.clone()).collect()
+        let present =
+            self.loads.iter().enumerate().filter(|(tenant, _)| !self.absent_tenants.contains(tenant));
+        present.map(|(_, load)| load.quota.clone()).collect()
     }
 
     fn schedule(&mut self, at: f64, event: Event) {
@@ -358,6 +365,7 @@
                 self.send_heartbeats(index);
                 self.schedule(now + HEARTBEAT_INTERVAL, Event::HeartbeatTimer(index));
             }
+            Event::TableUpdate(node) => self.update_table(node),
             Event::ClientRequest(tenant) => {
                 self.handle_client_request(tenant);
                 self.schedule_request(tenant, now);
