Registry: a silence that one process notices is not the end of a backend

Cause: a process that hears nothing of a backend for 60 s marked it as gone, as if it had announced its end, and sent that to all as its connections were back. An end wins over any later call.

Change: silence is a state of its own. It is local, is left out of what other control planes get, reaches data planes as a complete list without the backend, and is refuted by any newer call. A process without contact with the leader concludes nothing from silence. Why it works: only what a backend said, or what another instance at its address shows, is passed on as final.

--- a/crates/control-plane/src/control_plane/updates.rs
+++ b/crates/control-plane/src/control_plane/updates.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use failure_detector::MemberState;
-use protocol::Departure;
+use protocol::{Departure, Phase};
 
 impl ControlPlane {
     pub(super) fn heartbeat_for(&self, connection: u64, now: u64) -> Heartbeat {
@@ -126,15 +126,19 @@
         if !heartbeats.is_empty() {
             self.send_to_control_planes(&Message::BackendHeartbeats(heartbeats));
         }
-        let changed = self.register.sweep(now);
-        self.publish_backends(changed, Origin::Silence);
+        let (.., current) = self.leader(now);
+        if !current {
+            self.register.disregard_silence(now);
+        }
+        let swept = self.register.sweep(now);
+        self.publish_backends(swept.overdue, Origin::Silence);
+        self.publish_silent_backends(now, swept.silent);
         self.maintain_voters(now);
         self.count_data_planes(now);
         self.apply_neighbor_watch(now);
         self.maintain_directory(now);
         self.send_to_control_planes(&Message::ControlPlanes(self.connected_addresses(now)));
         self.fleet.sweep(now);
-        let (.., current) = self.leader(now);
         // An isolated or newly started process may know only few data planes. Its low count must not become the slice
         // divisor, since a smaller divisor enlarges the slices.
         if current {
@@ -142,10 +146,7 @@
         }
         if !self.warmed_up && now >= WARMUP_MS {
             self.warmed_up = true;
-            self.send_to_subscribers(&Message::Backends {
-                is_complete: true,
-                backends: self.register.active(now),
-            });
+            self.send_all_active_backends(now);
         }
         self.event_log.on_data_planes(now, self.fleet.incarnations());
         self.resize_fleet(now);
@@ -205,6 +206,25 @@
         }
     }
 
+    /// Tells the subscribers that backends count as silent here, by a complete list without them: a later report
+    /// brings a missing backend back, but not one whose end was reported.
+    fn publish_silent_backends(&mut self, now: u64, silent: Vec<Backend>) {
+        if silent.is_empty() {
+            return;
+        }
+        let ended: Vec<Backend> =
+            silent.into_iter().map(|backend| Backend { phase: Phase::Gone, ..backend }).collect();
+        self.event_log.on_backends(now, &ended, Origin::Silence);
+        self.send_all_active_backends(now);
+    }
+
+    fn send_all_active_backends(&self, now: u64) {
+        self.send_to_subscribers(&Message::Backends {
+            is_complete: true,
+            backends: self.register.active(now),
+        });
+    }
+
     fn send_backends_to_subscribers(&self, backends: Vec<Backend>) {
         if !backends.is_empty() {
             self.send_to_subscribers(&Message::Backends { is_complete: false, backends });
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -33,7 +33,7 @@
     Serving,
     /// The backend finishes its running requests and must receive no new ones.
     Draining,
-    /// The backend instance has ended: it announced its departure, or sent no heartbeat for a minute.
+    /// The backend instance has ended: it announced its departure, or another instance has its address.
     Gone,
 }
 
--- a/crates/registry/src/backend_registry.rs
+++ b/crates/registry/src/backend_registry.rs
@@ -2,7 +2,9 @@
 //!
 //! An instance is one run of a backend process; a restart creates another instance with another id. The call count
 //! of an instance is the number of calls that it has made to the control plane. A draining instance finishes its
-//! running requests and receives no new ones; an instance that is gone has ended or was silent for too long.
+//! running requests and receives no new ones; an instance that is gone has ended, by its own word or because another
+//! instance has its address. That an instance is silent is only what this process concludes from hearing nothing of it.
+//! The conclusion is not sent to other control planes, and any newer call of the instance refutes it.
 
 use crate::{DrainRun, DrainTable, Millis};
 use protocol::{Backend, Phase};
@@ -13,9 +15,9 @@
 const MAX_MISSED_HEARTBEATS: Millis = 3;
 /// How long a heartbeat may take to arrive, because the backend tries one control plane after another.
 const HEARTBEAT_TRANSIT_MS: Millis = 800;
-/// A backend without heartbeats for this long counts as gone, so that the table stays bounded.
+/// A backend without heartbeats for this long counts as silent, so that the table stays bounded.
 const SILENT_BACKEND_TIMEOUT_MS: Millis = 60_000;
-/// How long an instance that is gone is remembered: a delayed heartbeat must not restore the instance.
+/// How long an instance that is gone or silent is remembered: a delayed heartbeat must not restore the instance.
 const GONE_RETENTION_MS: Millis = 60_000;
 /// Maximum number of instances; further ones are ignored.
 const MAX_INSTANCES: usize = 20_000;
@@ -26,6 +28,8 @@
     last_contact_at: Millis,
     /// Time of the report that set `backend`. The remaining warm-up time counts from then.
     reported_at: Millis,
+    /// Since when the backend counts as silent here. A newer call of the backend clears it.
+    silent_since: Option<Millis>,
     /// Whether a heartbeat arrived here since the last [`BackendRegistry::take_heartbeats`].
     heartbeat_pending: bool,
     /// Whether this process has announced the current state to the other processes itself. The announcement of another
@@ -53,6 +57,15 @@
     pub unknown: Vec<String>,
 }
 
+/// What a sweep of the table has found.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SweepOutcome {
+    /// Backends whose heartbeats are overdue now.
+    pub overdue: Vec<Backend>,
+    /// Backends that count as silent now.
+    pub silent: Vec<Backend>,
+}
+
 /// All known backend instances.
 pub struct BackendRegistry {
     /// Known backends by id.
@@ -61,6 +74,8 @@
     drains: DrainTable,
     /// A backend without a heartbeat for this long is overdue.
     overdue_after: Millis,
+    /// No silence counts from before this time.
+    silence_counts_from: Millis,
 }
 
 impl BackendRegistry {
@@ -70,6 +85,7 @@
             registrations: BTreeMap::new(),
             drains: DrainTable::default(),
             overdue_after: heartbeat_interval * MAX_MISSED_HEARTBEATS + HEARTBEAT_TRANSIT_MS,
+            silence_counts_from: 0,
         }
     }
 
@@ -165,6 +181,7 @@
             if *calls > registration.backend.call_count {
                 registration.backend.call_count = *calls;
                 registration.last_contact_at = now;
+                registration.silent_since = None;
                 if std::mem::take(&mut registration.backend.overdue) {
                     recovered.push(registration.with_current_warmup(now));
                 }
@@ -183,40 +200,57 @@
         self.registrations.iter_mut().filter_map(heartbeats).collect()
     }
 
-    /// Marks backends with missed heartbeats as overdue, then as gone, and forgets those that have been gone for
-    /// long. Returns the backends that changed.
-    pub fn sweep(&mut self, now: Millis) -> Vec<Backend> {
-        let mut changed = Vec::new();
+    /// Tells the table that this process lacks contact with the fleet. That explains the silence of any backend, so all
+    /// silences count anew from now.
+    pub fn disregard_silence(&mut self, now: Millis) {
+        self.silence_counts_from = now;
+    }
+
+    /// Marks backends with missed heartbeats as overdue, then as silent, and forgets those that have been gone or
+    /// silent for long.
+    pub fn sweep(&mut self, now: Millis) -> SweepOutcome {
+        let mut outcome = SweepOutcome::default();
+        let silence_counts_from = self.silence_counts_from;
         self.registrations.retain(|_, registration| {
-            let silence = now.saturating_sub(registration.last_contact_at);
+            let since_contact = now.saturating_sub(registration.last_contact_at);
             if registration.backend.phase == Phase::Gone {
-                return silence < GONE_RETENTION_MS;
+                return since_contact < GONE_RETENTION_MS;
             }
-            if silence >= SILENT_BACKEND_TIMEOUT_MS {
-                registration.backend.phase = Phase::Gone;
-                registration.last_contact_at = now;
-                changed.push(registration.with_current_warmup(now));
-            } else if silence >= self.overdue_after && !registration.backend.overdue {
+            if let Some(since) = registration.silent_since {
+                return now.saturating_sub(since) < GONE_RETENTION_MS;
+            }
+            if since_contact >= self.overdue_after && !registration.backend.overdue {
                 registration.backend.overdue = true;
-                changed.push(registration.with_current_warmup(now));
+                outcome.overdue.push(registration.with_current_warmup(now));
+            }
+            let silence = since_contact.min(now.saturating_sub(silence_counts_from));
+            if silence >= SILENT_BACKEND_TIMEOUT_MS {
+                registration.silent_since = Some(now);
+                outcome.silent.push(registration.with_current_warmup(now));
             }
             true
         });
-        changed
+        outcome
     }
 
-    /// All backends that are not gone, with their current warm-up time.
+    /// All backends that are neither gone nor silent, with their current warm-up time.
     pub fn active(&self, now: Millis) -> Vec<Backend> {
-        self.registrations
-            .values()
-            .filter(|registration| registration.backend.phase != Phase::Gone)
-            .map(|registration| registration.with_current_warmup(now))
-            .collect()
+        self.reports(now, |registration| {
+            registration.backend.phase != Phase::Gone && registration.silent_since.is_none()
+        })
     }
 
-    /// All backends including those that are gone, which another process must learn of as well.
+    /// All backends including those that are gone, which another process must learn of as well. Those that are silent
+    /// are left out: the other process judges their silence by what it hears itself.
     pub fn all_including_gone(&self, now: Millis) -> Vec<Backend> {
-        self.registrations.values().map(|registration| registration.with_current_warmup(now)).collect()
+        self.reports(now, |registration| {
+            registration.backend.phase == Phase::Gone || registration.silent_since.is_none()
+        })
+    }
+
+    fn reports(&self, now: Millis, is_included: impl Fn(&Registration) -> bool) -> Vec<Backend> {
+        let included = self.registrations.values().filter(|registration| is_included(registration));
+        included.map(|registration| registration.with_current_warmup(now)).collect()
     }
 
     fn merge(&mut self, now: Millis, mut backend: Backend, is_local: bool) -> Vec<Backend> {
@@ -234,6 +268,7 @@
                 let registration = Registration {
                     last_contact_at: now,
                     reported_at: now,
+                    silent_since: None,
                     heartbeat_pending: is_local,
                     announced: is_local,
                     backend: backend.clone(),
@@ -244,6 +279,7 @@
                 let old = known.backend.clone();
                 let phase = old.phase.max(backend.phase);
                 let newer = backend.call_count > old.call_count;
+                let refuted = newer && known.silent_since.take().is_some();
                 if newer {
                     (known.last_contact_at, known.reported_at) = (now, now);
                     known.heartbeat_pending |= is_local;
@@ -254,7 +290,7 @@
                     |b: &Backend| Backend { call_count: 0, warmup_left_ms: 0, ..b.clone() };
                 let differs = without_counters(&known.backend) != without_counters(&old);
                 let is_announced = is_local && (newer || differs);
-                if differs || is_announced && !known.announced {
+                if differs || refuted || is_announced && !known.announced {
                     changed.push(known.with_current_warmup(now));
                 }
                 known.announced = is_announced || known.announced && !differs;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -4,8 +4,9 @@
 //! report are merged by rules that are independent of order and duplicates: the phase of an instance only advances,
 //! and of two states of one instance, the one with the higher call count is newer.
 //!
-//! A backend is overdue after missed heartbeats, draining while it finishes its running requests, and gone after
-//! its end or a long silence. A draining backend has a record in the Raft log (see [`DrainTable`]). The fleet is
+//! A backend is overdue after missed heartbeats, silent after a long time without any, draining while it finishes its
+//! running requests, and gone after its end. Overdue and silent are conclusions of one process, which a newer call of
+//! the backend refutes; draining and gone are final. A draining backend has a record in the Raft log (see [`DrainTable`]). The fleet is
 //! the set of data planes that may spend quota ([`Fleet`]).
 
 #![forbid(unsafe_code)]
@@ -15,7 +16,7 @@
 mod drains;
 mod fleet;
 
-pub use backend_registry::{BackendRegistry, DrainOutcome, MergeOutcome};
+pub use backend_registry::{BackendRegistry, DrainOutcome, MergeOutcome, SweepOutcome};
 pub use drains::{DrainRun, DrainTable};
 #[doc(hidden)]
 pub use fleet::FleetFaults;
--- a/crates/registry/tests/backend_registry.rs
+++ b/crates/registry/tests/backend_registry.rs
@@ -75,8 +75,8 @@
 fn missed_heartbeats_make_a_backend_overdue_until_another_process_receives_one() {
     let mut register = BackendRegistry::new(HEARTBEAT_INTERVAL_MS);
     register.record_heartbeat(0, backend("i-1", "10.0.0.1:80", Phase::Serving, 1));
-    assert!(register.sweep(3 * HEARTBEAT_INTERVAL_MS).is_empty(), "a heartbeat may still arrive");
-    let overdue = register.sweep(3 * HEARTBEAT_INTERVAL_MS + 800);
+    assert!(register.sweep(3 * HEARTBEAT_INTERVAL_MS).overdue.is_empty(), "a heartbeat may still arrive");
+    let overdue = register.sweep(3 * HEARTBEAT_INTERVAL_MS + 800).overdue;
     assert!(overdue.len() == 1 && overdue[0].overdue && overdue[0].phase == Phase::Serving);
     assert!(
         register.merge_heartbeats(5000, &[("i-1".into(), 1)]).is_empty(),
@@ -87,14 +87,70 @@
 }
 
 #[test]
-fn a_silent_backend_is_gone_after_a_minute_and_forgotten_after_another() {
+fn a_silent_backend_is_left_out_after_a_minute_and_forgotten_after_another() {
     let mut register = BackendRegistry::new(HEARTBEAT_INTERVAL_MS);
-    register.record_heartbeat(0, backend("i-1", "10.0.0.1:80", Phase::Serving, 1));
+    let heartbeat = backend("i-1", "10.0.0.1:80", Phase::Serving, 1);
+    register.record_heartbeat(0, heartbeat.clone());
     register.sweep(10_000);
-    assert_eq!(register.sweep(60_000)[0].phase, Phase::Gone);
-    assert_eq!(phase(&register, "i-1"), Some(Phase::Gone));
+    assert!(register.sweep(59_999).silent.is_empty());
+    assert_eq!(register.sweep(60_000).silent[0].id, "i-1");
+    assert!(register.active(60_000).is_empty());
+    assert!(
+        register.merge_reports(119_000, vec![heartbeat.clone()]).is_empty(),
+        "an old report refutes nothing"
+    );
+    assert!(register.active(119_000).is_empty());
     register.sweep(130_000);
-    assert_eq!(phase(&register, "i-1"), None);
+    assert_eq!(register.merge_reports(130_000, vec![heartbeat]).len(), 1, "the backend is forgotten");
+}
+
+/// Guards against a process that was cut off for a minute: on its return, its silence ended all backends for good at all
+/// processes.
+#[test]
+fn the_silence_that_one_process_notices_ends_no_backend() {
+    let (mut isolated, mut connected) =
+        (BackendRegistry::new(HEARTBEAT_INTERVAL_MS), BackendRegistry::new(HEARTBEAT_INTERVAL_MS));
+    for register in [&mut isolated, &mut connected] {
+        register.record_heartbeat(0, backend("i-1", "10.0.0.1:80", Phase::Serving, 1));
+    }
+    connected.record_heartbeat(61_500, backend("i-1", "10.0.0.1:80", Phase::Serving, 48));
+    assert_eq!(isolated.sweep(62_000).silent.len(), 1);
+    assert!(connected.merge_reports(62_000, isolated.all_including_gone(62_000)).is_empty());
+    assert_eq!(phase(&connected, "i-1"), Some(Phase::Serving));
+    // A report and a forwarded heartbeat refute the silence alike.
+    let refuted = isolated.merge_reports(62_000, connected.all_including_gone(62_000));
+    assert!(refuted.len() == 1 && refuted[0].phase == Phase::Serving && !refuted[0].overdue, "{refuted:?}");
+    assert_eq!(isolated.sweep(122_000).silent.len(), 1);
+    let refuted = isolated.merge_heartbeats(123_000, &[("i-1".into(), 49)]);
+    assert!(refuted.len() == 1 && refuted[0].phase == Phase::Serving && !refuted[0].overdue, "{refuted:?}");
+    assert_eq!(isolated.active(123_000).len(), 1);
+}
+
+#[test]
+fn a_process_without_contact_concludes_nothing_from_silence() {
+    let mut register = BackendRegistry::new(HEARTBEAT_INTERVAL_MS);
+    register.record_heartbeat(0, backend("i-1", "10.0.0.1:80", Phase::Serving, 1));
+    for now in (1_000..=300_000).step_by(1_000) {
+        register.disregard_silence(now);
+        assert!(register.sweep(now).silent.is_empty());
+    }
+    assert!(register.sweep(359_000).silent.is_empty(), "the silence counts from the return of contact");
+    assert_eq!(register.sweep(360_000).silent.len(), 1);
+}
+
+#[test]
+fn an_announced_end_or_drain_outlasts_a_silence() {
+    let mut register = BackendRegistry::new(HEARTBEAT_INTERVAL_MS);
+    register.record_heartbeat(0, backend("i-1", "10.0.0.1:80", Phase::Draining, 3));
+    register.record_heartbeat(0, backend("i-2", "10.0.0.2:80", Phase::Serving, 3));
+    assert_eq!(register.sweep(60_000).silent.len(), 2);
+    // The first instance is heard again, the end of the second one was announced elsewhere.
+    register.record_heartbeat(61_000, backend("i-1", "10.0.0.1:80", Phase::Serving, 4));
+    assert_eq!(phase(&register, "i-1"), Some(Phase::Draining));
+    let ended = register.merge_reports(61_000, vec![backend("i-2", "10.0.0.2:80", Phase::Gone, 3)]);
+    assert_eq!(ended.len(), 1);
+    register.record_heartbeat(62_000, backend("i-2", "10.0.0.2:80", Phase::Serving, 9));
+    assert_eq!(phase(&register, "i-2"), Some(Phase::Gone));
 }
 
 #[test]
