--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -3,8 +3,7 @@
 //!
 //! A counter is open while the holder grants units from it. After a change of holder, a counter is closed until every
 //! block of the former holder has expired, unless the former holder hands the counter over or the log has a floor for
-//! it. A later holder than the fleet's first also closes a counter that it has not seen before, until its window ends.
-//! A block is the units granted to one gateway for one window.
+//! it. A block is the units granted to one gateway for one window.
 //!
 //! A gateway that gets no answer from its holder spends its fallback slice instead: in each window, one refill (the
 //! units that a window adds to the counter) divided by the number of gateways. The holder therefore reserves the
@@ -234,60 +233,45 @@
                 }
                 continue;
             }
-            let counter = self.new_counter(now, &quota.tenant, params);
+            let window = params.map_or(0.0, |p| p.window);
+            let opens_at = self.assigned_at + self.closed_for + window;
+            let closed = !self.first_holder && (!self.configured || now < opens_at);
+            let floor = self.floors.remove(&quota.tenant).unwrap_or(0);
+            // A floor below one refill is not used: the fallback slices of all gateways add up to one refill, and
+            // every gateway can spend its slice at once.
+            let starts_at_floor = closed && params.is_some_and(|p| f64::from(floor) >= p.refill);
+            let closed = closed && !starts_at_floor;
+            let closed_until = if closed { opens_at.max(now) } else { now };
+            // With several holders, a tenant that is new here may have had another holder before: this holder may
+            // receive the configuration late. Such a counter starts with one refill only.
+            let full = self.first_holder || self.epoch.number <= 1;
+            let free = params.map_or(0.0, |p| if full { p.max_units } else { p.refill });
+            let free = if starts_at_floor { free.min(floor.into()) } else { free };
+            let free = if closed { 0.0 } else { free };
+            let expects_handover = closed && self.epoch.number > 1;
+            let handover_deadline = if expects_handover { self.assigned_at + HANDOVER_TIMEOUT } else { now };
+            let window_end = if closed { closed_until } else { self.next_window_end(now, window) };
+            let mut floor = Floor::new(now, floor);
+            floor.record_free(free);
+            let counter = Counter {
+                params,
+                next_params: params,
+                window: 0,
+                window_end,
+                free,
+                granted: 0.0,
+                silent_fraction: 0.0,
+                closed_until,
+                floor,
+                handover_deadline,
+                removed_at: None,
+            };
             self.counters.insert(quota.tenant.clone(), counter);
         }
         self.configured = true;
         self.counters.retain(|_, c| c.removed_at.is_none_or(|at| now < at + REMOVED_TENANT_RETENTION));
     }
 
-    /// Creates the counter of a tenant that this holder has no counter of.
-    ///
-    /// Another holder may have granted units of the tenant in the last windows: before this holder's assignment, or
-    /// before the tenant was removed and configured again. Only the fleet's first holder therefore starts with all
-    /// units of a window. Any other holder starts at the floor in the log, or closed.
-    fn new_counter(&mut self, now: Millis, tenant: &str, params: Option<WindowParams>) -> Counter {
-        let window = params.map_or(0.0, |p| p.window);
-        let next_window_end = self.next_window_end(now, window);
-        let floor = self.floors.remove(tenant).unwrap_or(0);
-        // A floor below one refill is not used: the fallback slices of all gateways add up to one refill, and every
-        // gateway can spend its slice at once.
-        let starts_at_floor = !self.first_holder && params.is_some_and(|p| f64::from(floor) >= p.refill);
-        let closed = !self.first_holder && !starts_at_floor;
-        let opens_at = self.assigned_at + self.closed_for + window;
-        let closed_until = match (closed, self.configured) {
-            (false, _) => now,
-            (true, false) => opens_at.max(now),
-            (true, true) => opens_at.max(next_window_end),
-        };
-        // With several holders, the floor may be older than the units that another holder has granted since.
-        let sole_holder = self.epoch.number <= 1;
-        let floor_limit = params.map_or(0.0, |p| if sole_holder { p.max_units } else { p.refill });
-        let free = match params {
-            Some(params) if self.first_holder => params.max_units,
-            Some(_) if starts_at_floor => floor_limit.min(floor.into()),
-            _ => 0.0,
-        };
-        let expects_handover = closed && !sole_holder;
-        let handover_deadline = if expects_handover { self.assigned_at + HANDOVER_TIMEOUT } else { now };
-        let window_end = if closed { closed_until } else { next_window_end };
-        let mut floor = Floor::new(now, floor);
-        floor.record_free(free);
-        Counter {
-            params,
-            next_params: params,
-            window: 0,
-            window_end,
-            free,
-            granted: 0.0,
-            silent_fraction: 0.0,
-            closed_until,
-            floor,
-            handover_deadline,
-            removed_at: None,
-        }
-    }
-
     /// Sets the number of gateways, including those that may be cut off and spend their fallback slices.
     pub fn set_fleet_size(&mut self, _now: Millis, fleet_size: u32) {
         self.fleet_size = fleet_size.max(1);
