--- a/review/standin-2/src/standins.rs
+++ b/review/standin-2/src/standins.rs
@@ -148,8 +148,15 @@
         self.record.line(format!("backend {} runs {id} {path}", self.id));
         let tenant = request.header("x-tenant").map(str::to_owned);
         self.runs.lock().unwrap().push(Run { at: self.record.now(), id: id.clone(), path, tenant });
-        sleep(self.work);
-        let body = format!("done {id} at {}\n", self.id);
+        // A path `/prefix/WORK_MS/BYTES` sets the time of the work and the length of the answer.
+        let parts: Vec<u64> = request.first.split(['/', ' ']).filter_map(|part| part.parse().ok()).collect();
+        let (work, length) = match parts[..] {
+            [work, length, ..] => (Duration::from_millis(work), length as usize),
+            _ => (self.work, 0),
+        };
+        sleep(work);
+        let mut body = format!("done {id} at {}\n", self.id);
+        body.push_str(&"x".repeat(length.saturating_sub(body.len())));
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
             self.id,
