--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -221,11 +221,6 @@
         children.get_mut(&(machine, role)).is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
-    /// The log folder.
-    pub fn dir(&self) -> &Path {
-        &self.dir
-    }
-
     /// Waits until a data plane answers 200 to the platform's question.
     pub fn wait_ready(&self, machine: usize, limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -1,7 +1,7 @@
 //! The little of HTTP/1.1 that the stand-ins need.
 
 use crate::fleet::connect;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod headers;
 mod http;
+mod quota;
 mod slow;
 mod standins;
 
@@ -32,6 +33,7 @@
     let repo = PathBuf::from(repo);
     let verdict = match case.as_str() {
         "drains" => drains::run(&repo, &record, trouble),
+        "quota" => quota::run(&repo, &record, trouble),
         "slow" => slow::run(&repo, &record, trouble),
         "headers" => headers::run(&repo, &record, trouble),
         other => Verdict::NotRun(format!("no case {other:?}")),
--- a/review/standin-2/src/standins.rs
+++ b/review/standin-2/src/standins.rs
@@ -4,18 +4,21 @@
 use crate::http::{Message, once, read_body, read_head};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Requests that wait for a slot of a backend, at most.
+const QUEUE: usize = 24;
 
 /// A request that a backend has run.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// When its work began, and when it arrived.
     pub at: u64,
+    pub arrived: u64,
     pub id: String,
-    pub path: String,
-    pub tenant: Option<String>,
 }
 
 /// A backend: answers requests and sends beats.
@@ -26,6 +29,11 @@
     zone: &'static str,
     work: Duration,
     pub runs: Mutex<Vec<Run>>,
+    /// How many requests are worked on at once; 0 for any number.
+    slots: AtomicUsize,
+    /// Requests at work, and requests that wait for a slot.
+    busy: Mutex<(usize, usize)>,
+    freed: Condvar,
     calls: AtomicU64,
     beating: AtomicBool,
     ended: AtomicBool,
@@ -47,6 +55,9 @@
             zone,
             work,
             runs: Mutex::default(),
+            slots: AtomicUsize::new(0),
+            busy: Mutex::default(),
+            freed: Condvar::new(),
             calls: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
@@ -110,6 +121,31 @@
         None
     }
 
+    /// Sets how many requests are worked on at once; a few more wait.
+    pub fn set_slots(&self, slots: usize) {
+        self.slots.store(slots, SeqCst);
+    }
+
+    /// Waits for a slot; false if there is no room or the deadline passes meanwhile.
+    fn take_slot(&self, left: Duration) -> bool {
+        let (slots, until) = (self.slots.load(SeqCst), Instant::now() + left);
+        let mut busy = self.busy.lock().unwrap();
+        if slots > 0 && busy.0 >= slots && busy.1 >= QUEUE {
+            return false;
+        }
+        busy.1 += 1;
+        while slots > 0 && busy.0 >= slots {
+            let wait = until.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                busy.1 -= 1;
+                return false;
+            }
+            busy = self.freed.wait_timeout(busy, wait).unwrap().0;
+        }
+        *busy = (busy.0 + 1, busy.1 - 1);
+        true
+    }
+
     pub fn run_count(&self) -> usize {
         self.runs.lock().unwrap().len()
     }
@@ -144,10 +180,19 @@
             )
             .into_bytes();
         }
-        let path = request.first.split(' ').nth(1).unwrap_or("").to_owned();
+        let path = request.first.split(' ').nth(1).unwrap_or("");
+        let arrived = self.record.now();
+        let left = request.header("x-deadline-left").and_then(|text| text.parse().ok()).unwrap_or(10_000);
+        if !self.take_slot(Duration::from_millis(left)) {
+            self.record.line(format!("backend {} turns {id} away", self.id));
+            return format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+                 Content-Length: 0\r\n\r\n"
+            )
+            .into_bytes();
+        }
         self.record.line(format!("backend {} runs {id} {path}", self.id));
-        let tenant = request.header("x-tenant").map(str::to_owned);
-        self.runs.lock().unwrap().push(Run { at: self.record.now(), id: id.clone(), path, tenant });
+        self.runs.lock().unwrap().push(Run { at: self.record.now(), arrived, id: id.clone() });
         // A path `/prefix/WORK_MS/BYTES` sets the time of the work and the length of the answer.
         let parts: Vec<u64> = request.first.split(['/', ' ']).filter_map(|part| part.parse().ok()).collect();
         let (work, length) = match parts[..] {
@@ -155,6 +200,8 @@
             _ => (self.work, 0),
         };
         sleep(work);
+        self.busy.lock().unwrap().0 -= 1;
+        self.freed.notify_one();
         let mut body = format!("done {id} at {}\n", self.id);
         body.push_str(&"x".repeat(length.saturating_sub(body.len())));
         format!(
