--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves the
 //! disruption out.
 
+mod address;
 mod drains;
 mod fleet;
 mod headers;
@@ -32,6 +33,7 @@
     let record = Record::new(PathBuf::from(folder).join("record.txt"));
     let repo = PathBuf::from(repo);
     let verdict = match case.as_str() {
+        "address" => address::run(&repo, &record, trouble),
         "drains" => drains::run(&repo, &record, trouble),
         "quota" => quota::run(&repo, &record, trouble),
         "slow" => slow::run(&repo, &record, trouble),
--- a/review/standin-2/src/standins.rs
+++ b/review/standin-2/src/standins.rs
@@ -46,6 +46,16 @@
     pub fn start(
         ip: &str, id: &str, service: &str, zone: &'static str, work: Duration, controls: Vec<SocketAddr>,
         record: Arc<Record>,
+    ) -> Arc<Self> {
+        let backend = Self::prepare(ip, id, service, zone, work, controls, record);
+        backend.start_beating();
+        backend
+    }
+
+    /// The same without beats.
+    pub fn prepare(
+        ip: &str, id: &str, service: &str, zone: &'static str, work: Duration, controls: Vec<SocketAddr>,
+        record: Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(format!("{ip}:0")).expect("backend's socket");
         let backend = Arc::new(Self {
@@ -74,7 +84,12 @@
                 spawn(move || backend.serve(stream));
             }
         });
-        let beats = backend.clone();
+        backend
+    }
+
+    /// Beats every 1.3 s from now on.
+    pub fn start_beating(self: &Arc<Self>) {
+        let beats = self.clone();
         spawn(move || {
             let mut next = beats.calls.load(SeqCst) as usize;
             while !beats.ended.load(SeqCst) {
@@ -85,18 +100,21 @@
                 sleep(Duration::from_millis(1300));
             }
         });
-        backend
     }
 
     /// Path and body of the next beat.
     pub fn beat(&self) -> (String, String) {
         let count = self.calls.fetch_add(1, SeqCst) + 1;
-        let body = format!(
-            "{{\"address\":\"{}\",\"summary\":{{\"target\":\"{}\",\"generation\":\"v1\",\"zone\":\"{}\",\
+        (format!("/Backends.Heartbeat/{}", self.id), self.beat_of(&self.service, count))
+    }
+
+    /// Body of a beat from this address.
+    pub fn beat_of(&self, service: &str, count: u64) -> String {
+        format!(
+            "{{\"address\":\"{}\",\"summary\":{{\"target\":\"{service}\",\"generation\":\"v1\",\"zone\":\"{}\",\
              \"capacity\":6}},\"condition\":{{\"phase\":\"serving\",\"call_count\":{count},\"warmup_left_ms\":0}}}}",
-            self.address, self.service, self.zone
-        );
-        (format!("/Backends.Heartbeat/{}", self.id), body)
+            self.address, self.zone
+        )
     }
 
     /// Makes a call at one control plane after another; returns the one that acknowledged it.
