--- a/review/standin-2/src/address.rs
+++ b/review/standin-2/src/address.rs
@@ -1,13 +1,16 @@
-//! CONFIG: a late beat of a backend that is gone ends the one that has its address now.
+//! CONFIG: a control plane that was frozen reads the beat of a backend that has crashed since, and ends the one that has
+//! its address now.
 
 use crate::Verdict;
-use crate::fleet::{Fleet, Record, Role};
+use crate::fleet::{Fleet, Record, Role, connect};
 use crate::http::once;
 use crate::standins::{Backend, post, replace};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn route(name: &str, service: &str) -> String {
     format!(
@@ -30,6 +33,17 @@
     )
 }
 
+/// Sends a call without waiting for its answer. The caller is gone when the connection is dropped.
+fn call(to: SocketAddr, path: &str, body: &str) -> Option<TcpStream> {
+    let mut stream = connect(to)?;
+    let call = format!(
+        "POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(call.as_bytes()).ok()?;
+    Some(stream)
+}
+
 /// Sends requests on a route to the machines by turns; returns how many were served.
 fn load(fleet: &Fleet, record: &Record, name: &str, round: &str, count: usize) -> usize {
     let mut served = 0;
@@ -74,47 +88,49 @@
     if replace(record, &controls, 1, 2, &config(2, &[sheet, balance], &[flowlog, meterdesk])).is_none() {
         return Verdict::NotRun("the second configuration was not taken".into());
     }
-    let deliver = |what: &str, (path, body): &(String, String)| {
-        let delivered = controls.iter().any(|control| {
-            let answer = post(*control, path, "", body, Duration::from_secs(1));
-            answer.is_some_and(|answer| (200..300).contains(&answer.status))
-        });
-        record.line(format!("{what} arrives, acknowledged: {delivered}"));
+    // The control plane that is frozen: one that does not lead.
+    let leads = |machine: usize| {
+        let get = b"GET /Harbour.Status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        once(fleet.control(machine), get, Duration::from_secs(1))
+            .is_some_and(|answer| String::from_utf8_lossy(&answer.body).contains("\"leads\":true"))
     };
-    // A backend of `flowlog` sends its first beat and crashes 0.3 s later. Its address is given to a backend of
-    // `meterdesk` after reuse_after_s = 2 s.
+    let Some(frozen) = (0..3).find(|machine| !leads(*machine)) else { return Verdict::NotRun("no leader".into()) };
+    let awake = controls[(frozen + 1) % 3];
+    sleep(Duration::from_secs(1));
     let (ip, zone) = (fleet.machines[0].ip.clone(), fleet.machines[0].zone);
-    let present = Backend::prepare(&ip, "i-balance", "meterdesk", zone, work, controls.clone(), record.clone());
-    let first = (
-        "/Backends.Heartbeat/i-crashed".to_owned(),
-        present.beat_of("flowlog", 1),
-    );
-    record.line("i-crashed sends its first beat");
-    if !trouble {
-        deliver("the beat of i-crashed", &first);
+    let present = Backend::prepare(&ip, "i-9balance", "meterdesk", zone, work, controls.clone(), record.clone());
+    if trouble {
+        fleet.signal(frozen, Role::ControlPlane, "STOP");
     }
-    sleep(Duration::from_millis(300));
-    record.line("i-crashed crashes");
-    sleep(Duration::from_millis(2100));
-    record.line("i-balance starts at the address that i-crashed had");
-    deliver("a beat of i-balance", &present.beat());
-    sleep(Duration::from_millis(1300));
-    deliver("a beat of i-balance", &present.beat());
+    let began = Instant::now();
+    let until = |at: u64| sleep(Duration::from_millis(at).saturating_sub(began.elapsed()));
+    // A backend of `flowlog` sends its first beat, waits for the answer, and crashes 0.1 s later. Its address is given to a
+    // backend of `meterdesk` after reuse_after_s = 2 s.
+    until(50);
+    let first = call(controls[frozen], "/Backends.Heartbeat/i-2crashed", &present.beat_of("flowlog", 1));
+    record.line("i-2crashed sends its first beat");
+    until(150);
+    drop(first);
+    record.line("i-2crashed crashes");
+    until(2200);
+    let (path, body) = present.beat();
+    let answer = post(awake, &path, "", &body, Duration::from_secs(1)).map_or(0, |answer| answer.status);
+    record.line(format!("i-9balance starts at that address, its first beat: answered {answer}"));
+    until(2400);
     let before = load(&fleet, record, "balance", "before", 6);
-    // It beats each 1.3 s; the load took a little of that.
-    sleep(Duration::from_millis(1100));
-    let late = present.beat();
-    record.line("i-balance sends a beat");
+    // It beats each 1.3 s. The next beat goes to another control plane, and after a second of silence to the former one.
+    until(3500);
+    let (path, body) = present.beat();
+    let asked = call(controls[frozen], &path, &body);
+    record.line("i-9balance sends its second beat");
+    until(4000);
     if trouble {
-        sleep(Duration::from_millis(700));
-        deliver("the beat of i-crashed, late,", &first);
-        sleep(Duration::from_millis(300));
-        deliver("the beat of i-balance, one second late,", &late);
-        sleep(Duration::from_millis(300));
-    } else {
-        deliver("the beat of i-balance", &late);
-        sleep(Duration::from_millis(1300));
+        fleet.signal(frozen, Role::ControlPlane, "CONT");
     }
+    until(4500);
+    drop(asked);
+    let answer = post(awake, &path, "", &body, Duration::from_secs(1)).map_or(0, |answer| answer.status);
+    record.line(format!("i-9balance sends its second beat to another control plane: answered {answer}"));
     present.start_beating();
     sleep(Duration::from_secs(4));
     let (mut first_routes, mut added) = (0, 0);
